Start the kernel, messages, records and the test harness

Cause: nothing existed. Change: a micro-kernel of deciders without I/O, the typed messages between routers, the internal form of records, checked settings, a harness with a virtual clock, and a fake object API, so that the parts can be written side by side.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and of the real processes."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,27 @@
+"""Runs one measurement by name: `python -m bench NAME [ARGUMENTS]`."""
+
+import importlib
+import pathlib
+import sys
+
+NOT_MEASUREMENTS = {"__init__", "__main__", "harness", "fake_store"}
+
+
+def names() -> list[str]:
+    """Returns the names of the measurements."""
+    here = pathlib.Path(__file__).parent
+    found = {path.stem for path in here.glob("*.py")} - NOT_MEASUREMENTS
+    return sorted(name for name in found if not name.startswith("_"))
+
+
+def main() -> None:
+    """Runs the measurement that the command line names."""
+    if len(sys.argv) < 2 or sys.argv[1] not in names():
+        print(f"usage: script/measure {{{'|'.join(names())}}} [--seed N]")
+        sys.exit(2)
+    module = importlib.import_module(f"bench.{sys.argv.pop(1)}")
+    module.main(sys.argv[1:])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/harness.py
@@ -0,0 +1,181 @@
+"""A virtual clock and a faulty message queue around the real deciders.
+
+Everything random comes from one seeded source, so that a run repeats exactly.
+Nodes are `core.DeciderGroup` objects, fakes are `Fake` objects; both are
+addressed by name. The harness knows nothing of what the messages mean.
+"""
+
+from collections.abc import Callable, Sequence
+import dataclasses
+import heapq
+import random
+from typing import Protocol
+
+from tamarackbridge import const, core
+
+TICK_S = const.TICK_S
+
+
+class Fake(Protocol):
+    """A stand-in for something outside, addressed like a router."""
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> Sequence[core.Envelope]:
+        """Takes one message in; replies leave as envelopes."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What happens to messages between nodes.
+
+    Attributes:
+        delay_s: Least and greatest one-way delay; unequal ones reorder.
+        drop: Probability that a message is lost.
+        duplicate: Probability that a message arrives twice.
+        cut: Pairs (from, to) between which nothing passes.
+    """
+
+    delay_s: tuple[float, float] = (0.0005, 0.0015)
+    drop: float = 0.0
+    duplicate: float = 0.0
+    cut: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+
+    def cut_both(self, a: str, b: str) -> None:
+        """Cuts two nodes off each other."""
+        self.cut |= {(a, b), (b, a)}
+
+    def isolate(self, inside: Sequence[str], outside: Sequence[str]) -> None:
+        """Parts two groups of nodes from each other."""
+        for a in inside:
+            for b in outside:
+                self.cut_both(a, b)
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.cut.clear()
+
+
+@dataclasses.dataclass(order=True, slots=True)
+class _Event:
+    at: float
+    order: int
+    action: Callable[[], None] = dataclasses.field(compare=False)
+
+
+class Harness:
+    """Runs nodes and fakes on one virtual clock."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.faults = Faults()
+        self.sent_messages: dict[str, int] = {}
+        self.taps: list[Callable[[str, core.Envelope, float], None]] = []
+        self._events: list[_Event] = []
+        self._order = 0
+        self._nodes: dict[str, core.DeciderGroup] = {}
+        self._fakes: dict[str, Fake] = {}
+        self._paused: dict[str, list[tuple[core.Delivery, float]]] = {}
+        self._life: dict[str, int] = {}
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Schedules `action` at virtual time `when`, in seconds."""
+        self._order += 1
+        event = _Event(max(when, self.now), self._order, action)
+        heapq.heappush(self._events, event)
+
+    def add_fake(self, name: str, fake: Fake) -> None:
+        """Adds or replaces a fake."""
+        self._fakes[name] = fake
+
+    def start(self, group: core.DeciderGroup) -> None:
+        """Starts a node, or starts it again with empty state."""
+        life = self._life.get(group.node, 0) + 1
+        self._life[group.node] = life
+        self._paused.pop(group.node, None)
+        self._nodes[group.node] = group
+        self.at(self.now, lambda: self._tick(group.node, life))
+
+    def kill(self, node: str) -> None:
+        """Ends a node; what it knew is gone."""
+        self._nodes.pop(node, None)
+        self._paused.pop(node, None)
+        self._life[node] = self._life.get(node, 0) + 1
+
+    def pause(self, node: str) -> None:
+        """Freezes a node; messages to it wait."""
+        if node in self._nodes:
+            self._paused.setdefault(node, [])
+
+    def resume(self, node: str) -> None:
+        """Lets a frozen node go on, with the messages that waited."""
+        for delivery, sent_at in self._paused.pop(node, []):
+            self._deliver(node, delivery, sent_at)
+
+    def alive(self, node: str) -> bool:
+        """Tells whether a node runs, paused or not."""
+        return node in self._nodes
+
+    def group(self, node: str) -> core.DeciderGroup:
+        """Returns a running node."""
+        return self._nodes[node]
+
+    def inject(self, node: str, msg: core.Message) -> None:
+        """Delivers a message to a node as if from itself, at once."""
+        if node in self._nodes:
+            self._deliver(node, core.Delivery(node, msg), self.now)
+
+    def send(self, src: str, env: core.Envelope) -> None:
+        """Puts one message on the network."""
+        for tap in self.taps:
+            tap(src, env, self.now)
+        self.sent_messages[src] = self.sent_messages.get(src, 0) + 1
+        copies = 2 if self.rng.random() < self.faults.duplicate else 1
+        for _ in range(copies):
+            self._transmit(src, env)
+
+    def run_until(self, end: float) -> None:
+        """Runs all events up to virtual time `end`."""
+        while self._events and self._events[0].at <= end:
+            event = heapq.heappop(self._events)
+            self.now = event.at
+            event.action()
+        self.now = end
+
+    def _transmit(self, src: str, env: core.Envelope) -> None:
+        if self.rng.random() < self.faults.drop:
+            return
+        delay = self.rng.uniform(*self.faults.delay_s)
+        sent_at = self.now
+        delivery = core.Delivery(src, env.msg)
+
+        def arrive() -> None:
+            if (src, env.to) not in self.faults.cut:
+                self._deliver(env.to, delivery, sent_at)
+
+        self.at(self.now + delay, arrive)
+
+    def _deliver(
+        self, node: str, delivery: core.Delivery, sent_at: float
+    ) -> None:
+        if node in self._paused:
+            self._paused[node].append((delivery, sent_at))
+            return
+        aged = dataclasses.replace(delivery, age_s=self.now - sent_at)
+        receiver = self._nodes.get(node) or self._fakes.get(node)
+        if receiver is None:
+            return
+        self._send_all(node, receiver.handle(aged, self.now))
+
+    def _send_all(self, src: str, envs: Sequence[core.Envelope]) -> None:
+        for env in envs:
+            self.send(src, env)
+
+    def _tick(self, node: str, life: int) -> None:
+        if self._life.get(node) != life:
+            return
+        if node not in self._paused:
+            self._send_all(node, self._nodes[node].tick(self.now))
+        self.at(self.now + TICK_S, lambda: self._tick(node, life))
--- /dev/null
+++ b/tamarackbridge/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet that shares backend capacity fairly between workspaces."""
--- /dev/null
+++ b/tamarackbridge/components/__init__.py
@@ -0,0 +1,1 @@
+"""One package per concern of the router."""
--- /dev/null
+++ b/tamarackbridge/components/backend/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards backend servers."""
--- /dev/null
+++ b/tamarackbridge/components/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run for each idempotency key."""
--- /dev/null
+++ b/tamarackbridge/components/client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/tamarackbridge/components/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: watched, validated, applied, confirmed."""
--- /dev/null
+++ b/tamarackbridge/components/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Fair order and permits for the backend servers of one shard."""
--- /dev/null
+++ b/tamarackbridge/components/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The caller's side: accepts, waits for a permit, forwards, answers."""
--- /dev/null
+++ b/tamarackbridge/components/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers are there, and which of them holds what."""
--- /dev/null
+++ b/tamarackbridge/components/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface."""
--- /dev/null
+++ b/tamarackbridge/components/records/__init__.py
@@ -0,0 +1,1 @@
+"""Declared records: kinds, schema versions and the internal form."""
--- /dev/null
+++ b/tamarackbridge/components/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one router process."""
--- /dev/null
+++ b/tamarackbridge/components/settings/models.py
@@ -0,0 +1,146 @@
+"""The settings of one router process."""
+
+import dataclasses
+
+import pydantic
+from pydantic import dataclasses as checked
+
+_CONFIG = pydantic.ConfigDict(extra="forbid", strict=True)
+
+_settings = checked.dataclass(frozen=True, slots=True, config=_CONFIG)
+
+PositiveS = pydantic.PositiveFloat
+
+
+@_settings
+class TlsSettings:
+    """Paths of the PEM files of one listener; empty for plain text.
+
+    Attributes:
+        certificate: Certificate chain that this side presents.
+        key: Private key of the certificate.
+        client_ca: Authorities whose client certificates are accepted.
+    """
+
+    certificate: str = ""
+    key: str = ""
+    client_ca: str = ""
+
+
+@_settings
+class ListenSettings:
+    """Where one listener accepts connections."""
+
+    host: str = "127.0.0.1"
+    port: int = pydantic.Field(default=0, ge=0, le=65535)
+    tls: TlsSettings = dataclasses.field(default_factory=TlsSettings)
+    allow_plain_text: bool = False
+
+
+@_settings
+class LimitSettings:
+    """Limits on what one caller can send or hold.
+
+    Attributes:
+        max_header_bytes: Largest header line and largest header field.
+        max_body_bytes: Largest request body.
+        max_connections: Open caller connections.
+        max_held_requests: Requests that wait or run in this router.
+        header_timeout_s: Time to send the whole header.
+        body_timeout_s: Time to send the whole body.
+        write_stall_s: Time that a caller may leave its answer unread.
+    """
+
+    max_header_bytes: int = pydantic.Field(default=16_384, ge=1024)
+    max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
+    max_connections: int = pydantic.Field(default=4096, ge=1)
+    max_held_requests: int = pydantic.Field(default=4096, ge=1)
+    header_timeout_s: float = pydantic.Field(default=10.0, gt=0)
+    body_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+    write_stall_s: float = pydantic.Field(default=60.0, gt=0)
+
+
+@_settings
+class PlatformSettings:
+    """How to reach the platform.
+
+    Attributes:
+        object_api: Base URL of the object API.
+        vm_list: URL of the VM list.
+        timeout_s: Time after which a call counts as unanswered.
+        token_file: File with the bearer token; empty for none.
+    """
+
+    object_api: str
+    vm_list: str
+    timeout_s: float = pydantic.Field(default=2.0, gt=0)
+    token_file: str = ""
+
+
+@_settings
+class OperatorSettings(ListenSettings):
+    """The operators' interface.
+
+    Attributes:
+        token_hashes: SHA-256 hashes, in hex, of accepted bearer tokens.
+    """
+
+    token_hashes: tuple[str, ...] = ()
+
+
+@_settings
+class ClaimSettings:
+    """Idempotency claims.
+
+    Attributes:
+        retention_s: Time for which a key's outcome is kept.
+        max_outcome_bytes: Largest answer body that is kept for replay.
+    """
+
+    retention_s: float = pydantic.Field(default=86_400.0, ge=60)
+    max_outcome_bytes: int = pydantic.Field(default=16_384, ge=0)
+
+
+@_settings
+class TelemetrySettings:
+    """Logs and traces.
+
+    Attributes:
+        log_level: Least level that is logged.
+        traces: Where spans go: `off`, `log`, or an OTLP endpoint's URL.
+    """
+
+    log_level: str = pydantic.Field(
+        default="info", pattern="^(debug|info|warning|error)$"
+    )
+    traces: str = "off"
+
+
+@_settings
+class Settings:
+    """All settings of one router process.
+
+    Attributes:
+        node: Identifier of this router, unique in the fleet.
+        zone: Availability zone that this VM is in.
+        advertise: Address at which other routers reach this one, `host:port`.
+        drain_timeout_s: Longest time that a graceful shutdown takes.
+        caller: Listener for callers.
+        peer: Listener for other routers.
+        operator: Listener for operators.
+        platform: The platform's services.
+    """
+
+    node: str = pydantic.Field(min_length=1, pattern="^[a-z0-9][a-z0-9-]*$")
+    zone: str = pydantic.Field(min_length=1)
+    caller: ListenSettings
+    peer: ListenSettings
+    operator: OperatorSettings
+    platform: PlatformSettings
+    advertise: str = ""
+    drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
+    limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
+    claims: ClaimSettings = dataclasses.field(default_factory=ClaimSettings)
+    telemetry: TelemetrySettings = dataclasses.field(
+        default_factory=TelemetrySettings
+    )
--- /dev/null
+++ b/tamarackbridge/components/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms, logs and traces."""
--- /dev/null
+++ b/tamarackbridge/components/transport/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC streams between routers, batched per peer and tick."""
--- /dev/null
+++ b/tamarackbridge/components/vm_list/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's list of VMs."""
--- /dev/null
+++ b/tamarackbridge/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that several components share."""
--- /dev/null
+++ b/tamarackbridge/helpers/rendezvous.py
@@ -0,0 +1,20 @@
+"""Rendezvous hashing (Thaler and Ravishankar, 1998)."""
+
+from collections.abc import Iterable
+import hashlib
+
+
+def _weight(node: str, key: str) -> bytes:
+    data = f"{node}\0{key}".encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
+
+
+def rank(key: str, nodes: Iterable[str]) -> list[str]:
+    """Returns `nodes` in order of preference for `key`, best first."""
+    return sorted(nodes, key=lambda node: (_weight(node, key), node))
+
+
+def owner(key: str, nodes: Iterable[str]) -> str:
+    """Returns the preferred node for `key`, or an empty string for none."""
+    found = min(nodes, key=lambda node: (_weight(node, key), node), default="")
+    return found
--- /dev/null
+++ b/tamarackbridge/messages.py
@@ -0,0 +1,89 @@
+"""All messages that routers exchange, and their codec."""
+
+from typing import Union
+
+import msgspec
+
+from tamarackbridge import core, exceptions
+from tamarackbridge.components.claims import messages as claims
+from tamarackbridge.components.dispatch import messages as dispatch
+
+MAX_BATCH_BYTES = 4 * 1024 * 1024
+"""Largest batch that a router accepts, in bytes."""
+
+PEER_MESSAGES: tuple[type[core.Message], ...] = (
+    dispatch.Ask,
+    dispatch.Withdraw,
+    dispatch.Grant,
+    dispatch.Refuse,
+    dispatch.Progress,
+    dispatch.Finish,
+    dispatch.ResyncAsk,
+    dispatch.ResyncReport,
+    claims.ClaimAsk,
+    claims.ClaimReply,
+    claims.ClaimSettle,
+    claims.ClaimSettled,
+)
+"""The message types that may cross from one router to another."""
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """Messages that one router sends to another in one tick.
+
+    Attributes:
+        src: Identifier of the sending router.
+        sent_at: Sender's monotonic time of sending, in seconds.
+        echo: The highest `sent_at` received from the receiver; 0 for none.
+        hold_s: Seconds between receiving `echo` and sending this batch.
+        msgs: The messages, each serialized with its type.
+    """
+
+    src: str
+    sent_at: float
+    echo: float
+    hold_s: float
+    msgs: tuple[msgspec.Raw, ...]
+
+
+_MESSAGE_DECODER = msgspec.msgpack.Decoder(Union[PEER_MESSAGES])  # noqa: UP007
+_BATCH_DECODER = msgspec.msgpack.Decoder(Batch)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_message(msg: core.Message) -> msgspec.Raw:
+    """Serializes one message."""
+    return msgspec.Raw(_ENCODER.encode(msg))
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Serializes a batch."""
+    return _ENCODER.encode(batch)
+
+
+def decode_batch(data: bytes) -> Batch:
+    """Reads a batch.
+
+    Raises:
+        CodecError: The bytes are too many or are no batch.
+    """
+    if len(data) > MAX_BATCH_BYTES:
+        raise exceptions.CodecError(f"batch of {len(data)} bytes is too large")
+    try:
+        return _BATCH_DECODER.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise exceptions.CodecError(str(exc)) from exc
+
+
+def decode_message(raw: msgspec.Raw) -> core.Message:
+    """Reads one message of a batch.
+
+    Raises:
+        CodecError: The bytes are no message of a known type; a router of a
+            newer version may send those, and they are dropped singly.
+    """
+    try:
+        msg: core.Message = _MESSAGE_DECODER.decode(raw)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise exceptions.CodecError(str(exc)) from exc
+    return msg
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,41 @@
+"""Tests of the codec between routers."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from tamarackbridge import exceptions, messages
+from tamarackbridge.components.dispatch import messages as dispatch
+
+
+def test_batch_round_trip() -> None:
+    withdraw = dispatch.Withdraw("lm/0", "r1")
+    raw = messages.encode_message(withdraw)
+    batch = messages.Batch("a", 1.0, 0.5, 0.1, (raw,))
+
+    read = messages.decode_batch(messages.encode_batch(batch))
+
+    assert read.src == "a"
+    assert messages.decode_message(read.msgs[0]) == withdraw
+
+
+@hypothesis.given(st.binary(max_size=512))
+def test_outside_bytes_give_a_typed_error(data: bytes) -> None:
+    try:
+        batch = messages.decode_batch(data)
+        for raw in batch.msgs:
+            messages.decode_message(raw)
+    except exceptions.CodecError:
+        pass
+
+
+def test_unknown_type_is_dropped_singly() -> None:
+    raw = msgspec.Raw(msgspec.msgpack.encode({"type": "FromTheFuture"}))
+    with pytest.raises(exceptions.CodecError):
+        messages.decode_message(raw)
+
+
+def test_oversize_batch_is_refused() -> None:
+    with pytest.raises(exceptions.CodecError, match="too large"):
+        messages.decode_batch(b"\0" * (messages.MAX_BATCH_BYTES + 1))
