--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,5 @@
-"""Small stand-ins for what the product talks to, for tests and the demo."""
+"""Small stand-ins for what the platform gives.
+
+They speak the protocols that the product's adapters expect, can be told to
+fail through `/control`, and are no part of the product.
+"""
--- /dev/null
+++ b/standins/base.py
@@ -0,0 +1,149 @@
+"""What all stand-ins share: a listener, and faults set through `/control`."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Any
+
+from aiohttp import typedefs, web
+import msgspec
+
+CONTROL_PATH = "/control"
+SHUTDOWN_S = 0.2
+"""Time that open connections get when a stand-in stops."""
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults that every stand-in knows.
+
+    Attributes:
+        down: Connections are closed without an answer and without effect.
+        slow_s: Time that each call waits before it takes effect.
+        lose_answer: Probability that the connection is closed after the
+            effect, in place of an answer.
+    """
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answer: float = 0.0
+
+
+class StandIn:
+    """A small server with faults and counts.
+
+    Attributes:
+        faults: What goes wrong at present; fields are set by `/control`.
+        calls: How often each kind of call arrived.
+    """
+
+    faults: Faults
+
+    def __init__(self, faults: Faults, seed: int = 0) -> None:
+        self.faults = faults
+        self.calls: dict[str, int] = {}
+        self.rng = random.Random(seed)
+        self.port = 0
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> str:
+        """`host:port` while running."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Base URL while running."""
+        return f"http://{self.address}"
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Adds the routes of this kind of stand-in."""
+        raise NotImplementedError
+
+    def state(self) -> dict[str, Any]:
+        """Returns what `/control` tells besides faults and counts."""
+        return {}
+
+    async def async_start(self, port: int = 0) -> None:
+        """Listens on a loopback port; 0 lets the kernel choose one."""
+
+        @web.middleware
+        async def async_inject(
+            request: web.Request, handler: typedefs.Handler
+        ) -> web.StreamResponse:
+            return await self._async_inject(request, handler)
+
+        app = web.Application(
+            middlewares=[async_inject],
+            client_max_size=64 * 1024 * 1024,
+        )
+        app.router.add_get(CONTROL_PATH, self._async_get_control)
+        app.router.add_post(CONTROL_PATH, self._async_set_control)
+        self.add_routes(app.router)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def async_stop(self) -> None:
+        """Closes the listener and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def __aenter__(self) -> "StandIn":
+        """Starts on a port that the kernel chooses."""
+        await self.async_start()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stops."""
+        await self.async_stop()
+
+    def count(self, kind: str) -> None:
+        """Counts one call."""
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+
+    async def _async_inject(
+        self, req: web.Request, handler: typedefs.Handler
+    ) -> web.StreamResponse:
+        if req.path == CONTROL_PATH:
+            return await handler(req)
+        if self.faults.slow_s:
+            await asyncio.sleep(self.faults.slow_s)
+        if self.faults.down:
+            return close(req)
+        resp = await handler(req)
+        if self.faults.down or self.rng.random() < self.faults.lose_answer:
+            return close(req)
+        return resp
+
+    async def _async_get_control(self, _: web.Request) -> web.Response:
+        told = {
+            "faults": dataclasses.asdict(self.faults),
+            "calls": self.calls,
+            **self.state(),
+        }
+        return web.json_response(told)
+
+    async def _async_set_control(self, req: web.Request) -> web.Response:
+        wanted = {**dataclasses.asdict(self.faults), **await req.json()}
+        try:
+            self.set_faults(msgspec.convert(wanted, type(self.faults)))
+        except msgspec.ValidationError as exc:
+            return web.Response(status=400, text=str(exc))
+        return await self._async_get_control(req)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replaces the faults."""
+        self.faults = faults
+
+
+def close(req: web.Request) -> web.Response:
+    """Closes the caller's connection without an answer."""
+    if req.transport is not None:
+        req.transport.abort()
+    return web.Response(status=500)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,222 @@
+"""Stand-in for a model engine with continuous batching."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+from aiohttp import web
+import msgspec
+
+from standins import backend, base
+
+ATTR_RESUME = "X-Resume-Offset"
+_WORDS = ("ewe ", "ram ", "calf ", "bull ", "mare ", "foal ", "kid ", "hen ")
+
+
+@dataclasses.dataclass(slots=True)
+class EngineFaults(backend.BackendFaults):
+    """Faults and speed of an engine.
+
+    Attributes:
+        first_token_s: Time to the first token of an idle engine.
+        token_s: Time between tokens with one running request.
+        load_slope: Growth of the time between tokens for each further
+            running request, as a fraction of `token_s`.
+        cold_factor: How much slower a cold engine is.
+        cut_after: Streams are cut after this many tokens; 0 for never.
+        resume: Whether the resume header is obeyed.
+    """
+
+    first_token_s: float = 0.02
+    token_s: float = 0.005
+    load_slope: float = 0.1
+    cold_factor: float = 4.0
+    cut_after: int = 0
+    resume: bool = True
+
+
+class CompletionRequest(msgspec.Struct):
+    """Body of a completion request."""
+
+    prompt: str
+    model: str = ""
+    max_tokens: int = 16
+    stream: bool = False
+
+
+class Engine(backend.Backend):
+    """Streams deterministic completions.
+
+    Attributes:
+        runs: How often each request identifier was started from offset 0.
+        tokens: Tokens generated.
+        cancelled: Streams whose caller went away.
+    """
+
+    faults: EngineFaults
+
+    def __init__(
+        self, faults: EngineFaults | None = None, seed: int = 0
+    ) -> None:
+        super().__init__(faults or EngineFaults(), seed)
+        self.runs: dict[str, int] = {}
+        self.tokens = 0
+        self.cancelled = 0
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Adds the completion route."""
+        super().add_routes(router)
+        router.add_post("/v1/completions", self._async_complete)
+
+    def state(self) -> dict[str, Any]:
+        """Returns load, history and runs."""
+        return {
+            **super().state(),
+            "runs": self.runs,
+            "tokens": self.tokens,
+            "cancelled": self.cancelled,
+        }
+
+    async def _async_complete(self, req: web.Request) -> web.StreamResponse:
+        self.count("completion")
+        refusal = await self.async_admit(req)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._async_run(req)
+        except asyncio.CancelledError:
+            if req.transport is not None and not req.transport.is_closing():
+                return base.close(req)
+            self.cancelled += 1
+            raise
+        except ConnectionResetError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.release()
+
+    async def _async_run(self, req: web.Request) -> web.StreamResponse:
+        try:
+            body = msgspec.json.decode(await req.read(), type=CompletionRequest)
+        except msgspec.MsgspecError as exc:
+            return web.Response(status=400, text=str(exc))
+        start = self._start_offset(req)
+        if start == 0:
+            request_id = req.headers.get(backend.ATTR_REQUEST_ID, "")
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        answer_id = self.answer_id(req)
+        await asyncio.sleep(self.faults.first_token_s + self.faults.late_s)
+        if body.stream:
+            return await self._async_stream(req, body, start, answer_id)
+        return await self._async_whole(req, body, answer_id)
+
+    async def _async_whole(
+        self, req: web.Request, body: CompletionRequest, answer_id: str
+    ) -> web.StreamResponse:
+        text = ""
+        async for _, word in self._async_tokens(req, body, 0):
+            text += word
+        answer = {
+            "id": answer_id,
+            "choices": [{"text": text}],
+            "usage": _usage(body),
+        }
+        if self.rng.random() < self.faults.truncated:
+            return await async_truncated(req, json.dumps(answer), answer_id)
+        headers = {backend.ATTR_REQUEST_ID: answer_id}
+        return web.json_response(answer, headers=headers)
+
+    async def _async_stream(
+        self,
+        req: web.Request,
+        body: CompletionRequest,
+        start: int,
+        answer_id: str,
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(
+            headers={
+                backend.ATTR_REQUEST_ID: answer_id,
+                "Content-Type": "text/event-stream",
+            }
+        )
+        await resp.prepare(req)
+        truncate = self.rng.random() < self.faults.truncated
+        sent = 0
+        async for index, word in self._async_tokens(req, body, start):
+            if self.faults.cut_after and sent >= self.faults.cut_after:
+                return _abort(req, resp)
+            if truncate and index == body.max_tokens - 1:
+                await resp.write_eof()
+                return resp
+            event: dict[str, Any] = {
+                "id": answer_id,
+                "index": index,
+                "choices": [{"text": word}],
+            }
+            if index == body.max_tokens - 1:
+                event["usage"] = _usage(body)
+            await resp.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
+            sent += 1
+        await resp.write(b"data: [DONE]\n\n")
+        await resp.write_eof()
+        return resp
+
+    async def _async_tokens(
+        self, req: web.Request, body: CompletionRequest, start: int
+    ) -> AsyncIterator[tuple[int, str]]:
+        request_id = req.headers.get(backend.ATTR_REQUEST_ID, "")
+        seed = hashlib.sha256(f"{request_id}\n{body.prompt}".encode()).digest()
+        for index in range(start, body.max_tokens):
+            self.tokens += 1
+            yield index, _WORDS[(seed[index % 32] + index) % len(_WORDS)]
+            await asyncio.sleep(self._token_s())
+
+    def _token_s(self) -> float:
+        others = len(self.running) - 1
+        pace = self.faults.token_s * (1 + self.faults.load_slope * others)
+        return pace * self.faults.cold_factor if self.cold else pace
+
+    def _start_offset(self, req: web.Request) -> int:
+        if not self.faults.resume:
+            return 0
+        return int(req.headers.get(ATTR_RESUME, "0"))
+
+
+def _usage(body: CompletionRequest) -> dict[str, int]:
+    return {
+        "prompt_tokens": len(body.prompt.split()),
+        "completion_tokens": body.max_tokens,
+    }
+
+
+def _abort(req: web.Request, resp: web.StreamResponse) -> web.StreamResponse:
+    if req.transport is not None:
+        req.transport.abort()
+    return resp
+
+
+async def async_truncated(
+    req: web.Request, text: str, answer_id: str
+) -> web.StreamResponse:
+    """Sends half of an answer under the length of the whole."""
+    body = text.encode()
+    resp = web.StreamResponse(
+        headers={
+            backend.ATTR_REQUEST_ID: answer_id,
+            "Content-Length": str(len(body)),
+        }
+    )
+    await resp.prepare(req)
+    await resp.write(body[: len(body) // 2])
+    return _abort_later(req, resp)
+
+
+def _abort_later(
+    req: web.Request, resp: web.StreamResponse
+) -> web.StreamResponse:
+    if req.transport is not None:
+        req.transport.close()
+    return resp
--- a/tamarackbridge/components/settings/models.py
+++ b/tamarackbridge/components/settings/models.py
@@ -7,7 +7,9 @@
 
 _CONFIG = pydantic.ConfigDict(extra="forbid", strict=True)
 
-_settings = checked.dataclass(frozen=True, slots=True, config=_CONFIG)
+_settings = checked.dataclass(
+    frozen=True, slots=True, kw_only=True, config=_CONFIG
+)
 
 PositiveS = pydantic.PositiveFloat
 
