Add the caller's side, backend client and gRPC transport

Cause: requests had no way through a router. Conclusion: the parts wait for the deciders to be wired.

--- /dev/null
+++ b/tamarackbridge/components/backend/client.py
@@ -0,0 +1,74 @@
+"""HTTP towards backend servers."""
+
+from collections.abc import AsyncIterator, Mapping
+import contextlib
+
+import aiohttp
+import mode
+
+from tamarackbridge.components.backend import exceptions
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_LINE_BYTES = 1024 * 1024
+
+
+class BackendClient(mode.Service):
+    """Owns the pooled connections to backend servers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def on_start(self) -> None:
+        """Opens the pool."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            timeout=timeout,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            read_bufsize=MAX_LINE_BYTES,
+        )
+
+    async def on_stop(self) -> None:
+        """Closes the pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    @contextlib.asynccontextmanager
+    async def async_open(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Sends a request and yields the answer once its header is there.
+
+        Leaving the context before the body's end closes the connection,
+        which cancels the work on engines.
+
+        Raises:
+            NotSentError: The request did not leave this router.
+            BackendError: The request may have reached the backend server.
+        """
+        if self._session is None:
+            raise exceptions.NotSentError("client is not started")
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                headers=headers,
+                data=body,
+                allow_redirects=False,
+            ) as resp:
+                yield resp
+        except aiohttp.ClientConnectorError as exc:
+            raise exceptions.NotSentError(str(exc)) from exc
+        except aiohttp.ConnectionTimeoutError as exc:
+            raise exceptions.NotSentError("connect timed out") from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise exceptions.BackendError(str(exc)) from exc
--- a/tamarackbridge/components/claims/messages.py
+++ b/tamarackbridge/components/claims/messages.py
@@ -78,3 +78,29 @@
 
     key: str
     attempt: str
+
+
+class ClaimWant(core.Message, frozen=True, tag=True):
+    """Local, entry to claim client: a request wants to claim its key.
+
+    The answer is a local `ClaimReply`. The fields are those of `ClaimAsk`.
+    """
+
+    key: str
+    body_hash: str
+    attempt: str
+
+
+class ClaimClose(core.Message, frozen=True, tag=True):
+    """Local, entry to claim client: an attempt has ended.
+
+    The fields are those of `ClaimSettle`, which the claim client sends until
+    it is confirmed.
+    """
+
+    key: str
+    attempt: str
+    state: ClaimState
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
--- /dev/null
+++ b/tamarackbridge/components/entry/accept.py
@@ -0,0 +1,112 @@
+"""Reads and authenticates what callers send."""
+
+import hashlib
+import uuid
+
+from aiohttp import web
+import result
+
+from tamarackbridge.components.entry import const, problem
+from tamarackbridge.components.entry import models as entry_models
+from tamarackbridge.components.records import models
+
+_PASSED_HEADERS = frozenset(
+    {"accept", "content-type", "idempotency-key", "traceparent", "tracestate"}
+)
+
+
+def _key(req: web.Request) -> str:
+    presented = req.headers.get(const.HEADER_API_KEY, "")
+    if presented:
+        return presented
+    scheme, _, token = req.headers.get("Authorization", "").partition(" ")
+    return token if scheme.lower() == "bearer" else ""
+
+
+def workspace_of(
+    req: web.Request, snapshot: models.Snapshot
+) -> models.Workspace | None:
+    """Returns the workspace whose key the caller presents."""
+    key = _key(req)
+    if not key:
+        return None
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    for workspace in snapshot.workspaces.values():
+        if digest in workspace.key_hashes:
+            return workspace
+    return None
+
+
+def route_of(
+    req: web.Request, snapshot: models.Snapshot
+) -> tuple[models.Service, models.Route, str] | None:
+    """Returns service, route and remaining path of `/SERVICE/PATH`."""
+    name, _, rest = req.path.lstrip("/").partition("/")
+    service = snapshot.services.get(name)
+    if service is None:
+        return None
+    path = f"/{rest}"
+    for route in service.routes:
+        if route.matches(req.method, path):
+            query = f"?{req.query_string}" if req.query_string else ""
+            return service, route, path + query
+    return None
+
+
+def _hint(req: web.Request) -> float:
+    try:
+        hint = float(req.headers.get(const.HEADER_COST_HINT, "0"))
+    except ValueError:
+        return 0.0
+    return hint if 0 < hint < float("inf") else 0.0
+
+
+async def async_accept(
+    req: web.Request, snapshot: models.Snapshot, now: float
+) -> result.Result[entry_models.Request, problem.Problem]:
+    """Turns an HTTP request into an accepted request or a refusal."""
+    request_id = uuid.uuid4().hex
+
+    def refuse(reason: const.Reason, detail: str) -> problem.Problem:
+        return problem.Problem(reason, problem.NotRun.TRUE, request_id, detail)
+
+    workspace = workspace_of(req, snapshot)
+    if workspace is None:
+        detail = "no workspace has this key"
+        return result.Err(refuse(const.Reason.UNAUTHORIZED, detail))
+    found = route_of(req, snapshot)
+    if found is None:
+        detail = "no service has this route"
+        return result.Err(refuse(const.Reason.UNKNOWN_ROUTE, detail))
+    service, route, path = found
+    key = req.headers.get(const.HEADER_IDEMPOTENCY_KEY, "")
+    if not route.idempotent and not key:
+        detail = f"this route needs the header {const.HEADER_IDEMPOTENCY_KEY}"
+        return result.Err(refuse(const.Reason.KEY_REQUIRED, detail))
+    try:
+        body = await req.read()
+    except web.HTTPRequestEntityTooLarge:
+        detail = "the body is too large"
+        return result.Err(refuse(const.Reason.TOO_LARGE, detail))
+    headers = tuple(
+        (name, value)
+        for name, value in req.headers.items()
+        if name.lower() in _PASSED_HEADERS
+    )
+    end_user = ""
+    if workspace.end_user_header:
+        end_user = req.headers.get(workspace.end_user_header, "")
+    accepted = entry_models.Request(
+        request_id=request_id,
+        workspace=workspace,
+        service=service,
+        route=route,
+        path=path,
+        headers=headers,
+        body=body,
+        end_user=end_user,
+        hint_cost=_hint(req),
+        idempotency_key=key,
+        deadline=now + route.deadline_s,
+    )
+    return result.Ok(accepted)
--- /dev/null
+++ b/tamarackbridge/components/entry/const.py
@@ -0,0 +1,40 @@
+"""Constants of the caller's side."""
+
+import enum
+from typing import Final
+
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_COST_HINT: Final = "X-Cost-Hint"
+HEADER_API_KEY: Final = "X-Api-Key"
+HEADER_RESUME_OFFSET: Final = "X-Resume-Offset"
+HEADER_NOT_STARTED: Final = "X-Not-Started"
+HEADER_FENCING: Final = "X-Fencing-Token"
+
+PROBLEM_CONTENT_TYPE: Final = "application/problem+json"
+
+USED_REPORT_S: Final = 0.2
+"""Interval at which the cost of a running stream is reported."""
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or failed."""
+
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_ROUTE = "unknown_route"
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    TIMEOUT = "timeout"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_CAPACITY = "no_capacity"
+    NOT_SERVING = "not_serving"
+    NO_HOLDER = "no_holder"
+    DRAINING = "draining"
+    KEY_REQUIRED = "key_required"
+    KEY_MISMATCH = "key_mismatch"
+    IN_PROGRESS = "in_progress"
+    STORE_UNAVAILABLE = "store_unavailable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    BACKEND_FAILED = "backend_failed"
+    TRUNCATED = "truncated"
--- /dev/null
+++ b/tamarackbridge/components/entry/port.py
@@ -0,0 +1,89 @@
+"""Joins the entry's coroutines to the deciders of its router."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import ClassVar, TypeVar
+
+from tamarackbridge import core
+from tamarackbridge.components.claims import messages as claims
+from tamarackbridge.components.configuration import messages as configuration
+from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.records import models
+
+_T = TypeVar("_T")
+
+PermitAnswer = dispatch.Permitted | dispatch.Refused
+
+
+class EntryPort:
+    """A decider that hands local messages to waiting coroutines.
+
+    Attributes:
+        snapshot: The configuration in force.
+        serving: Whether new work may start.
+        not_serving_reason: Why not.
+    """
+
+    handles: ClassVar[tuple[type[core.Message], ...]] = (
+        dispatch.Permitted,
+        dispatch.Refused,
+        claims.ClaimReply,
+        configuration.SnapshotInForce,
+        configuration.ServingChanged,
+    )
+
+    def __init__(self) -> None:
+        self.snapshot = models.empty_snapshot()
+        self.serving = False
+        self.not_serving_reason = "no configuration yet"
+        self._permits: dict[str, asyncio.Future[PermitAnswer]] = {}
+        self._claims: dict[str, asyncio.Future[claims.ClaimReply]] = {}
+
+    def expect_permit(self, request_id: str) -> asyncio.Future[PermitAnswer]:
+        """Returns a future for the answer to a `Want`."""
+        fut: asyncio.Future[PermitAnswer]
+        fut = asyncio.get_running_loop().create_future()
+        self._permits[request_id] = fut
+        return fut
+
+    def forget_permit(self, request_id: str) -> None:
+        """Stops waiting for a permit."""
+        self._permits.pop(request_id, None)
+
+    def expect_claim(self, attempt: str) -> asyncio.Future[claims.ClaimReply]:
+        """Returns a future for the answer to a claim of `attempt`."""
+        fut: asyncio.Future[claims.ClaimReply]
+        fut = asyncio.get_running_loop().create_future()
+        self._claims[attempt] = fut
+        return fut
+
+    def forget_claim(self, attempt: str) -> None:
+        """Stops waiting for a claim."""
+        self._claims.pop(attempt, None)
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> Sequence[core.Envelope]:
+        """Hands one local message on."""
+        del now  # Coroutines read the clock themselves.
+        match delivery.msg:
+            case dispatch.Permitted() | dispatch.Refused() as answer:
+                _resolve(self._permits.pop(answer.request_id, None), answer)
+            case claims.ClaimReply() as reply:
+                _resolve(self._claims.pop(reply.attempt, None), reply)
+            case configuration.SnapshotInForce(snapshot=snapshot):
+                self.snapshot = snapshot
+            case configuration.ServingChanged() as news:
+                self.serving = news.serving
+                self.not_serving_reason = news.reason
+        return ()
+
+    def tick(self, now: float) -> Sequence[core.Envelope]:
+        """Does nothing: coroutines have their own time-outs."""
+        del now
+        return ()
+
+
+def _resolve(fut: "asyncio.Future[_T] | None", value: _T) -> None:
+    if fut is not None and not fut.done():
+        fut.set_result(value)
--- /dev/null
+++ b/tamarackbridge/components/entry/problem.py
@@ -0,0 +1,85 @@
+"""Refusals and failures as callers see them (RFC 9457)."""
+
+import dataclasses
+import enum
+import math
+
+from aiohttp import web
+
+from tamarackbridge.components.entry import const
+
+
+class NotRun(enum.StrEnum):
+    """Whether the work of a refused request has run."""
+
+    TRUE = "true"
+    """It is proved that the work did not run."""
+    FALSE = "false"
+    UNKNOWN = "unknown"
+
+
+_STATUS: dict[const.Reason, int] = {
+    const.Reason.UNAUTHORIZED: 401,
+    const.Reason.UNKNOWN_ROUTE: 404,
+    const.Reason.BAD_REQUEST: 400,
+    const.Reason.TOO_LARGE: 413,
+    const.Reason.TIMEOUT: 408,
+    const.Reason.QUEUE_FULL: 429,
+    const.Reason.DEADLINE: 504,
+    const.Reason.NO_CAPACITY: 503,
+    const.Reason.NOT_SERVING: 503,
+    const.Reason.NO_HOLDER: 503,
+    const.Reason.DRAINING: 503,
+    const.Reason.KEY_REQUIRED: 400,
+    const.Reason.KEY_MISMATCH: 422,
+    const.Reason.IN_PROGRESS: 409,
+    const.Reason.STORE_UNAVAILABLE: 503,
+    const.Reason.OUTCOME_UNKNOWN: 409,
+    const.Reason.BACKEND_FAILED: 502,
+    const.Reason.TRUNCATED: 502,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One refusal or failure.
+
+    Attributes:
+        reason: Why.
+        not_run: Whether the work has run.
+        request_id: Identifier of the request.
+        detail: One sentence for people.
+        retry_after_s: When the caller may come back; 0 for no advice.
+    """
+
+    reason: const.Reason
+    not_run: NotRun
+    request_id: str
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the problem."""
+        return _STATUS[self.reason]
+
+    def response(self) -> web.Response:
+        """Returns the answer for the caller."""
+        headers = {const.HEADER_REQUEST_ID: self.request_id}
+        if self.retry_after_s > 0:
+            headers["Retry-After"] = str(math.ceil(self.retry_after_s))
+        body = {
+            "type": f"urn:tamarackbridge:problem:{self.reason.value}",
+            "title": self.reason.value.replace("_", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "reason": self.reason.value,
+            "not_run": self.not_run.value,
+            "request_id": self.request_id,
+        }
+        return web.json_response(
+            body,
+            status=self.status,
+            headers=headers,
+            content_type=const.PROBLEM_CONTENT_TYPE,
+        )
--- /dev/null
+++ b/tamarackbridge/components/transport/link.py
@@ -0,0 +1,95 @@
+"""The outgoing stream to one peer."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator, Callable
+
+from absl import logging
+import grpc
+from grpc import aio
+import mode
+
+from tamarackbridge import const as core_const
+from tamarackbridge import core, messages
+from tamarackbridge.components.transport import age, const
+
+
+class PeerLink(mode.Service):
+    """Owns the channel to one peer and batches what goes to it.
+
+    The first message after a quiet tick leaves at once; what comes within
+    the tick after it leaves together at its end.
+    """
+
+    def __init__(
+        self,
+        peer: str,
+        open_channel: Callable[[], aio.Channel],
+        ages: age.AgeTracker,
+        clock: core.Clock,
+    ) -> None:
+        super().__init__()
+        self.sent_batches = 0
+        self.sent_bytes = 0
+        self.dropped = 0
+        self._peer = peer
+        self._open_channel = open_channel
+        self._ages = ages
+        self._clock = clock
+        self._queue: collections.deque[core.Message] = collections.deque()
+        self._wake = asyncio.Event()
+
+    def post(self, msg: core.Message) -> None:
+        """Queues one message."""
+        if len(self._queue) >= const.MAX_QUEUED_MESSAGES:
+            self._queue.popleft()
+            self.dropped += 1
+        self._queue.append(msg)
+        self._wake.set()
+
+    @mode.Service.task
+    async def _async_run(self) -> None:
+        backoff_s = const.RECONNECT_MIN_S
+        connected = False
+        while not self.should_stop:
+            started = self._clock.monotonic()
+            try:
+                await self._async_stream()
+            except grpc.RpcError as exc:
+                if connected:
+                    logging.info(
+                        "peer link lost: %s %s", self._peer, exc.code()
+                    )
+                connected = False
+            lived_s = self._clock.monotonic() - started
+            if lived_s > const.RECONNECT_MAX_S:
+                backoff_s = const.RECONNECT_MIN_S
+                connected = True
+            await self.sleep(backoff_s)
+            backoff_s = min(backoff_s * 2, const.RECONNECT_MAX_S)
+
+    async def _async_stream(self) -> None:
+        channel = self._open_channel()
+        try:
+            call = channel.stream_unary(const.METHOD)
+            await call(self._async_batches())
+        finally:
+            await channel.close()
+
+    async def _async_batches(self) -> AsyncIterator[bytes]:
+        while not self.should_stop:
+            await self._wake.wait()
+            self._wake.clear()
+            if not self._queue:
+                continue
+            yield self._next_batch()
+            await asyncio.sleep(core_const.TICK_S)
+
+    def _next_batch(self) -> bytes:
+        msgs = tuple(messages.encode_message(msg) for msg in self._queue)
+        self._queue.clear()
+        now = self._clock.monotonic()
+        data = messages.encode_batch(self._ages.stamp(self._peer, now, msgs))
+        self.sent_batches += 1
+        self.sent_bytes += len(data)
+        return data
--- a/tamarackbridge/const.py
+++ b/tamarackbridge/const.py
@@ -11,7 +11,7 @@
 LEASE_S: Final = 2.0
 """How long one piece of lease evidence is good for."""
 
-CLOCK_DRIFT_RATIO: Final = 0.01
+CLOCK_DRIFT_RATIO: Final = 0.001
 """Largest difference in rate between two routers' monotonic clocks."""
 
 GRANT_USE_S: Final = 0.5
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -8,6 +8,9 @@
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.dispatch import messages as dispatch
 
+Raw = msgspec.Raw
+"""One serialized message."""
+
 MAX_BATCH_BYTES = 4 * 1024 * 1024
 """Largest batch that a router accepts, in bytes."""
 
@@ -33,17 +36,21 @@
 
     Attributes:
         src: Identifier of the sending router.
+        boot: Identifier of the sender's process life.
         sent_at: Sender's monotonic time of sending, in seconds.
+        echo_boot: The receiver's `boot` that `echo` came with.
         echo: The highest `sent_at` received from the receiver; 0 for none.
         hold_s: Seconds between receiving `echo` and sending this batch.
         msgs: The messages, each serialized with its type.
     """
 
     src: str
+    boot: str
     sent_at: float
+    echo_boot: str
     echo: float
     hold_s: float
-    msgs: tuple[msgspec.Raw, ...]
+    msgs: tuple[Raw, ...]
 
 
 _MESSAGE_DECODER = msgspec.msgpack.Decoder(Union[PEER_MESSAGES])  # noqa: UP007
