--- a/standins/backend.py
+++ b/standins/backend.py
@@ -48,6 +48,7 @@
 
     Attributes:
         running: Requests in flight.
+        idle: Set while nothing runs.
         peak: Most requests ever in flight at once.
         peak_cold: Most requests in flight at once during cold starts.
         falls: How often it fell over.
@@ -59,6 +60,7 @@
     def __init__(self, faults: BackendFaults, seed: int = 0) -> None:
         super().__init__(faults, seed)
         self.running: set[asyncio.Task[Any]] = set()
+        self.idle = asyncio.Event()
         self.peak = 0
         self.peak_cold = 0
         self.falls = 0
@@ -115,6 +117,7 @@
         task = asyncio.current_task()
         assert task is not None
         self.running.add(task)
+        self.idle.clear()
         self._note_load()
         bears = self._bears()
         if bears and len(self.running) > bears:
@@ -145,6 +148,8 @@
         return self.faults.bears_warm
 
     def _note_load(self) -> None:
+        if not self.running:
+            self.idle.set()
         self.peak = max(self.peak, len(self.running))
         now = time.monotonic()
         self._loads.append((now, len(self.running)))
--- a/standins/base.py
+++ b/standins/base.py
@@ -110,7 +110,7 @@
     async def _async_inject(
         self, req: web.Request, handler: typedefs.Handler
     ) -> web.StreamResponse:
-        if req.path == CONTROL_PATH:
+        if req.path.startswith(CONTROL_PATH):
             return await handler(req)
         if self.faults.slow_s:
             await asyncio.sleep(self.faults.slow_s)
--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -7,6 +7,7 @@
 import mode
 
 from tamarackbridge.components.backend import exceptions
+from tamarackbridge.helpers import send_once
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_LINE_BYTES = 1024 * 1024
@@ -30,6 +31,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=MAX_LINE_BYTES,
+            middlewares=(send_once.async_send_once,),
         )
 
     async def on_stop(self) -> None:
