--- /dev/null
+++ b/tamarackbridge/components/claims/const.py
@@ -0,0 +1,45 @@
+"""Constants of idempotency claims, with their units."""
+
+from typing import Final
+
+RANGES: Final = 8
+"""Number of key ranges; each has one journal in the object API."""
+
+KEY_PREFIX: Final = "claim"
+"""Kind of the journal's objects in the object API."""
+
+TAG_PREFIX: Final = "claims"
+"""First part of the tag of each store call of a keeper."""
+
+COMMIT_INTERVAL_S: Final = 0.1
+"""Least time between the starts of two writes of one busy range."""
+
+SEGMENT_BYTES: Final = 262_144
+"""A segment of at least this size is sealed."""
+
+BATCH_BYTES: Final = 524_288
+"""Largest sum of records that one write adds."""
+
+STORE_WAIT_S: Final = 4.0
+"""A store call without an answer for this time counts as unanswered."""
+
+STORE_PROBE_S: Final = 1.0
+"""Time between two reads while the store does not answer."""
+
+ASK_RESEND_S: Final = 0.5
+"""Time after which a client repeats a message without an answer."""
+
+ASK_LIFE_S: Final = 5.0
+"""A keeper forgets an ask that was not repeated for this time."""
+
+RUN_USE_S: Final = 30.0
+"""Time from the sending of a `RUN` within which the work must start."""
+
+IDLE_RANGE_S: Final = 30.0
+"""A keeper unloads another's range that was not used for this time."""
+
+SEALS_PER_RETENTION: Final = 8
+"""A segment is sealed at this fraction of the retention time."""
+
+CLOCK_SAVES_PER_RETENTION: Final = 32
+"""How often a journal's clock is written within the retention time."""
--- a/tamarackbridge/components/claims/messages.py
+++ b/tamarackbridge/components/claims/messages.py
@@ -27,8 +27,10 @@
     MISMATCH = "mismatch"
     """The key was used with another body."""
     OUTCOME_UNKNOWN = "outcome_unknown"
+    OUTCOME_NOT_KEPT = "outcome_not_kept"
+    """The work ran; its answer was too large to be kept."""
     UNAVAILABLE = "unavailable"
-    """Nothing was stored in this attempt's name: not run."""
+    """The store did not answer; the attempt must close without running."""
 
 
 class ClaimAsk(core.Message, frozen=True, tag=True):
@@ -66,6 +68,7 @@
     """Stores how an attempt ended."""
 
     key: str
+    body_hash: str
     attempt: str
     state: ClaimState
     status: int = 0
@@ -81,26 +84,53 @@
 
 
 class ClaimWant(core.Message, frozen=True, tag=True):
-    """Local, entry to claim client: a request wants to claim its key.
+    """Local, entry to claim client: a non-idempotent request wants to run.
 
-    The answer is a local `ClaimReply`. The fields are those of `ClaimAsk`.
+    Attributes:
+        request_id: Identifier of the request, unique in the fleet.
+        wait_s: Longest time to wait for the answer.
     """
 
+    request_id: str
     key: str
     body_hash: str
-    attempt: str
+    wait_s: float
+
+
+class ClaimResult(core.Message, frozen=True, tag=True):
+    """Local, claim client to entry: what became of a `ClaimWant`.
+
+    After `RUN` the entry owes a `ClaimClose`; after any other answer the
+    request must not run and nothing is owed.
+
+    Attributes:
+        start_by: Monotonic time before which the work must start, for `RUN`.
+    """
+
+    request_id: str
+    answer: ClaimAnswer
+    start_by: float = 0.0
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
 
 
 class ClaimClose(core.Message, frozen=True, tag=True):
-    """Local, entry to claim client: an attempt has ended.
+    """Local, entry to claim client: how the request ended.
 
-    The fields are those of `ClaimSettle`, which the claim client sends until
-    it is confirmed.
+    `ABANDONED` says that nothing was sent to a backend server, or that the
+    backend server proved that it did not start. It also takes back a
+    `ClaimWant` that has no result yet.
     """
 
-    key: str
-    attempt: str
+    request_id: str
     state: ClaimState
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+
+
+class ClaimClosed(core.Message, frozen=True, tag=True):
+    """Local, claim client to entry: the end of the request is stored."""
+
+    request_id: str
--- /dev/null
+++ b/tamarackbridge/components/claims/ranges.py
@@ -0,0 +1,27 @@
+"""Which range a key falls in, and which router keeps a range."""
+
+from collections.abc import Iterable
+import zlib
+
+from tamarackbridge.components.claims import const
+from tamarackbridge.helpers import rendezvous
+
+
+def range_of(key: str) -> int:
+    """Returns the number of the range that holds `key`."""
+    return zlib.crc32(key.encode()) % const.RANGES
+
+
+def keeper_of(number: int, nodes: Iterable[str]) -> str:
+    """Returns the router that keeps a range, or an empty string for none."""
+    return rendezvous.owner(f"{const.KEY_PREFIX}/{number}", nodes)
+
+
+def tail_key(number: int) -> str:
+    """Returns the key of the object that takes a range's next records."""
+    return f"{const.KEY_PREFIX}/{number}/tail"
+
+
+def archive_key(number: int, segment: int) -> str:
+    """Returns the key of one full segment of a range."""
+    return f"{const.KEY_PREFIX}/{number}/{segment:012d}"
--- a/tamarackbridge/components/entry/port.py
+++ b/tamarackbridge/components/entry/port.py
@@ -27,7 +27,7 @@
     handles: ClassVar[tuple[type[core.Message], ...]] = (
         dispatch.Permitted,
         dispatch.Refused,
-        claims.ClaimReply,
+        claims.ClaimResult,
         configuration.SnapshotInForce,
         configuration.ServingChanged,
     )
@@ -37,7 +37,7 @@
         self.serving = False
         self.not_serving_reason = "no configuration yet"
         self._permits: dict[str, asyncio.Future[PermitAnswer]] = {}
-        self._claims: dict[str, asyncio.Future[claims.ClaimReply]] = {}
+        self._claims: dict[str, asyncio.Future[claims.ClaimResult]] = {}
 
     def expect_permit(self, request_id: str) -> asyncio.Future[PermitAnswer]:
         """Returns a future for the answer to a `Want`."""
@@ -50,16 +50,18 @@
         """Stops waiting for a permit."""
         self._permits.pop(request_id, None)
 
-    def expect_claim(self, attempt: str) -> asyncio.Future[claims.ClaimReply]:
-        """Returns a future for the answer to a claim of `attempt`."""
-        fut: asyncio.Future[claims.ClaimReply]
+    def expect_claim(
+        self, request_id: str
+    ) -> asyncio.Future[claims.ClaimResult]:
+        """Returns a future for the result of a `ClaimWant`."""
+        fut: asyncio.Future[claims.ClaimResult]
         fut = asyncio.get_running_loop().create_future()
-        self._claims[attempt] = fut
+        self._claims[request_id] = fut
         return fut
 
-    def forget_claim(self, attempt: str) -> None:
+    def forget_claim(self, request_id: str) -> None:
         """Stops waiting for a claim."""
-        self._claims.pop(attempt, None)
+        self._claims.pop(request_id, None)
 
     def handle(
         self, delivery: core.Delivery, now: float
@@ -69,8 +71,8 @@
         match delivery.msg:
             case dispatch.Permitted() | dispatch.Refused() as answer:
                 _resolve(self._permits.pop(answer.request_id, None), answer)
-            case claims.ClaimReply() as reply:
-                _resolve(self._claims.pop(reply.attempt, None), reply)
+            case claims.ClaimResult() as found:
+                _resolve(self._claims.pop(found.request_id, None), found)
             case configuration.SnapshotInForce(snapshot=snapshot):
                 self.snapshot = snapshot
             case configuration.ServingChanged() as news:
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -135,17 +135,16 @@
     async def _async_once(
         self, req: web.Request, request: entry_models.Request
     ) -> web.StreamResponse:
-        key = _claim_key(request)
-        claim = await self._async_claim(request, key)
+        claim = await self._async_claim(request)
         if claim.answer is not claims.ClaimAnswer.RUN:
             return _claimed(request, claim)
         permit = await self._async_permit(request, ())
         if isinstance(permit, dispatch.Refused):
-            self._settle(key, request, claims.ClaimState.ABANDONED)
+            self._settle(request, claims.ClaimState.ABANDONED)
             return _refused(request, permit).response()
         attempt, answer = await self._async_forward(req, request, permit)
         if not attempt.sent:
-            self._settle(key, request, claims.ClaimState.ABANDONED)
+            self._settle(request, claims.ClaimState.ABANDONED)
             return problem.Problem(
                 const.Reason.BACKEND_FAILED,
                 problem.NotRun.TRUE,
@@ -154,7 +153,7 @@
                 RETRY_AFTER_S,
             ).response()
         if not attempt.whole or answer is None:
-            self._settle(key, request, claims.ClaimState.UNKNOWN)
+            self._settle(request, claims.ClaimState.UNKNOWN)
             return problem.Problem(
                 const.Reason.OUTCOME_UNKNOWN,
                 problem.NotRun.UNKNOWN,
@@ -163,12 +162,11 @@
             ).response()
         self._inject(
             claims.ClaimClose(
-                key,
-                request.request_id,
-                claims.ClaimState.FINISHED,
-                attempt.status,
-                attempt.content_type,
-                attempt.body,
+                request_id=request.request_id,
+                state=claims.ClaimState.FINISHED,
+                status=attempt.status,
+                content_type=attempt.content_type,
+                body=attempt.body,
             )
         )
         return answer
@@ -236,26 +234,28 @@
         return attempt, answer
 
     async def _async_claim(
-        self, request: entry_models.Request, key: str
-    ) -> claims.ClaimReply:
-        attempt = request.request_id
-        fut = self._local.expect_claim(attempt)
-        self._inject(claims.ClaimWant(key, _body_hash(request), attempt))
+        self, request: entry_models.Request
+    ) -> claims.ClaimResult:
+        request_id = request.request_id
+        left_s = request.deadline - self._clock.monotonic()
+        fut = self._local.expect_claim(request_id)
+        self._inject(
+            claims.ClaimWant(
+                request_id, _claim_key(request), _body_hash(request), left_s
+            )
+        )
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + request.route.deadline_s
-            ):
-                return await fut
-        except TimeoutError:
-            answer = claims.ClaimAnswer.OUTCOME_UNKNOWN
-            return claims.ClaimReply(key, attempt, answer)
+            return await fut
+        except asyncio.CancelledError:
+            self._settle(request, claims.ClaimState.ABANDONED)
+            raise
         finally:
-            self._local.forget_claim(attempt)
+            self._local.forget_claim(request_id)
 
     def _settle(
-        self, key: str, request: entry_models.Request, state: claims.ClaimState
+        self, request: entry_models.Request, state: claims.ClaimState
     ) -> None:
-        self._inject(claims.ClaimClose(key, request.request_id, state))
+        self._inject(claims.ClaimClose(request.request_id, state))
 
 
 def _claim_key(request: entry_models.Request) -> str:
@@ -308,7 +308,7 @@
 
 
 def _claimed(
-    request: entry_models.Request, claim: claims.ClaimReply
+    request: entry_models.Request, claim: claims.ClaimResult
 ) -> web.Response:
     if claim.answer is claims.ClaimAnswer.REPLAY:
         headers = {
