--- /dev/null
+++ b/tamarackbridge/components/records/schema_v2.py
@@ -0,0 +1,83 @@
+"""Schema version 2 of the workspace kind.
+
+Version 2 groups the limits and what names the end user. Every record of
+version 1 has exactly one equal of version 2, and the other way round.
+"""
+
+import dataclasses
+from typing import Annotated
+
+import pydantic
+from pydantic import dataclasses as checked
+
+from tamarackbridge.components.records import models, schema_v1
+
+_record = checked.dataclass(frozen=True, slots=True, config=schema_v1.CONFIG)
+
+
+@_record
+class LimitsV2:
+    """What one workspace may hold, per service, in the whole fleet.
+
+    Attributes:
+        queued: Requests that may wait.
+        running: Requests that may run at once.
+    """
+
+    queued: schema_v1.Count = 256
+    running: schema_v1.Count = 64
+
+
+@_record
+class EndUserV2:
+    """How the end user within a workspace is known.
+
+    Attributes:
+        header: Header that names the end user; empty for none.
+    """
+
+    header: schema_v1.HeaderName = ""
+
+
+@_record
+class WorkspaceV2:
+    """A tenant and its share of capacity.
+
+    Attributes:
+        name: Name of the workspace.
+        share: Weight relative to other workspaces.
+        key_hashes: SHA-256 hashes, in lower-case hex, of the callers' keys.
+        limits: What the workspace may hold.
+        end_user: How its end users are known.
+    """
+
+    name: schema_v1.Name
+    share: schema_v1.Share
+    key_hashes: Annotated[
+        tuple[schema_v1.Sha256, ...],
+        pydantic.Field(min_length=1, max_length=16),
+    ]
+    limits: LimitsV2 = dataclasses.field(default_factory=LimitsV2)
+    end_user: EndUserV2 = dataclasses.field(default_factory=EndUserV2)
+
+    def to_model(self) -> models.Workspace:
+        """Returns the internal form."""
+        return models.Workspace(
+            name=self.name,
+            share=self.share,
+            key_hashes=self.key_hashes,
+            max_queued=self.limits.queued,
+            max_running=self.limits.running,
+            end_user_header=self.end_user.header,
+        )
+
+    @classmethod
+    def from_model(cls, model: models.Workspace) -> "WorkspaceV2":
+        """Returns this version of an internal form."""
+        return cls(
+            name=model.name,
+            share=model.share,
+            key_hashes=model.key_hashes,
+            limits=LimitsV2(model.max_queued, model.max_running),
+            end_user=EndUserV2(model.end_user_header),
+        )
--- a/tamarackbridge/components/settings/models.py
+++ b/tamarackbridge/components/settings/models.py
@@ -1,15 +1,18 @@
 """The settings of one router process."""
 
 import dataclasses
+from typing import Annotated
 
 import pydantic
 from pydantic import dataclasses as checked
 
-_CONFIG = pydantic.ConfigDict(extra="forbid", strict=True)
+_CONFIG = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
 _settings = checked.dataclass(frozen=True, slots=True, config=_CONFIG)
 
-PositiveS = pydantic.PositiveFloat
+NodeName = Annotated[str, pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+ZoneName = Annotated[str, pydantic.Field(min_length=1, max_length=63)]
+Sha256 = Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
 
 
 @_settings
@@ -85,7 +88,7 @@
         token_hashes: SHA-256 hashes, in hex, of accepted bearer tokens.
     """
 
-    token_hashes: tuple[str, ...] = ()
+    token_hashes: tuple[Sha256, ...] = ()
 
 
 @_settings
@@ -131,8 +134,8 @@
         platform: The platform's services.
     """
 
-    node: str = pydantic.Field(min_length=1, pattern="^[a-z0-9][a-z0-9-]*$")
-    zone: str = pydantic.Field(min_length=1)
+    node: NodeName
+    zone: ZoneName
     caller: ListenSettings
     peer: ListenSettings
     operator: OperatorSettings
