--- a/tamarackbridge/components/records/codec.py
+++ b/tamarackbridge/components/records/codec.py
@@ -35,9 +35,7 @@
     checked = validation.validate(schema, fields)
     if isinstance(checked, result.Err):
         err = checked.err_value
-        return result.Err(
-            exceptions.RecordError(where, err.key, err.allowed)
-        )
+        return result.Err(exceptions.RecordError(where, err.key, err.allowed))
     return result.Ok(schemas.Record(version, checked.ok_value.to_model()))
 
 
