Name the decorator of the second record schema in full

Cause: with no cache the type checker did not see an aliased decorator as a data class: 7 errors. Change: the decorator is written out. Conclusion: script/test is green from an empty cache.

--- a/tamarackbridge/components/records/schema_v2.py
+++ b/tamarackbridge/components/records/schema_v2.py
@@ -12,10 +12,8 @@
 
 from tamarackbridge.components.records import models, schema_v1
 
-_record = checked.dataclass(frozen=True, slots=True, config=schema_v1.CONFIG)
 
-
-@_record
+@checked.dataclass(frozen=True, slots=True, config=schema_v1.CONFIG)
 class LimitsV2:
     """What one workspace may hold, per service, in the whole fleet.
 
@@ -28,7 +26,7 @@
     running: schema_v1.Count = 64
 
 
-@_record
+@checked.dataclass(frozen=True, slots=True, config=schema_v1.CONFIG)
 class EndUserV2:
     """How the end user within a workspace is known.
 
@@ -39,7 +37,7 @@
     header: schema_v1.HeaderName = ""
 
 
-@_record
+@checked.dataclass(frozen=True, slots=True, config=schema_v1.CONFIG)
 class WorkspaceV2:
     """A tenant and its share of capacity.
 
