Add logs, metrics, traces and TLS contexts

Change: telemetry.logs, .latency, .metrics and .traces; tls.contexts, .reloader, .peers. Traces off is one shared span object that does nothing. A listener's context hands each handshake to the newest context, so that an authority which was taken out is refused at once, which loading into the same context can't do.

--- /dev/null
+++ b/tamarackbridge/components/telemetry/latency.py
@@ -0,0 +1,97 @@
+"""Latency by hdrhistogram, exposed as a Prometheus summary."""
+
+from collections.abc import Callable, Iterator
+
+from hdrh import histogram
+from prometheus_client import core as prometheus
+
+QUANTILES = (0.5, 0.9, 0.95, 0.99, 0.999)
+WINDOW_S = 60.0
+"""Quantiles cover the last one to two windows."""
+
+MAX_US = 3_600_000_000
+"""Longest latency that is told apart, in microseconds."""
+
+SIGNIFICANT_DIGITS = 2
+_US_PER_S = 1_000_000
+
+
+class Latency:
+    """Latencies of one kind, by one label."""
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.name = name
+        self._help = help_text
+        self._label = label
+        self._monotonic = monotonic
+        self._series: dict[str, _Series] = {}
+
+    def observe(self, seconds: float, value: str = "") -> None:
+        """Records one latency, under the label's value."""
+        series = self._series.get(value)
+        if series is None:
+            series = _Series(self._monotonic())
+            self._series[value] = series
+        series.observe(seconds, self._monotonic())
+
+    def quantile(self, quantile: float, value: str = "") -> float:
+        """Returns a quantile over the recent windows, in seconds."""
+        series = self._series.get(value)
+        if series is None:
+            return 0.0
+        return series.quantile(quantile, self._monotonic())
+
+    def collect(self) -> Iterator[prometheus.Metric]:
+        """Yields the summary for the registry."""
+        metric = prometheus.Metric(self.name, self._help, "summary")
+        for value, series in self._series.items():
+            labels = {self._label: value} if self._label else {}
+            for quantile in QUANTILES:
+                found = series.quantile(quantile, self._monotonic())
+                quoted = {**labels, "quantile": str(quantile)}
+                metric.add_sample(self.name, quoted, found)
+            metric.add_sample(f"{self.name}_count", labels, series.count)
+            metric.add_sample(f"{self.name}_sum", labels, series.sum_s)
+        yield metric
+
+
+class _Series:
+    def __init__(self, now: float) -> None:
+        self.count = 0
+        self.sum_s = 0.0
+        self._current = _new_histogram()
+        self._previous = _new_histogram()
+        self._began = now
+
+    def observe(self, seconds: float, now: float) -> None:
+        self._rotate(now)
+        self.count += 1
+        self.sum_s += seconds
+        micros = min(max(int(seconds * _US_PER_S), 1), MAX_US)
+        self._current.record_value(micros)
+
+    def quantile(self, quantile: float, now: float) -> float:
+        self._rotate(now)
+        both = _new_histogram()
+        both.add(self._current)
+        both.add(self._previous)
+        micros = both.get_value_at_percentile(quantile * 100)
+        return float(micros) / _US_PER_S
+
+    def _rotate(self, now: float) -> None:
+        if now - self._began < WINDOW_S:
+            return
+        stale = now - self._began >= 2 * WINDOW_S
+        self._previous = _new_histogram() if stale else self._current
+        self._current = _new_histogram()
+        self._began = now
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(1, MAX_US, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/tamarackbridge/components/telemetry/metrics.py
@@ -0,0 +1,58 @@
+"""Counters, gauges and latencies of one router."""
+
+from collections.abc import Callable, Sequence
+import time
+
+import prometheus_client
+from prometheus_client import exposition
+
+from tamarackbridge.components.telemetry import latency
+
+CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
+PREFIX = "tamarackbridge_"
+
+
+class Metrics:
+    """Registry of one router; each name is made once and then kept."""
+
+    def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
+        self._monotonic = monotonic
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        self._latencies: dict[str, latency.Latency] = {}
+        prometheus_client.ProcessCollector(registry=self._registry)
+
+    def counter(
+        self, name: str, help_text: str, labels: Sequence[str] = ()
+    ) -> prometheus_client.Counter:
+        """Returns the counter of this name."""
+        if name not in self._counters:
+            self._counters[name] = prometheus_client.Counter(
+                PREFIX + name, help_text, labels, registry=self._registry
+            )
+        return self._counters[name]
+
+    def gauge(
+        self, name: str, help_text: str, read: Callable[[], float]
+    ) -> None:
+        """Adds a gauge that is read when it is exposed."""
+        gauge = prometheus_client.Gauge(
+            PREFIX + name, help_text, registry=self._registry
+        )
+        gauge.set_function(read)
+
+    def latency(
+        self, name: str, help_text: str, label: str = ""
+    ) -> latency.Latency:
+        """Returns the latency summary of this name, in seconds."""
+        if name not in self._latencies:
+            made = latency.Latency(
+                PREFIX + name, help_text, label, self._monotonic
+            )
+            self._latencies[name] = made
+            self._registry.register(made)
+        return self._latencies[name]
+
+    def render(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/tamarackbridge/components/telemetry/traces.py
@@ -0,0 +1,201 @@
+"""Spans for each hop of a request, with W3C trace context."""
+
+from collections.abc import Mapping, Sequence
+from typing import Protocol, Self, TypeAlias
+
+from absl import logging
+from opentelemetry import context as otel_context
+from opentelemetry import trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk
+from opentelemetry.sdk.trace import export, sampling
+from opentelemetry.trace.propagation import tracecontext
+
+from tamarackbridge import exceptions
+from tamarackbridge.components.settings import models as settings
+
+OFF = "off"
+LOG = "log"
+
+Attribute: TypeAlias = str | int | float | bool
+
+_PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+_NO_HEADERS: Mapping[str, str] = {}
+
+
+class TracesError(exceptions.TamarackbridgeError):
+    """The setting for traces names no known exporter."""
+
+
+class Span(Protocol):
+    """One hop of a request; ends when its context is left."""
+
+    def child(self, name: str) -> "Span":
+        """Starts a span within this one."""
+        ...
+
+    def set(self, key: str, value: Attribute) -> None:
+        """Sets an attribute."""
+        ...
+
+    def headers(self) -> Mapping[str, str]:
+        """Returns the trace context to send to the next hop."""
+        ...
+
+    def __enter__(self) -> Self:
+        """Returns itself."""
+        ...
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Ends the span, failed when an exception passes."""
+        ...
+
+
+class Tracer(Protocol):
+    """Starts the first span of a request."""
+
+    def start(self, name: str, headers: Mapping[str, str]) -> Span:
+        """Starts a span; `headers` may carry the caller's trace context."""
+        ...
+
+    def close(self) -> None:
+        """Sends what is left and ends."""
+        ...
+
+
+class NullSpan:
+    """A span that records nothing."""
+
+    def child(self, name: str) -> "NullSpan":
+        """Returns itself."""
+        del name  # Nothing is recorded.
+        return self
+
+    def set(self, key: str, value: Attribute) -> None:
+        """Does nothing."""
+
+    def headers(self) -> Mapping[str, str]:
+        """Returns no header: what the caller sent is passed on as it is."""
+        return _NO_HEADERS
+
+    def __enter__(self) -> Self:
+        """Returns itself."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Does nothing."""
+
+
+class NullTracer:
+    """The tracer while traces are off."""
+
+    _SPAN = NullSpan()
+
+    def start(self, name: str, headers: Mapping[str, str]) -> Span:
+        """Returns the one span that records nothing."""
+        del name, headers  # Nothing is recorded.
+        return self._SPAN
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+class OtelSpan:
+    """A span that is exported."""
+
+    def __init__(
+        self, tracer: trace.Tracer, name: str, parent: otel_context.Context
+    ) -> None:
+        self._tracer = tracer
+        self._span = tracer.start_span(name, parent)
+
+    def child(self, name: str) -> "OtelSpan":
+        """Starts a span within this one."""
+        return OtelSpan(self._tracer, name, self._context())
+
+    def set(self, key: str, value: Attribute) -> None:
+        """Sets an attribute."""
+        self._span.set_attribute(key, value)
+
+    def headers(self) -> Mapping[str, str]:
+        """Returns the W3C headers that name this span as the parent."""
+        carrier: dict[str, str] = {}
+        _PROPAGATOR.inject(carrier, self._context())
+        return carrier
+
+    def __enter__(self) -> Self:
+        """Returns itself."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Ends the span, failed when an exception passes."""
+        exc = exc_info[1]
+        if isinstance(exc, BaseException):
+            name = type(exc).__name__
+            self._span.set_status(trace.StatusCode.ERROR, name)
+        self._span.end()
+
+    def _context(self) -> otel_context.Context:
+        return trace.set_span_in_context(self._span, otel_context.Context())
+
+
+class OtelTracer:
+    """Exports spans by the OpenTelemetry SDK."""
+
+    def __init__(self, node: str, processor: sdk.SpanProcessor) -> None:
+        resource = resources.Resource.create(
+            {"service.name": "tamarackbridge", "service.instance.id": node}
+        )
+        sampler = sampling.ParentBased(sampling.ALWAYS_ON)
+        self._provider = sdk.TracerProvider(
+            sampler=sampler, resource=resource, shutdown_on_exit=False
+        )
+        self._provider.add_span_processor(processor)
+        self._tracer = self._provider.get_tracer("tamarackbridge")
+
+    def start(self, name: str, headers: Mapping[str, str]) -> Span:
+        """Starts a span under the caller's trace context, if any."""
+        lower = {key.lower(): value for key, value in headers.items()}
+        parent = _PROPAGATOR.extract(lower, otel_context.Context())
+        return OtelSpan(self._tracer, name, parent)
+
+    def close(self) -> None:
+        """Exports what is left and ends."""
+        self._provider.shutdown()
+
+
+class LogExporter(export.SpanExporter):
+    """Writes each span as one log line."""
+
+    def export(
+        self, spans: Sequence[sdk.ReadableSpan]
+    ) -> export.SpanExportResult:
+        """Writes the spans."""
+        for span in spans:
+            logging.info("span %s", span.to_json(indent=None))
+        return export.SpanExportResult.SUCCESS
+
+
+def make_tracer(cfg: settings.TelemetrySettings, node: str) -> Tracer:
+    """Returns the tracer that the settings name.
+
+    Raises:
+        TracesError: `traces` is neither `off`, `log` nor an URL.
+    """
+    if cfg.traces == OFF:
+        return NullTracer()
+    if cfg.traces == LOG:
+        processor = export.SimpleSpanProcessor(LogExporter())
+        return OtelTracer(node, processor)
+    if cfg.traces.startswith(("http://", "https://")):
+        return OtelTracer(node, _otlp_processor(cfg.traces))
+    allowed = "allowed are off, log or the URL of an OTLP collector"
+    raise TracesError(f"traces = {cfg.traces!r}: {allowed}")
+
+
+def _otlp_processor(endpoint: str) -> sdk.SpanProcessor:
+    # Imported late: the exporter costs memory that most routers don't need.
+    from opentelemetry.exporter.otlp.proto.http import trace_exporter
+
+    exporter = trace_exporter.OTLPSpanExporter(endpoint=endpoint)
+    return export.BatchSpanProcessor(exporter)
--- /dev/null
+++ b/tamarackbridge/components/tls/__init__.py
@@ -0,0 +1,1 @@
+"""TLS for callers, operators and between routers."""
--- /dev/null
+++ b/tamarackbridge/components/tls/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of TLS set-up."""
+
+from tamarackbridge import exceptions
+
+
+class TlsError(exceptions.TamarackbridgeError):
+    """Certificates can't be used, or plain text is not allowed."""
--- /dev/null
+++ b/tests/components/tls/test_tls.py
@@ -0,0 +1,161 @@
+import asyncio
+import pathlib
+import shutil
+import ssl
+from typing import Any
+
+import grpc
+from grpc import aio
+import pytest
+
+from tamarackbridge.components.settings import models as settings
+from tamarackbridge.components.tls import (
+    contexts,
+    exceptions,
+    peers,
+    reloader,
+)
+from tests import certificates
+
+
+@pytest.fixture
+def authority(tmp_path: pathlib.Path) -> certificates.Authority:
+    return certificates.Authority(tmp_path, "ours")
+
+
+@pytest.fixture
+def stranger(tmp_path: pathlib.Path) -> certificates.Authority:
+    return certificates.Authority(tmp_path, "strange")
+
+
+TLS = settings.TlsSettings(certificate="c", key="k")
+
+
+@pytest.mark.parametrize(
+    ("listen", "error"),
+    [
+        ({"host": "127.0.0.1"}, ""),
+        ({"host": "::1"}, ""),
+        ({"host": "10.0.0.1", "allow_plain_text": True}, ""),
+        ({"host": "10.0.0.1", "tls": TLS}, ""),
+        ({"host": "10.0.0.1"}, "caller.allow_plain_text"),
+        ({"host": "example.org"}, "caller.allow_plain_text"),
+        (
+            {"tls": settings.TlsSettings(certificate="c")},
+            "certificate and key",
+        ),
+        ({"tls": settings.TlsSettings(client_ca="a")}, "client_ca needs"),
+    ],
+)
+def test_plain_text_off_loopback_is_refused(
+    listen: dict[str, Any], error: str
+) -> None:
+    cfg = settings.ListenSettings(**listen)
+    if not error:
+        contexts.check("caller", cfg)
+        return
+    with pytest.raises(exceptions.TlsError, match=error):
+        contexts.check("caller", cfg)
+
+
+def test_files_that_do_not_fit_are_one_error(
+    authority: certificates.Authority,
+) -> None:
+    one, other = authority.issue("one"), authority.issue("other")
+    wrong = settings.TlsSettings(certificate=one.certificate, key=other.key)
+    for bad in (wrong, settings.TlsSettings(certificate="/no", key="/no")):
+        with pytest.raises(exceptions.TlsError):
+            contexts.server_context(bad)
+
+
+async def async_serial(port: int, context: ssl.SSLContext) -> str:
+    """Connects, and returns the serial number of the server's certificate."""
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", port, ssl=context
+    )
+    try:
+        # TLS 1.3 tells a refused client certificate at the first read.
+        if await reader.read(2) != b"ok":
+            raise ConnectionError("closed in the handshake")
+        cert = writer.get_extra_info("peercert")
+        return str(cert["serialNumber"])
+    finally:
+        writer.close()
+
+
+async def async_greet(
+    _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(b"ok")
+    writer.close()
+
+
+async def test_certificate_and_authority_change_without_restart(
+    authority: certificates.Authority, stranger: certificates.Authority
+) -> None:
+    served = authority.issue("server", client_ca=authority.path)
+    ours, strange = authority.issue("a"), stranger.issue("b")
+    following = reloader.ReloadingContext(served)
+    server = await asyncio.start_server(
+        async_greet, "127.0.0.1", 0, ssl=following.context
+    )
+    port = server.sockets[0].getsockname()[1]
+    trusted = str(authority.path)
+    as_ours = contexts.client_context(trusted, ours.certificate, ours.key)
+    as_strange = contexts.client_context(
+        trusted, strange.certificate, strange.key
+    )
+    async with server:
+        first = await async_serial(port, as_ours)
+        for refused in (as_strange, contexts.client_context(trusted)):
+            with pytest.raises((ssl.SSLError, ConnectionError)):
+                await async_serial(port, refused)
+
+        shutil.copy(served.certificate, served.key)
+        following.reload()
+        assert (following.reloads, following.failures) == (0, 1)
+        assert await async_serial(port, as_ours) == first
+
+        authority.issue("server")
+        shutil.copy(stranger.path, served.client_ca)
+        following.reload()
+        assert following.reloads == 1
+        assert await async_serial(port, as_strange) != first
+        with pytest.raises((ssl.SSLError, ConnectionError)):
+            await async_serial(port, as_ours)
+
+
+async def async_call(port: int, credentials: grpc.ChannelCredentials) -> bytes:
+    async with aio.secure_channel(f"127.0.0.1:{port}", credentials) as channel:
+        answer: bytes = await channel.unary_unary("/t/echo")(b"x", timeout=5)
+        return answer
+
+
+async def test_peers_need_each_other_s_authority(
+    authority: certificates.Authority, stranger: certificates.Authority
+) -> None:
+    async def async_echo(data: bytes, _: Any) -> bytes:
+        return data
+
+    ours = peers.PeerCredentials(authority.issue("a", authority.path))
+    strange = peers.PeerCredentials(stranger.issue("b", authority.path))
+    server = aio.server()
+    handler = grpc.unary_unary_rpc_method_handler(async_echo)
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler("t", {"echo": handler}),)
+    )
+    port = server.add_secure_port("127.0.0.1:0", ours.server())
+    await server.start()
+    try:
+        assert await async_call(port, ours.channel()) == b"x"
+        with pytest.raises(aio.AioRpcError):
+            await async_call(port, strange.channel())
+        authority.issue("a", authority.path)
+        assert await async_call(port, ours.channel()) == b"x"
+    finally:
+        await server.stop(None)
+
+
+def test_peers_need_an_authority(authority: certificates.Authority) -> None:
+    with pytest.raises(exceptions.TlsError, match="client_ca"):
+        peers.PeerCredentials(authority.issue("a"))
