--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,15 @@
 import pathlib
 import sys
 
-NOT_MEASUREMENTS = {"__init__", "__main__", "harness", "fake_store"}
+NOT_MEASUREMENTS = {
+    "__init__",
+    "__main__",
+    "fake_store",
+    "harness",
+    "processes",
+    "real_fleet",
+    "real_load",
+}
 
 
 def names() -> list[str]:
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,276 @@
+"""A fleet on loopback for about 20 seconds, and the brief's four measures."""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Sequence
+import json
+import pathlib
+import statistics
+import sys
+import tomllib
+
+import aiohttp
+
+from bench import real_fleet, real_load
+
+ROUTERS = 3
+RUN_S = 20.0
+OUT_AT_S = 7.0
+BACK_AT_S = 13.0
+SAMPLE_S = 0.25
+WORK_DIR = pathlib.Path("build/demo")
+ZONE = {"mela": "multan", "asahikawa": "obihiro"}
+BACKLOGGED_S = (3.0, 19.0)
+GAP_WINDOW_S = 1.0
+
+
+def say(text: str) -> None:
+    """Prints one line of progress."""
+    print(text, flush=True)
+
+
+def callers_of(fleet: real_fleet.RealFleet) -> dict[str, dict[str, int]]:
+    """Returns loops of callers: three workspaces are large."""
+    works = real_load.MIX[fleet.deployment]
+    plan: dict[str, dict[str, int]] = {}
+    for place, workspace in enumerate(fleet.keys):
+        large = place < 3
+        kinds = {
+            work.kind: (24 if large else 1) if work.stream else 1
+            for work in works
+        }
+        plan[workspace] = kinds
+    return plan
+
+
+class Sampler:
+    """Samples the stand-ins' load and the routers' counters."""
+
+    def __init__(self, fleet: real_fleet.RealFleet) -> None:
+        self.busy: list[float] = []
+        self.last_in_zone_s = 0.0
+        self._fleet = fleet
+
+    async def async_run(self, load: real_load.Load) -> None:
+        """Samples until cancelled."""
+        engines = [srv for srv in self._fleet.servers if srv.engine]
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await asyncio.sleep(SAMPLE_S)
+                if not BACKLOGGED_S[0] < load.now() < BACKLOGGED_S[1]:
+                    continue
+                await self._async_sample(session, engines, load)
+
+    async def _async_sample(
+        self,
+        session: aiohttp.ClientSession,
+        engines: list[real_fleet.Server],
+        load: real_load.Load,
+    ) -> None:
+        out = OUT_AT_S < load.now() < BACK_AT_S + 3.0
+        zone = ZONE[self._fleet.deployment]
+        running, capacity = 0, 0
+        for srv in engines:
+            if out and srv.zone == zone:
+                continue
+            state = await async_state(session, srv)
+            running += state["in_flight"]
+            capacity += srv.limit_warm
+        self.busy.append(running / capacity)
+
+
+async def async_state(
+    session: aiohttp.ClientSession, srv: real_fleet.Server
+) -> dict[str, int]:
+    """Returns a stand-in's own view of itself."""
+    async with session.get(f"http://{srv.address}/control") as resp:
+        doc: dict[str, int] = (await resp.json())["state"]
+        return doc
+
+
+def shares_of(fleet: real_fleet.RealFleet) -> dict[str, float]:
+    """Returns each workspace's share."""
+    path = pathlib.Path("examples") / fleet.deployment / "records.toml"
+    records = tomllib.loads(path.read_text())["records"]
+    return {
+        rec["name"]: rec["share"]
+        for rec in records
+        if rec["kind"] == "workspace"
+    }
+
+
+def gap(load: real_load.Load, shares: dict[str, float]) -> float:
+    """Returns the largest gap in tokens per share between the large ones.
+
+    Only the large workspaces are backlogged all the time. The gap is the
+    largest difference of service over any run of windows.
+    """
+    start, end = BACKLOGGED_S
+    series: dict[str, list[float]] = {}
+    large = list(shares)[:3]
+    for name in large:
+        total, at = 0.0, start
+        steps: list[float] = []
+        arrivals = collections.deque(
+            item for item in load.arrivals[name] if item[0] >= start
+        )
+        while at < end:
+            at += GAP_WINDOW_S
+            while arrivals and arrivals[0][0] < at:
+                total += arrivals.popleft()[1] / shares[name]
+            steps.append(total)
+        series[name] = steps
+    worst = 0.0
+    for a in large:
+        for b in large:
+            diffs = [x - y for x, y in zip(series[a], series[b], strict=True)]
+            low = 0.0
+            for diff in diffs:
+                worst = max(worst, diff - low)
+                low = min(low, diff)
+    return worst
+
+
+def phases(load: real_load.Load) -> dict[str, dict[str, float]]:
+    """Returns service before, while and after the zone was out."""
+    bounds = {
+        "before": (0.0, OUT_AT_S),
+        "zone out": (OUT_AT_S, BACK_AT_S),
+        "returned": (BACK_AT_S, RUN_S),
+    }
+    table = {}
+    for name, (start, end) in bounds.items():
+        done = [one for one in load.results if start <= one.at < end]
+        quick = [one.took_s for one in done if not one.work.stream]
+        table[name] = {
+            "requests": len(done),
+            "whole_and_timely": sum(one.served for one in done)
+            / max(len(done), 1),
+            "quick_p99_s": statistics.quantiles(quick, n=100)[98]
+            if len(quick) > 1
+            else 0.0,
+        }
+    return table
+
+
+async def async_control(fleet: real_fleet.RealFleet) -> float:
+    """Returns control bytes sent so far by all routers together."""
+    total = 0.0
+    async with aiohttp.ClientSession() as session:
+        for url in fleet.operators.values():
+            async with session.get(f"{url}/metrics") as resp:
+                text = await resp.text()
+            for line in text.splitlines():
+                if line.startswith("tamarackbridge_peer_sent_bytes_total"):
+                    total += float(line.split()[-1])
+    return total
+
+
+async def async_zone(fleet: real_fleet.RealFleet, load: real_load.Load) -> None:
+    """Takes a zone out and brings it back."""
+    zone = ZONE[fleet.deployment]
+    for at, verb in ((OUT_AT_S, "take-out"), (BACK_AT_S, "bring-back")):
+        await asyncio.sleep(max(0.0, at - load.now()))
+        done = await asyncio.to_thread(fleet.operate, "zone", verb, zone)
+        said = (done.stdout + done.stderr).strip().replace("\n", " | ")
+        say(f"{load.now():5.1f} s  zone {verb} {zone}: {said}")
+        if done.returncode != 0:
+            raise RuntimeError(said)
+
+
+async def async_progress(load: real_load.Load) -> None:
+    """Prints progress now and then."""
+    while True:
+        await asyncio.sleep(3.0)
+        done = len(load.results)
+        good = sum(one.served for one in load.results)
+        say(f"{load.now():5.1f} s  {done} requests, {good} whole and in time")
+
+
+async def async_demo(fleet: real_fleet.RealFleet, seed: int) -> int:
+    """Runs the demo on a fleet whose processes are started."""
+    await fleet.async_wait("/healthz")
+    say(fleet.apply_records().strip().splitlines()[-1])
+    await fleet.async_wait("/readyz")
+    say(f"{ROUTERS} routers are ready")
+    load = real_load.Load(fleet, seed)
+    sampler = Sampler(fleet)
+    control = await async_control(fleet)
+    side = [
+        asyncio.create_task(sampler.async_run(load)),
+        asyncio.create_task(async_progress(load)),
+    ]
+    zone = asyncio.create_task(async_zone(fleet, load))
+    await load.async_run(callers_of(fleet), RUN_S)
+    await zone
+    took = load.now()
+    for task in side:
+        task.cancel()
+    sent = await async_control(fleet) - control
+    return report(fleet, load, sampler, sent / took / ROUTERS)
+
+
+def report(
+    fleet: real_fleet.RealFleet,
+    load: real_load.Load,
+    sampler: Sampler,
+    control_bytes_per_s: float,
+) -> int:
+    """Prints the four measures; returns the exit code."""
+    kinds = collections.Counter(
+        (one.work.kind, "served" if one.served else one.reason or one.status)
+        for one in load.results
+    )
+    for (kind, end), count in sorted(kinds.items(), key=str):
+        say(f"  {kind:14} {end!s:18} {count}")
+    measures = {
+        "fairness_gap_tokens_per_share": round(gap(load, shares_of(fleet)), 1),
+        "utilisation": round(statistics.mean(sampler.busy), 3),
+        "control_bytes_per_s_per_router": round(control_bytes_per_s),
+        "service": phases(load),
+    }
+    say("The four measures:")
+    say(
+        f"  fairness gap        {measures['fairness_gap_tokens_per_share']}"
+        " tokens per share between backlogged workspaces"
+    )
+    say(
+        f"  utilisation         {measures['utilisation']:.1%}"
+        " of the engines' limits while work waited"
+    )
+    say(
+        f"  control traffic     {measures['control_bytes_per_s_per_router']}"
+        " bytes a second per router"
+    )
+    for name, row in phases(load).items():
+        say(
+            f"  service, {name:10} {row['whole_and_timely']:.2%} whole and in"
+            f" time of {row['requests']}, quick p99 {row['quick_p99_s']:.3f} s"
+        )
+    path = WORK_DIR / "measures.json"
+    path.write_text(json.dumps(measures, indent=2) + "\n")
+    served = sum(one.served for one in load.results)
+    return 0 if served > len(load.results) * 0.9 else 1
+
+
+def main(argv: Sequence[str]) -> None:
+    """Starts everything, runs the demo, stops everything."""
+    parser = argparse.ArgumentParser(prog="script/demo", description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(ZONE), default="mela")
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args(argv)
+    fleet = real_fleet.RealFleet(args.deployment, ROUTERS, WORK_DIR)
+    code = 1
+    try:
+        fleet.start_stand_ins()
+        fleet.start_routers()
+        say(f"started {len(fleet.servers) + 2} stand-ins, {ROUTERS} routers")
+        code = asyncio.run(async_demo(fleet, args.seed))
+    finally:
+        codes = fleet.stop()
+        bad = {name: end for name, end in codes.items() if end != 0}
+        say(
+            f"stopped {len(codes)} processes" + (f", bad: {bad}" if bad else "")
+        )
+    sys.exit(code or (1 if bad else 0))
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -41,6 +41,10 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
+    def is_running(self, name: str) -> bool:
+        """Tells whether a program was started and has not been waited for."""
+        return name in self._running and self._running[name].poll() is None
+
     def pid(self, name: str) -> int:
         """Returns the process identifier of a running program."""
         return self._running[name].pid
