--- a/tamarackbridge/components/claims/client.py
+++ b/tamarackbridge/components/claims/client.py
@@ -33,6 +33,13 @@
     close: messages.ClaimSettle | None = None
 
 
+def origin(attempt: str) -> tuple[str, int]:
+    """Returns the router of an attempt and the router's incarnation."""
+    node, _, rest = attempt.partition(".")
+    incarnation = rest.partition(".")[0]
+    return node, int(incarnation) if incarnation.isdecimal() else 0
+
+
 class ClaimClient:
     """Holds every attempt of this router until its end is stored."""
 
@@ -44,10 +51,12 @@
         membership.RosterChanged,
     )
 
-    def __init__(self, node: str, rng: random.Random) -> None:
+    def __init__(
+        self, node: str, rng: random.Random, incarnation: int = 0
+    ) -> None:
         self._node = node
         self._live: tuple[str, ...] = (node,)
-        self._life = f"{node}.{rng.getrandbits(64):016x}"
+        self._life = f"{node}.{incarnation}.{rng.getrandbits(32):08x}"
         self._count = 0
         self._attempts: dict[str, _Attempt] = {}
         self._by_request: dict[str, str] = {}
--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -43,3 +43,6 @@
 
 CLOCK_SAVES_PER_RETENTION: Final = 32
 """How often a journal's clock is written within the retention time."""
+
+WAIT_REFRESH_S: Final = 1.0
+"""While asks wait for another attempt, the range is read this often."""
--- a/tamarackbridge/components/claims/journal.py
+++ b/tamarackbridge/components/claims/journal.py
@@ -39,7 +39,9 @@
         phase: What the journal is doing.
         current_at: Time of sending of the newest call whose answer showed
             that the copy was up to date.
-        writes: Conditional writes sent.
+        writes: Conditional writes of the tail sent.
+        commits: Writes of the tail that were acknowledged.
+        corrupt: Objects that did not decode.
     """
 
     def __init__(
@@ -50,6 +52,9 @@
         self.phase = Phase.COLD
         self.current_at = float("-inf")
         self.writes = 0
+        self.commits = 0
+        self.corrupt = 0
+        self._changed = False
         self._new_tag = new_tag
         self._tag = ""
         self._sent_at = 0.0
@@ -101,9 +106,27 @@
         if reply.status is _STATUS.UNKNOWN:
             self._unanswered(now)
         elif on_reply is not None:
-            on_reply(reply, now)
+            self._react(on_reply, reply, now)
         return True
 
+    def take_changed(self) -> bool:
+        """Tells whether the copy was read anew since the last call."""
+        changed, self._changed = self._changed, False
+        return changed
+
+    def _react(
+        self,
+        on_reply: Callable[[store.StoreReply, float], None],
+        reply: store.StoreReply,
+        now: float,
+    ) -> None:
+        try:
+            on_reply(reply, now)
+        except segment.SegmentError:
+            self.corrupt += 1
+            self._tag = ""
+            self.phase = Phase.DOWN
+
     def _unanswered(self, now: float) -> None:
         self._tag = ""
         self._writing = None
@@ -141,6 +164,7 @@
         missing = self.copy.next_archive(tail)
         if missing is None:
             self.copy.adopt(tail, version, now)
+            self._changed = True
             self.phase = Phase.READY
             self.current_at = self._tail_sent_at
             return
@@ -183,6 +207,7 @@
             return
         self._retire.extend(range(self.copy.tail.first, written.first))
         self.copy.adopt(written, reply.objects[0].version, now)
+        self.commits += 1
         self.current_at = self._sent_at
         self.phase = Phase.READY
         self._retire_next(now)
--- a/tamarackbridge/components/claims/replica.py
+++ b/tamarackbridge/components/claims/replica.py
@@ -74,7 +74,8 @@
             self.add_archive(self.tail)
         self._apply(tail)
         self._count = len(tail.records)
-        self._clock_at = now
+        if version != self.version:
+            self._clock_at = now
         self.tail = tail
         self.version = version
         self._forget(tail.first)
