--- a/tamarackbridge/components/telemetry/metrics.py
+++ b/tamarackbridge/components/telemetry/metrics.py
@@ -1,10 +1,10 @@
 """Counters, gauges and latencies of one router."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 import time
 
 import prometheus_client
-from prometheus_client import exposition
+from prometheus_client import exposition, metrics_core, registry
 
 from tamarackbridge.components.telemetry import latency
 
@@ -41,6 +41,12 @@
         )
         gauge.set_function(read)
 
+    def counter_of(
+        self, name: str, help_text: str, read: Callable[[], float]
+    ) -> None:
+        """Adds a counter whose value is kept elsewhere."""
+        self._registry.register(_ReadCounter(PREFIX + name, help_text, read))
+
     def latency(
         self, name: str, help_text: str, label: str = ""
     ) -> latency.Latency:
@@ -56,3 +62,17 @@
     def render(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         return prometheus_client.generate_latest(self._registry)
+
+
+class _ReadCounter(registry.Collector):
+    def __init__(
+        self, name: str, help_text: str, read: Callable[[], float]
+    ) -> None:
+        self._name = name
+        self._help = help_text
+        self._read = read
+
+    def collect(self) -> Iterable[prometheus_client.Metric]:
+        yield metrics_core.CounterMetricFamily(
+            self._name, self._help, value=self._read()
+        )
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -10,6 +10,7 @@
 
 from tamarackbridge import core, exceptions, messages
 from tamarackbridge.components.settings import models as settings_models
+from tamarackbridge.components.tls import peers as tls_peers
 from tamarackbridge.components.transport import age, const, link
 
 _CHANNEL_OPTIONS = (
@@ -36,8 +37,11 @@
         listen: settings_models.ListenSettings,
         clock: core.Clock,
         receive: Callable[[core.Delivery], None],
+        credentials: tls_peers.PeerCredentials | None = None,
     ) -> None:
         super().__init__()
+        self._credentials = credentials
+        self._sent_before = (0, 0)
         self.port = 0
         self.received_batches = 0
         self.received_bytes = 0
@@ -59,7 +63,12 @@
         server = aio.server(options=_CHANNEL_OPTIONS)
         server.add_generic_rpc_handlers((generic,))
         address = f"{self._listen.host}:{self._listen.port}"
-        self.port = server.add_insecure_port(address)
+        if self._credentials is None:
+            self.port = server.add_insecure_port(address)
+        else:
+            self.port = server.add_secure_port(
+                address, self._credentials.server()
+            )
         await server.start()
         self._server = server
 
@@ -93,22 +102,29 @@
     def sent(self) -> tuple[int, int]:
         """Returns batches and bytes sent so far."""
         links = self._links.values()
+        batches, size = self._sent_before
         return (
-            sum(item.sent_batches for item in links),
-            sum(item.sent_bytes for item in links),
+            batches + sum(item.sent_batches for item in links),
+            size + sum(item.sent_bytes for item in links),
         )
 
     def _new_link(self, peer: str) -> link.PeerLink:
         address = self._addresses[peer]
 
         def open_channel() -> aio.Channel:
-            return aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+            if self._credentials is None:
+                return aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+            return aio.secure_channel(
+                address, self._credentials.channel(), options=_CHANNEL_OPTIONS
+            )
 
         new = link.PeerLink(peer, open_channel, self._ages, self._clock)
         self.add_future(new.start())
         return new
 
     async def _async_close(self, old: link.PeerLink) -> None:
+        batches, size = self._sent_before
+        self._sent_before = (batches + old.sent_batches, size + old.sent_bytes)
         await old.stop()
 
     async def _async_exchange(
