Grant permits by virtual counters within server limits

The fleet needs one place per shard that decides whose request runs next. The dispatcher queues asks, orders workspaces by weighted virtual counters, holds each backend server to a limit that rises by evidence, and rebuilds itself from the entries after a take-over. The permit client asks, uses grants in time and gives them back. Move and ShardTotals are new peer messages; Progress and ResyncReport carry how long the entry has been up, so that one that restarted empty can't vouch for permits it no longer knows.

--- /dev/null
+++ b/tamarackbridge/components/dispatch/bound.py
@@ -0,0 +1,50 @@
+"""The bound on the service gap, worked out from the records alone.
+
+docs/FAIRNESS.md derives it. All values are in cost units per unit of share.
+"""
+
+import itertools
+import math
+
+from tamarackbridge.components.dispatch import const
+from tamarackbridge.components.records import models
+
+
+def max_permits(
+    snapshot: models.Snapshot, service: models.Service, workspace: str
+) -> int:
+    """Returns how many permits a workspace can hold at once."""
+    found = snapshot.workspaces.get(workspace)
+    total = 0
+    for index in range(service.shards):
+        servers = snapshot.shard_servers(f"{service.name}/{index}")
+        limit = sum(srv.limit_warm for srv in servers)
+        if found is not None:
+            limit = min(limit, math.ceil(found.max_running / service.shards))
+        total += limit
+    return total
+
+
+def burst(
+    snapshot: models.Snapshot, service: models.Service, workspace: str
+) -> float:
+    """Returns the most that permits held at once can cost, by share."""
+    found = snapshot.workspaces.get(workspace)
+    share = found.share if found else 1.0
+    permits = max_permits(snapshot, service, workspace)
+    return permits * service.max_cost / share
+
+
+def pair_gap(
+    snapshot: models.Snapshot, service: models.Service, a: str, b: str
+) -> float:
+    """Returns the bound on the gap between two workspaces, one shard."""
+    both = burst(snapshot, service, a) + burst(snapshot, service, b)
+    return (1 + const.MAX_ESTIMATE_RATIO) * both
+
+
+def service_gap(snapshot: models.Snapshot, service: models.Service) -> float:
+    """Returns the bound on the gap between any two workspaces, one shard."""
+    pairs = itertools.combinations(snapshot.workspaces, 2)
+    gaps = [pair_gap(snapshot, service, a, b) for a, b in pairs]
+    return max(gaps, default=0.0)
--- /dev/null
+++ b/tamarackbridge/components/dispatch/const.py
@@ -0,0 +1,39 @@
+"""Constants of the dispatcher and the permit client, with their units."""
+
+from typing import Final
+
+MAX_ESTIMATE_RATIO: Final = 0.25
+"""Largest estimate, as a part of the service's largest cost."""
+
+PROGRESS_S: Final = 0.2
+"""Interval at which an entry reports the cost of running permits."""
+
+SILENCE_S: Final = 1.0
+"""A permit whose entry was not heard for this time may have lost it."""
+
+RESYNC_RETRY_S: Final = 0.2
+"""Interval at which a new dispatcher asks again who has not reported."""
+
+EXCHANGE_S: Final = 0.2
+"""Interval at which the shards of a service exchange served totals."""
+
+ASK_RETRY_S: Final = 1.0
+"""First interval after which an unanswered ask is sent again."""
+
+MAX_ASK_RETRY_S: Final = 8.0
+"""Longest interval between two sendings of an unanswered ask."""
+
+FULL_PAUSE_S: Final = 0.2
+"""How long an entry refuses by itself after `queue_full`, per workspace."""
+
+NETWORK_S: Final = 0.1
+"""Longest time from a request's start to its arrival at the server."""
+
+MIN_RETRY_AFTER_S: Final = 1.0
+"""Least `Retry-After` that a refusal carries."""
+
+MAX_RETRY_AFTER_S: Final = 60.0
+"""Greatest `Retry-After` that a refusal carries."""
+
+DEFAULT_MAX_QUEUED: Final = 64
+"""Waiting requests of a workspace that has no record yet."""
--- /dev/null
+++ b/tamarackbridge/components/dispatch/holdings.py
@@ -0,0 +1,150 @@
+"""The permits that one entry holds."""
+
+import collections
+import dataclasses
+
+from tamarackbridge.components.dispatch import messages
+
+MAX_ENDED = 1024
+"""Ended permits that are remembered, to answer duplicates."""
+
+MAX_COUNTERS = 4096
+"""Counters of workspaces that are remembered for a new dispatcher."""
+
+QUIET_S = 2.0
+"""For how long an entry without permits goes on saying so."""
+
+_Key = tuple[str, int, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Holding:
+    grant: messages.Grant
+    workspace: str
+    used: float
+    ends_at: float
+
+
+class Holdings:
+    """Running permits, ended ones and the counters seen in grants."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, _Holding] = {}
+        self._keys: set[_Key] = set()
+        self._ended: collections.OrderedDict[_Key, messages.Finish] = (
+            collections.OrderedDict()
+        )
+        self._quiet: dict[tuple[str, int], float] = {}
+        self._counters: collections.OrderedDict[tuple[str, str], float] = (
+            collections.OrderedDict()
+        )
+
+    def add(
+        self, grant: messages.Grant, want: messages.Want, now: float
+    ) -> None:
+        """Adds a permit that this entry will use."""
+        ends_at = now + grant.use_s + grant.life_s
+        self._held[grant.request_id] = _Holding(
+            grant, want.workspace, 0.0, ends_at
+        )
+        self._keys.add(_key(grant))
+        self._learn_counter(grant, want.workspace)
+
+    def holds(self, grant: messages.Grant) -> bool:
+        """Tells whether a grant is a duplicate of one in use."""
+        return _key(grant) in self._keys
+
+    def ended(self, grant: messages.Grant) -> messages.Finish | None:
+        """Returns how a permit ended, if it has."""
+        return self._ended.get(_key(grant))
+
+    def unused(self, grant: messages.Grant) -> messages.Finish:
+        """Gives a permit back at once."""
+        return self._end(grant, 0.0, messages.Outcome.UNUSED, 0.0)
+
+    def use(self, request_id: str, used: float) -> None:
+        """Notes the cost of a running request so far."""
+        holding = self._held.get(request_id)
+        if holding is not None:
+            holding.used = max(holding.used, used)
+
+    def finish(self, done: messages.Done, now: float) -> messages.Finish | None:
+        """Gives the permit of a request back."""
+        holding = self._held.pop(done.request_id, None)
+        if holding is None:
+            return None
+        grant = holding.grant
+        self._keys.discard(_key(grant))
+        self._quiet[(grant.shard, grant.epoch)] = now + QUIET_S
+        return self._end(grant, done.used, done.outcome, done.first_byte_s)
+
+    def progress(self, up_s: float, now: float) -> list[messages.Progress]:
+        """Returns what all held permits have used, by shard and epoch."""
+        used: dict[tuple[str, int], list[tuple[int, float]]] = {}
+        for source, until in list(self._quiet.items()):
+            used[source] = []
+            if until <= now:
+                del self._quiet[source]
+        for holding in self._held.values():
+            grant = holding.grant
+            pairs = used.setdefault((grant.shard, grant.epoch), [])
+            pairs.append((grant.number, holding.used))
+        return [
+            messages.Progress(shard, epoch, tuple(pairs), up_s)
+            for (shard, epoch), pairs in used.items()
+        ]
+
+    def held(self, shard: str, now: float) -> tuple[messages.HeldPermit, ...]:
+        """Returns the permits of one shard, for a new dispatcher."""
+        return tuple(
+            messages.HeldPermit(
+                epoch=holding.grant.epoch,
+                number=holding.grant.number,
+                request_id=request_id,
+                workspace=holding.workspace,
+                server=holding.grant.server,
+                used=holding.used,
+                life_left_s=max(holding.ends_at - now, 0.0),
+            )
+            for request_id, holding in self._held.items()
+            if holding.grant.shard == shard
+        )
+
+    def counters(self, shard: str) -> tuple[messages.WorkspaceCounter, ...]:
+        """Returns the highest counters that this entry saw granted."""
+        return tuple(
+            messages.WorkspaceCounter(workspace, value)
+            for (name, workspace), value in self._counters.items()
+            if name == shard
+        )
+
+    def _learn_counter(self, grant: messages.Grant, workspace: str) -> None:
+        key = (grant.shard, workspace)
+        self._counters[key] = grant.counter
+        self._counters.move_to_end(key)
+        if len(self._counters) > MAX_COUNTERS:
+            self._counters.popitem(last=False)
+
+    def _end(
+        self,
+        grant: messages.Grant,
+        used: float,
+        outcome: messages.Outcome,
+        first_byte_s: float,
+    ) -> messages.Finish:
+        finish = messages.Finish(
+            grant.shard,
+            grant.epoch,
+            grant.number,
+            used,
+            outcome,
+            first_byte_s,
+        )
+        self._ended[_key(grant)] = finish
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+        return finish
+
+
+def _key(grant: messages.Grant) -> _Key:
+    return (grant.shard, grant.epoch, grant.number)
--- /dev/null
+++ b/tamarackbridge/components/dispatch/limits.py
@@ -0,0 +1,109 @@
+"""How many requests one backend server is given at once.
+
+The limit starts at what the record says the server bears in cold start. It
+rises only by evidence and falls at once.
+"""
+
+from tamarackbridge.components.dispatch import breaker, messages
+from tamarackbridge.components.records import models
+
+PROBE_LIMIT = 1
+"""Requests at once while a breaker is half open."""
+
+
+class ServerLimit:
+    """The limit of one backend server, by evidence.
+
+    Attributes:
+        use_breaker: Whether a sick server is left alone and then probed.
+    """
+
+    def __init__(
+        self, server: models.BackendServer, use_breaker: bool = True
+    ) -> None:
+        self.use_breaker = use_breaker
+        self._server = server
+        self._limit = server.limit_cold
+        self._before_failure = 0
+        self._fell_at = float("-inf")
+        self._credit = 0
+        self._warm_seen = server.load_lag_s <= 0
+        self._boot = ""
+        self._breaker = breaker.Breaker()
+
+    def update(self, server: models.BackendServer) -> None:
+        """Takes a changed record in; a lower limit counts at once."""
+        self._server = server
+        self._limit = min(self._limit, server.limit_warm)
+
+    def allowed(self, now: float) -> int:
+        """Returns how many requests may run at once now."""
+        if not self.use_breaker:
+            return self._limit
+        state = self._breaker.state(now)
+        if state is breaker.State.OPEN:
+            return 0
+        if state is breaker.State.HALF_OPEN:
+            return min(PROBE_LIMIT, self._limit)
+        return self._limit
+
+    def finished(
+        self, outcome: messages.Outcome, granted_at: float, now: float
+    ) -> None:
+        """Takes the end of one permit in."""
+        match outcome:
+            case messages.Outcome.OK:
+                self._breaker.record(False, now)
+                self._rise(granted_at)
+            case messages.Outcome.SLOW:
+                self._breaker.record(False, now)
+                self._fall(now, max(self._limit // 2, self._floor()))
+            case messages.Outcome.FAILED:
+                self._breaker.record(True, now)
+                self._note_failure(now)
+            case messages.Outcome.COLD:
+                self._turn_cold(now)
+
+    def reported(self, report: messages.LoadReport, now: float) -> None:
+        """Takes the server's own report in."""
+        restarted = bool(self._boot) and report.boot != self._boot
+        self._boot = report.boot
+        if report.cold or restarted:
+            self._turn_cold(now)
+            return
+        if now - report.lag_s < self._fell_at:
+            return
+        self._warm_seen = True
+        if self._before_failure:
+            self._limit = max(self._limit, self._before_failure)
+            self._limit = min(self._limit, self._server.limit_warm)
+            self._before_failure = 0
+
+    def _floor(self) -> int:
+        return min(self._server.limit_cold, self._server.limit_warm)
+
+    def _fall(self, now: float, limit: int) -> None:
+        self._limit = min(self._limit, limit)
+        self._fell_at = now
+        self._credit = 0
+
+    def _note_failure(self, now: float) -> None:
+        before = max(self._before_failure, self._limit)
+        self._turn_cold(now)
+        if self._server.load_lag_s > 0:
+            self._before_failure = before
+
+    def _turn_cold(self, now: float) -> None:
+        self._fall(now, self._floor())
+        self._before_failure = 0
+        self._warm_seen = self._server.load_lag_s <= 0
+
+    def _rise(self, granted_at: float) -> None:
+        if granted_at <= self._fell_at or not self._warm_seen:
+            return
+        self._credit += 1
+        needed = 1 if self._server.load_lag_s > 0 else self._limit
+        if self._credit < needed:
+            return
+        self._credit = 0
+        self._limit = min(self._limit + 1, self._server.limit_warm)
--- a/tamarackbridge/components/dispatch/messages.py
+++ b/tamarackbridge/components/dispatch/messages.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 
 import msgspec
 
@@ -101,13 +102,18 @@
 class Progress(core.Message, frozen=True, tag=True):
     """Tells the cost that running permits have used so far.
 
+    Names every permit of the shard and epoch that the entry holds, so that a
+    permit that it doesn't name has ended or was never received.
+
     Attributes:
         used: Pairs of permit number and total cost since its start.
+        up_s: How long the entry has been running.
     """
 
     shard: str
     epoch: int
     used: tuple[tuple[int, float], ...]
+    up_s: float = math.inf
 
 
 class Finish(core.Message, frozen=True, tag=True):
@@ -154,13 +160,46 @@
 
 
 class ResyncReport(core.Message, frozen=True, tag=True):
-    """Hands what an entry holds of a shard to its new dispatcher."""
+    """Hands what an entry holds of a shard to its new dispatcher.
+
+    Attributes:
+        up_s: How long the entry has been running; it can't vouch for permits
+            that it may have held before.
+    """
 
     shard: str
     epoch: int
     held: tuple[HeldPermit, ...]
     waiting: tuple[Ask, ...]
     counters: tuple[WorkspaceCounter, ...]
+    up_s: float = math.inf
+
+
+class Move(core.Message, frozen=True, tag=True):
+    """Sends a waiting request to a shard that has idle permits."""
+
+    shard: str
+    request_id: str
+    to_shard: str
+
+
+class ShardTotals(core.Message, frozen=True, tag=True):
+    """Tells the other shards of a service what this one has served.
+
+    Attributes:
+        shard: Name of the shard that sends.
+        to_shard: Name of the shard that the receiver dispatches.
+        idle: Permits that are free while nothing waits.
+        waiting: Requests that wait for a permit.
+        served: Normalised service of each workspace within this epoch.
+    """
+
+    shard: str
+    to_shard: str
+    epoch: int
+    idle: int
+    waiting: int
+    served: tuple[WorkspaceCounter, ...]
 
 
 class LoadReport(core.Message, frozen=True, tag=True):
--- /dev/null
+++ b/tamarackbridge/components/dispatch/permits.py
@@ -0,0 +1,102 @@
+"""The permits of one shard that are out."""
+
+from collections.abc import Iterator
+import dataclasses
+
+PermitKey = tuple[int, int]
+"""Epoch and number of a permit."""
+
+
+@dataclasses.dataclass(slots=True)
+class Permit:
+    """One permit that an entry holds, as far as the dispatcher knows.
+
+    Attributes:
+        share: The workspace's share when the permit was issued; a later
+            change of the share doesn't reprice what runs.
+        charged: Cost charged to the workspace so far.
+        granted_at: Monotonic time of issue or of adoption.
+        heard_at: Monotonic time at which its entry last named it.
+        ends_at: Monotonic time at which its work has ended for certain.
+    """
+
+    epoch: int
+    number: int
+    request_id: str
+    workspace: str
+    end_user: str
+    route: str
+    server: str
+    entry: str
+    share: float
+    hint: float
+    charged: float
+    granted_at: float
+    heard_at: float
+    ends_at: float
+
+    @property
+    def key(self) -> PermitKey:
+        """Returns epoch and number."""
+        return (self.epoch, self.number)
+
+
+class PermitTable:
+    """Permits by key, request, backend server and workspace."""
+
+    def __init__(self) -> None:
+        self._permits: dict[PermitKey, Permit] = {}
+        self._requests: dict[str, PermitKey] = {}
+        self._servers: dict[str, dict[PermitKey, Permit]] = {}
+        self._workspaces: dict[str, int] = {}
+
+    def add(self, permit: Permit) -> None:
+        """Adds a permit that is not in the table."""
+        self._permits[permit.key] = permit
+        self._requests[permit.request_id] = permit.key
+        self._servers.setdefault(permit.server, {})[permit.key] = permit
+        count = self._workspaces.get(permit.workspace, 0)
+        self._workspaces[permit.workspace] = count + 1
+
+    def pop(self, key: PermitKey) -> Permit | None:
+        """Takes a permit out, if it is there."""
+        permit = self._permits.pop(key, None)
+        if permit is None:
+            return None
+        if self._requests.get(permit.request_id) == key:
+            del self._requests[permit.request_id]
+        del self._servers[permit.server][key]
+        self._workspaces[permit.workspace] -= 1
+        if not self._workspaces[permit.workspace]:
+            del self._workspaces[permit.workspace]
+        return permit
+
+    def get(self, key: PermitKey) -> Permit | None:
+        """Returns a permit, if it is there."""
+        return self._permits.get(key)
+
+    def has_request(self, request_id: str) -> bool:
+        """Tells whether a request holds a permit."""
+        return request_id in self._requests
+
+    def on_server(self, server: str) -> list[Permit]:
+        """Returns the permits for one backend server."""
+        return list(self._servers.get(server, {}).values())
+
+    def count_server(self, server: str) -> int:
+        """Returns how many permits for one backend server are out."""
+        return len(self._servers.get(server, ()))
+
+    def count_workspace(self, workspace: str) -> int:
+        """Returns how many permits one workspace holds."""
+        return self._workspaces.get(workspace, 0)
+
+    def workspaces(self) -> set[str]:
+        """Returns the workspaces that hold permits."""
+        return set(self._workspaces)
+
+    def __iter__(self) -> Iterator[Permit]:
+        return iter(list(self._permits.values()))
+
+    def __len__(self) -> int:
+        return len(self._permits)
--- /dev/null
+++ b/tamarackbridge/components/dispatch/placement.py
@@ -0,0 +1,67 @@
+"""Which shard a request asks, and which router dispatches it."""
+
+import random
+
+from tamarackbridge.components.dispatch import admission, messages
+from tamarackbridge.components.records import models
+
+
+class Placement:
+    """Shard choice and the known dispatchers of shards."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._holders: dict[str, tuple[int, str]] = {}
+        self._next: dict[tuple[str, str], int] = {}
+
+    def holder(self, shard: str) -> str:
+        """Returns the dispatcher of a shard; empty while none is known."""
+        return self._holders.get(shard, (0, ""))[1]
+
+    def epoch(self, shard: str) -> int:
+        """Returns the highest epoch of a shard that this entry knows."""
+        return self._holders.get(shard, (0, ""))[0]
+
+    def set_holder(self, shard: str, epoch: int, holder: str) -> bool:
+        """Notes a dispatcher; returns whether it is a new one."""
+        known = self._holders.get(shard, (0, ""))
+        if epoch < known[0] or (epoch, holder) == known:
+            return False
+        self._holders[shard] = (epoch, holder)
+        return bool(holder)
+
+    def choose(self, snapshot: models.Snapshot, want: messages.Want) -> str:
+        """Returns the next usable shard in turn; empty for none.
+
+        Taking turns keeps a backlogged workspace waiting at every shard.
+        """
+        shards = self._usable(snapshot, want)
+        if not shards:
+            return ""
+        key = (want.service, want.workspace)
+        turn = self._next.setdefault(key, self._rng.randrange(len(shards)))
+        self._next[key] = turn + 1
+        return shards[turn % len(shards)]
+
+    def other(
+        self, snapshot: models.Snapshot, request: admission.Request
+    ) -> str:
+        """Returns a usable shard that the request has not asked yet."""
+        for shard in self._usable(snapshot, request.want):
+            if shard not in request.tried:
+                return shard
+        return ""
+
+    def _usable(
+        self, snapshot: models.Snapshot, want: messages.Want
+    ) -> list[str]:
+        shards = snapshot.services[want.service].shards
+        names = [f"{want.service}/{index}" for index in range(shards)]
+        return [
+            name
+            for name in names
+            if any(
+                snapshot.usable(srv) and srv.name not in want.avoid
+                for srv in snapshot.shard_servers(name)
+            )
+        ]
--- /dev/null
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -0,0 +1,395 @@
+"""The dispatcher of one shard: who may run next, and where."""
+
+from collections.abc import Iterable, Sequence
+import math
+
+from tamarackbridge import const as fleet_const
+from tamarackbridge import core
+from tamarackbridge.components.dispatch import (
+    bound,
+    const,
+    estimates,
+    exchange,
+    limits,
+    messages,
+    occupancy,
+    permits,
+    takeover,
+    waiting,
+)
+from tamarackbridge.components.entry import const as entry_const
+from tamarackbridge.components.records import models
+
+Reason = entry_const.Reason
+
+
+class ShardDispatcher:
+    """Queues, permits and limits of one shard while its lease is held.
+
+    Attributes:
+        order: The waiting requests.
+        permits: The permits that are out.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        epoch: int,
+        order: waiting.Order,
+        learned: estimates.CostEstimates,
+        now: float,
+        service: models.Service,
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self.order = order
+        self.permits = permits.PermitTable()
+        self.until = now
+        self.exchange = exchange.Exchange(shard, epoch)
+        self._learned = learned
+        self._service = service
+        self._snapshot = models.empty_snapshot()
+        self._servers: dict[str, models.BackendServer] = {}
+        self._limits: dict[str, limits.ServerLimit] = {}
+        self._occupancy: dict[str, occupancy.Occupancy] = {}
+        self._takeover = takeover.TakeOver(
+            now, service.max_request_s + fleet_const.GRANT_USE_S, epoch <= 1
+        )
+        self._number = 0
+        self._counters_due = epoch > 1
+
+    # Local news.
+
+    def update(self, snapshot: models.Snapshot) -> None:
+        """Takes a newer snapshot in force."""
+        self._snapshot = snapshot
+        self._service = snapshot.services.get(self._service.name, self._service)
+        servers = snapshot.shard_servers(self.shard)
+        self._servers = {
+            srv.name: srv for srv in servers if snapshot.usable(srv)
+        }
+        for server in servers:
+            if server.name in self._limits:
+                self._limits[server.name].update(server)
+            else:
+                self._limits[server.name] = limits.ServerLimit(server)
+                self._occupancy[server.name] = occupancy.Occupancy()
+
+    def set_members(self, members: Iterable[str]) -> None:
+        """Sets which routers may hold permits of earlier epochs."""
+        self._takeover.set_members(members)
+
+    # Messages of entries.
+
+    def ask(
+        self, src: str, ask: messages.Ask, age_s: float, now: float
+    ) -> list[core.Envelope]:
+        """Queues one request, or refuses it."""
+        request_id = ask.request_id
+        if request_id in self.order or self.permits.has_request(request_id):
+            return []
+        reason = self._refusal(ask)
+        if reason is not None:
+            return [self._refuse(src, ask, reason)]
+        age_s = age_s if math.isfinite(age_s) else 0.0
+        expires_at = now + ask.deadline_s - age_s
+        self.order.push(waiting.Waiting(ask, src, now, expires_at))
+        return []
+
+    def withdraw(self, request_id: str) -> None:
+        """Takes a waiting request out."""
+        self.order.remove(request_id)
+
+    def progress(
+        self, src: str, msg: messages.Progress, age_s: float, now: float
+    ) -> None:
+        """Charges what running permits have used so far."""
+        for number, used in msg.used:
+            permit = self.permits.get((msg.epoch, number))
+            if permit is None or permit.entry != src:
+                continue
+            permit.heard_at = now
+            if used > permit.charged:
+                self._charge(permit, used)
+        if math.isfinite(age_s):
+            named = {number for number, _ in msg.used}
+            self._reconcile(src, msg, named, now - age_s)
+
+    def finish(self, src: str, msg: messages.Finish, now: float) -> None:
+        """Settles one permit."""
+        permit = self.permits.get((msg.epoch, msg.number))
+        if permit is None or permit.entry != src:
+            return
+        self._release(permit, now)
+        self._charge(permit, msg.used)
+        limit = self._limits.get(permit.server)
+        if limit is not None:
+            limit.finished(msg.outcome, permit.granted_at, now)
+        if msg.outcome in (messages.Outcome.OK, messages.Outcome.SLOW):
+            self._learned.learn(
+                permit.workspace, permit.route, permit.hint, msg.used
+            )
+
+    def resync(
+        self, src: str, msg: messages.ResyncReport, age_s: float, now: float
+    ) -> list[core.Envelope]:
+        """Takes over what one entry holds."""
+        for held in msg.held:
+            self._adopt(src, held, now)
+        self._takeover.learn_counters(msg.counters)
+        self._takeover.reported(src, msg.up_s, now)
+        out: list[core.Envelope] = []
+        for ask in msg.waiting:
+            out.extend(self.ask(src, ask, age_s, now))
+        return out
+
+    def load(self, report: messages.LoadReport, now: float) -> None:
+        """Takes a backend server's own report in."""
+        name = report.server
+        if name not in self._limits:
+            return
+        self._limits[name].reported(report, now)
+        place = self._occupancy[name]
+        if self._takeover.measured(name, now - report.lag_s):
+            place.unknown = report.in_flight
+            place.unknown_until = self._takeover.fence + self._takeover.life_s
+        held = self.permits.on_server(name)
+        left = place.reported(report, held, now)
+        silent = [item for item in held if occupancy.is_silent(item, now)]
+        silent.sort(key=lambda item: item.granted_at)
+        for permit in silent[: len(silent) - left]:
+            self._release(permit, now)
+
+    # Time.
+
+    def tick(self, now: float) -> list[core.Envelope]:
+        """Ends what has expired and asks who has not reported."""
+        out: list[core.Envelope] = []
+        for item in [it for it in self.order if it.expires_at <= now]:
+            self.order.remove(item.ask.request_id)
+            out.append(self._refuse(item.entry, item.ask, Reason.DEADLINE))
+        for permit in self.permits:
+            if permit.ends_at <= now:
+                self._release(permit, now)
+        if self.may_issue(now) and self._takeover.due(now):
+            ask = messages.ResyncAsk(self.shard, self.epoch)
+            missing = sorted(self._takeover.missing())
+            out.extend(core.Envelope(node, ask) for node in missing)
+        self.order.prune(self.permits.workspaces())
+        return out
+
+    def may_issue(self, now: float) -> bool:
+        """Tells whether the lease still runs."""
+        return now < self.until
+
+    def issue(self, now: float) -> list[core.Envelope]:
+        """Grants waiting requests while backend servers have room."""
+        if not self.may_issue(now) or not len(self.order):
+            return []
+        free = self._free(now)
+        if free:
+            self._restore_counters()
+        out: list[core.Envelope] = []
+        while free:
+            item = self.order.take(
+                self._may_run,
+                lambda item: any(name not in item.ask.avoid for name in free),
+            )
+            if item is None:
+                break
+            self.order.started(item)
+            server = self._choose(free, item.ask.avoid)
+            out.append(self._grant(item, server, now))
+            free[server] -= 1
+            if not free[server]:
+                del free[server]
+        return out
+
+    def exchange_totals(
+        self, holders: dict[str, str], now: float
+    ) -> list[core.Envelope]:
+        """Tells the other shards' dispatchers what this one has served."""
+        idle = 0
+        if not len(self.order) and self.may_issue(now):
+            idle = sum(self._free(now).values())
+        return self.exchange.publish(holders, idle, len(self.order), now)
+
+    def take_totals(
+        self, msg: messages.ShardTotals, now: float
+    ) -> list[core.Envelope]:
+        """Counts what another shard has served; moves work to idle permits."""
+        for name, amount in self.exchange.receive(msg):
+            self.order.charge(name, "", amount)
+        if not msg.idle or self._free(now):
+            return []
+        out: list[core.Envelope] = []
+        for _ in range(msg.idle):
+            item = self.order.take(self._may_run, lambda item: True)
+            if item is None:
+                break
+            request_id = item.ask.request_id
+            move = messages.Move(self.shard, request_id, msg.shard)
+            out.append(core.Envelope(item.entry, move))
+        return out
+
+    # Inner steps.
+
+    def _refusal(self, ask: messages.Ask) -> Reason | None:
+        if all(name in ask.avoid for name in self._servers):
+            return Reason.NO_CAPACITY
+        workspace = self._snapshot.workspaces.get(ask.workspace)
+        limit = workspace.max_queued if workspace else const.DEFAULT_MAX_QUEUED
+        limit = math.ceil(limit / self._service.shards)
+        if self.order.count(ask.workspace) >= limit:
+            return Reason.QUEUE_FULL
+        return None
+
+    def _refuse(
+        self, entry: str, ask: messages.Ask, reason: Reason
+    ) -> core.Envelope:
+        waiting_now = self.order.count(ask.workspace)
+        running = max(self.permits.count_workspace(ask.workspace), 1)
+        retry_after_s = min(
+            max(waiting_now / running, const.MIN_RETRY_AFTER_S),
+            const.MAX_RETRY_AFTER_S,
+        )
+        refuse = messages.Refuse(
+            self.shard, ask.request_id, reason.value, retry_after_s
+        )
+        return core.Envelope(entry, refuse)
+
+    def _share(self, workspace: str) -> float:
+        found = self._snapshot.workspaces.get(workspace)
+        return found.share if found else 1.0
+
+    def _may_run(self, workspace: str) -> bool:
+        found = self._snapshot.workspaces.get(workspace)
+        if found is None:
+            return True
+        limit = math.ceil(found.max_running / self._service.shards)
+        return self.permits.count_workspace(workspace) < limit
+
+    def _free(self, now: float) -> dict[str, int]:
+        free: dict[str, int] = {}
+        for name in self._servers:
+            if not self._takeover.known(name, now):
+                continue
+            held = self.permits.count_server(name)
+            in_use = self._occupancy[name].in_use(held, now)
+            room = self._limits[name].allowed(now) - in_use
+            if room > 0:
+                free[name] = room
+        return free
+
+    def _choose(self, free: dict[str, int], avoid: Sequence[str]) -> str:
+        names = [name for name in free if name not in avoid]
+        return max(names, key=lambda name: (free[name], name))
+
+    def _grant(
+        self, item: waiting.Waiting, server: str, now: float
+    ) -> core.Envelope:
+        self._number += 1
+        ask = item.ask
+        permit = permits.Permit(
+            epoch=self.epoch,
+            number=self._number,
+            request_id=ask.request_id,
+            workspace=ask.workspace,
+            end_user=ask.end_user,
+            route=ask.route,
+            server=server,
+            entry=item.entry,
+            share=self._share(ask.workspace),
+            hint=ask.hint_cost,
+            charged=0.0,
+            granted_at=now,
+            heard_at=now,
+            ends_at=now + self._takeover.life_s,
+        )
+        self.permits.add(permit)
+        ceiling = const.MAX_ESTIMATE_RATIO * self._service.max_cost
+        self._charge(
+            permit,
+            self._learned.estimate(
+                ask.workspace, ask.route, ask.hint_cost, ceiling
+            ),
+        )
+        lease_left_s = (self.until - now) / (1 + fleet_const.CLOCK_DRIFT_RATIO)
+        grant = messages.Grant(
+            shard=self.shard,
+            epoch=self.epoch,
+            number=permit.number,
+            request_id=ask.request_id,
+            server=server,
+            use_s=min(fleet_const.GRANT_USE_S, lease_left_s),
+            life_s=self._service.max_request_s,
+            counter=self.order.counters.value(ask.workspace),
+        )
+        return core.Envelope(item.entry, grant)
+
+    def _charge(self, permit: permits.Permit, total: float) -> None:
+        amount = (total - permit.charged) / permit.share
+        permit.charged = total
+        self.order.charge(permit.workspace, permit.end_user, amount)
+        self.exchange.charge(permit.workspace, amount)
+
+    def _release(self, permit: permits.Permit, now: float) -> None:
+        self.permits.pop(permit.key)
+        if permit.server in self._occupancy:
+            self._occupancy[permit.server].finished(now)
+
+    def _reconcile(
+        self,
+        src: str,
+        msg: messages.Progress,
+        named: set[int],
+        sent_at: float,
+    ) -> None:
+        up_since = sent_at - msg.up_s
+        for permit in self.permits:
+            known = permit.entry == src and permit.epoch == msg.epoch
+            if not known or permit.number in named:
+                continue
+            usable_until = permit.granted_at + fleet_const.GRANT_USE_S
+            if usable_until < sent_at and up_since < permit.granted_at:
+                self._release(permit, sent_at)
+
+    def _adopt(self, src: str, held: messages.HeldPermit, now: float) -> None:
+        if self.permits.get((held.epoch, held.number)) is not None:
+            return
+        permit = permits.Permit(
+            epoch=held.epoch,
+            number=held.number,
+            request_id=held.request_id,
+            workspace=held.workspace,
+            end_user="",
+            route="",
+            server=held.server,
+            entry=src,
+            share=self._share(held.workspace),
+            hint=0.0,
+            charged=held.used,
+            granted_at=now,
+            heard_at=now,
+            ends_at=now + held.life_left_s,
+        )
+        self.permits.add(permit)
+        if held.server in self._occupancy:
+            self._occupancy[held.server].adopted()
+
+    def _restore_counters(self) -> None:
+        """Rebuilds the counters once, close to the virtual time."""
+        if not self._counters_due:
+            return
+        self._counters_due = False
+        learned = self._takeover.counters
+        backlogged = {item.ask.workspace for item in self.order}
+        known = [learned[name] for name in backlogged if name in learned]
+        if not known:
+            return
+        floor = min(known)
+        self.order.counters.virtual_time = floor
+        for name, value in learned.items():
+            burst = bound.burst(self._snapshot, self._service, name)
+            value = min(max(value, floor), floor + burst)
+            self.order.counters.restore(name, value)
--- /dev/null
+++ b/tamarackbridge/components/dispatch/takeover.py
@@ -0,0 +1,81 @@
+"""What a new dispatcher must learn before it may issue permits."""
+
+from collections.abc import Iterable
+
+from tamarackbridge.components.dispatch import const, messages
+
+
+class TakeOver:
+    """Progress of one epoch's take-over.
+
+    No permit of an earlier epoch starts work after `fence`. A backend server
+    is known once every member has reported, or once the server's own load was
+    measured after the fence, or once the longest permit has ended.
+
+    Attributes:
+        fence: Monotonic time after which nothing starts under older epochs.
+        life_s: Longest time that a permit of an earlier epoch runs.
+    """
+
+    def __init__(self, fence: float, life_s: float, first: bool) -> None:
+        self.fence = fence
+        self.life_s = life_s
+        self._first = first
+        self._members: set[str] = set()
+        self._reported: set[str] = set()
+        self._known: set[str] = set()
+        self._asked_at = float("-inf")
+        self.counters: dict[str, float] = {}
+
+    def set_members(self, members: Iterable[str]) -> None:
+        """Sets which routers may hold permits of earlier epochs."""
+        self._members |= set(members)
+
+    def missing(self) -> set[str]:
+        """Returns the members that have not reported."""
+        return self._members - self._reported
+
+    def due(self, now: float) -> bool:
+        """Tells whether to ask the missing members again."""
+        if not self.missing() or now < self._asked_at + const.RESYNC_RETRY_S:
+            return False
+        if now > self.fence + self.life_s:
+            return False
+        self._asked_at = now
+        return True
+
+    def reported(self, node: str, up_s: float, now: float) -> None:
+        """Notes a member's report, if the member can vouch for it.
+
+        Args:
+            node: The member.
+            up_s: How long it has been running.
+            now: Monotonic time in seconds.
+        """
+        if up_s >= now - self.fence + self.life_s:
+            self._reported.add(node)
+
+    def learn_counters(
+        self, counters: Iterable[messages.WorkspaceCounter]
+    ) -> None:
+        """Takes the counters in that an entry saw granted."""
+        for item in counters:
+            known = self.counters.get(item.workspace, item.counter)
+            self.counters[item.workspace] = max(known, item.counter)
+
+    def complete(self, now: float) -> bool:
+        """Tells whether nothing of an earlier epoch is unknown."""
+        if self._first or now >= self.fence + self.life_s:
+            return True
+        return bool(self._members) and not self.missing()
+
+    def measured(self, server: str, measured_from: float) -> bool:
+        """Notes a load report; returns whether it made the server known."""
+        if measured_from < self.fence or server in self._known:
+            return False
+        self._known.add(server)
+        return True
+
+    def known(self, server: str, now: float) -> bool:
+        """Tells whether permits may be issued for a backend server."""
+        return server in self._known or self.complete(now)
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -23,6 +23,8 @@
     dispatch.Finish,
     dispatch.ResyncAsk,
     dispatch.ResyncReport,
+    dispatch.Move,
+    dispatch.ShardTotals,
     claims.ClaimAsk,
     claims.ClaimReply,
     claims.ClaimSettle,
