--- a/tamarackbridge/components/dispatch/bound.py
+++ b/tamarackbridge/components/dispatch/bound.py
@@ -48,3 +48,48 @@
     pairs = itertools.combinations(snapshot.workspaces, 2)
     gaps = [pair_gap(snapshot, service, a, b) for a, b in pairs]
     return max(gaps, default=0.0)
+
+
+def exchange_term(
+    snapshot: models.Snapshot, rate: float, delay_s: float
+) -> float:
+    """Returns what several shards add to the bound on the gap.
+
+    Args:
+        snapshot: The records.
+        rate: Cost that all servers of the service work off in a second.
+        delay_s: Greatest delay of a message between two routers.
+    """
+    unknown_s = const.EXCHANGE_S + const.PROGRESS_S + delay_s
+    shares = sorted(item.share for item in snapshot.workspaces.values())
+    return rate * unknown_s * sum(1 / share for share in shares[:2])
+
+
+def gap_after_losses(one_shard: float, losses: int) -> float:
+    """Returns the bound for an interval with losses of the dispatcher."""
+    return (losses + 1) * one_shard
+
+
+def longest_wait_s(
+    snapshot: models.Snapshot, service: models.Service, rate: float
+) -> float:
+    """Returns the longest time that a backlogged workspace waits, in seconds.
+
+    Args:
+        snapshot: The records.
+        service: The service.
+        rate: Cost that all servers of the service work off in a second.
+    """
+    bursts = {
+        name: burst(snapshot, service, name) for name in snapshot.workspaces
+    }
+    ahead = 1 + const.MAX_ESTIMATE_RATIO
+    longest = 0.0
+    for name in bursts:
+        cost = sum(
+            item.share * ahead * (bursts[name] + bursts[other])
+            for other, item in snapshot.workspaces.items()
+            if other != name
+        )
+        longest = max(longest, cost / rate)
+    return longest
