Add membership, shard leases and configuration, thin but whole

Cause: routers need to agree on who is there, who dispatches a shard and which configuration is in force, by the object API and each other alone.

Change: one watch covers all fleet objects (roster, configuration head, shard epochs) under fleet/, so one store version says what a router knows. Members state that version in heartbeats; a majority of recent statements, or a read of the store, is fresh evidence. The roster changes in two steps with majorities in both lists. Shards are taken by one conditional write and a fence of one lease. Configuration is one compressed object per generation and a small head. PEER_MESSAGES gains the new messages.

--- /dev/null
+++ b/tamarackbridge/components/configuration/changes.py
@@ -0,0 +1,341 @@
+"""Writes operators' changes and waits until they are accepted.
+
+A change is *accepted* when a majority of the roster has it in force and the
+store was read since: whoever goes on serving has evidence from the store or
+from a majority, and either shows the change within one lease.
+"""
+
+from collections.abc import Mapping, Sequence
+import dataclasses
+import enum
+import random
+from typing import ClassVar
+
+from tamarackbridge import const as core_const
+from tamarackbridge import core
+from tamarackbridge.components.configuration import (
+    const,
+    json_codec,
+    messages,
+    stored,
+)
+from tamarackbridge.components.membership import const as membership_const
+from tamarackbridge.components.membership import messages as membership
+from tamarackbridge.components.object_api import messages as store
+
+TAG = "configuration:change:"
+
+STEP_TIMEOUT_S = 1.0
+"""A call to the store without an answer for this time is made again."""
+
+
+class _Step(enum.Enum):
+    READ_HEAD = "read_head"
+    READ_DATA = "read_data"
+    WRITE_DATA = "write_data"
+    WRITE_HEAD = "write_head"
+    CONFIRM = "confirm"
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """One change on its way.
+
+    Attributes:
+        maybe_written: Whether a write of the head was sent whose answer is
+            not known.
+        version: Store version of the head, once it is written.
+    """
+
+    ask: messages.ChangeAsk
+    deadline: float
+    step: _Step = _Step.READ_HEAD
+    call: int = 0
+    retry_at: float = 0.0
+    failures: int = 0
+    maybe_written: bool = False
+    head: stored.Head = stored.NO_HEAD
+    head_version: int = store.CREATE
+    data: bytes = b""
+    generation: int = 0
+    version: int = 0
+
+
+class ConflictError(stored.ConfigurationError):
+    """A record was changed by another change than the writer expected."""
+
+
+class ChangeWriter:
+    """Makes the changes that operators ask this router for."""
+
+    handles: ClassVar[tuple[type[core.Message], ...]] = (
+        messages.ChangeAsk,
+        membership.FleetEvidence,
+        store.StoreReply,
+    )
+
+    def __init__(
+        self,
+        node: str,
+        rng: random.Random,
+        codec: stored.RecordCodec | None = None,
+    ) -> None:
+        self._node = node
+        self._rng = rng
+        self._codec = codec or json_codec.JsonCodec()
+        self._pending: dict[str, _Pending] = {}
+        self._calls = 0
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> Sequence[core.Envelope]:
+        """Takes one message in."""
+        match delivery.msg:
+            case messages.ChangeAsk():
+                return self._on_ask(delivery.msg, now)
+            case membership.FleetEvidence():
+                return self._on_evidence(delivery.msg, now)
+            case store.StoreReply():
+                return self._on_store_reply(delivery.msg, now)
+        return ()
+
+    def tick(self, now: float) -> Sequence[core.Envelope]:
+        """Makes calls again and gives up at the deadline."""
+        out: list[core.Envelope] = []
+        for pending in list(self._pending.values()):
+            if now >= pending.deadline:
+                out.append(self._give_up(pending))
+            elif pending.step is not _Step.CONFIRM and now >= pending.retry_at:
+                out.extend(self._start(pending, _Step.READ_HEAD, now))
+        return out
+
+    def _on_ask(
+        self, ask: messages.ChangeAsk, now: float
+    ) -> Sequence[core.Envelope]:
+        if ask.change_id in self._pending:
+            return ()
+        pending = _Pending(ask, now + ask.wait_s)
+        self._pending[ask.change_id] = pending
+        return self._start(pending, _Step.READ_HEAD, now)
+
+    def _start(
+        self, pending: _Pending, step: _Step, now: float
+    ) -> Sequence[core.Envelope]:
+        self._calls += 1
+        pending.step = step
+        pending.call = self._calls
+        wait = STEP_TIMEOUT_S * 2.0 ** min(pending.failures, 2)
+        pending.retry_at = now + wait * self._rng.uniform(1.0, 1.5)
+        pending.failures += step is _Step.READ_HEAD
+        call = self._call(pending, f"{TAG}{pending.call}")
+        return (core.Envelope(core_const.STORE_NODE, call),)
+
+    def _call(self, pending: _Pending, tag: str) -> core.Message:
+        match pending.step:
+            case _Step.READ_HEAD:
+                return store.StoreGet(membership_const.KEY_CONFIG, tag)
+            case _Step.READ_DATA:
+                return store.StoreGet(pending.head.data_key, tag)
+            case _Step.WRITE_DATA:
+                key = _data_key(pending)
+                return store.StorePut(key, pending.data, store.CREATE, tag)
+            case _:
+                pending.maybe_written = True
+                value = stored.encode_head(_next_head(pending))
+                key = membership_const.KEY_CONFIG
+                return store.StorePut(key, value, pending.head_version, tag)
+
+    def _on_store_reply(
+        self, reply: store.StoreReply, now: float
+    ) -> Sequence[core.Envelope]:
+        for pending in self._pending.values():
+            if reply.tag == f"{TAG}{pending.call}":
+                return self._on_reply(pending, reply, now)
+        return ()
+
+    def _on_reply(
+        self, pending: _Pending, reply: store.StoreReply, now: float
+    ) -> Sequence[core.Envelope]:
+        pending.call = 0
+        if reply.status is store.StoreStatus.UNKNOWN:
+            return ()
+        match pending.step:
+            case _Step.READ_HEAD:
+                return self._on_head(pending, reply, now)
+            case _Step.READ_DATA:
+                return self._on_data(pending, reply, now)
+            case _Step.WRITE_DATA:
+                return self._start(pending, _Step.WRITE_HEAD, now)
+            case _Step.WRITE_HEAD:
+                return self._on_written(pending, reply, now)
+        return ()
+
+    def _on_head(
+        self, pending: _Pending, reply: store.StoreReply, now: float
+    ) -> Sequence[core.Envelope]:
+        pending.head = stored.NO_HEAD
+        pending.head_version = store.CREATE
+        if reply.objects:
+            try:
+                pending.head = stored.decode_head(reply.objects[0].value)
+            except stored.ConfigurationError as exc:
+                state = messages.ChangeState.INVALID
+                return self._end(pending, state, str(exc))
+            pending.head_version = reply.objects[0].version
+        found = pending.head.find(pending.ask.change_id)
+        if found is not None:
+            return self._confirm(
+                pending, found.generation, pending.head_version
+            )
+        if pending.head.data_key:
+            return self._start(pending, _Step.READ_DATA, now)
+        return self._edit(pending, {}, now)
+
+    def _on_data(
+        self, pending: _Pending, reply: store.StoreReply, now: float
+    ) -> Sequence[core.Envelope]:
+        if not reply.objects:
+            return ()
+        try:
+            records = stored.decode_records(reply.objects[0].value)
+        except stored.ConfigurationError as exc:
+            state = messages.ChangeState.INVALID
+            return self._end(pending, state, str(exc))
+        return self._edit(pending, records, now)
+
+    def _edit(
+        self,
+        pending: _Pending,
+        records: dict[str, stored.StoredRecord],
+        now: float,
+    ) -> Sequence[core.Envelope]:
+        pending.generation = pending.head.generation + 1
+        try:
+            edited = apply_edits(records, pending.ask, pending.generation)
+            stored.snapshot(self._codec, pending.generation, edited)
+            pending.data = stored.encode_records(edited)
+            _check_size(pending.data)
+        except ConflictError as exc:
+            state = messages.ChangeState.CONFLICT
+            return self._end(pending, state, str(exc))
+        except stored.ConfigurationError as exc:
+            state = messages.ChangeState.INVALID
+            return self._end(pending, state, str(exc))
+        return self._start(pending, _Step.WRITE_DATA, now)
+
+    def _on_written(
+        self, pending: _Pending, reply: store.StoreReply, now: float
+    ) -> Sequence[core.Envelope]:
+        if reply.status is store.StoreStatus.OK and reply.objects:
+            version = reply.objects[0].version
+            return self._confirm(pending, pending.generation, version)
+        pending.failures = 0
+        return self._start(pending, _Step.READ_HEAD, now)
+
+    def _confirm(
+        self, pending: _Pending, generation: int, version: int
+    ) -> Sequence[core.Envelope]:
+        pending.step = _Step.CONFIRM
+        pending.generation = generation
+        pending.version = version
+        return ()
+
+    def _on_evidence(
+        self, evidence: membership.FleetEvidence, now: float
+    ) -> Sequence[core.Envelope]:
+        out: list[core.Envelope] = []
+        for pending in list(self._pending.values()):
+            if pending.step is not _Step.CONFIRM:
+                continue
+            if evidence.accepted >= pending.version:
+                state = messages.ChangeState.ACCEPTED
+                out.extend(self._end(pending, state, "", evidence.lagging))
+            elif now >= pending.deadline:
+                state = messages.ChangeState.WRITTEN
+                out.extend(self._end(pending, state, "", evidence.lagging))
+        return out
+
+    def _give_up(self, pending: _Pending) -> core.Envelope:
+        state = messages.ChangeState.NOT_WRITTEN
+        if pending.step is _Step.CONFIRM:
+            state = messages.ChangeState.WRITTEN
+        elif pending.maybe_written:
+            state = messages.ChangeState.UNKNOWN
+        return self._end(pending, state, "the wait time has passed")[0]
+
+    def _end(
+        self,
+        pending: _Pending,
+        state: messages.ChangeState,
+        detail: str,
+        lagging: tuple[str, ...] = (),
+    ) -> list[core.Envelope]:
+        del self._pending[pending.ask.change_id]
+        report = messages.ChangeReport(
+            pending.ask.change_id,
+            state,
+            pending.generation if pending.version else 0,
+            detail,
+            lagging,
+        )
+        return [core.Envelope(core_const.LOCAL_NODE, report)]
+
+
+def apply_edits(
+    records: Mapping[str, stored.StoredRecord],
+    ask: messages.ChangeAsk,
+    generation: int,
+) -> dict[str, stored.StoredRecord]:
+    """Returns the records after a change.
+
+    Raises:
+        ConflictError: A record is not as the writer expected it.
+    """
+    edited = dict(records)
+    for edit in ask.edits:
+        held = records.get(edit.name)
+        _check_expected(edit, held)
+        if not edit.body:
+            edited.pop(edit.name, None)
+            continue
+        edited[edit.name] = stored.StoredRecord(
+            edit.body, generation, ask.change_id, ask.author
+        )
+    return edited
+
+
+def _check_expected(
+    edit: messages.RecordEdit, held: stored.StoredRecord | None
+) -> None:
+    current = held.generation if held else 0
+    if edit.expect in (messages.ANY, current):
+        return
+    if held is None:
+        raise ConflictError(f"{edit.name} does not exist any more")
+    raise ConflictError(
+        f"{edit.name} was changed by {held.change_id} of {held.author}"
+        f" in generation {held.generation}"
+    )
+
+
+def _check_size(data: bytes) -> None:
+    if len(data) > const.MAX_DATA_BYTES:
+        raise stored.ConfigurationError(
+            f"{len(data)} bytes of records are more than a generation holds"
+        )
+
+
+def _data_key(pending: _Pending) -> str:
+    name = f"{pending.generation}.{pending.ask.change_id}"
+    return const.DATA_PREFIX + name
+
+
+def _next_head(pending: _Pending) -> stored.Head:
+    change = stored.Change(
+        pending.ask.change_id,
+        pending.ask.author,
+        pending.generation,
+        tuple(edit.name for edit in pending.ask.edits),
+    )
+    changes = (*pending.head.changes, change)
+    return stored.Head(pending.generation, _data_key(pending), changes)
--- /dev/null
+++ b/tamarackbridge/components/configuration/stored.py
@@ -0,0 +1,131 @@
+"""The stored form of configuration.
+
+One object holds all records of a generation, compressed. A small head points
+to it, is a fleet object that every router watches, and remembers the last
+changes. A change writes the records first and then moves the head by a
+conditional write, so a change of several records is atomic.
+"""
+
+from collections.abc import Mapping
+from typing import Protocol
+import zlib
+
+import msgspec
+
+from tamarackbridge import exceptions
+from tamarackbridge.components.configuration import const
+from tamarackbridge.components.records import models
+
+
+class ConfigurationError(exceptions.TamarackbridgeError):
+    """Stored configuration could not be read, or is not valid."""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change that the head remembers."""
+
+    change_id: str
+    author: str
+    generation: int
+    records: tuple[str, ...]
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Which generation is the newest.
+
+    Attributes:
+        data_key: Key of the object with its records.
+        changes: The last changes, oldest first.
+    """
+
+    generation: int
+    data_key: str
+    changes: tuple[Change, ...]
+
+    def find(self, change_id: str) -> Change | None:
+        """Returns a remembered change."""
+        for change in self.changes:
+            if change.change_id == change_id:
+                return change
+        return None
+
+
+NO_HEAD = Head(0, "", ())
+
+
+class StoredRecord(msgspec.Struct, frozen=True):
+    """One record with the change that wrote it last.
+
+    Attributes:
+        body: The record as its writer serialized it.
+    """
+
+    body: bytes
+    generation: int
+    change_id: str
+    author: str
+
+
+class RecordCodec(Protocol):
+    """Turns the records of one generation into their internal form."""
+
+    def decode(
+        self, generation: int, records: Mapping[str, bytes]
+    ) -> models.Snapshot:
+        """Reads all records of a generation, by their keys `kind/name`.
+
+        Raises:
+            ValueError: A record is not readable, or they don't fit together.
+        """
+        ...
+
+
+def decode_head(value: bytes) -> Head:
+    """Reads a head.
+
+    Raises:
+        ConfigurationError: The value is no head.
+    """
+    try:
+        return msgspec.json.decode(value, type=Head)
+    except msgspec.MsgspecError as exc:
+        raise ConfigurationError(str(exc)) from exc
+
+
+def encode_head(head: Head) -> bytes:
+    """Serializes a head, with its last changes only."""
+    kept = head.changes[-const.KEPT_CHANGES :]
+    return msgspec.json.encode(msgspec.structs.replace(head, changes=kept))
+
+
+def decode_records(value: bytes) -> dict[str, StoredRecord]:
+    """Reads the records of one generation.
+
+    Raises:
+        ConfigurationError: The value holds no records.
+    """
+    try:
+        data = zlib.decompress(value)
+        return msgspec.json.decode(data, type=dict[str, StoredRecord])
+    except (zlib.error, msgspec.MsgspecError) as exc:
+        raise ConfigurationError(str(exc)) from exc
+
+
+def encode_records(records: Mapping[str, StoredRecord]) -> bytes:
+    """Serializes the records of one generation."""
+    return zlib.compress(msgspec.json.encode(dict(records)))
+
+
+def snapshot(
+    codec: RecordCodec, generation: int, records: Mapping[str, StoredRecord]
+) -> models.Snapshot:
+    """Returns the internal form of the records of one generation.
+
+    Raises:
+        ConfigurationError: The records are not readable or not valid.
+    """
+    bodies = {name: record.body for name, record in records.items()}
+    try:
+        return codec.decode(generation, bodies)
+    except ValueError as exc:
+        raise ConfigurationError(str(exc)) from exc
--- /dev/null
+++ b/tamarackbridge/components/membership/const.py
@@ -0,0 +1,52 @@
+"""Constants of membership, with their units."""
+
+from typing import Final
+
+FLEET_PREFIX: Final = "fleet/"
+"""Prefix of all objects that every router has to know the newest value of."""
+
+KEY_ROSTER: Final = "fleet/roster"
+KEY_CONFIG: Final = "fleet/config"
+SHARD_PREFIX: Final = "fleet/shard/"
+
+HEARTBEAT_S: Final = 0.4
+"""Interval between two heartbeats to the same peer."""
+
+PROMPT_HEARTBEAT_S: Final = 0.04
+"""Least interval between two heartbeats when there is news to tell."""
+
+DEAD_AFTER_S: Final = 1.2
+"""A member of the own group that was not heard for so long is not live."""
+
+GROUP_DEAD_AFTER_S: Final = 2.0
+"""The same for a member that is heard of through its group's relay."""
+
+GROUP_SIZE: Final = 16
+"""Members that exchange heartbeats directly; larger zones are split."""
+
+EVIDENCE_INTERVAL_S: Final = 0.1
+"""Interval at which the age of the evidence is worked out."""
+
+POLL_AGE_S: Final = 0.9
+"""Evidence older than this makes a router read the store for more."""
+
+POLL_S: Final = 0.4
+"""Interval between reads of the store that serve as evidence."""
+
+READ_TIMEOUT_S: Final = 1.0
+"""A read without an answer for this time counts as failed."""
+
+WATCH_TIMEOUT_S: Final = 5.0
+"""A watch without an answer for this time counts as failed."""
+
+BACKOFF_MIN_S: Final = 0.2
+BACKOFF_MAX_S: Final = 3.0
+
+JOIN_BATCH_S: Final = 0.5
+"""Time for which joins and removals are collected into one roster change."""
+
+REMOVE_AFTER_S: Final = 5.0
+"""A member is removed when it was silent so long and its VM is gone."""
+
+RESET_AFTER_S: Final = 20.0
+"""A roster whose members are all gone is replaced after this silence."""
--- /dev/null
+++ b/tamarackbridge/components/membership/fleet_state.py
@@ -0,0 +1,60 @@
+"""What one router knows of the fleet objects, as one complete cut.
+
+The store numbers its versions store-wide, so one number says which fleet
+objects a router knows: all that changed up to that version. The cut only
+grows: an older value never replaces a newer one.
+"""
+
+from collections.abc import Iterable
+
+from tamarackbridge.components.membership import const
+from tamarackbridge.components.object_api import messages as store
+
+
+class FleetState:
+    """The newest known value of each fleet object.
+
+    Attributes:
+        cut: Highest version among the objects; every fleet object that
+            changed up to it is known.
+    """
+
+    def __init__(self) -> None:
+        self.cut = 0
+        self._objects: dict[str, store.StoredObject] = {}
+        self._applied = 0
+
+    def merge(
+        self, objects: Iterable[store.StoredObject]
+    ) -> tuple[store.StoredObject, ...]:
+        """Takes objects in and returns those that were news."""
+        news = []
+        for obj in objects:
+            held = self._objects.get(obj.key)
+            if held is None or held.version < obj.version:
+                self._objects[obj.key] = obj
+                news.append(obj)
+                self.cut = max(self.cut, obj.version)
+        return tuple(news)
+
+    def applied(self, version: int) -> None:
+        """Records that the configuration of a version is in force."""
+        self._applied = max(self._applied, version)
+
+    @property
+    def known(self) -> int:
+        """Version up to which everything is known and in force."""
+        cfg = self._objects.get(const.KEY_CONFIG)
+        if cfg is not None and cfg.version > self._applied:
+            return cfg.version - 1
+        return self.cut
+
+    def get(self, key: str) -> store.StoredObject | None:
+        """Returns one object, if there is one."""
+        return self._objects.get(key)
+
+    def since(self, version: int) -> tuple[store.StoredObject, ...]:
+        """Returns all objects that changed after `version`."""
+        return tuple(
+            obj for obj in self._objects.values() if obj.version > version
+        )
--- /dev/null
+++ b/tamarackbridge/components/membership/leases.py
@@ -0,0 +1,337 @@
+"""Takes, keeps and hands over the leases of shards.
+
+A take-over is one conditional write of the shard's object. The new holder
+begins when a majority of the roster knows the new epoch and one lease has
+passed since, so that no evidence of the holder before can still be fresh. A
+holder keeps its lease by the evidence of membership alone, without writes.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import math
+import random
+from typing import ClassVar
+
+from tamarackbridge import const as core_const
+from tamarackbridge import core
+from tamarackbridge.components.configuration import messages as configuration
+from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.membership import (
+    const,
+    messages,
+    placement,
+    shard_object,
+)
+from tamarackbridge.components.object_api import messages as store
+from tamarackbridge.components.records import models
+
+TAG = "leases:"
+
+FENCE_S = core_const.LEASE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
+"""Time after which evidence that others gathered earlier has lapsed."""
+
+PUT_TIMEOUT_S = 1.0
+"""A write without an answer for this time counts as failed."""
+
+STABLE_S = 3.0
+"""Time for which a better placement must last before a shard moves to it."""
+
+FLAP_WINDOW_S = 30.0
+"""Time within which changes of holder make the next one wait longer."""
+
+FLAP_MAX_S = 8.0
+"""Longest time that a take-over waits for flapping to end."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Shard:
+    """What this router knows of one shard.
+
+    Attributes:
+        version: Store version of the shard's object.
+        recognised_at: When a majority was first seen to know `version`.
+        mine: Whether this process may begin the epoch: it wrote it, or saw
+            it handed over. False after a restart.
+        surrendered: Whether a hand-over of this version was sent, which may
+            take effect at any time.
+        held: Whether this router dispatches the shard.
+        put_until: Time until which a write of this router is on the way.
+        absent_since: Since when the holder is missed.
+        better_since: Since when another member is the preferred holder.
+        changed_at: When the holder last changed, a few times back.
+    """
+
+    value: shard_object.ShardValue
+    version: int = 0
+    recognised_at: float = math.inf
+    mine: bool = False
+    surrendered: bool = False
+    held: bool = False
+    put_until: float = -math.inf
+    absent_since: float = math.inf
+    better_since: float = math.inf
+    changed_at: list[float] = dataclasses.field(default_factory=list)
+
+
+class ShardLeases:
+    """The leases of this router and who holds all others."""
+
+    handles: ClassVar[tuple[type[core.Message], ...]] = (
+        configuration.SnapshotInForce,
+        messages.RosterChanged,
+        messages.FleetObjects,
+        messages.FleetEvidence,
+        messages.LeaveFleet,
+        store.StoreReply,
+    )
+
+    def __init__(self, node: str, rng: random.Random) -> None:
+        self._node = node
+        self._rng = rng
+        self._snapshot = models.empty_snapshot()
+        self._shards: dict[str, _Shard] = {}
+        self._early: dict[str, tuple[shard_object.ShardValue, int]] = {}
+        self._roster = messages.RosterChanged((), ())
+        self._evidence: messages.FleetEvidence | None = None
+        self._preferred: dict[str, str] = {}
+        self._leaving = False
+        self._count = 0
+        self._attempts = f"{node}.{rng.getrandbits(48):x}."
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> Sequence[core.Envelope]:
+        """Takes one message in."""
+        match delivery.msg:
+            case configuration.SnapshotInForce():
+                return self._on_snapshot(delivery.msg.snapshot, now)
+            case messages.RosterChanged():
+                self._roster = delivery.msg
+                self._place()
+            case messages.FleetObjects():
+                return self._on_objects(delivery.msg, now)
+            case messages.FleetEvidence():
+                self._evidence = delivery.msg
+                return self._review_all(now)
+            case messages.LeaveFleet():
+                self._leaving = True
+                self._place()
+            case store.StoreReply():
+                self._on_store_reply(delivery.msg)
+        return ()
+
+    def tick(self, now: float) -> Sequence[core.Envelope]:
+        """Ends leases whose evidence has run out."""
+        out: list[core.Envelope] = []
+        for state in self._shards.values():
+            if state.held and now >= self._until():
+                out.extend(self._lose(state))
+        return out
+
+    def _until(self) -> float:
+        return self._evidence.until if self._evidence else -math.inf
+
+    def _on_snapshot(
+        self, snapshot: models.Snapshot, now: float
+    ) -> Sequence[core.Envelope]:
+        self._snapshot = snapshot
+        names = set(snapshot.shard_names())
+        out: list[core.Envelope] = []
+        for name in sorted(self._shards.keys() - names):
+            state = self._shards.pop(name)
+            self._early[name] = (state.value, state.version)
+            if state.held:
+                out.extend(self._lose(state))
+        for name in sorted(names - self._shards.keys()):
+            value = shard_object.ShardValue(name, 0, "", "")
+            self._shards[name] = _Shard(value)
+            if name in self._early:
+                out.extend(self._learn(*self._early.pop(name), now))
+        self._place()
+        return out
+
+    def _on_objects(
+        self, news: messages.FleetObjects, now: float
+    ) -> Sequence[core.Envelope]:
+        out: list[core.Envelope] = []
+        for obj in news.objects:
+            if not obj.key.startswith(const.SHARD_PREFIX):
+                continue
+            value = shard_object.decode(obj)
+            if value is not None:
+                out.extend(self._learn(value, obj.version, now))
+        return out
+
+    def _learn(
+        self, value: shard_object.ShardValue, version: int, now: float
+    ) -> Sequence[core.Envelope]:
+        state = self._shards.get(value.shard)
+        if state is None:
+            self._early[value.shard] = (value, version)
+            return ()
+        if version <= state.version:
+            return ()
+        out = list(self._lose(state)) if state.held else []
+        handed = value.released and state.version > 0
+        state.mine = handed or value.attempt.startswith(self._attempts)
+        state.surrendered = False
+        state.value = value
+        state.version = version
+        state.recognised_at = math.inf
+        state.put_until = -math.inf
+        state.absent_since = math.inf
+        state.better_since = math.inf
+        state.changed_at = [*state.changed_at[-7:], now]
+        news = dispatch.ShardHolder(value.shard, value.epoch, value.holder)
+        return [*out, _local(news)]
+
+    def _place(self) -> None:
+        usable = frozenset(self._roster.live) - frozenset(self._roster.leaving)
+        if self._leaving:
+            usable -= {self._node}
+        nodes = placement.candidates(
+            self._roster.members, usable, self._snapshot
+        )
+        self._preferred = placement.place(self._shards, nodes, self._snapshot)
+
+    def _review_all(self, now: float) -> Sequence[core.Envelope]:
+        out: list[core.Envelope] = []
+        for name in sorted(self._shards):
+            out.extend(self._review(name, self._shards[name], now))
+        return out
+
+    def _review(
+        self, name: str, state: _Shard, now: float
+    ) -> Sequence[core.Envelope]:
+        evidence = self._evidence
+        if evidence is None:
+            return ()
+        if evidence.accepted >= state.version > 0:
+            state.recognised_at = min(state.recognised_at, now)
+        if state.value.holder == self._node:
+            return self._keep(name, state, now)
+        if self._may_take(name, state, now):
+            value = self._next(state, self._node, released=False)
+            return self._put(state, value, now)
+        return ()
+
+    def _keep(
+        self, name: str, state: _Shard, now: float
+    ) -> Sequence[core.Envelope]:
+        until = self._until()
+        if now >= until:
+            return self._lose(state) if state.held else ()
+        if not state.held:
+            return self._begin(name, state, now)
+        return self._renew(name, state, until, now)
+
+    def _renew(
+        self, name: str, state: _Shard, until: float, now: float
+    ) -> Sequence[core.Envelope]:
+        target = self._hand_over_to(name, state, now)
+        if target:
+            state.surrendered = True
+            value = self._next(state, target, released=True)
+            return [*self._lose(state), *self._put(state, value, now)]
+        held = dispatch.LeaseHeld(name, state.value.epoch, until, fresh=False)
+        return (_local(held),)
+
+    def _begin(
+        self, name: str, state: _Shard, now: float
+    ) -> Sequence[core.Envelope]:
+        if now < state.put_until:
+            return ()
+        if state.surrendered or not state.mine:
+            value = self._next(state, self._node, released=state.surrendered)
+            return self._put(state, value, now)
+        ready = state.value.released or state.recognised_at + FENCE_S <= now
+        if not ready:
+            return ()
+        state.held = True
+        epoch = state.value.epoch
+        held = dispatch.LeaseHeld(name, epoch, self._until(), fresh=True)
+        return (_local(held),)
+
+    def _lose(self, state: _Shard) -> Sequence[core.Envelope]:
+        state.held = False
+        return (_local(self._lost(state)),)
+
+    def _lost(self, state: _Shard) -> dispatch.LeaseLost:
+        return dispatch.LeaseLost(state.value.shard, state.value.epoch)
+
+    def _may_take(self, name: str, state: _Shard, now: float) -> bool:
+        evidence = self._evidence
+        holder = state.value.holder
+        absent = not holder or holder not in self._roster.live
+        if not absent:
+            state.absent_since = math.inf
+            return False
+        state.absent_since = min(state.absent_since, now)
+        if evidence is None or not evidence.majority or now >= evidence.until:
+            return False
+        if self._preferred.get(name) != self._node or now < state.put_until:
+            return False
+        return now - state.absent_since >= self._damping(state, now)
+
+    def _damping(self, state: _Shard, now: float) -> float:
+        """Returns the wait before a take-over, longer after many of them."""
+        recent = [at for at in state.changed_at if now - at < FLAP_WINDOW_S]
+        if len(recent) < 3:
+            return 0.0
+        return min(0.5 * 2.0 ** (len(recent) - 3), FLAP_MAX_S)
+
+    def _hand_over_to(self, name: str, state: _Shard, now: float) -> str:
+        """Returns the member that is to have a held shard instead, if any."""
+        target = self._preferred.get(name, "")
+        if target in ("", self._node) or now < state.put_until:
+            state.better_since = math.inf
+            return ""
+        state.better_since = min(state.better_since, now)
+        if self._must_leave():
+            return target
+        if now - state.better_since < STABLE_S + self._damping(state, now):
+            return ""
+        return target
+
+    def _must_leave(self) -> bool:
+        if self._leaving:
+            return True
+        zones = {m.node: m.zone for m in self._roster.members}
+        zone = self._snapshot.zones.get(zones.get(self._node, ""))
+        return zone is not None and zone.out
+
+    def _next(
+        self, state: _Shard, holder: str, released: bool
+    ) -> shard_object.ShardValue:
+        self._count += 1
+        return shard_object.ShardValue(
+            shard=state.value.shard,
+            epoch=state.value.epoch + 1,
+            holder=holder,
+            attempt=f"{self._attempts}{self._count}",
+            released=released,
+        )
+
+    def _put(
+        self, state: _Shard, value: shard_object.ShardValue, now: float
+    ) -> Sequence[core.Envelope]:
+        state.put_until = now + PUT_TIMEOUT_S * self._rng.uniform(1.0, 1.5)
+        put = store.StorePut(
+            shard_object.key(value.shard),
+            shard_object.encode(value),
+            state.version,
+            f"{TAG}{value.shard}",
+        )
+        return (core.Envelope(core_const.STORE_NODE, put),)
+
+    def _on_store_reply(self, reply: store.StoreReply) -> None:
+        """Waits for the read that shows the result, whatever the answer."""
+        if not reply.tag.startswith(TAG):
+            return
+        state = self._shards.get(reply.tag.removeprefix(TAG))
+        if state is not None and reply.status is store.StoreStatus.UNKNOWN:
+            state.put_until += PUT_TIMEOUT_S
+
+
+def _local(msg: core.Message) -> core.Envelope:
+    return core.Envelope(core_const.LOCAL_NODE, msg)
--- /dev/null
+++ b/tamarackbridge/components/membership/roster.py
@@ -0,0 +1,129 @@
+"""The member list, a versioned object in the store.
+
+A change goes in two steps, each of them written only when the one before is
+accepted: first `members` is the new list and `before` the old one, then both
+are the new list. A majority counts only when it is one in both lists, so any
+two majorities of neighbouring rosters share a member.
+"""
+
+from collections.abc import Callable, Iterable
+import dataclasses
+import functools
+import math
+
+import msgspec
+
+from tamarackbridge.components.membership import const, messages
+from tamarackbridge.components.object_api import messages as store
+
+
+class RosterValue(msgspec.Struct, frozen=True):
+    """Stored form of the roster."""
+
+    members: tuple[messages.Member, ...]
+    before: tuple[messages.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Roster:
+    """The member list at one store version.
+
+    Attributes:
+        version: Store version of the object; 0 for no roster.
+    """
+
+    version: int
+    members: tuple[messages.Member, ...]
+    before: tuple[messages.Member, ...]
+
+    @functools.cached_property
+    def nodes(self) -> frozenset[str]:
+        """Nodes of the list itself."""
+        return frozenset(member.node for member in self.members)
+
+    @functools.cached_property
+    def former(self) -> frozenset[str]:
+        """Nodes of the list before."""
+        return frozenset(member.node for member in self.before)
+
+    @functools.cached_property
+    def groups(self) -> tuple[tuple[str, ...], ...]:
+        """Nodes of both lists, split into groups of direct heartbeats."""
+        every = {m.node: m.zone for m in (*self.before, *self.members)}
+        if len(every) <= const.GROUP_SIZE:
+            return (tuple(sorted(every)),)
+        zones: dict[str, list[str]] = {}
+        for node in sorted(every):
+            zones.setdefault(every[node], []).append(node)
+        return tuple(
+            group for zone in sorted(zones) for group in _split(zones[zone])
+        )
+
+    @functools.cached_property
+    def group_of(self) -> dict[str, int]:
+        """Index of each node's group."""
+        return {
+            node: index
+            for index, group in enumerate(self.groups)
+            for node in group
+        }
+
+    @property
+    def settled(self) -> bool:
+        """Whether the second step of the last change is done."""
+        return self.nodes == self.former
+
+    def quorum_value(self, value: Callable[[str], float]) -> float:
+        """Returns the greatest value that a majority reaches in both lists."""
+        found = [
+            _majority_value(nodes, value) for nodes in (self.nodes, self.former)
+        ]
+        return min(found)
+
+    @property
+    def peers_to_establish(self) -> int:
+        """Members that a restarted router must hear of to know enough.
+
+        So many established members share one with every majority that may
+        have accepted something together with the router before it restarted.
+        """
+        sizes = (len(self.nodes), len(self.former))
+        return max(size - (size // 2 + 1) + 1 for size in sizes)
+
+
+EMPTY = Roster(0, (), ())
+
+
+def decode(obj: store.StoredObject) -> Roster:
+    """Reads a stored roster.
+
+    Raises:
+        msgspec.MsgspecError: The value is no roster.
+    """
+    value = msgspec.json.decode(obj.value, type=RosterValue)
+    return Roster(obj.version, value.members, value.before)
+
+
+def encode(
+    members: Iterable[messages.Member], before: Iterable[messages.Member]
+) -> bytes:
+    """Serializes a roster."""
+    return msgspec.json.encode(RosterValue(tuple(members), tuple(before)))
+
+
+def _split(nodes: list[str]) -> list[tuple[str, ...]]:
+    count = math.ceil(len(nodes) / const.GROUP_SIZE)
+    size = math.ceil(len(nodes) / count)
+    return [
+        tuple(nodes[start : start + size])
+        for start in range(0, len(nodes), size)
+    ]
+
+
+def _majority_value(
+    nodes: frozenset[str], value: Callable[[str], float]
+) -> float:
+    if not nodes:
+        return -math.inf
+    values = sorted(map(value, nodes), reverse=True)
+    return values[len(nodes) // 2]
--- /dev/null
+++ b/tamarackbridge/components/membership/roster_changes.py
@@ -0,0 +1,109 @@
+"""Decides when the roster is to change, and to what."""
+
+import dataclasses
+import math
+import random
+
+from tamarackbridge.components.membership import const, messages, roster
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What the decision rests on.
+
+    Attributes:
+        current: The roster in use.
+        accepted: Whether a majority knows this roster.
+        first: Whether this router is the first live member.
+        silent_s: Seconds since each member was last heard.
+        leaving: Members that said that they are shutting down.
+        vms: Nodes in the VM list; None while it was never read.
+    """
+
+    current: roster.Roster
+    accepted: bool
+    first: bool
+    silent_s: dict[str, float]
+    leaving: frozenset[str]
+    vms: frozenset[str] | None
+
+
+class RosterChanges:
+    """Collects joins and removals and works out the next roster."""
+
+    def __init__(self, me: messages.Member, rng: random.Random) -> None:
+        self._me = me
+        self._rng = rng
+        self._joining: dict[str, messages.Member] = {}
+        self._due = math.inf
+        self._alone_since = math.inf
+
+    def join(self, member: messages.Member, first: bool, now: float) -> None:
+        """Records that a router wants to be in the roster."""
+        self._joining[member.node] = member
+        wait = const.JOIN_BATCH_S * (1 if first else 2 + self._rng.random())
+        self._due = min(self._due, now + wait)
+
+    def propose(self, view: View, now: float) -> bytes | None:
+        """Returns the next roster's value, when it is time for one."""
+        if self._me.node not in view.current.nodes:
+            return self._found(view, now)
+        if not view.accepted:
+            return None
+        if not view.current.settled:
+            return self._settle(view)
+        if now < self._due and not (view.first and self._removed(view)):
+            return None
+        return self._change(view)
+
+    def _settle(self, view: View) -> bytes | None:
+        if not view.first:
+            return None
+        members = view.current.members
+        return roster.encode(members, members)
+
+    def _change(self, view: View) -> bytes | None:
+        self._due = math.inf
+        gone = self._removed(view) if view.first else frozenset()
+        members = {m.node: m for m in view.current.members}
+        for node in gone:
+            members.pop(node, None)
+        for node, member in self._joining.items():
+            members[node] = member
+        self._joining.clear()
+        chosen = tuple(members[node] for node in sorted(members))
+        if {m.node for m in chosen} == view.current.nodes:
+            return None
+        return roster.encode(chosen, view.current.members)
+
+    def _removed(self, view: View) -> frozenset[str]:
+        return frozenset(
+            node
+            for node in view.current.nodes - {self._me.node}
+            if self._is_gone(node, view)
+        )
+
+    def _is_gone(self, node: str, view: View) -> bool:
+        silent_s = view.silent_s.get(node, math.inf)
+        if node in view.leaving:
+            return silent_s > const.DEAD_AFTER_S
+        confirmed = view.vms is not None and node not in view.vms
+        return confirmed and silent_s > const.REMOVE_AFTER_S
+
+    def _found(self, view: View, now: float) -> bytes | None:
+        """Founds a roster where there is none, or none with a live member."""
+        if view.current.version == 0:
+            return roster.encode((self._me,), (self._me,))
+        if not self._all_gone(view):
+            self._alone_since = math.inf
+            return None
+        self._alone_since = min(self._alone_since, now)
+        if now - self._alone_since < const.RESET_AFTER_S:
+            return None
+        return roster.encode((self._me,), (self._me,))
+
+    def _all_gone(self, view: View) -> bool:
+        if view.vms is None or view.vms & view.current.nodes:
+            return False
+        silent = view.silent_s.values()
+        return all(found > const.REMOVE_AFTER_S for found in silent)
--- /dev/null
+++ b/tamarackbridge/components/membership/shard_object.py
@@ -0,0 +1,42 @@
+"""The stored form of a shard's epoch."""
+
+import msgspec
+
+from tamarackbridge.components.membership import const
+from tamarackbridge.components.object_api import messages as store
+
+
+class ShardValue(msgspec.Struct, frozen=True):
+    """Who dispatches a shard.
+
+    Attributes:
+        shard: Name of the shard.
+        epoch: Grows by one with each change of holder.
+        holder: Node of the holder.
+        attempt: Identifier of the write, to recognise it after a lost answer.
+        released: Whether the holder before had stopped when this was written.
+    """
+
+    shard: str
+    epoch: int
+    holder: str
+    attempt: str
+    released: bool = False
+
+
+def key(shard: str) -> str:
+    """Returns the key of a shard's object."""
+    return const.SHARD_PREFIX + shard.replace("/", ".")
+
+
+def decode(obj: store.StoredObject) -> ShardValue | None:
+    """Reads a shard's object; None when it is not readable."""
+    try:
+        return msgspec.json.decode(obj.value, type=ShardValue)
+    except msgspec.MsgspecError:
+        return None
+
+
+def encode(value: ShardValue) -> bytes:
+    """Serializes a shard's object."""
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/tamarackbridge/components/membership/store_reader.py
@@ -0,0 +1,127 @@
+"""Reads the fleet objects from the store: by watch, and by list for evidence.
+
+At most one watch and one list are on the way at a time. After a failure both
+wait for a jittered time that doubles up to a bound, so that a store that comes
+back meets a spread-out load.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from tamarackbridge import const as core_const
+from tamarackbridge import core
+from tamarackbridge.components.membership import const
+from tamarackbridge.components.object_api import messages as store
+
+TAG = "membership:"
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    tag: str = ""
+    sent_at: float = 0.0
+    next_at: float = 0.0
+    failures: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """An answered read.
+
+    Attributes:
+        sent_at: When the read was sent: it shows the state at that time or
+            later.
+        complete: Whether `objects` are all fleet objects.
+    """
+
+    sent_at: float
+    objects: tuple[store.StoredObject, ...]
+    version: int
+    complete: bool
+
+
+class StoreReader:
+    """Keeps a watch open and lists on demand."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._count = 0
+        self._watch = _Call()
+        self._list = _Call()
+        self._version = 0
+
+    def take(self, reply: store.StoreReply, now: float) -> Read | None:
+        """Takes a reply in; returns the read when it is a good one."""
+        for call in (self._watch, self._list):
+            if call.tag and call.tag == reply.tag:
+                return self._take(call, reply, now)
+        return None
+
+    def tick(
+        self, now: float, since: int, watch: bool, poll: bool
+    ) -> Sequence[core.Envelope]:
+        """Returns the calls that are due.
+
+        Args:
+            now: Monotonic time.
+            since: Store version after which news is wanted.
+            watch: Whether this router keeps a watch open.
+            poll: Whether reads are wanted as evidence.
+        """
+        out: list[core.Envelope] = []
+        self._expire(self._watch, const.WATCH_TIMEOUT_S, now)
+        self._expire(self._list, const.READ_TIMEOUT_S, now)
+        if watch and self._due(self._watch, now):
+            tag = self._start(self._watch, now)
+            out.append(_to_store(_watch_call(since, tag)))
+        if poll and self._due(self._list, now):
+            tag = self._start(self._list, now)
+            out.append(_to_store(store.StoreList(const.FLEET_PREFIX, tag)))
+        return out
+
+    def _take(
+        self, call: _Call, reply: store.StoreReply, now: float
+    ) -> Read | None:
+        call.tag = ""
+        if reply.status is not store.StoreStatus.OK:
+            self._fail(call, now)
+            return None
+        if reply.version < self._version:
+            call.next_at = now + const.BACKOFF_MIN_S * self._rng.random()
+            return None
+        self._version = reply.version
+        call.failures = 0
+        call.next_at = now
+        if call is self._list:
+            call.next_at = call.sent_at + const.POLL_S
+        complete = call is self._list
+        return Read(call.sent_at, reply.objects, reply.version, complete)
+
+    def _due(self, call: _Call, now: float) -> bool:
+        return not call.tag and now >= call.next_at
+
+    def _start(self, call: _Call, now: float) -> str:
+        self._count += 1
+        call.tag = f"{TAG}{self._count}"
+        call.sent_at = now
+        return call.tag
+
+    def _expire(self, call: _Call, timeout_s: float, now: float) -> None:
+        if call.tag and now - call.sent_at > timeout_s:
+            call.tag = ""
+            self._fail(call, now)
+
+    def _fail(self, call: _Call, now: float) -> None:
+        call.failures += 1
+        bound = const.BACKOFF_MIN_S * 2.0 ** min(call.failures, 8)
+        wait = min(bound, const.BACKOFF_MAX_S)
+        call.next_at = now + wait * self._rng.uniform(0.5, 1.0)
+
+
+def _watch_call(since: int, tag: str) -> core.Message:
+    return store.StoreWatch(const.FLEET_PREFIX, since, tag)
+
+
+def _to_store(msg: core.Message) -> core.Envelope:
+    return core.Envelope(core_const.STORE_NODE, msg)
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -6,7 +6,9 @@
 
 from tamarackbridge import core, exceptions
 from tamarackbridge.components.claims import messages as claims
+from tamarackbridge.components.configuration import messages as configuration
 from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.membership import messages as membership
 
 Raw = msgspec.Raw
 """One serialized message."""
@@ -27,6 +29,11 @@
     claims.ClaimReply,
     claims.ClaimSettle,
     claims.ClaimSettled,
+    configuration.DataAsk,
+    configuration.DataReply,
+    membership.Heartbeat,
+    membership.StateAsk,
+    membership.StateReply,
 )
 """The message types that may cross from one router to another."""
 
