--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -9,21 +9,20 @@
 from absl import logging
 import mode
 
-from tamarackbridge import core
-from tamarackbridge import decider_loop
+from tamarackbridge import const as core_const
+from tamarackbridge import core, decider_loop
 from tamarackbridge.components.backend import client as backend_client
 from tamarackbridge.components.backend import load_poller
 from tamarackbridge.components.claims import client as claim_client
 from tamarackbridge.components.claims import keeper
-from tamarackbridge.components.configuration import applier
-from tamarackbridge.components.dispatch import dispatcher
-from tamarackbridge.components.dispatch import permit_client
+from tamarackbridge.components.configuration import applier, changes
+from tamarackbridge.components.dispatch import dispatcher, permit_client
 from tamarackbridge.components.entry import forward
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.entry import service as entry_service
-from tamarackbridge.components.membership import leases
-from tamarackbridge.components.membership import member
+from tamarackbridge.components.membership import leases, member
 from tamarackbridge.components.object_api import http as object_api_http
+from tamarackbridge.components.records import snapshot
 from tamarackbridge.components.settings import models as settings_models
 from tamarackbridge.components.transport import port as transport_port
 from tamarackbridge.components.transport import service as transport
@@ -40,6 +39,8 @@
         kernel = core.Kernel(core.SystemClock(), random.Random(boot))
         self.kernel = kernel
         node = settings.node
+        incarnation = int(kernel.clock.wall() * core_const.MS_PER_S)
+        codec = snapshot.SnapshotCodec()
         ports = entry_port.EntryPort()
         loads = load_poller.LoadPort()
         peers = transport.PeerService(
@@ -53,11 +54,12 @@
                     node,
                     settings.zone,
                     settings.advertise,
-                    boot,
+                    incarnation,
                     kernel.rng,
                 ),
                 leases.ShardLeases(node, kernel.rng),
-                applier.Applier(node, kernel.rng),
+                applier.Applier(node, kernel.rng, codec),
+                changes.ChangeWriter(node, kernel.rng, codec),
                 dispatcher.Dispatcher(node, kernel.rng),
                 permit_client.PermitClient(node, kernel.rng),
                 keeper.Keeper(
@@ -66,7 +68,7 @@
                     settings.claims.retention_s,
                     settings.claims.max_outcome_bytes,
                 ),
-                claim_client.ClaimClient(node, kernel.rng),
+                claim_client.ClaimClient(node, kernel.rng, incarnation),
                 ports,
                 loads,
             ),
