Add the operators' interface and the program's commands

Cause: records could be read but neither written nor seen by operators. Records that are in force together are checked against each other before a write.

--- /dev/null
+++ b/tamarackbridge/components/client/app.py
@@ -0,0 +1,356 @@
+"""The program's commands."""
+
+from collections.abc import Callable, Sequence
+import dataclasses
+import importlib
+import pathlib
+import sys
+from typing import Annotated, Literal, TypeVar
+
+import cyclopts
+import msgspec
+import result
+
+from tamarackbridge.components.client import const, http, tables
+from tamarackbridge.components.operator import const as api
+from tamarackbridge.components.operator import messages
+from tamarackbridge.components.records import codec, files
+from tamarackbridge.components.settings import loader
+
+_T = TypeVar("_T")
+_Row = TypeVar("_Row")
+
+Kind = Literal["zone", "service", "server", "workspace"]
+
+app = cyclopts.App(
+    name="tamarackbridge",
+    help="A router fleet that shares capacity fairly between workspaces.",
+    help_epilogue=const.EXIT_HELP,
+    help_format="plaintext",
+)
+zone_app = cyclopts.App(name="zone", help="Availability zones.")
+server_app = cyclopts.App(name="server", help="Backend servers.")
+requests_app = cyclopts.App(name="requests", help="Requests.")
+app.command(zone_app)
+app.command(server_app)
+app.command(requests_app)
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How to reach routers and how to print.
+
+    Attributes:
+        url: Base URL of a router's operator interface; several, split by
+            commas or by giving the option again, are tried in turn, and
+            status, explain and requests ask all of them.
+        token_file: File with the operator's bearer token.
+        ca: PEM file of the authorities of the routers' certificates.
+        certificate: PEM file of a client certificate with its key.
+        output: Table for people or JSON for scripts.
+    """
+
+    url: Annotated[
+        tuple[str, ...], cyclopts.Parameter(env_var=const.ENV_URL)
+    ] = ("http://127.0.0.1:18401",)
+    token_file: Annotated[
+        pathlib.Path | None, cyclopts.Parameter(env_var=const.ENV_TOKEN_FILE)
+    ] = None
+    ca: pathlib.Path | None = None
+    certificate: pathlib.Path | None = None
+    output: Literal["table", "json"] = "table"
+
+    def client(self) -> http.Client:
+        """Returns a client for these options."""
+        return http.Client(
+            http.Access(
+                http.urls(self.url), self.token_file, self.ca, self.certificate
+            )
+        )
+
+
+DEFAULT = Options()
+
+
+@app.command
+def router(*, settings: pathlib.Path) -> int:
+    """Runs a router until a signal ends it.
+
+    Args:
+        settings: TOML file with the settings of this router.
+    """
+    loaded = loader.load(settings)
+    if isinstance(loaded, result.Err):
+        return _fail(const.Exit.USAGE, str(loaded.err_value))
+    router_module = importlib.import_module("tamarackbridge.router")
+    code: int = router_module.run(loaded.ok_value)
+    return code
+
+
+@app.command
+def check(*, settings: pathlib.Path) -> int:
+    """Checks a settings file and starts nothing.
+
+    Args:
+        settings: TOML file with the settings of a router.
+    """
+    loaded = loader.load(settings)
+    if isinstance(loaded, result.Err):
+        return _fail(const.Exit.USAGE, str(loaded.err_value))
+    print(f"{settings}: ok, router {loaded.ok_value.node}")
+    return const.Exit.OK
+
+
+@app.command
+def apply(
+    *,
+    file: Annotated[pathlib.Path, cyclopts.Parameter(alias="-f")],
+    dry_run: bool = False,
+    options: Options = DEFAULT,
+) -> int:
+    """Writes the records of a file and waits until they are accepted.
+
+    Records that the file doesn't name stay as they are.
+
+    Args:
+        file: TOML or JSON file with records.
+        dry_run: Show what would change and write nothing.
+        options: How to reach routers and how to print.
+    """
+    loaded = files.load(file)
+    if isinstance(loaded, result.Err):
+        return _fail(const.Exit.USAGE, str(loaded.err_value))
+    docs = [codec.to_document(record) for record in loaded.ok_value]
+    body = msgspec.json.encode({"records": docs})
+    query = _dry_run(dry_run)
+    call = http.Call("POST", api.PATH_RECORDS, query, body)
+    return _change(call, options)
+
+
+@app.command
+def get(
+    kind: Kind,
+    name: str | None = None,
+    *,
+    schema_version: int | None = None,
+    options: Options = DEFAULT,
+) -> int:
+    """Shows the records of one kind, or one record.
+
+    Args:
+        kind: Kind of the records.
+        name: Name of one record.
+        schema_version: Show it in this version, not in its writer's.
+        options: How to reach routers and how to print.
+    """
+    parts = (kind,) if name is None else (kind, name)
+    query: tuple[tuple[str, str], ...] = ()
+    if schema_version is not None:
+        query = (("schema_version", str(schema_version)),)
+    path = http.path(api.PATH_RECORDS, *parts)
+    found = options.client().call(
+        http.Call("GET", path, query), messages.RecordsReply
+    )
+    return _show(
+        found, options, lambda body: tables.print_records(kind, body.records)
+    )
+
+
+@app.command
+def delete(
+    kind: Kind, name: str, *, dry_run: bool = False, options: Options = DEFAULT
+) -> int:
+    """Deletes one record.
+
+    Args:
+        kind: Kind of the record.
+        name: Name of the record.
+        dry_run: Show what would change and write nothing.
+        options: How to reach routers and how to print.
+    """
+    path = http.path(api.PATH_RECORDS, kind, name)
+    return _change(http.Call("DELETE", path, _dry_run(dry_run)), options)
+
+
+@zone_app.command
+def take_out(
+    name: str, *, dry_run: bool = False, options: Options = DEFAULT
+) -> int:
+    """Takes an availability zone out: it gets no new work."""
+    path = http.path(api.PATH_ZONES, name, api.ACTION_TAKE_OUT)
+    return _change(http.Call("POST", path, _dry_run(dry_run)), options)
+
+
+@zone_app.command
+def bring_back(
+    name: str, *, dry_run: bool = False, options: Options = DEFAULT
+) -> int:
+    """Brings an availability zone back."""
+    path = http.path(api.PATH_ZONES, name, api.ACTION_BRING_BACK)
+    return _change(http.Call("POST", path, _dry_run(dry_run)), options)
+
+
+@server_app.command
+def drain(
+    name: str, *, dry_run: bool = False, options: Options = DEFAULT
+) -> int:
+    """Drains a backend server: it gets no new work, running work ends."""
+    path = http.path(api.PATH_SERVERS, name, api.ACTION_DRAIN)
+    return _change(http.Call("POST", path, _dry_run(dry_run)), options)
+
+
+@server_app.command
+def undrain(
+    name: str, *, dry_run: bool = False, options: Options = DEFAULT
+) -> int:
+    """Ends the draining of a backend server."""
+    path = http.path(api.PATH_SERVERS, name, api.ACTION_UNDRAIN)
+    return _change(http.Call("POST", path, _dry_run(dry_run)), options)
+
+
+@app.command
+def status(*, options: Options = DEFAULT) -> int:
+    """Shows members, shard holders, generations, permits and queues."""
+    found = options.client().call_all(
+        http.Call("GET", api.PATH_STATUS), messages.Status
+    )
+    return _show_all(found, options, tables.print_status)
+
+
+@app.command
+def explain(workspace: str, *, options: Options = DEFAULT) -> int:
+    """Shows why a workspace gets the service it gets.
+
+    Args:
+        workspace: Name of the workspace.
+        options: How to reach routers and how to print.
+    """
+    path = http.path(api.PATH_EXPLAIN, workspace)
+    found = options.client().call_all(
+        http.Call("GET", path), messages.ExplainReply
+    )
+    return _show_found(
+        found,
+        options,
+        lambda item: item.explanations,
+        tables.print_explanations,
+        f"no router that answered knows the workspace {workspace}",
+    )
+
+
+@requests_app.command
+def find(request_id: str, *, options: Options = DEFAULT) -> int:
+    """Finds a request by its identifier.
+
+    Args:
+        request_id: The value of the header X-Request-Id.
+        options: How to reach routers and how to print.
+    """
+    path = http.path(api.PATH_REQUESTS, request_id)
+    found = options.client().call_all(
+        http.Call("GET", path), messages.RequestsReply
+    )
+    return _show_found(
+        found,
+        options,
+        lambda item: item.requests,
+        tables.print_requests,
+        f"no router that answered knows the request {request_id}",
+    )
+
+
+@app.command
+def completion(shell: Literal["bash", "zsh", "fish"]) -> int:
+    """Prints the completion script for a shell.
+
+    Args:
+        shell: Name of the shell.
+    """
+    print(app.generate_completion(shell=shell))
+    return const.Exit.OK
+
+
+def run(tokens: list[str] | None = None) -> int:
+    """Runs one command and returns the exit code."""
+    try:
+        found = app(
+            tokens,
+            exit_on_error=False,
+            print_error=True,
+            result_action="return_value",
+        )
+    except cyclopts.CycloptsError:
+        return const.Exit.USAGE
+    except OSError as exc:
+        return _fail(const.Exit.USAGE, f"{exc.filename}: {exc.strerror}")
+    return found if isinstance(found, int) else const.Exit.OK
+
+
+def _dry_run(dry_run: bool) -> tuple[tuple[str, str], ...]:
+    return ((api.ATTR_DRY_RUN, "true"),) if dry_run else ()
+
+
+def _change(call: http.Call, options: Options) -> int:
+    found = options.client().call(call, messages.ChangeReply)
+    return _show(found, options, tables.print_changes)
+
+
+def _show(
+    found: result.Result[_T, http.CallError],
+    options: Options,
+    printer: Callable[[_T], None],
+) -> int:
+    if isinstance(found, result.Err):
+        return _fail(found.err_value.exit_code, found.err_value.detail)
+    if options.output == "json":
+        print(msgspec.json.encode(found.ok_value).decode())
+    else:
+        printer(found.ok_value)
+    return const.Exit.OK
+
+
+def _show_found(
+    found: list[result.Result[_T, http.CallError]],
+    options: Options,
+    rows_of: Callable[[_T], Sequence[_Row]],
+    printer: Callable[[Sequence[_Row]], None],
+    nothing: str,
+) -> int:
+    """Shows the rows of all answers; no row is a refusal."""
+    answers = [item.ok_value for item in found if isinstance(item, result.Ok)]
+    rows = [row for item in answers for row in rows_of(item)]
+    if answers and not rows:
+        _print_errors(found)
+        return _fail(const.Exit.REFUSED, nothing)
+    return _show_all(found, options, lambda _: printer(rows))
+
+
+def _show_all(
+    found: list[result.Result[_T, http.CallError]],
+    options: Options,
+    printer: Callable[[list[_T]], None],
+) -> int:
+    answers = [item.ok_value for item in found if isinstance(item, result.Ok)]
+    errors = _print_errors(found)
+    if not answers:
+        return errors[0].exit_code if errors else const.Exit.USAGE
+    if options.output == "json":
+        print(msgspec.json.encode(answers).decode())
+    else:
+        printer(answers)
+    return const.Exit.OK
+
+
+def _print_errors(
+    found: list[result.Result[_T, http.CallError]],
+) -> list[http.CallError]:
+    errors = [item.err_value for item in found if isinstance(item, result.Err)]
+    for error in errors:
+        print(error.detail, file=sys.stderr)
+    return errors
+
+
+def _fail(code: const.Exit, detail: str) -> int:
+    print(" ".join(detail.split()), file=sys.stderr)
+    return code
--- /dev/null
+++ b/tamarackbridge/components/client/http.py
@@ -0,0 +1,194 @@
+"""Calls to the operator interface of routers."""
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import pathlib
+import ssl
+from typing import TypeVar
+from urllib import parse
+
+import aiohttp
+import msgspec
+import result
+
+from tamarackbridge.components.client import const
+from tamarackbridge.components.operator import messages
+
+_T = TypeVar("_T")
+
+_EXIT_OF_STATUS = {
+    401: const.Exit.UNAUTHORIZED,
+    403: const.Exit.UNAUTHORIZED,
+    409: const.Exit.CONFLICT,
+    502: const.Exit.UNAVAILABLE,
+    503: const.Exit.UNAVAILABLE,
+    504: const.Exit.UNKNOWN,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Access:
+    """How operators reach routers.
+
+    Attributes:
+        urls: Base URLs of the operator interfaces of one or more routers.
+        token_file: File with the bearer token; `None` for none.
+        ca: PEM file of the authorities that routers' certificates are of.
+        certificate: PEM file of a client certificate and its key.
+    """
+
+    urls: tuple[str, ...]
+    token_file: pathlib.Path | None = None
+    ca: pathlib.Path | None = None
+    certificate: pathlib.Path | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallError:
+    """A call that did not succeed.
+
+    Attributes:
+        exit_code: Exit code for the program.
+        detail: One line for people.
+    """
+
+    exit_code: const.Exit
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call of the operator interface."""
+
+    method: str
+    path: str
+    query: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    def url(self, base: str) -> str:
+        """Returns the URL of this call at one router."""
+        query = f"?{parse.urlencode(self.query)}" if self.query else ""
+        return f"{base.rstrip('/')}{self.path}{query}"
+
+
+def path(*parts: str) -> str:
+    """Joins a fixed prefix and quoted parts of a path."""
+    head, *rest = parts
+    return "/".join([head, *(parse.quote(part, safe="") for part in rest)])
+
+
+class Client:
+    """Makes calls to one or to all known routers."""
+
+    def __init__(self, access: Access) -> None:
+        self._access = access
+
+    def call(self, call: Call, kind: type[_T]) -> result.Result[_T, CallError]:
+        """Makes a call to the first router that can be reached."""
+        return asyncio.run(self._async_call(call, kind))
+
+    def call_all(
+        self, call: Call, kind: type[_T]
+    ) -> list[result.Result[_T, CallError]]:
+        """Makes a reading call to every router."""
+        return asyncio.run(self._async_call_all(call, kind))
+
+    async def _async_call(
+        self, call: Call, kind: type[_T]
+    ) -> result.Result[_T, CallError]:
+        found: result.Result[_T, CallError] = result.Err(
+            CallError(const.Exit.USAGE, "no router was named")
+        )
+        async with self._session() as session:
+            for base in self._access.urls:
+                found = await _async_one(session, base, call, kind)
+                if not _is_unreached(found):
+                    return found
+        return found
+
+    async def _async_call_all(
+        self, call: Call, kind: type[_T]
+    ) -> list[result.Result[_T, CallError]]:
+        async with self._session() as session:
+            calls = [
+                _async_one(session, base, call, kind)
+                for base in self._access.urls
+            ]
+            return list(await asyncio.gather(*calls))
+
+    def _session(self) -> aiohttp.ClientSession:
+        headers = {}
+        if self._access.token_file is not None:
+            token = self._access.token_file.read_text().strip()
+            headers["Authorization"] = f"Bearer {token}"
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(ssl=self._ssl_context()),
+            timeout=aiohttp.ClientTimeout(total=const.CALL_TIMEOUT_S),
+            headers=headers,
+        )
+
+    def _ssl_context(self) -> ssl.SSLContext:
+        ca = self._access.ca
+        context = ssl.create_default_context(cafile=ca)
+        if self._access.certificate is not None:
+            context.load_cert_chain(self._access.certificate)
+        return context
+
+
+class _UnreachedError(CallError):
+    """The connection was not made, so nothing was sent."""
+
+    __slots__ = ()
+
+
+def _is_unreached(found: result.Result[object, CallError]) -> bool:
+    if isinstance(found, result.Ok):
+        return False
+    return isinstance(found.err_value, _UnreachedError)
+
+
+async def _async_one(
+    session: aiohttp.ClientSession, base: str, call: Call, kind: type[_T]
+) -> result.Result[_T, CallError]:
+    url = call.url(base)
+    try:
+        async with session.request(
+            call.method, url, data=call.body or None, allow_redirects=False
+        ) as resp:
+            return _read(base, resp.status, await resp.read(), kind)
+    except aiohttp.InvalidURL:
+        return result.Err(CallError(const.Exit.USAGE, f"{base} is no URL"))
+    except aiohttp.ClientConnectorError as exc:
+        detail = f"{base} can't be reached: {exc.strerror or exc}"
+        return result.Err(_UnreachedError(const.Exit.UNAVAILABLE, detail))
+    except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+        reason = str(exc) or type(exc).__name__
+        return result.Err(_lost(call, f"{base} gave no answer: {reason}"))
+
+
+def _lost(call: Call, detail: str) -> CallError:
+    if call.method == "GET":
+        return CallError(const.Exit.UNAVAILABLE, detail)
+    hint = "; the change may be written, read the records before retrying"
+    return CallError(const.Exit.UNKNOWN, detail + hint)
+
+
+def _read(
+    base: str, status: int, body: bytes, kind: type[_T]
+) -> result.Result[_T, CallError]:
+    try:
+        if status == 200:
+            return result.Ok(msgspec.json.decode(body, type=kind))
+        problem = msgspec.json.decode(body, type=messages.Problem)
+    except msgspec.MsgspecError:
+        detail = f"{base} answered {status} with no known body"
+        return result.Err(CallError(const.Exit.REFUSED, detail))
+    code = _EXIT_OF_STATUS.get(status, const.Exit.REFUSED)
+    return result.Err(CallError(code, problem.detail))
+
+
+def urls(values: Sequence[str]) -> tuple[str, ...]:
+    """Splits comma-separated base URLs."""
+    found = [part.strip() for value in values for part in value.split(",")]
+    return tuple(part for part in found if part)
--- /dev/null
+++ b/tamarackbridge/components/client/tables.py
@@ -0,0 +1,200 @@
+"""Tables for people."""
+
+from collections.abc import Iterable, Sequence
+import json
+from typing import Any
+
+import rich.console
+import rich.table
+import rich.text
+
+from tamarackbridge.components.operator import messages
+
+_UNKNOWN = -1
+
+
+def print_table(
+    title: str, columns: Sequence[str], rows: Iterable[Sequence[object]]
+) -> None:
+    """Prints one table; cells are never read as markup."""
+    print(title)
+    table = rich.table.Table()
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        table.add_row(*(rich.text.Text(_cell(value)) for value in row))
+    if not table.row_count:
+        print("none")
+        return
+    rich.console.Console(markup=False).print(table)
+
+
+def print_records(kind: str, docs: Sequence[dict[str, Any]]) -> None:
+    """Prints records of one kind."""
+    columns = list(dict.fromkeys(key for doc in docs for key in doc))
+    shown = [key for key in columns if key not in ("kind", "key_hashes")]
+    rows = [[doc.get(key, "") for key in shown] for doc in docs]
+    print_table(f"{kind} ({len(docs)})", shown, rows)
+
+
+def print_changes(reply: messages.ChangeReply) -> None:
+    """Prints what a change does and where it is in force."""
+    rows: list[tuple[object, ...]] = []
+    for change in reply.changes:
+        name = f"{change.kind}/{change.name}"
+        if change.action in ("create", "delete", "unchanged"):
+            rows.append((change.action, name, "", "", ""))
+            continue
+        for item in change.fields:
+            rows.append(
+                (change.action, name, item.key, item.before, item.after)
+            )
+    columns = ("action", "record", "key", "before", "after")
+    print_table("dry run" if reply.dry_run else "changes", columns, rows)
+    if reply.dry_run:
+        print("nothing was written")
+        return
+    if all(change.action == "unchanged" for change in reply.changes):
+        print("nothing to change")
+        return
+    print(f"accepted in generation {reply.generation}")
+    if reply.confirmed:
+        print(f"in force on {', '.join(reply.confirmed)}")
+    if reply.missing:
+        print(f"not yet confirmed by {', '.join(reply.missing)}")
+
+
+def print_status(found: Sequence[messages.Status]) -> None:
+    """Prints what the answering routers know, joined."""
+    print_table(
+        "routers that answered",
+        ("node", "zone", "generation", "serving", "reason"),
+        [
+            (item.node, item.zone, item.generation, item.serving, item.reason)
+            for item in found
+        ],
+    )
+    joined = join_status(found)
+    print_table(
+        "members",
+        ("node", "zone", "live", "generation"),
+        [(m.node, m.zone, m.live, m.generation) for m in joined.members],
+    )
+    print_table(
+        "shards",
+        ("shard", "holder", "epoch", "permits", "queued"),
+        [
+            (s.shard, s.holder, s.epoch, s.permits, s.queued)
+            for s in joined.shards
+        ],
+    )
+    print_table(
+        "servers",
+        ("server", "shard", "limit", "running", "cold", "usable"),
+        [
+            (s.server, s.shard, s.limit, s.running, s.cold, s.usable)
+            for s in joined.servers
+        ],
+    )
+    print_table(
+        "workspaces",
+        ("workspace", "shard", "queued", "running", "counter"),
+        [
+            (w.workspace, w.shard, w.queued, w.running, f"{w.counter:.0f}")
+            for w in joined.workspaces
+        ],
+    )
+
+
+def join_status(found: Sequence[messages.Status]) -> messages.Status:
+    """Joins answers; of a shard the answer of its holder is taken."""
+    members: dict[str, messages.MemberStatus] = {}
+    shards: dict[str, messages.ShardStatus] = {}
+    for item in found:
+        for member in item.members:
+            known = members.get(member.node)
+            if known is None or member.generation > known.generation:
+                members[member.node] = member
+        for shard in item.shards:
+            best = shards.get(shard.shard)
+            if best is None or _rank(shard) > _rank(best):
+                shards[shard.shard] = shard
+    return messages.Status(
+        node="",
+        zone="",
+        generation=max((item.generation for item in found), default=0),
+        serving=any(item.serving for item in found),
+        reason="",
+        members=tuple(members[key] for key in sorted(members)),
+        shards=tuple(shards[key] for key in sorted(shards)),
+        servers=tuple(row for item in found for row in item.servers),
+        workspaces=tuple(row for item in found for row in item.workspaces),
+    )
+
+
+def _rank(shard: messages.ShardStatus) -> tuple[int, int]:
+    return shard.epoch, shard.permits
+
+
+def print_explanations(found: Sequence[messages.Explanation]) -> None:
+    """Prints why a workspace gets the service it gets."""
+    print_table(
+        "explanation",
+        (
+            "shard",
+            "share",
+            "of backlogged",
+            "queued",
+            "running",
+            "counter",
+            "least",
+        ),
+        [
+            (
+                item.shard,
+                item.share,
+                f"{item.share_of_backlogged:.1%}",
+                item.queued,
+                item.running,
+                f"{item.counter:.0f}",
+                f"{item.least_counter:.0f}",
+            )
+            for item in found
+        ],
+    )
+    for item in found:
+        for line in item.reasons:
+            print(f"{item.shard}: {line}")
+
+
+def print_requests(found: Sequence[messages.RequestTrace]) -> None:
+    """Prints requests that were found."""
+    print_table(
+        "requests",
+        ("request", "node", "workspace", "route", "state", "server", "age s"),
+        [
+            (
+                item.request_id,
+                item.node,
+                item.workspace,
+                item.route,
+                item.state,
+                item.server,
+                f"{item.age_s:.1f}",
+            )
+            for item in found
+        ],
+    )
+    for item in found:
+        for line in item.events:
+            print(f"{item.node}: {line}")
+
+
+def _cell(value: object) -> str:
+    if value is None or value == _UNKNOWN:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, dict | list | tuple):
+        return json.dumps(value)
+    return str(value)
--- /dev/null
+++ b/tamarackbridge/components/operator/const.py
@@ -0,0 +1,33 @@
+"""Constants of the operator interface, shared with its client."""
+
+from typing import Final
+
+PATH_RECORDS: Final = "/v1/records"
+PATH_ZONES: Final = "/v1/zones"
+PATH_SERVERS: Final = "/v1/servers"
+PATH_STATUS: Final = "/v1/status"
+PATH_EXPLAIN: Final = "/v1/explain"
+PATH_REQUESTS: Final = "/v1/requests"
+PATH_DIAGNOSTICS: Final = "/v1/diagnostics"
+PATH_METRICS: Final = "/metrics"
+PATH_HEALTH: Final = "/healthz"
+PATH_READY: Final = "/readyz"
+
+OPEN_PATHS: Final = frozenset({PATH_HEALTH, PATH_READY})
+"""Paths that need no token: they tell no more than up and ready."""
+
+ATTR_DRY_RUN: Final = "dry_run"
+
+ACTION_TAKE_OUT: Final = "take-out"
+ACTION_BRING_BACK: Final = "bring-back"
+ACTION_DRAIN: Final = "drain"
+ACTION_UNDRAIN: Final = "undrain"
+
+SERVICE_SETTINGS: Final = "settings"
+SERVICE_CONFIG_CHANGES: Final = "config_changes"
+SERVICE_STATUS: Final = "status"
+SERVICE_REQUESTS: Final = "requests"
+SERVICE_TELEMETRY: Final = "telemetry"
+
+MAX_CHANGE_ATTEMPTS: Final = 3
+"""How often a change of one flag is tried again after a conflict."""
--- /dev/null
+++ b/tamarackbridge/components/operator/records_api.py
@@ -0,0 +1,208 @@
+"""Operator calls that read and change records."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+from typing import Any
+
+from aiohttp import web
+import result
+
+from tamarackbridge.components.operator import (
+    const,
+    messages,
+    protocols,
+    responses,
+)
+from tamarackbridge.components.records import (
+    changes,
+    codec,
+    files,
+    references,
+    schemas,
+)
+from tamarackbridge.components.records import const as records_const
+
+_Edit = Callable[[Any], Any]
+
+_ZONE_EDITS: Mapping[str, _Edit] = {
+    const.ACTION_TAKE_OUT: lambda zone: dataclasses.replace(zone, out=True),
+    const.ACTION_BRING_BACK: lambda zone: dataclasses.replace(zone, out=False),
+}
+
+_SERVER_EDITS: Mapping[str, _Edit] = {
+    const.ACTION_DRAIN: lambda srv: dataclasses.replace(srv, draining=True),
+    const.ACTION_UNDRAIN: lambda srv: dataclasses.replace(srv, draining=False),
+}
+
+
+class RecordsApi:
+    """Handlers of the record calls."""
+
+    def __init__(self, writer: protocols.ConfigWriter) -> None:
+        self._writer = writer
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Adds the routes of the record calls."""
+        records = const.PATH_RECORDS
+        one = f"{records}/{{kind}}/{{name}}"
+        router.add_post(records, self.async_apply)
+        router.add_get(f"{records}/{{kind}}", self.async_list)
+        router.add_get(one, self.async_get)
+        router.add_delete(one, self.async_delete)
+        zones = f"{const.PATH_ZONES}/{{name}}/{{action}}"
+        router.add_post(zones, self.async_zone)
+        servers = f"{const.PATH_SERVERS}/{{name}}/{{action}}"
+        router.add_post(servers, self.async_server)
+
+    async def async_apply(self, req: web.Request) -> web.Response:
+        """Writes the records of the body."""
+        parsed = files.parse_json(await req.read(), "request")
+        if isinstance(parsed, result.Err):
+            return responses.problem(400, "invalid", str(parsed.err_value))
+        wanted = changes.ChangeSet(puts=parsed.ok_value)
+        return await self._async_change(req, wanted)
+
+    async def async_list(self, req: web.Request) -> web.Response:
+        """Lists the records of one kind."""
+        kind = req.match_info["kind"]
+        if kind not in records_const.KINDS:
+            return _unknown_kind(kind)
+        read = await self._writer.async_read()
+        if isinstance(read, result.Err):
+            return responses.change_problem(read.err_value)
+        docs = [
+            codec.to_document(read.ok_value[key].record)
+            for key in sorted(read.ok_value)
+            if key.kind == kind
+        ]
+        return responses.reply(messages.RecordsReply(tuple(docs)))
+
+    async def async_get(self, req: web.Request) -> web.Response:
+        """Reads one record, in its writer's version or in the one asked."""
+        key = _record_id(req)
+        read = await self._writer.async_read()
+        if isinstance(read, result.Err):
+            return responses.change_problem(read.err_value)
+        found = read.ok_value.get(key)
+        if found is None:
+            return _not_found(key)
+        version = req.query.get(records_const.CONF_SCHEMA_VERSION, "")
+        versions = schemas.SCHEMAS[key.kind]
+        if version and version not in {str(item) for item in versions}:
+            known = ", ".join(str(item) for item in versions)
+            detail = f"{key.kind} has schema version {known}"
+            return responses.problem(400, "invalid", detail)
+        doc = codec.to_document(found.record, int(version or 0) or None)
+        return responses.reply(messages.RecordsReply((doc,)))
+
+    async def async_delete(self, req: web.Request) -> web.Response:
+        """Deletes one record."""
+        key = _record_id(req)
+        wanted = changes.ChangeSet(deletes=(key,))
+        return await self._async_change(req, wanted)
+
+    async def async_zone(self, req: web.Request) -> web.Response:
+        """Takes an availability zone out or brings it back."""
+        kind = records_const.KIND_ZONE
+        return await self._async_edit(req, kind, _ZONE_EDITS)
+
+    async def async_server(self, req: web.Request) -> web.Response:
+        """Drains a backend server or ends its draining."""
+        kind = records_const.KIND_SERVER
+        return await self._async_edit(req, kind, _SERVER_EDITS)
+
+    async def _async_edit(
+        self, req: web.Request, kind: str, edits: Mapping[str, _Edit]
+    ) -> web.Response:
+        action = req.match_info["action"]
+        if action not in edits:
+            return responses.problem(404, "not_found", f"no action {action!r}")
+        key = changes.RecordId(kind, req.match_info["name"])
+        for _ in range(const.MAX_CHANGE_ATTEMPTS):
+            read = await self._writer.async_read()
+            if isinstance(read, result.Err):
+                return responses.change_problem(read.err_value)
+            found = read.ok_value.get(key)
+            if found is None:
+                return _not_found(key)
+            model = edits[action](found.record.model)
+            record = dataclasses.replace(found.record, model=model)
+            wanted = changes.ChangeSet(puts=(record,))
+            written = await self._async_write(req, read.ok_value, wanted)
+            if written.status != 409:
+                return written
+        return written
+
+    async def _async_change(
+        self, req: web.Request, wanted: changes.ChangeSet
+    ) -> web.Response:
+        read = await self._writer.async_read()
+        if isinstance(read, result.Err):
+            return responses.change_problem(read.err_value)
+        missing = [key for key in wanted.deletes if key not in read.ok_value]
+        if missing:
+            return _not_found(missing[0])
+        return await self._async_write(req, read.ok_value, wanted)
+
+    async def _async_write(
+        self,
+        req: web.Request,
+        stored: changes.Stored,
+        wanted: changes.ChangeSet,
+    ) -> web.Response:
+        misfit = references.check(changes.merge(stored, wanted).values())
+        if misfit is not None:
+            return responses.problem(400, "invalid", str(misfit))
+        listed = _listed(changes.diff(stored, wanted))
+        if _flag(req, const.ATTR_DRY_RUN):
+            return responses.reply(messages.ChangeReply(True, 0, listed))
+        effective = changes.effective(stored, wanted)
+        written = await self._writer.async_write(stored, effective)
+        if isinstance(written, result.Err):
+            return responses.change_problem(written.err_value)
+        accepted = written.ok_value
+        body = messages.ChangeReply(
+            dry_run=False,
+            generation=accepted.generation,
+            changes=listed,
+            confirmed=accepted.confirmed,
+            missing=accepted.missing,
+        )
+        return responses.reply(body)
+
+
+def _flag(req: web.Request, name: str) -> bool:
+    return req.query.get(name, "").lower() in ("1", "true", "yes")
+
+
+def _record_id(req: web.Request) -> changes.RecordId:
+    return changes.RecordId(req.match_info["kind"], req.match_info["name"])
+
+
+def _unknown_kind(kind: str) -> web.Response:
+    known = ", ".join(records_const.KINDS)
+    detail = f"no kind {kind!r}; the kinds are {known}"
+    return responses.problem(404, "not_found", detail)
+
+
+def _not_found(key: changes.RecordId) -> web.Response:
+    if key.kind not in records_const.KINDS:
+        return _unknown_kind(key.kind)
+    return responses.problem(404, "not_found", f"no record {key}")
+
+
+def _listed(
+    found: tuple[changes.RecordChange, ...],
+) -> tuple[messages.RecordChange, ...]:
+    return tuple(
+        messages.RecordChange(
+            kind=change.record.kind,
+            name=change.record.name,
+            action=change.action.value,
+            fields=tuple(
+                messages.FieldChange(item.key, item.before, item.after)
+                for item in change.fields
+            ),
+        )
+        for change in found
+    )
--- /dev/null
+++ b/tamarackbridge/components/records/changes.py
@@ -0,0 +1,142 @@
+"""Declared changes of records and what they would do."""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+from typing import Any
+
+from tamarackbridge.components.records import codec, const, schemas
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class RecordId:
+    """Kind and name of one record."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        """Returns `kind/name`."""
+        return f"{self.kind}/{self.name}"
+
+
+def id_of(record: schemas.Record) -> RecordId:
+    """Returns the identifier of a record."""
+    return RecordId(record.kind, record.name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record as it was read from the object API.
+
+    Attributes:
+        record: What it says.
+        version: Version that the object API gave to it.
+    """
+
+    record: schemas.Record
+    version: int
+
+
+Stored = Mapping[RecordId, StoredRecord]
+"""All records that were read together."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeSet:
+    """Records to write and to delete together."""
+
+    puts: tuple[schemas.Record, ...] = ()
+    deletes: tuple[RecordId, ...] = ()
+
+
+class Action(enum.Enum):
+    """What a change does to one record."""
+
+    CREATE = "create"
+    UPDATE = "update"
+    DELETE = "delete"
+    UNCHANGED = "unchanged"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldChange:
+    """One key whose value changes; `None` where there is no value."""
+
+    key: str
+    before: Any
+    after: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordChange:
+    """What a change does to one record."""
+
+    record: RecordId
+    action: Action
+    fields: tuple[FieldChange, ...]
+
+
+def diff(stored: Stored, wanted: ChangeSet) -> tuple[RecordChange, ...]:
+    """Returns what a change set would do to the stored records.
+
+    A record that says the same in another schema version is an update of its
+    `schema_version` alone.
+    """
+    found = [_diff_put(stored, record) for record in wanted.puts]
+    found.extend(_diff_delete(stored, item) for item in wanted.deletes)
+    return tuple(found)
+
+
+def merge(stored: Stored, wanted: ChangeSet) -> dict[RecordId, schemas.Record]:
+    """Returns all records as they would be after a change set."""
+    after = {key: item.record for key, item in stored.items()}
+    after.update({id_of(record): record for record in wanted.puts})
+    for item in wanted.deletes:
+        after.pop(item, None)
+    return after
+
+
+def effective(stored: Stored, wanted: ChangeSet) -> ChangeSet:
+    """Returns the part of a change set that changes anything."""
+    puts = tuple(
+        record
+        for record in wanted.puts
+        if _diff_put(stored, record).action is not Action.UNCHANGED
+    )
+    deletes = tuple(item for item in wanted.deletes if item in stored)
+    return ChangeSet(puts, deletes)
+
+
+def _diff_put(stored: Stored, record: schemas.Record) -> RecordChange:
+    key = id_of(record)
+    after = codec.to_document(record)
+    if key not in stored:
+        fields = _compare({}, after)
+        return RecordChange(key, Action.CREATE, fields)
+    before = stored[key].record
+    if before == record:
+        return RecordChange(key, Action.UNCHANGED, ())
+    old = codec.to_document(before, record.schema_version)
+    old[const.CONF_SCHEMA_VERSION] = before.schema_version
+    return RecordChange(key, Action.UPDATE, _compare(old, after))
+
+
+def _diff_delete(stored: Stored, key: RecordId) -> RecordChange:
+    if key not in stored:
+        return RecordChange(key, Action.UNCHANGED, ())
+    before = codec.to_document(stored[key].record)
+    return RecordChange(key, Action.DELETE, _compare(before, {}))
+
+
+def _compare(
+    before: Mapping[str, Any], after: Mapping[str, Any], prefix: str = ""
+) -> tuple[FieldChange, ...]:
+    found: list[FieldChange] = []
+    for key in (*after, *(key for key in before if key not in after)):
+        old, new = before.get(key), after.get(key)
+        if isinstance(old, Mapping) and isinstance(new, Mapping):
+            found.extend(_compare(old, new, f"{prefix}{key}."))
+        elif old != new:
+            found.append(FieldChange(f"{prefix}{key}", old, new))
+    return tuple(found)
--- a/tamarackbridge/components/records/schema_v1.py
+++ b/tamarackbridge/components/records/schema_v1.py
@@ -32,10 +32,8 @@
 ]
 Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
-_record = checked.dataclass(frozen=True, slots=True, config=CONFIG)
 
-
-@_record
+@checked.dataclass(frozen=True, slots=True, config=CONFIG)
 class WorkspaceV1:
     """A tenant and its share of capacity.
 
@@ -74,7 +72,7 @@
         return cls(**_values(model))
 
 
-@_record
+@checked.dataclass(frozen=True, slots=True, config=CONFIG)
 class RouteV1:
     """One kind of request that a service answers.
 
@@ -95,7 +93,7 @@
     empty_is_failure: bool = False
 
 
-@_record
+@checked.dataclass(frozen=True, slots=True, config=CONFIG)
 class ServiceV1:
     """A group of backend servers that answer the same routes.
 
@@ -148,7 +146,7 @@
         return cls(**values)
 
 
-@_record
+@checked.dataclass(frozen=True, slots=True, config=CONFIG)
 class ServerV1:
     """One backend server.
 
@@ -185,7 +183,7 @@
         return cls(**_values(model))
 
 
-@_record
+@checked.dataclass(frozen=True, slots=True, config=CONFIG)
 class ZoneV1:
     """An availability zone.
 
--- a/tamarackbridge/components/settings/models.py
+++ b/tamarackbridge/components/settings/models.py
@@ -8,16 +8,12 @@
 
 _CONFIG = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
-_settings = checked.dataclass(
-    frozen=True, slots=True, kw_only=True, config=_CONFIG
-)
-
 NodeName = Annotated[str, pydantic.Field(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
 ZoneName = Annotated[str, pydantic.Field(min_length=1, max_length=63)]
 Sha256 = Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class TlsSettings:
     """Paths of the PEM files of one listener; empty for plain text.
 
@@ -32,7 +28,7 @@
     client_ca: str = ""
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class ListenSettings:
     """Where one listener accepts connections."""
 
@@ -42,7 +38,7 @@
     allow_plain_text: bool = False
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class LimitSettings:
     """Limits on what one caller can send or hold.
 
@@ -65,7 +61,7 @@
     write_stall_s: float = pydantic.Field(default=60.0, gt=0)
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class PlatformSettings:
     """How to reach the platform.
 
@@ -82,7 +78,7 @@
     token_file: str = ""
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class OperatorSettings(ListenSettings):
     """The operators' interface.
 
@@ -93,7 +89,7 @@
     token_hashes: tuple[Sha256, ...] = ()
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class ClaimSettings:
     """Idempotency claims.
 
@@ -106,7 +102,7 @@
     max_outcome_bytes: int = pydantic.Field(default=16_384, ge=0)
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class TelemetrySettings:
     """Logs and traces.
 
@@ -121,7 +117,7 @@
     traces: str = "off"
 
 
-@_settings
+@checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class Settings:
     """All settings of one router process.
 
