Put real requests through three routers, end to end

Cause: the parts had only met in the harness. Change: operators' changes go through the configuration decider, the router registers its counters, and the demo reads them with the operator's token.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -85,7 +85,7 @@
 ) -> dict[str, int]:
     """Returns a stand-in's own view of itself."""
     async with session.get(f"http://{srv.address}/control") as resp:
-        doc: dict[str, int] = (await resp.json())["state"]
+        doc: dict[str, int] = await resp.json()
         return doc
 
 
@@ -157,9 +157,11 @@
 async def async_control(fleet: real_fleet.RealFleet) -> float:
     """Returns control bytes sent so far by all routers together."""
     total = 0.0
-    async with aiohttp.ClientSession() as session:
+    headers = {"Authorization": f"Bearer {fleet.token}"}
+    async with aiohttp.ClientSession(headers=headers) as session:
         for url in fleet.operators.values():
             async with session.get(f"{url}/metrics") as resp:
+                resp.raise_for_status()
                 text = await resp.text()
             for line in text.splitlines():
                 if line.startswith("tamarackbridge_peer_sent_bytes_total"):
@@ -173,8 +175,9 @@
     for at, verb in ((OUT_AT_S, "take-out"), (BACK_AT_S, "bring-back")):
         await asyncio.sleep(max(0.0, at - load.now()))
         done = await asyncio.to_thread(fleet.operate, "zone", verb, zone)
-        said = (done.stdout + done.stderr).strip().replace("\n", " | ")
-        say(f"{load.now():5.1f} s  zone {verb} {zone}: {said}")
+        said = (done.stdout + done.stderr).strip()
+        last = "; ".join(said.splitlines()[-2:])
+        say(f"{load.now():5.1f} s  zone {verb} {zone}: {last}")
         if done.returncode != 0:
             raise RuntimeError(said)
 
@@ -207,6 +210,10 @@
     took = load.now()
     for task in side:
         task.cancel()
+    ends = await asyncio.gather(*side, return_exceptions=True)
+    for end in ends:
+        if isinstance(end, Exception):
+            raise end
     sent = await async_control(fleet) - control
     return report(fleet, load, sampler, sent / took / ROUTERS)
 
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import hashlib
+import ssl
 import uuid
 
 from aiohttp import web
@@ -36,8 +37,12 @@
         port: entry_port.EntryPort,
         forwarder: forward.Forwarder,
         inject: Callable[[core.Message], None],
+        ssl_context: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__()
+        self._ssl_context = ssl_context
+        self._idle = asyncio.Event()
+        self._idle.set()
         self.port = 0
         self.draining = False
         self.held = 0
@@ -62,7 +67,12 @@
         )
         await self._runner.setup()
         listen = self._settings.caller
-        site = web.TCPSite(self._runner, listen.host, listen.port)
+        site = web.TCPSite(
+            self._runner,
+            listen.host,
+            listen.port,
+            ssl_context=self._ssl_context,
+        )
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -71,12 +81,19 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def async_idle(self) -> None:
+        """Waits until no request is held."""
+        await self._idle.wait()
+
     async def _async_handle(self, req: web.Request) -> web.StreamResponse:
         self.held += 1
+        self._idle.clear()
         try:
             return await self._async_accepted(req)
         finally:
             self.held -= 1
+            if not self.held:
+                self._idle.set()
 
     async def _async_accepted(self, req: web.Request) -> web.StreamResponse:
         refusal = self._refusal()
--- a/tamarackbridge/components/telemetry/metrics.py
+++ b/tamarackbridge/components/telemetry/metrics.py
@@ -59,7 +59,7 @@
             self._registry.register(made)
         return self._latencies[name]
 
-    def render(self) -> bytes:
+    def metrics(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         return prometheus_client.generate_latest(self._registry)
 
--- /dev/null
+++ b/tamarackbridge/components/telemetry/router_metrics.py
@@ -0,0 +1,55 @@
+"""The counters of a router's services, read when they are exposed."""
+
+from tamarackbridge.components.entry import service as entry_service
+from tamarackbridge.components.object_api import http as object_api_http
+from tamarackbridge.components.telemetry import metrics
+from tamarackbridge.components.transport import service as transport
+
+
+def register(
+    registry: metrics.Metrics,
+    peers: transport.PeerService,
+    entry: entry_service.EntryService,
+    store: object_api_http.HttpObjectApi,
+) -> None:
+    """Adds the counters of these services to a registry."""
+    registry.counter_of(
+        "peer_sent_batches",
+        "Batches sent to other routers.",
+        lambda: peers.sent()[0],
+    )
+    registry.counter_of(
+        "peer_sent_bytes",
+        "Bytes sent to other routers.",
+        lambda: peers.sent()[1],
+    )
+    registry.counter_of(
+        "peer_received_batches",
+        "Batches received from other routers.",
+        lambda: peers.received_batches,
+    )
+    registry.counter_of(
+        "peer_received_bytes",
+        "Bytes received from other routers.",
+        lambda: peers.received_bytes,
+    )
+    registry.counter_of(
+        "peer_undecodable",
+        "Batches and messages from other routers that did not decode.",
+        lambda: peers.undecodable,
+    )
+    registry.counter_of(
+        "store_calls",
+        "Calls to the object API.",
+        lambda: sum(store.calls.values()),
+    )
+    registry.counter_of(
+        "store_unanswered",
+        "Calls to the object API that ended without an answer.",
+        lambda: store.unknown,
+    )
+    registry.gauge(
+        "held_requests",
+        "Requests that wait or run in this router.",
+        lambda: entry.held,
+    )
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import signal
+import ssl
 import uuid
 
 from absl import logging
@@ -18,12 +19,20 @@
 from tamarackbridge.components.configuration import applier, changes
 from tamarackbridge.components.dispatch import dispatcher, permit_client
 from tamarackbridge.components.entry import forward
+from tamarackbridge.components.entry import index as entry_index
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.entry import service as entry_service
 from tamarackbridge.components.membership import leases, member
 from tamarackbridge.components.object_api import http as object_api_http
+from tamarackbridge.components.operator import const as operator_const
+from tamarackbridge.components.operator import fleet_writer
+from tamarackbridge.components.operator import service as operator_service
+from tamarackbridge.components.operator import status as operator_status
 from tamarackbridge.components.records import snapshot
 from tamarackbridge.components.settings import models as settings_models
+from tamarackbridge.components.telemetry import logs, metrics, router_metrics
+from tamarackbridge.components.tls import contexts, reloader
+from tamarackbridge.components.tls import peers as tls_peers
 from tamarackbridge.components.transport import port as transport_port
 from tamarackbridge.components.transport import service as transport
 
@@ -35,62 +44,128 @@
 
     def __init__(self, settings: settings_models.Settings) -> None:
         self.settings = settings
-        boot = uuid.uuid4().hex
-        kernel = core.Kernel(core.SystemClock(), random.Random(boot))
+        self._boot = uuid.uuid4().hex
+        clock = core.SystemClock()
+        kernel = core.Kernel(clock, random.Random(self._boot))
         self.kernel = kernel
-        node = settings.node
-        incarnation = int(kernel.clock.wall() * core_const.MS_PER_S)
+        kernel.register(operator_const.SERVICE_SETTINGS, settings)
+        self._changes = fleet_writer.ChangePort()
+        self._entries = entry_port.EntryPort()
+        self._loads = load_poller.LoadPort()
+        self._status = operator_status.FleetStatus(settings.node, settings.zone)
         codec = snapshot.SnapshotCodec()
-        ports = entry_port.EntryPort()
-        loads = load_poller.LoadPort()
-        peers = transport.PeerService(
-            node, boot, settings.peer, kernel.clock, self._receive
+        self._applier = applier.Applier(settings.node, kernel.rng, codec)
+        self._peers = self._make_peers()
+        store = object_api_http.HttpObjectApi(settings.platform)
+        self._loop = decider_loop.DeciderLoop(
+            self._make_group(codec), clock, store, self._peers.post
+        )
+        backend = backend_client.BackendClient()
+        self._tls = reloader.ReloadService()
+        self._entry = entry_service.EntryService(
+            settings,
+            clock,
+            self._entries,
+            forward.Forwarder(backend),
+            self._loop.inject,
+            self._context(settings.caller),
+        )
+        registry = metrics.Metrics()
+        router_metrics.register(registry, self._peers, self._entry, store)
+        kernel.register(operator_const.SERVICE_TELEMETRY, registry)
+        kernel.register(operator_const.SERVICE_STATUS, self._status)
+        kernel.register(
+            operator_const.SERVICE_REQUESTS, entry_index.RequestIndex()
+        )
+        kernel.register(
+            operator_const.SERVICE_CONFIG_CHANGES, self._make_writer()
         )
-        group = core.DeciderGroup(
+        kernel.register("object_api", store)
+        kernel.register("backend", backend)
+        kernel.register("tls", self._tls)
+        kernel.register("peers", self._peers)
+        kernel.register("deciders", self._loop)
+        kernel.register("load_poller", self._make_poller(backend))
+        kernel.register("entry", self._entry)
+        kernel.register(
+            "operator",
+            operator_service.OperatorService(
+                kernel, self._context(settings.operator)
+            ),
+        )
+
+    def _make_group(self, codec: snapshot.SnapshotCodec) -> core.DeciderGroup:
+        node = self.settings.node
+        rng = self.kernel.rng
+        wall = self.kernel.clock.wall()
+        incarnation = int(wall * core_const.MS_PER_S)
+        claims = self.settings.claims
+        return core.DeciderGroup(
             node,
             (
-                transport_port.AddressPort(peers.set_addresses),
+                transport_port.AddressPort(self._peers.set_addresses),
                 member.MemberDecider(
                     node,
-                    settings.zone,
-                    settings.advertise,
+                    self.settings.zone,
+                    self.settings.advertise,
                     incarnation,
-                    kernel.rng,
+                    rng,
                 ),
-                leases.ShardLeases(node, kernel.rng),
-                applier.Applier(node, kernel.rng, codec),
-                changes.ChangeWriter(node, kernel.rng, codec),
-                dispatcher.Dispatcher(node, kernel.rng),
-                permit_client.PermitClient(node, kernel.rng),
+                leases.ShardLeases(node, rng),
+                self._applier,
+                changes.ChangeWriter(node, rng, codec),
+                dispatcher.Dispatcher(node, rng),
+                permit_client.PermitClient(node, rng),
                 keeper.Keeper(
-                    node,
-                    kernel.rng,
-                    settings.claims.retention_s,
-                    settings.claims.max_outcome_bytes,
+                    node, rng, claims.retention_s, claims.max_outcome_bytes
                 ),
-                claim_client.ClaimClient(node, kernel.rng, incarnation),
-                ports,
-                loads,
+                claim_client.ClaimClient(node, rng, incarnation),
+                self._entries,
+                self._loads,
+                self._changes,
+                self._status,
             ),
         )
-        store = object_api_http.HttpObjectApi(settings.platform)
-        backend = backend_client.BackendClient()
-        self._loop = decider_loop.DeciderLoop(
-            group, kernel.clock, store, peers.post
+
+    def _make_peers(self) -> transport.PeerService:
+        listen = self.settings.peer
+        credentials = None
+        if contexts.enabled(listen):
+            credentials = tls_peers.PeerCredentials(listen.tls)
+        return transport.PeerService(
+            self.settings.node,
+            self._boot,
+            listen,
+            self.kernel.clock,
+            self._receive,
+            credentials,
         )
-        forwarder = forward.Forwarder(backend)
-        self._entry = entry_service.EntryService(
-            settings, kernel.clock, ports, forwarder, self._loop.inject
+
+    def _make_poller(
+        self, backend: backend_client.BackendClient
+    ) -> load_poller.LoadPoller:
+        return load_poller.LoadPoller(
+            self._loads,
+            backend,
+            self.kernel.clock,
+            self.kernel.rng,
+            self._loop.inject,
         )
-        poller = load_poller.LoadPoller(
-            loads, backend, kernel.clock, kernel.rng, self._loop.inject
+
+    def _make_writer(self) -> fleet_writer.FleetWriter:
+        return fleet_writer.FleetWriter(
+            self.settings.node,
+            self._changes,
+            lambda: self._applier.records,
+            self._loop.inject,
         )
-        kernel.register("object_api", store)
-        kernel.register("backend", backend)
-        kernel.register("peers", peers)
-        kernel.register("deciders", self._loop)
-        kernel.register("load_poller", poller)
-        kernel.register("entry", self._entry)
+
+    def _context(
+        self, listen: settings_models.ListenSettings
+    ) -> ssl.SSLContext | None:
+        if not contexts.enabled(listen):
+            return None
+        return self._tls.add(listen.tls)
 
     async def async_run(self) -> int:
         """Runs until a signal asks for the end; returns the exit code."""
@@ -108,31 +183,41 @@
         services = self.kernel.mode_services()
         for svc in services:
             await svc.start()
-        logging.info("router started: %s", self.settings.node)
+        logging.info("router started")
         await stop.wait()
         await self._async_drain(force)
         await _async_stop(services)
-        logging.info("router stopped: %s", self.settings.node)
+        logging.info("router stopped")
         return 0
 
     def _receive(self, delivery: core.Delivery) -> None:
         self._loop.receive(delivery)
 
     async def _async_drain(self, force: asyncio.Event) -> None:
+        """Waits until no request is held, the time is up or a 2nd signal."""
         self._entry.draining = True
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.settings.drain_timeout_s):
-                while self._entry.held and not force.is_set():
-                    await asyncio.sleep(DRAIN_POLL_S)
+        waits = [
+            asyncio.create_task(self._entry.async_idle()),
+            asyncio.create_task(force.wait()),
+        ]
+        await asyncio.wait(
+            waits,
+            timeout=self.settings.drain_timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in waits:
+            task.cancel()
 
 
 async def _async_stop(services: list[mode.Service]) -> None:
     for svc in reversed(services):
-        await svc.stop()
+        with contextlib.suppress(asyncio.CancelledError):
+            await svc.stop()
 
 
 def run(settings: settings_models.Settings) -> int:
     """Runs a router; returns the exit code of the process."""
+    logs.set_up(settings.telemetry, settings.node)
 
     async def async_main() -> int:
         return await Router(settings).async_run()
