Keep a lapsed lease's epoch and wait for handed-over permits

Cause: a lease that lapsed and came back in the same epoch opened a new dispatcher state, whose permit numbers would repeat within the epoch; and a shard that was handed over began while permits of the old epoch could be used.

Change: a lapsed lease only stops being renewed; LeaseLost says that the epoch is over. A handed-over shard begins after the longest use time of a permit. A router that restarts empty takes a new epoch of its own shards. The roster carries the newest incarnation of each member.

Conclusion: an epoch has at most one dispatcher state.

--- a/tamarackbridge/components/membership/evidence.py
+++ b/tamarackbridge/components/membership/evidence.py
@@ -29,12 +29,14 @@
         support_at: The same for its last statement that was not ahead of
             the own router.
         leaving: Whether it is shutting down.
+        incarnation: Its incarnation where it was heard directly, else 0.
     """
 
     known: int = messages.ABSTAIN
     at: float = NEVER
     support_at: float = NEVER
     leaving: bool = False
+    incarnation: int = 0
 
 
 class Ledger:
--- a/tamarackbridge/components/membership/leases.py
+++ b/tamarackbridge/components/membership/leases.py
@@ -3,7 +3,9 @@
 A take-over is one conditional write of the shard's object. The new holder
 begins when a majority of the roster knows the new epoch and one lease has
 passed since, so that no evidence of the holder before can still be fresh. A
-holder keeps its lease by the evidence of membership alone, without writes.
+holder keeps its lease by the evidence of membership alone, without writes; when
+the evidence runs out the lease lapses, and it goes on in the same epoch if
+evidence returns and nobody took the shard meanwhile.
 """
 
 from collections.abc import Sequence
@@ -30,6 +32,9 @@
 FENCE_S = core_const.LEASE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
 """Time after which evidence that others gathered earlier has lapsed."""
 
+USE_S = core_const.GRANT_USE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
+"""Time after a hand-over for which permits of the old epoch may be used."""
+
 PUT_TIMEOUT_S = 1.0
 """A write without an answer for this time counts as failed."""
 
@@ -49,6 +54,7 @@
 
     Attributes:
         version: Store version of the shard's object.
+        learned_at: When this router learned of `version`.
         recognised_at: When a majority was first seen to know `version`.
         mine: Whether this process may begin the epoch: it wrote it, or saw
             it handed over. False after a restart.
@@ -63,6 +69,7 @@
 
     value: shard_object.ShardValue
     version: int = 0
+    learned_at: float = -math.inf
     recognised_at: float = math.inf
     mine: bool = False
     surrendered: bool = False
@@ -121,12 +128,8 @@
         return ()
 
     def tick(self, now: float) -> Sequence[core.Envelope]:
-        """Ends leases whose evidence has run out."""
-        out: list[core.Envelope] = []
-        for state in self._shards.values():
-            if state.held and now >= self._until():
-                out.extend(self._lose(state))
-        return out
+        """Does nothing: a lease lapses at the time that it was held until."""
+        return ()
 
     def _until(self) -> float:
         return self._evidence.until if self._evidence else -math.inf
@@ -177,6 +180,7 @@
         state.surrendered = False
         state.value = value
         state.version = version
+        state.learned_at = now
         state.recognised_at = math.inf
         state.put_until = -math.inf
         state.absent_since = math.inf
@@ -220,7 +224,7 @@
     ) -> Sequence[core.Envelope]:
         until = self._until()
         if now >= until:
-            return self._lose(state) if state.held else ()
+            return ()
         if not state.held:
             return self._begin(name, state, now)
         return self._renew(name, state, until, now)
@@ -244,8 +248,10 @@
         if state.surrendered or not state.mine:
             value = self._next(state, self._node, released=state.surrendered)
             return self._put(state, value, now)
-        ready = state.value.released or state.recognised_at + FENCE_S <= now
-        if not ready:
+        fence = state.recognised_at + FENCE_S
+        if state.value.released:
+            fence = state.learned_at + USE_S
+        if now < fence:
             return ()
         state.held = True
         epoch = state.value.epoch
--- a/tamarackbridge/components/membership/member.py
+++ b/tamarackbridge/components/membership/member.py
@@ -5,6 +5,8 @@
 import random
 from typing import ClassVar
 
+import msgspec
+
 from tamarackbridge import const as core_const
 from tamarackbridge import core
 from tamarackbridge.components.membership import (
@@ -130,11 +132,11 @@
     ) -> Sequence[core.Envelope]:
         self._heard[src] = now
         if beat.joining is not None and beat.joining.node == src:
-            if src not in self._roster.nodes:
-                self._changes.join(beat.joining, self._is_first(), now)
-            return ()
+            self._changes.join(beat.joining, self._is_first(), now)
         sent_at = now - age_s
         self._ledger.note(src, beat.known, sent_at, self._known, beat.leaving)
+        row = self._ledger.row(src)
+        row.incarnation = max(row.incarnation, beat.incarnation)
         if beat.roster == self._roster.version:
             for found in beat.groups:
                 beats.note_summary(
@@ -293,12 +295,22 @@
                 else self._ledger.row(node).leaving
             )
         )
-        news = messages.RosterChanged(self._roster.members, live, leaving)
+        members = tuple(map(self._as_heard, self._roster.members))
+        news = messages.RosterChanged(members, live, leaving)
         if news == self._news_told:
             return ()
         self._news_told = news
         return (_local(news),)
 
+    def _as_heard(self, member: messages.Member) -> messages.Member:
+        """Returns a member with the newest incarnation that was heard."""
+        if member.node == self._node:
+            return self._me
+        heard = self._ledger.row(member.node).incarnation
+        if heard <= member.incarnation:
+            return member
+        return msgspec.structs.replace(member, incarnation=heard)
+
     def _catch_up(self, now: float) -> Sequence[core.Envelope]:
         """Asks a peer that knows more, when the own read is not faster."""
         if not self._established:
@@ -372,7 +384,8 @@
         own = self._ledger.row(self._node)
         own.known, own.at, own.leaving = self._known, now, self._leaving
         digest = self._topology.digest(lst, self._ledger, now) if relay else ()
-        beat = self._heartbeat(digest, None)
+        joining = None if self._me in lst.members else self._me
+        beat = self._heartbeat(digest, joining)
         out = [
             core.Envelope(node, beat)
             for node in self._topology.group_peers(lst)
--- a/tamarackbridge/components/membership/roster_changes.py
+++ b/tamarackbridge/components/membership/roster_changes.py
@@ -72,7 +72,7 @@
             members[node] = member
         self._joining.clear()
         chosen = tuple(members[node] for node in sorted(members))
-        if {m.node for m in chosen} == view.current.nodes:
+        if chosen == view.current.members:
             return None
         return roster.encode(chosen, view.current.members)
 
