--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -16,6 +16,7 @@
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.records import codec, files
 from tamarackbridge.components.settings import loader
+from tamarackbridge.components.tls import exceptions as tls
 
 _T = TypeVar("_T")
 _Row = TypeVar("_Row")
@@ -47,7 +48,8 @@
             status, explain and requests ask all of them.
         token_file: File with the operator's bearer token.
         ca: PEM file of the authorities of the routers' certificates.
-        certificate: PEM file of a client certificate with its key.
+        certificate: PEM file of a client certificate.
+        key: PEM file of the key of the client certificate.
         output: Table for people or JSON for scripts.
     """
 
@@ -59,13 +61,18 @@
     ] = None
     ca: pathlib.Path | None = None
     certificate: pathlib.Path | None = None
+    key: pathlib.Path | None = None
     output: Literal["table", "json"] = "table"
 
     def client(self) -> http.Client:
         """Returns a client for these options."""
         return http.Client(
             http.Access(
-                http.urls(self.url), self.token_file, self.ca, self.certificate
+                urls=http.urls(self.url),
+                token_file=self.token_file,
+                ca=self.ca,
+                certificate=self.certificate,
+                key=self.key,
             )
         )
 
@@ -282,6 +289,8 @@
         )
     except cyclopts.CycloptsError:
         return const.Exit.USAGE
+    except tls.TlsError as exc:
+        return _fail(const.Exit.USAGE, str(exc))
     except OSError as exc:
         return _fail(const.Exit.USAGE, f"{exc.filename}: {exc.strerror}")
     return found if isinstance(found, int) else const.Exit.OK
--- a/tamarackbridge/components/client/http.py
+++ b/tamarackbridge/components/client/http.py
@@ -14,6 +14,7 @@
 
 from tamarackbridge.components.client import const
 from tamarackbridge.components.operator import messages
+from tamarackbridge.components.tls import contexts
 
 _T = TypeVar("_T")
 
@@ -35,13 +36,15 @@
         urls: Base URLs of the operator interfaces of one or more routers.
         token_file: File with the bearer token; `None` for none.
         ca: PEM file of the authorities that routers' certificates are of.
-        certificate: PEM file of a client certificate and its key.
+        certificate: PEM file of a client certificate.
+        key: PEM file of the key of the client certificate.
     """
 
     urls: tuple[str, ...]
     token_file: pathlib.Path | None = None
     ca: pathlib.Path | None = None
     certificate: pathlib.Path | None = None
+    key: pathlib.Path | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,11 +132,10 @@
         )
 
     def _ssl_context(self) -> ssl.SSLContext:
-        ca = self._access.ca
-        context = ssl.create_default_context(cafile=ca)
-        if self._access.certificate is not None:
-            context.load_cert_chain(self._access.certificate)
-        return context
+        access = self._access
+        return contexts.client_context(
+            _path(access.ca), _path(access.certificate), _path(access.key)
+        )
 
 
 class _UnreachedError(CallError):
@@ -142,6 +144,10 @@
     __slots__ = ()
 
 
+def _path(path: pathlib.Path | None) -> str:
+    return "" if path is None else str(path)
+
+
 def _is_unreached(found: result.Result[object, CallError]) -> bool:
     if isinstance(found, result.Ok):
         return False
--- a/tamarackbridge/components/client/tables.py
+++ b/tamarackbridge/components/client/tables.py
@@ -90,9 +90,17 @@
     )
     print_table(
         "servers",
-        ("server", "shard", "limit", "running", "cold", "usable"),
+        ("server", "shard", "zone", "limit", "warm", "running", "usable"),
         [
-            (s.server, s.shard, s.limit, s.running, s.cold, s.usable)
+            (
+                s.server,
+                s.shard,
+                s.zone,
+                s.limit,
+                s.limit_warm,
+                s.running,
+                s.usable,
+            )
             for s in joined.servers
         ],
     )
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -232,6 +232,10 @@
             out.append(core.Envelope(item.entry, move))
         return out
 
+    def limits(self, now: float) -> dict[str, int]:
+        """Returns how many requests each server may run now."""
+        return {name: item.allowed(now) for name, item in self._limits.items()}
+
     # Inner steps.
 
     def _refusal(self, ask: messages.Ask) -> Reason | None:
--- a/tamarackbridge/components/operator/app.py
+++ b/tamarackbridge/components/operator/app.py
@@ -14,8 +14,7 @@
 )
 from tamarackbridge.components.records import const as records_const
 from tamarackbridge.components.settings import models
-
-METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+from tamarackbridge.components.telemetry import metrics
 
 
 def create_app(kernel: core.Kernel) -> web.Application:
@@ -84,8 +83,8 @@
         telemetry: protocols.Telemetry = self._kernel.get(
             const.SERVICE_TELEMETRY
         )
-        headers = {"Content-Type": METRICS_CONTENT_TYPE}
-        return web.Response(body=telemetry.metrics(), headers=headers)
+        headers = {"Content-Type": metrics.CONTENT_TYPE}
+        return web.Response(body=telemetry.render(), headers=headers)
 
     async def async_health(self, req: web.Request) -> web.Response:
         """Answers while the process runs."""
--- a/tamarackbridge/components/operator/messages.py
+++ b/tamarackbridge/components/operator/messages.py
@@ -82,13 +82,21 @@
 
 
 class ServerStatus(msgspec.Struct, frozen=True):
-    """One backend server as the holder of its shard sees it."""
+    """One backend server as the holder of its shard sees it.
+
+    Attributes:
+        limit: Requests it is given at once now.
+        limit_warm: Requests it bears at once when warm.
+        running: Permits that are out for it.
+        usable: False while it drains or its availability zone is out.
+    """
 
     server: str
     shard: str
+    zone: str
     limit: int
+    limit_warm: int
     running: int
-    cold: bool
     usable: bool
 
 
--- a/tamarackbridge/components/operator/protocols.py
+++ b/tamarackbridge/components/operator/protocols.py
@@ -95,6 +95,6 @@
 class Telemetry(Protocol):
     """The counters of this router."""
 
-    def metrics(self) -> bytes:
-        """Returns all counters in the Prometheus text format."""
+    def render(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
         ...
--- a/tamarackbridge/components/records/references.py
+++ b/tamarackbridge/components/records/references.py
@@ -1,54 +1,47 @@
 """Checks that records which are in force together fit each other."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from tamarackbridge.components.records import (
     const,
     exceptions,
     models,
     schemas,
+    snapshots,
 )
 
-
-def check(
-    records: Iterable[schemas.Record],
-) -> exceptions.RecordError | None:
-    """Returns the first misfit, or `None` when all records fit."""
-    found: dict[str, dict[str, schemas.Model]] = {
-        kind: {} for kind in const.KINDS
-    }
-    for record in records:
-        found[record.kind][record.name] = record.model
-    return _check_servers(found) or _check_services(found) or _check_keys(found)
+_Misfit = exceptions.RecordError | None
 
 
-_ByKind = Mapping[str, Mapping[str, schemas.Model]]
+def check(records: Iterable[schemas.Record]) -> _Misfit:
+    """Returns the first misfit, or `None` when all records fit."""
+    snapshot = snapshots.build(0, records)
+    return (
+        _check_servers(snapshot)
+        or _check_routes(snapshot)
+        or _check_keys(snapshot)
+    )
 
 
-def _check_servers(found: _ByKind) -> exceptions.RecordError | None:
-    for name, model in found[const.KIND_SERVER].items():
-        if not isinstance(model, models.BackendServer):
-            continue
+def _check_servers(snapshot: models.Snapshot) -> _Misfit:
+    for name, server in snapshot.servers.items():
         place = f"{const.KIND_SERVER}/{name}"
-        for kind, value in (
-            (const.KIND_SERVICE, model.service),
-            (const.KIND_ZONE, model.zone),
-        ):
-            if value not in found[kind]:
-                allowed = f"no record {kind}/{value} exists"
-                return exceptions.RecordError(place, kind, allowed)
-        if model.limit_cold > model.limit_warm:
-            allowed = f"at most limit_warm, {model.limit_warm}"
+        if server.service not in snapshot.services:
+            allowed = f"no record {const.KIND_SERVICE}/{server.service} exists"
+            return exceptions.RecordError(place, "service", allowed)
+        if server.zone not in snapshot.zones:
+            allowed = f"no record {const.KIND_ZONE}/{server.zone} exists"
+            return exceptions.RecordError(place, "zone", allowed)
+        if server.limit_cold > server.limit_warm:
+            allowed = f"at most limit_warm, {server.limit_warm}"
             return exceptions.RecordError(place, "limit_cold", allowed)
     return None
 
 
-def _check_services(found: _ByKind) -> exceptions.RecordError | None:
-    for name, model in found[const.KIND_SERVICE].items():
-        if not isinstance(model, models.Service):
-            continue
+def _check_routes(snapshot: models.Snapshot) -> _Misfit:
+    for name, service in snapshot.services.items():
         seen: set[str] = set()
-        for index, route in enumerate(model.routes):
+        for index, route in enumerate(service.routes):
             if route.name in seen:
                 place = f"{const.KIND_SERVICE}/{name}"
                 key = f"routes.{index}.name"
@@ -58,12 +51,10 @@
     return None
 
 
-def _check_keys(found: _ByKind) -> exceptions.RecordError | None:
+def _check_keys(snapshot: models.Snapshot) -> _Misfit:
     owners: dict[str, str] = {}
-    for name, model in found[const.KIND_WORKSPACE].items():
-        if not isinstance(model, models.Workspace):
-            continue
-        for index, digest in enumerate(model.key_hashes):
+    for name, workspace in snapshot.workspaces.items():
+        for index, digest in enumerate(workspace.key_hashes):
             owner = owners.setdefault(digest, name)
             if owner != name:
                 place = f"{const.KIND_WORKSPACE}/{name}"
--- a/tamarackbridge/components/settings/loader.py
+++ b/tamarackbridge/components/settings/loader.py
@@ -1,20 +1,18 @@
 """Reads and checks the settings file of one router."""
 
 import dataclasses
-import ipaddress
 import pathlib
 import tomllib
 
 import result
 
 from tamarackbridge.components.settings import models
+from tamarackbridge.components.tls import contexts, exceptions
 from tamarackbridge.helpers import validation
 
 MAX_FILE_BYTES = 256 * 1024
 """Largest settings file, in bytes."""
 
-CONF_ALLOW_PLAIN_TEXT = "allow_plain_text"
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsError:
@@ -70,38 +68,8 @@
 
 def _check_listeners(cfg: models.Settings, file: str) -> _Loaded:
     for name in ("caller", "peer", "operator"):
-        listen: models.ListenSettings = getattr(cfg, name)
-        found = _check_tls(listen.tls) or _check_plain_text(listen)
-        if found:
-            key, allowed = found
-            return result.Err(SettingsError(file, f"{name}.{key}", allowed))
+        try:
+            contexts.check(name, getattr(cfg, name))
+        except exceptions.TlsError as exc:
+            return result.Err(SettingsError(file, "", str(exc)))
     return result.Ok(cfg)
-
-
-def _check_tls(tls: models.TlsSettings) -> tuple[str, str] | None:
-    if bool(tls.certificate) != bool(tls.key):
-        missing = "key" if tls.certificate else "certificate"
-        allowed = "certificate and key are set together or not at all"
-        return f"tls.{missing}", allowed
-    if tls.client_ca and not tls.certificate:
-        return "tls.client_ca", "allowed only with certificate and key"
-    return None
-
-
-def _check_plain_text(listen: models.ListenSettings) -> tuple[str, str] | None:
-    if listen.tls.certificate or listen.allow_plain_text:
-        return None
-    if _is_loopback(listen.host):
-        return None
-    allowed = (
-        "plain text is allowed on loopback only, unless"
-        f" {CONF_ALLOW_PLAIN_TEXT} is true; set tls.certificate and tls.key"
-    )
-    return "host", allowed
-
-
-def _is_loopback(host: str) -> bool:
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return host == "localhost"
--- a/tests/components/operator/fixtures.py
+++ b/tests/components/operator/fixtures.py
@@ -37,7 +37,7 @@
     def status(self) -> messages.Status:
         member = messages.MemberStatus("a", "lahore", True, 7)
         shard = messages.ShardStatus("lm/0", "a", 3, 2, 1)
-        server = messages.ServerStatus("lm-1", "lm/0", 4, 2, False, True)
+        server = messages.ServerStatus("lm-1", "lm/0", "lahore", 4, 8, 2, True)
         space = messages.WorkspaceStatus("gate", "lm/0", 1, 2, 120.0)
         return messages.Status(
             node="a",
@@ -78,7 +78,7 @@
 class Telemetry:
     """Has one counter."""
 
-    def metrics(self) -> bytes:
+    def render(self) -> bytes:
         return b"tamarackbridge_up 1\n"
 
 
--- a/tests/components/settings/test_loader.py
+++ b/tests/components/settings/test_loader.py
@@ -38,23 +38,27 @@
     ("[caller]", "[caller]\nprt = 1", "caller.prt: unknown key, allowed: host"),
     ("[caller]", "[caller]\nport = 70000", "caller.port: Input should be less"),
     ("[caller]", '[caller]\nport = "1"', "caller.port: Input should be a"),
-    ("[caller]", '[caller]\nhost = "0.0.0.0"', "caller.host: plain text is"),
-    ("[peer]", '[peer]\nhost = "::"', "peer.host: plain text is allowed"),
+    (
+        "[caller]",
+        '[caller]\nhost = "0.0.0.0"',
+        "caller: plain text is for",
+    ),
+    ("[peer]", '[peer]\nhost = "::"', "peer: plain text is for"),
     (
         "[operator]",
         '[operator]\nhost = "example.org"',
-        "operator.host: plain text is allowed on loopback only, unless"
-        " allow_plain_text is true",
+        "operator: plain text is for loopback only; set operator.tls or"
+        " operator.allow_plain_text = true",
     ),
     (
         "[caller]",
         '[caller]\ntls = { certificate = "c.pem" }',
-        "caller.tls.key: certificate and key are set together",
+        "caller.tls: certificate and key are given together",
     ),
     (
         "[peer]",
         '[peer]\ntls = { client_ca = "c.pem" }',
-        "peer.tls.client_ca: allowed only with certificate and key",
+        "peer.tls: client_ca needs certificate and key",
     ),
     (
         "[operator]",
