--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
     "__main__",
     "fake_store",
     "harness",
+    "path_load",
     "processes",
     "real_fleet",
     "real_load",
--- a/bench/real_fleet.py
+++ b/bench/real_fleet.py
@@ -56,11 +56,15 @@
     """
 
     def __init__(
-        self, deployment: str, routers: int, work_dir: pathlib.Path
+        self,
+        deployment: str,
+        routers: int,
+        work_dir: pathlib.Path,
+        examples: pathlib.Path = pathlib.Path("examples"),
     ) -> None:
         self.deployment = deployment
         self.processes = processes.Processes(work_dir / "logs")
-        self._source = pathlib.Path("examples") / deployment
+        self._source = examples / deployment
         self._dir = work_dir / deployment
         self._dir.mkdir(parents=True, exist_ok=True)
         self._names = [f"router-{i}" for i in range(1, routers + 1)]
