Read the VM list, leave the roster on shutdown, quiet the logs

Cause: removal of dead members needs the VM list, a router that shut down stayed in the roster, and services logged each start and stop. Change: a VM list poller, LeaveFleet on drain, status and request views in the root, and a service base whose life cycle is logged at debug. Conclusion: control bytes per request and the cold start of quick lookups need a look.

--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -4,8 +4,8 @@
 import contextlib
 
 import aiohttp
-import mode
 
+from tamarackbridge import core
 from tamarackbridge.components.backend import exceptions
 from tamarackbridge.helpers import send_once
 
@@ -13,7 +13,7 @@
 MAX_LINE_BYTES = 1024 * 1024
 
 
-class BackendClient(mode.Service):
+class BackendClient(core.Service):
     """Owns the pooled connections to backend servers."""
 
     def __init__(self) -> None:
--- a/tamarackbridge/components/backend/load_poller.py
+++ b/tamarackbridge/components/backend/load_poller.py
@@ -71,7 +71,7 @@
         ]
 
 
-class LoadPoller(mode.Service):
+class LoadPoller(core.Service):
     """Polls load reports and injects them as messages."""
 
     def __init__(
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -7,7 +7,6 @@
 import uuid
 
 from aiohttp import web
-import mode
 import result
 
 from tamarackbridge import core
@@ -22,7 +21,7 @@
 RETRY_AFTER_S = 1.0
 
 
-class EntryService(mode.Service):
+class EntryService(core.Service):
     """Accepts callers' requests and sees each to its end.
 
     Attributes:
--- a/tamarackbridge/components/object_api/http.py
+++ b/tamarackbridge/components/object_api/http.py
@@ -4,7 +4,6 @@
 from urllib import parse
 
 import aiohttp
-import mode
 import msgspec
 
 from tamarackbridge import core
@@ -42,7 +41,7 @@
 _LISTING = msgspec.json.Decoder(_Listing)
 
 
-class HttpObjectApi(mode.Service):
+class HttpObjectApi(core.Service):
     """Calls the platform's object API; each call is made once.
 
     Attributes:
--- a/tamarackbridge/components/operator/service.py
+++ b/tamarackbridge/components/operator/service.py
@@ -3,14 +3,13 @@
 import ssl
 
 from aiohttp import web
-import mode
 
 from tamarackbridge import core
 from tamarackbridge.components.operator import app, const
 from tamarackbridge.components.settings import models
 
 
-class OperatorService(mode.Service):
+class OperatorService(core.Service):
     """Listens for operators on a port of its own.
 
     Attributes:
--- a/tamarackbridge/components/records/snapshot.py
+++ b/tamarackbridge/components/records/snapshot.py
@@ -4,7 +4,7 @@
 
 import result
 
-from tamarackbridge.components.records import codec, models
+from tamarackbridge.components.records import codec, models, schemas, snapshots
 
 
 class SnapshotCodec:
@@ -22,21 +22,10 @@
         Raises:
             ValueError: A record is not readable; its message says which.
         """
-        workspaces: dict[str, models.Workspace] = {}
-        services: dict[str, models.Service] = {}
-        servers: dict[str, models.BackendServer] = {}
-        zones: dict[str, models.Zone] = {}
+        found: list[schemas.Record] = []
         for key, body in records.items():
             read = codec.decode(body, key)
             if isinstance(read, result.Err):
                 raise ValueError(str(read.err_value))
-            match read.ok_value.model:
-                case models.Workspace() as workspace:
-                    workspaces[workspace.name] = workspace
-                case models.Service() as service:
-                    services[service.name] = service
-                case models.BackendServer() as server:
-                    servers[server.name] = server
-                case models.Zone() as zone:
-                    zones[zone.name] = zone
-        return models.Snapshot(generation, workspaces, services, servers, zones)
+            found.append(read.ok_value)
+        return snapshots.build(generation, found)
--- a/tamarackbridge/components/telemetry/metrics.py
+++ b/tamarackbridge/components/telemetry/metrics.py
@@ -59,7 +59,7 @@
             self._registry.register(made)
         return self._latencies[name]
 
-    def metrics(self) -> bytes:
+    def render(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         return prometheus_client.generate_latest(self._registry)
 
--- a/tamarackbridge/components/tls/reloader.py
+++ b/tamarackbridge/components/tls/reloader.py
@@ -7,6 +7,7 @@
 from absl import logging
 import mode
 
+from tamarackbridge import core
 from tamarackbridge.components.settings import models as settings
 from tamarackbridge.components.tls import contexts, exceptions
 
@@ -56,7 +57,7 @@
         conn.context = self._current
 
 
-class ReloadService(mode.Service):
+class ReloadService(core.Service):
     """Looks for changed files now and then."""
 
     def __init__(self) -> None:
--- a/tamarackbridge/components/transport/link.py
+++ b/tamarackbridge/components/transport/link.py
@@ -14,7 +14,7 @@
 from tamarackbridge.components.transport import age, const
 
 
-class PeerLink(mode.Service):
+class PeerLink(core.Service):
     """Owns the channel to one peer and batches what goes to it.
 
     The first message after a quiet tick leaves at once; what comes within
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -6,7 +6,6 @@
 from absl import logging
 import grpc
 from grpc import aio
-import mode
 
 from tamarackbridge import core, exceptions, messages
 from tamarackbridge.components.settings import models as settings_models
@@ -23,7 +22,7 @@
 )
 
 
-class PeerService(mode.Service):
+class PeerService(core.Service):
     """Exchanges message batches with the other routers.
 
     Attributes:
--- a/tamarackbridge/components/vm_list/http.py
+++ b/tamarackbridge/components/vm_list/http.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 import aiohttp
-import mode
 import msgspec
 import result
 
+from tamarackbridge import core
 from tamarackbridge.components import vm_list
 from tamarackbridge.components.settings import models as settings
 
@@ -28,7 +28,7 @@
 _LISTING = msgspec.json.Decoder(_Listing)
 
 
-class HttpVmList(mode.Service):
+class HttpVmList(core.Service):
     """Reads the platform's VM list."""
 
     def __init__(self, cfg: settings.PlatformSettings, **kwargs: Any) -> None:
--- a/tamarackbridge/core.py
+++ b/tamarackbridge/core.py
@@ -142,6 +142,12 @@
         return leaving
 
 
+class Service(mode.Service):
+    """A service of one router; starting and stopping is no news."""
+
+    mundane_level = "debug"
+
+
 class Kernel:
     """Registry in which the services of one router find each other."""
 
--- a/tamarackbridge/decider_loop.py
+++ b/tamarackbridge/decider_loop.py
@@ -8,7 +8,7 @@
 from tamarackbridge.components import object_api
 
 
-class DeciderLoop(mode.Service):
+class DeciderLoop(core.Service):
     """Owns the decider group; everything that happens passes through it."""
 
     def __init__(
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -19,15 +19,18 @@
 from tamarackbridge.components.configuration import applier, changes
 from tamarackbridge.components.dispatch import dispatcher, permit_client
 from tamarackbridge.components.entry import forward
-from tamarackbridge.components.entry import index as entry_index
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.entry import service as entry_service
 from tamarackbridge.components.membership import leases, member
+from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.components.object_api import http as object_api_http
 from tamarackbridge.components.operator import const as operator_const
-from tamarackbridge.components.operator import fleet_writer
+from tamarackbridge.components.operator import (
+    fleet_writer,
+    request_view,
+    status_view,
+)
 from tamarackbridge.components.operator import service as operator_service
-from tamarackbridge.components.operator import status as operator_status
 from tamarackbridge.components.records import snapshot
 from tamarackbridge.components.settings import models as settings_models
 from tamarackbridge.components.telemetry import logs, metrics, router_metrics
@@ -35,8 +38,8 @@
 from tamarackbridge.components.tls import peers as tls_peers
 from tamarackbridge.components.transport import port as transport_port
 from tamarackbridge.components.transport import service as transport
-
-DRAIN_POLL_S = 0.05
+from tamarackbridge.components.vm_list import http as vm_list_http
+from tamarackbridge.components.vm_list import poller as vm_list_poller
 
 
 class Router:
@@ -52,7 +55,11 @@
         self._changes = fleet_writer.ChangePort()
         self._entries = entry_port.EntryPort()
         self._loads = load_poller.LoadPort()
-        self._status = operator_status.FleetStatus(settings.node, settings.zone)
+        self._dispatcher = dispatcher.Dispatcher(settings.node, kernel.rng)
+        self._status = status_view.StatusView(
+            settings.node, settings.zone, clock, self._dispatcher
+        )
+        self._requests = request_view.RequestView(settings.node, clock)
         codec = snapshot.SnapshotCodec()
         self._applier = applier.Applier(settings.node, kernel.rng, codec)
         self._peers = self._make_peers()
@@ -74,18 +81,22 @@
         router_metrics.register(registry, self._peers, self._entry, store)
         kernel.register(operator_const.SERVICE_TELEMETRY, registry)
         kernel.register(operator_const.SERVICE_STATUS, self._status)
-        kernel.register(
-            operator_const.SERVICE_REQUESTS, entry_index.RequestIndex()
-        )
+        kernel.register(operator_const.SERVICE_REQUESTS, self._requests)
         kernel.register(
             operator_const.SERVICE_CONFIG_CHANGES, self._make_writer()
         )
+        vms = vm_list_http.HttpVmList(settings.platform)
         kernel.register("object_api", store)
+        kernel.register("vm_list", vms)
         kernel.register("backend", backend)
         kernel.register("tls", self._tls)
         kernel.register("peers", self._peers)
         kernel.register("deciders", self._loop)
         kernel.register("load_poller", self._make_poller(backend))
+        kernel.register(
+            "vm_list_poller",
+            vm_list_poller.VmListPoller(vms, kernel.rng, self._loop.inject),
+        )
         kernel.register("entry", self._entry)
         kernel.register(
             "operator",
@@ -114,7 +125,7 @@
                 leases.ShardLeases(node, rng),
                 self._applier,
                 changes.ChangeWriter(node, rng, codec),
-                dispatcher.Dispatcher(node, rng),
+                self._dispatcher,
                 permit_client.PermitClient(node, rng),
                 keeper.Keeper(
                     node, rng, claims.retention_s, claims.max_outcome_bytes
@@ -124,6 +135,7 @@
                 self._loads,
                 self._changes,
                 self._status,
+                self._requests,
             ),
         )
 
@@ -196,6 +208,7 @@
     async def _async_drain(self, force: asyncio.Event) -> None:
         """Waits until no request is held, the time is up or a 2nd signal."""
         self._entry.draining = True
+        self._loop.inject(membership.LeaveFleet())
         waits = [
             asyncio.create_task(self._entry.async_idle()),
             asyncio.create_task(force.wait()),
--- a/tests/components/telemetry/test_telemetry.py
+++ b/tests/components/telemetry/test_telemetry.py
@@ -45,7 +45,7 @@
     first_byte = made.latency("first_byte_seconds", "First byte.", "service")
     for millis in range(1, 101):
         first_byte.observe(millis / 1000, "mela-lm")
-    text = made.metrics().decode()
+    text = made.render().decode()
     assert 'tamarackbridge_refusals_total{reason="full"} 2.0' in text
     assert "tamarackbridge_held 7.0" in text
     name = "tamarackbridge_first_byte_seconds"
