Measure fairness by policy on the virtual clock

The gap, utilisation and control traffic need figures against baselines. The bench joins the real deciders by a batching network, counts bytes by the real codec, and runs first come first served, per-router counters and static quotas on the same demand. A trial of 60 s showed entries without history asked forever by a first epoch and a double count of unknown permits; both are mended: the first epoch asks nobody, and a load report is explained by the permits that entries name after it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,7 +19,8 @@
     """Returns the names of the measurements."""
     here = pathlib.Path(__file__).parent
     found = {path.stem for path in here.glob("*.py")} - NOT_MEASUREMENTS
-    return sorted(name for name in found if not name.startswith("_"))
+    hidden = ("_", "fake_", "fairness_")
+    return sorted(name for name in found if not name.startswith(hidden))
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/fairness_network.py
@@ -0,0 +1,79 @@
+"""The harness with batches per peer and tick, counting bytes and time."""
+
+import collections
+import time
+
+from bench import harness
+from tamarackbridge import const, core, messages
+
+BOOT = "0123456789abcdef"
+
+
+class BatchingHarness(harness.Harness):
+    """Joins messages to one peer in batches, as the transport does.
+
+    The first message leaves at once; later ones wait for the next tick.
+
+    Attributes:
+        bytes_of: Control bytes sent and received, by router.
+        messages_of: Messages sent and received, by router.
+        batches_of: Batches sent and received, by router.
+        cpu_s: Processor time of deciders and codec, by router.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.bytes_of: collections.Counter[str] = collections.Counter()
+        self.messages_of: collections.Counter[str] = collections.Counter()
+        self.batches_of: collections.Counter[str] = collections.Counter()
+        self.cpu_s: dict[str, float] = collections.defaultdict(float)
+        self._queued: dict[tuple[str, str], list[core.Envelope]] = {}
+        self._sent_at: dict[tuple[str, str], float] = {}
+
+    def send(self, src: str, env: core.Envelope) -> None:
+        """Queues one message for its peer's next batch."""
+        for tap in self.taps:
+            tap(src, env, self.now)
+        link = (src, env.to)
+        queue = self._queued.setdefault(link, [])
+        queue.append(env)
+        if len(queue) == 1:
+            earliest = self._sent_at.get(link, float("-inf")) + const.TICK_S
+            self.at(max(self.now, earliest), lambda: self._flush(link))
+
+    def _flush(self, link: tuple[str, str]) -> None:
+        envs = self._queued.pop(link)
+        self._sent_at[link] = self.now
+        self._count(link, envs)
+        for env in envs:
+            super().send(link[0], env)
+
+    def _count(self, link: tuple[str, str], envs: list[core.Envelope]) -> None:
+        started = time.process_time()
+        raws = tuple(messages.encode_message(env.msg) for env in envs)
+        batch = messages.Batch(
+            link[0], BOOT, self.now, BOOT, self.now, 0.0, raws
+        )
+        data = messages.encode_batch(batch)
+        sent = time.process_time()
+        for raw in messages.decode_batch(data).msgs:
+            messages.decode_message(raw)
+        received = time.process_time()
+        self.cpu_s[link[0]] += sent - started
+        self.cpu_s[link[1]] += received - sent
+        for node in link:
+            self.bytes_of[node] += len(data)
+            self.messages_of[node] += len(envs)
+            self.batches_of[node] += 1
+
+    def _deliver(
+        self, node: str, delivery: core.Delivery, sent_at: float
+    ) -> None:
+        started = time.process_time()
+        super()._deliver(node, delivery, sent_at)
+        self.cpu_s[node] += time.process_time() - started
+
+    def _tick(self, node: str, life: int) -> None:
+        started = time.process_time()
+        super()._tick(node, life)
+        self.cpu_s[node] += time.process_time() - started
--- /dev/null
+++ b/bench/fairness_records.py
@@ -0,0 +1,175 @@
+"""Records and demand of Mela's size for the fairness measurement."""
+
+import dataclasses
+import math
+import random
+
+from tamarackbridge.components.records import models
+
+NODES = [f"r{index}" for index in range(7)]
+ZONES = ("lahore", "faisalabad", "multan")
+LARGE = ("sahiwal", "jhang", "okara")
+SMALL = tuple(f"pen-{index:02}" for index in range(13))
+ENGINE = "mela-lm"
+APP = "mela-app"
+RATES = {ENGINE: 400.0, APP: 1000.0}
+"""Cost that one running request works off in a second."""
+
+MAX_COST = {ENGINE: 8000.0, APP: 3000.0}
+LOAD_LAG_S = 0.4
+FLOODED = "pen-12"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What one workspace asks of one service.
+
+    Attributes:
+        outstanding: Requests that its callers keep open; 0 for open arrivals.
+        rate: Open arrivals in a second.
+        costs: Least and greatest cost.
+        entries: Routers by which it enters.
+    """
+
+    workspace: str
+    service: str
+    outstanding: int
+    rate: float
+    costs: tuple[float, float]
+    entries: tuple[str, ...]
+
+    def draw_cost(self, rng: random.Random) -> float:
+        """Draws a cost, evenly over its logarithm."""
+        low, high = self.costs
+        return math.exp(rng.uniform(math.log(low), math.log(high)))
+
+
+def mela(shards: int = 1) -> models.Snapshot:
+    """Returns the records of today's size."""
+    workspaces = [_workspace(name, 4.0, 24) for name in LARGE]
+    workspaces += [_workspace(name, 1.0, 12) for name in SMALL]
+    services = {
+        ENGINE: _service(ENGINE, models.Protocol.ENGINE, shards),
+        APP: _service(APP, models.Protocol.HTTP, 1),
+    }
+    servers = [_server(f"lm-{index}", ENGINE, index) for index in range(5)]
+    servers += [_server(f"app-{index}", APP, index) for index in range(3)]
+    return models.Snapshot(
+        1,
+        {item.name: item for item in workspaces},
+        services,
+        {item.name: item for item in servers},
+        {zone: models.Zone(zone, False) for zone in ZONES},
+    )
+
+
+def split(records: models.Snapshot, index: int) -> models.Snapshot:
+    """Returns one router's part of all limits, for unshared counters."""
+    servers = {}
+    for place, (name, server) in enumerate(sorted(records.servers.items())):
+        part, rest = divmod(server.limit_warm, len(NODES))
+        part += (index + place) % len(NODES) < rest
+        servers[name] = dataclasses.replace(
+            server, limit_warm=part, limit_cold=part, load_lag_s=0.0
+        )
+    return dataclasses.replace(records, servers=servers)
+
+
+def quotas(records: models.Snapshot) -> models.Snapshot:
+    """Returns records in which shares are fixed parts of the permits."""
+    total = sum(item.share for item in records.workspaces.values())
+    permits = min(
+        sum(
+            srv.limit_warm
+            for srv in records.servers.values()
+            if srv.service == name
+        )
+        for name in records.services
+    )
+    workspaces = {
+        name: dataclasses.replace(
+            item, max_running=max(int(permits * item.share / total), 1)
+        )
+        for name, item in records.workspaces.items()
+    }
+    return dataclasses.replace(records, workspaces=workspaces)
+
+
+def demands(records: models.Snapshot, rng: random.Random) -> list[Demand]:
+    """Returns the demand: 3 large and 5 small backlogged, the rest light."""
+    found: list[Demand] = []
+    for service in sorted(records.services):
+        for place, name in enumerate(records.workspaces):
+            found.append(_demand(records, service, name, place, rng))
+    return found
+
+
+def _demand(
+    records: models.Snapshot,
+    service: str,
+    name: str,
+    place: int,
+    rng: random.Random,
+) -> Demand:
+    top = MAX_COST[service]
+    spans = ((top / 100, top), (top / 10, top), (top / 100, top / 10))
+    costs = spans[place % len(spans)]
+    outstanding = 48 if name in LARGE else 24 if place < 8 else 0
+    entries = {0: (NODES[0],), 1: tuple(NODES)}.get(
+        place, tuple(rng.sample(NODES, rng.randint(1, 3)))
+    )
+    return Demand(
+        name,
+        service,
+        outstanding,
+        0.0 if outstanding else 0.4 * _fair_rate(records, service, costs),
+        costs,
+        entries,
+    )
+
+
+def _fair_rate(
+    records: models.Snapshot, service: str, costs: tuple[float, float]
+) -> float:
+    low, high = costs
+    mean = (high - low) / math.log(high / low)
+    total = sum(item.share for item in records.workspaces.values())
+    return capacity(records, service) / total / mean
+
+
+def capacity(records: models.Snapshot, service: str) -> float:
+    """Returns the cost that a service's servers work off in a second."""
+    slots = sum(
+        srv.limit_warm
+        for srv in records.servers.values()
+        if srv.service == service
+    )
+    return slots * RATES[service]
+
+
+def _workspace(name: str, share: float, running: int) -> models.Workspace:
+    return models.Workspace(name, share, (), 64, running, "")
+
+
+def _service(
+    name: str, protocol: models.Protocol, shards: int
+) -> models.Service:
+    engine = protocol is models.Protocol.ENGINE
+    rule = models.CostRule.TOKENS if engine else models.CostRule.SERVER_MS
+    return models.Service(
+        name, protocol, rule, 1.0, MAX_COST[name], 60.0, shards, ()
+    )
+
+
+def _server(name: str, service: str, place: int) -> models.BackendServer:
+    return models.BackendServer(
+        name=name,
+        service=service,
+        zone=ZONES[place % len(ZONES)],
+        address="127.0.0.1:1",
+        limit_warm=8,
+        limit_cold=2,
+        checks_fencing=place % 2 == 0,
+        draining=False,
+        load_lag_s=LOAD_LAG_S,
+    )
--- /dev/null
+++ b/bench/fake_lease.py
@@ -0,0 +1,63 @@
+"""A giver of shard leases that obeys the lease rule, for the harness."""
+
+from collections.abc import Callable
+
+from bench import harness
+from tamarackbridge import const
+from tamarackbridge.components.dispatch import messages
+
+RENEW_S = 0.25
+
+
+class FakeLeases:
+    """Renews the holder's lease; gives a fresh one after its end.
+
+    Attributes:
+        ready: Tells whether a node runs and sees a majority of the others.
+    """
+
+    def __init__(
+        self, bus: harness.Harness, nodes: list[str], shards: list[str]
+    ) -> None:
+        self.takeovers = 0
+        self.ready: Callable[[str], bool] = bus.alive
+        self.reaches: Callable[[str, str], bool] = lambda a, b: True
+        self.holders = {
+            shard: nodes[index % len(nodes)]
+            for index, shard in enumerate(shards)
+        }
+        self._bus = bus
+        self._nodes = nodes
+        self._epochs = dict.fromkeys(shards, 0)
+        self._until = dict.fromkeys(shards, float("-inf"))
+        self._renew()
+
+    def _renew(self) -> None:
+        for shard, holder in self.holders.items():
+            if self.ready(holder):
+                self._give(shard, holder)
+            elif self._bus.now > self._until[shard]:
+                self._change(shard)
+        self._bus.at(self._bus.now + RENEW_S, self._renew)
+
+    def _change(self, shard: str) -> None:
+        fit = [node for node in self._nodes if self.ready(node)]
+        if fit:
+            start = self._nodes.index(self.holders[shard])
+            order = self._nodes[start:] + self._nodes[:start]
+            self.holders[shard] = next(node for node in order if node in fit)
+            self.takeovers += 1
+            self._epochs[shard] += 1
+            self._give(shard, self.holders[shard], fresh=True)
+
+    def _give(self, shard: str, holder: str, fresh: bool = False) -> None:
+        self._epochs[shard] = max(self._epochs[shard], 1)
+        epoch = self._epochs[shard]
+        until = self._bus.now + const.LEASE_S
+        self._until[shard] = until + const.LEASE_S * const.CLOCK_DRIFT_RATIO
+        held = messages.LeaseHeld(shard, epoch, until, fresh)
+        self._bus.inject(holder, held)
+        for node in self._nodes:
+            if self.reaches(holder, node):
+                news = messages.ShardHolder(shard, epoch, holder)
+                self._bus.inject(node, news)
--- /dev/null
+++ b/bench/fake_server.py
@@ -0,0 +1,185 @@
+"""Fake backend servers, and the entry's side of them, in the harness."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import ClassVar
+
+from bench import harness
+from tamarackbridge import const, core
+from tamarackbridge.components.dispatch import messages
+from tamarackbridge.components.records import models
+
+POLL_S = 0.2
+USED_S = 0.2
+Outcome = messages.Outcome
+End = Callable[[float, messages.Outcome], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One request on a server."""
+
+    started_at: float
+    cost: float
+    end: End
+
+
+class FakeServer:
+    """Works off running requests at a fixed rate each; may be cold.
+
+    Attributes:
+        violations: Starts above what it bore although the routers could
+            have known.
+        unwarned: Starts above what it bore before any report could tell.
+        worst_ratio: Greatest ratio of running requests to what it bore.
+    """
+
+    def __init__(
+        self, bus: harness.Harness, record: models.BackendServer, rate: float
+    ) -> None:
+        self.record = record
+        self.rate = rate
+        self.cold_until = float("-inf")
+        self.failing = False
+        self.runs: dict[str, Run] = {}
+        self.violations = self.unwarned = self.fenced = 0
+        self.worst_ratio = 0.0
+        self.listeners: Callable[[], list[str]] = list
+        self._turned_at = float("-inf")
+        self._boot = self._epoch = 0
+        self._bus = bus
+        if record.load_lag_s:
+            self._poll()
+
+    def bears(self) -> int:
+        """Returns how many requests it bears now."""
+        cold = self._bus.now < self.cold_until
+        return self.record.limit_cold if cold else self.record.limit_warm
+
+    def turn_cold(self, seconds: float, restart: bool = True) -> None:
+        """Turns cold without warning; a restart ends what runs."""
+        self.cold_until = self._bus.now + seconds
+        self._turned_at = self._bus.now
+        if restart:
+            self._boot += 1
+            for request_id in list(self.runs):
+                self.stop(request_id, Outcome.COLD)
+
+    def used(self, request_id: str) -> float:
+        """Returns the cost of a request so far."""
+        run = self.runs[request_id]
+        return min(run.cost, (self._bus.now - run.started_at) * self.rate)
+
+    def start(self, request_id: str, epoch: int, cost: float, end: End) -> None:
+        """Starts one request, unless it checks fencing and the epoch is old."""
+        if self.record.checks_fencing and epoch < self._epoch:
+            self.fenced += 1
+            end(0.0, Outcome.UNUSED)
+            return
+        self._epoch = max(self._epoch, epoch)
+        run = Run(self._bus.now, cost, end)
+        self.runs[request_id] = run
+        self._check()
+        when = self._bus.now + (0.05 if self.failing else cost / self.rate)
+        self._bus.at(when, lambda: self._finish(request_id, run))
+
+    def stop(self, request_id: str, outcome: messages.Outcome) -> None:
+        """Ends a request early."""
+        used = self.used(request_id)
+        self.runs.pop(request_id).end(used, outcome)
+
+    def _finish(self, request_id: str, run: Run) -> None:
+        if self.runs.get(request_id) is run:
+            outcome = Outcome.FAILED if self.failing else Outcome.OK
+            self.stop(request_id, outcome)
+
+    def _check(self) -> None:
+        self.worst_ratio = max(self.worst_ratio, len(self.runs) / self.bears())
+        if len(self.runs) <= self.bears():
+            return
+        known_at = self._turned_at + self.record.load_lag_s + 2 * POLL_S
+        if self._turned_at <= self._bus.now < known_at:
+            self.unwarned += 1
+        else:
+            self.violations += 1
+
+    def _poll(self) -> None:
+        lag_s = self.record.load_lag_s
+        cold = self._bus.now < self.cold_until
+        report = messages.LoadReport(
+            self.record.name, len(self.runs), cold, lag_s, str(self._boot)
+        )
+        self._bus.at(self._bus.now + lag_s * 0.9, lambda: self._tell(report))
+        self._bus.at(self._bus.now + POLL_S, self._poll)
+
+    def _tell(self, report: messages.LoadReport) -> None:
+        for node in self.listeners():
+            self._bus.inject(node, report)
+
+
+class FakeEntry:
+    """Sends permitted requests to the fake servers and reports their use.
+
+    Attributes:
+        costs: True cost of each request that it holds.
+        permitted: Told of each start: request, server.
+        ended: Told of each end: request, cost used, reason.
+    """
+
+    handles: ClassVar[tuple[type[core.Message], ...]] = (
+        messages.Permitted,
+        messages.Refused,
+    )
+
+    def __init__(
+        self, bus: harness.Harness, node: str, servers: dict[str, FakeServer]
+    ) -> None:
+        self.costs: dict[str, float] = {}
+        self.permitted: Callable[[str, str], None] = lambda *_: None
+        self.ended: Callable[[str, float, str], None] = lambda *_: None
+        self._bus = bus
+        self._node = node
+        self._servers = servers
+        self._running: dict[str, FakeServer] = {}
+        self._report_at = 0.0
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> list[core.Envelope]:
+        """Starts or forgets a request."""
+        msg = delivery.msg
+        if isinstance(msg, messages.Refused):
+            self.costs.pop(msg.request_id, None)
+            self.ended(msg.request_id, 0.0, msg.reason)
+        if isinstance(msg, messages.Permitted):
+            self._start(msg)
+        return []
+
+    def tick(self, now: float) -> list[core.Envelope]:
+        """Reports the cost of what runs."""
+        if now < self._report_at:
+            return []
+        self._report_at = now + USED_S
+        return [
+            core.Envelope(
+                const.LOCAL_NODE, messages.Used(name, server.used(name))
+            )
+            for name, server in self._running.items()
+        ]
+
+    def _start(self, msg: messages.Permitted) -> None:
+        name = msg.request_id
+        server = self._servers[msg.server]
+        self._running[name] = server
+
+        def end(used: float, outcome: messages.Outcome) -> None:
+            self._running.pop(name, None)
+            self.costs.pop(name, None)
+            self.ended(name, used, outcome.value)
+            done = messages.Done(name, used, outcome)
+            self._bus.at(
+                self._bus.now, lambda: self._bus.inject(self._node, done)
+            )
+
+        self.permitted(name, msg.server)
+        server.start(name, msg.epoch, self.costs[name], end)
--- a/tamarackbridge/components/dispatch/admission.py
+++ b/tamarackbridge/components/dispatch/admission.py
@@ -44,7 +44,7 @@
         self._counts: dict[tuple[str, str], int] = {}
         self._paused: dict[tuple[str, str], float] = {}
         self._expiry: list[tuple[float, str]] = []
-        self._retries: dict[str, tuple[float, float]] = {}
+        self._retries: list[tuple[float, float, str]] = []
 
     def is_full(
         self, service: str, workspace: str, limit: int, now: float
@@ -64,7 +64,7 @@
         expires_at = now + want.deadline_s
         request = Request(want, shard, (shard,), expires_at)
         self._requests[want.request_id] = request
-        self._retries[want.request_id] = (now, const.ASK_RETRY_S)
+        self._schedule(want.request_id, now, const.ASK_RETRY_S)
         heapq.heappush(self._expiry, (expires_at, want.request_id))
         key = (want.service, want.workspace)
         self._counts[key] = self._counts.get(key, 0) + 1
@@ -79,7 +79,6 @@
         request = self._requests.pop(request_id, None)
         if request is None:
             return None
-        del self._retries[request_id]
         key = (request.want.service, request.want.workspace)
         self._counts[key] -= 1
         if not self._counts[key]:
@@ -95,20 +94,19 @@
         self._requests[request_id] = moved
         return moved
 
-    def sent(self, request: Request, now: float) -> None:
-        """Notes that an ask was sent; the next one waits twice as long."""
-        request_id = request.want.request_id
-        _, interval_s = self._retries[request_id]
-        longer_s = min(2 * interval_s, const.MAX_ASK_RETRY_S)
-        self._retries[request_id] = (now + interval_s, longer_s)
-
     def unanswered(self, now: float) -> list[Request]:
-        """Returns the requests whose ask must be sent again."""
-        return [
-            self._requests[request_id]
-            for request_id, (due, _) in self._retries.items()
-            if due <= now
-        ]
+        """Returns the requests whose ask must be sent again.
+
+        The interval doubles each time.
+        """
+        found: list[Request] = []
+        while self._retries and self._retries[0][0] <= now:
+            _, interval_s, request_id = heapq.heappop(self._retries)
+            if request_id in self._requests:
+                found.append(self._requests[request_id])
+                longer_s = min(2 * interval_s, const.MAX_ASK_RETRY_S)
+                self._schedule(request_id, now, longer_s)
+        return found
 
     def expired(self, now: float) -> list[Request]:
         """Takes the requests out whose deadline has passed."""
@@ -123,3 +121,7 @@
     def of_shard(self, shard: str) -> list[Request]:
         """Returns the requests that ask one shard, oldest first."""
         return [req for req in self._requests.values() if req.shard == shard]
+
+    def _schedule(self, request_id: str, now: float, interval_s: float) -> None:
+        entry = (now + interval_s, interval_s, request_id)
+        heapq.heappush(self._retries, entry)
--- a/tamarackbridge/components/dispatch/const.py
+++ b/tamarackbridge/components/dispatch/const.py
@@ -37,3 +37,6 @@
 
 DEFAULT_MAX_QUEUED: Final = 64
 """Waiting requests of a workspace that has no record yet."""
+
+SWEEP_S: Final = 0.2
+"""Interval at which a dispatcher looks for what has expired."""
--- a/tamarackbridge/components/dispatch/occupancy.py
+++ b/tamarackbridge/components/dispatch/occupancy.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import dataclasses
 
 from tamarackbridge import const
 from tamarackbridge.components.dispatch import const as dispatch_const
@@ -28,7 +29,7 @@
         self.unknown = 0
         self.unknown_until = 0.0
         self._excess = 0
-        self._measured_from = float("-inf")
+        self._report: _Measured | None = None
         self._finishes: collections.deque[float] = collections.deque(
             maxlen=MAX_FINISHES
         )
@@ -37,45 +38,54 @@
         """Notes the end of one permit."""
         self._finishes.append(now)
 
-    def adopted(self) -> None:
-        """Notes that an entry reported one permit of an earlier epoch."""
-        self.unknown = max(self.unknown - 1, 0)
-
     def in_use(self, held: int, now: float) -> int:
         """Returns how many requests may run, with `held` permits out."""
         if now >= self.unknown_until:
             self.unknown = 0
-        return held + self.unknown + self._unexplained(now)
+        return held + self.unknown + self._excess
 
     def reported(
-        self,
-        report: messages.LoadReport,
-        held: list[permits.Permit],
-        now: float,
-    ) -> int:
-        """Takes the server's own report in.
-
-        Returns:
-            How many permits of silent entries may still be running.
-        """
+        self, report: messages.LoadReport, held: int, now: float
+    ) -> None:
+        """Takes the server's own report in, with `held` permits out."""
         measured_from = now - report.lag_s
         while self._finishes and self._finishes[0] < measured_from:
             self._finishes.popleft()
-        explained = len(held) + self.unknown + len(self._finishes)
+        explained = held + self.unknown + len(self._finishes)
         self._excess = max(report.in_flight - explained, 0)
-        self._measured_from = measured_from
-        silent = [item for item in held if is_silent(item, now)]
-        started = sum(
-            item.granted_at + START_WINDOW_S > measured_from for item in held
-        )
-        live = len(held) - len(silent)
-        left = max(report.in_flight + started - live, 0)
-        silent_left = min(left, len(silent))
-        self.unknown = min(self.unknown, left - silent_left)
-        return silent_left
-
-    def _unexplained(self, now: float) -> int:
-        return self._excess
+        self._report = _Measured(report.in_flight, measured_from, now)
+
+    def ended(
+        self, held: list[permits.Permit], now: float
+    ) -> list[permits.Permit]:
+        """Returns the silent permits that the last report shows to have ended.
+
+        What the server ran when it measured was either a permit that its
+        entry still named afterwards, or one of the rest. So no more of the
+        rest can run than the report leaves for them.
+        """
+        report = self._report
+        if report is None:
+            return []
+        old = [item for item in held if _started_before(item, report.since)]
+        named = sum(item.heard_at >= report.until for item in old)
+        left = max(report.in_flight - named, 0)
+        self.unknown = min(self.unknown, left)
+        silent = [item for item in old if is_silent(item, now)]
+        silent.sort(key=lambda item: item.granted_at)
+        surplus = self.unknown + len(silent) - left
+        return silent[: max(surplus, 0)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Measured:
+    in_flight: int
+    since: float
+    until: float
+
+
+def _started_before(permit: permits.Permit, moment: float) -> bool:
+    return permit.granted_at + START_WINDOW_S <= moment
 
 
 def is_silent(permit: permits.Permit, now: float) -> bool:
--- a/tamarackbridge/components/dispatch/permit_client.py
+++ b/tamarackbridge/components/dispatch/permit_client.py
@@ -124,7 +124,6 @@
         holder = self._placement.holder(request.shard)
         if not holder:
             return ()
-        self._waiting.sent(request, now)
         return [core.Envelope(holder, request.ask(now))]
 
     def _give_up(self, request_id: str) -> Sequence[core.Envelope]:
@@ -246,15 +245,12 @@
         if msg.epoch < self._placement.epoch(msg.shard):
             return ()
         self._placement.set_holder(msg.shard, msg.epoch, src)
-        asks: list[messages.Ask] = []
-        for request in self._waiting.of_shard(msg.shard):
-            self._waiting.sent(request, now)
-            asks.append(request.ask(now))
+        waiting = self._waiting.of_shard(msg.shard)
         report = messages.ResyncReport(
             shard=msg.shard,
             epoch=msg.epoch,
             held=self._holdings.held(msg.shard, now),
-            waiting=tuple(asks),
+            waiting=tuple(request.ask(now) for request in waiting),
             counters=self._holdings.counters(msg.shard),
             up_s=self._up_s(now),
         )
--- a/tamarackbridge/components/dispatch/permits.py
+++ b/tamarackbridge/components/dispatch/permits.py
@@ -15,8 +15,8 @@
         share: The workspace's share when the permit was issued; a later
             change of the share doesn't reprice what runs.
         charged: Cost charged to the workspace so far.
-        granted_at: Monotonic time of issue or of adoption.
-        heard_at: Monotonic time at which its entry last named it.
+        granted_at: Monotonic time of issue, or the latest it can have been.
+        heard_at: Monotonic time at which its entry last named it, at least.
         ends_at: Monotonic time at which its work has ended for certain.
     """
 
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -56,6 +56,7 @@
             now, service.max_request_s + fleet_const.GRANT_USE_S, epoch <= 1
         )
         self._number = 0
+        self._swept_at = now
         self._counters_due = epoch > 1
 
     # Local news.
@@ -108,7 +109,7 @@
             permit = self.permits.get((msg.epoch, number))
             if permit is None or permit.entry != src:
                 continue
-            permit.heard_at = now
+            permit.heard_at = max(permit.heard_at, now - age_s)
             if used > permit.charged:
                 self._charge(permit, used)
         if math.isfinite(age_s):
@@ -135,7 +136,8 @@
     ) -> list[core.Envelope]:
         """Takes over what one entry holds."""
         for held in msg.held:
-            self._adopt(src, held, now)
+            self._adopt(src, held, age_s, now)
+        self._free_ended(now)
         self._takeover.learn_counters(msg.counters)
         self._takeover.reported(src, msg.up_s, now)
         out: list[core.Envelope] = []
@@ -150,32 +152,24 @@
             return
         self._limits[name].reported(report, now)
         place = self._occupancy[name]
-        if self._takeover.measured(name, now - report.lag_s):
+        measured_from = now - report.lag_s
+        if self._takeover.measured(name, measured_from, now):
             place.unknown = report.in_flight
             place.unknown_until = self._takeover.fence + self._takeover.life_s
-        held = self.permits.on_server(name)
-        left = place.reported(report, held, now)
-        silent = [item for item in held if occupancy.is_silent(item, now)]
-        silent.sort(key=lambda item: item.granted_at)
-        for permit in silent[: len(silent) - left]:
-            self._release(permit, now)
+        place.reported(report, self.permits.count_server(name), now)
 
     # Time.
 
     def tick(self, now: float) -> list[core.Envelope]:
         """Ends what has expired and asks who has not reported."""
         out: list[core.Envelope] = []
-        for item in [it for it in self.order if it.expires_at <= now]:
-            self.order.remove(item.ask.request_id)
-            out.append(self._refuse(item.entry, item.ask, Reason.DEADLINE))
-        for permit in self.permits:
-            if permit.ends_at <= now:
-                self._release(permit, now)
+        if now >= self._swept_at + const.SWEEP_S:
+            self._swept_at = now
+            out.extend(self._sweep(now))
         if self.may_issue(now) and self._takeover.due(now):
             ask = messages.ResyncAsk(self.shard, self.epoch)
             missing = sorted(self._takeover.missing())
             out.extend(core.Envelope(node, ask) for node in missing)
-        self.order.prune(self.permits.workspaces())
         return out
 
     def may_issue(self, now: float) -> bool:
@@ -197,6 +191,10 @@
             )
             if item is None:
                 break
+            if item.expires_at <= now:
+                refused = self._refuse(item.entry, item.ask, Reason.DEADLINE)
+                out.append(refused)
+                continue
             self.order.started(item)
             server = self._choose(free, item.ask.avoid)
             out.append(self._grant(item, server, now))
@@ -234,6 +232,26 @@
 
     # Inner steps.
 
+    def _sweep(self, now: float) -> list[core.Envelope]:
+        out: list[core.Envelope] = []
+        for item in [it for it in self.order if it.expires_at <= now]:
+            self.order.remove(item.ask.request_id)
+            out.append(self._refuse(item.entry, item.ask, Reason.DEADLINE))
+        for permit in self.permits:
+            if permit.ends_at <= now:
+                self._release(permit, now)
+        self._free_ended(now)
+        self.order.prune(self.permits.workspaces())
+        return out
+
+    def _free_ended(self, now: float) -> None:
+        vouched = self._takeover.complete(now)
+        for name, place in self._occupancy.items():
+            if vouched:
+                place.unknown = 0
+            for permit in place.ended(self.permits.on_server(name), now):
+                self._release(permit, now)
+
     def _refusal(self, ask: messages.Ask) -> Reason | None:
         if all(name in ask.avoid for name in self._servers):
             return Reason.NO_CAPACITY
@@ -354,8 +372,12 @@
             if usable_until < sent_at and up_since < permit.granted_at:
                 self._release(permit, sent_at)
 
-    def _adopt(self, src: str, held: messages.HeldPermit, now: float) -> None:
-        if self.permits.get((held.epoch, held.number)) is not None:
+    def _adopt(
+        self, src: str, held: messages.HeldPermit, age_s: float, now: float
+    ) -> None:
+        known = self.permits.get((held.epoch, held.number))
+        if known is not None:
+            known.heard_at = max(known.heard_at, now - age_s)
             return
         permit = permits.Permit(
             epoch=held.epoch,
@@ -369,13 +391,11 @@
             share=self._share(held.workspace),
             hint=0.0,
             charged=held.used,
-            granted_at=now,
-            heard_at=now,
+            granted_at=self._takeover.fence - occupancy.START_WINDOW_S,
+            heard_at=now - age_s,
             ends_at=now + held.life_left_s,
         )
         self.permits.add(permit)
-        if held.server in self._occupancy:
-            self._occupancy[held.server].adopted()
 
     def _restore_counters(self) -> None:
         """Rebuilds the counters once, close to the virtual time."""
--- a/tamarackbridge/components/dispatch/takeover.py
+++ b/tamarackbridge/components/dispatch/takeover.py
@@ -9,8 +9,8 @@
     """Progress of one epoch's take-over.
 
     No permit of an earlier epoch starts work after `fence`. A backend server
-    is known once every member has reported, or once the server's own load was
-    measured after the fence, or once the longest permit has ended.
+    is known once every member has vouched for its report, or once the server's
+    own load was measured after the fence, or once the longest permit has ended.
 
     Attributes:
         fence: Monotonic time after which nothing starts under older epochs.
@@ -22,7 +22,8 @@
         self.life_s = life_s
         self._first = first
         self._members: set[str] = set()
-        self._reported: set[str] = set()
+        self._answered: set[str] = set()
+        self._vouched: set[str] = set()
         self._known: set[str] = set()
         self._asked_at = float("-inf")
         self.counters: dict[str, float] = {}
@@ -32,12 +33,14 @@
         self._members |= set(members)
 
     def missing(self) -> set[str]:
-        """Returns the members that have not reported."""
-        return self._members - self._reported
+        """Returns the members that have not answered."""
+        return self._members - self._answered
 
     def due(self, now: float) -> bool:
         """Tells whether to ask the missing members again."""
-        if not self.missing() or now < self._asked_at + const.RESYNC_RETRY_S:
+        if self._first or not self.missing():
+            return False
+        if now < self._asked_at + const.RESYNC_RETRY_S:
             return False
         if now > self.fence + self.life_s:
             return False
@@ -52,8 +55,9 @@
             up_s: How long it has been running.
             now: Monotonic time in seconds.
         """
+        self._answered.add(node)
         if up_s >= now - self.fence + self.life_s:
-            self._reported.add(node)
+            self._vouched.add(node)
 
     def learn_counters(
         self, counters: Iterable[messages.WorkspaceCounter]
@@ -67,13 +71,19 @@
         """Tells whether nothing of an earlier epoch is unknown."""
         if self._first or now >= self.fence + self.life_s:
             return True
-        return bool(self._members) and not self.missing()
+        return bool(self._members) and self._members <= self._vouched
+
+    def measured(self, server: str, measured_from: float, now: float) -> bool:
+        """Notes a load report; returns whether it made the server known.
 
-    def measured(self, server: str, measured_from: float) -> bool:
-        """Notes a load report; returns whether it made the server known."""
-        if measured_from < self.fence or server in self._known:
+        The members are asked once more then, as the permits that they name
+        after the measurement explain part of the load.
+        """
+        known = self.known(server, now)
+        if measured_from < self.fence or known:
             return False
         self._known.add(server)
+        self._answered.clear()
         return True
 
     def known(self, server: str, now: float) -> bool:
