--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "processes",
     "real_fleet",
     "real_load",
+    "world",
 }
 
 
--- /dev/null
+++ b/bench/world.py
@@ -0,0 +1,347 @@
+"""Routers with all real deciders, and fake entries and backend servers."""
+
+from collections.abc import Callable, Sequence
+import dataclasses
+import pathlib
+import random
+from typing import ClassVar
+
+from bench import fake_store, harness
+from tamarackbridge import const, core
+from tamarackbridge.components.claims import client as claim_client
+from tamarackbridge.components.claims import keeper
+from tamarackbridge.components.claims import messages as claims
+from tamarackbridge.components.configuration import applier, changes
+from tamarackbridge.components.configuration import messages as configuration
+from tamarackbridge.components.dispatch import dispatcher, permit_client
+from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.membership import leases, member
+from tamarackbridge.components.membership import messages as membership
+from tamarackbridge.components.records import codec, files, models, snapshot
+
+ROOT = pathlib.Path(__file__).parent.parent
+LOAD_POLL_S = 0.5
+LOAD_LAG_S = 0.25
+LOST_AFTER_S = 0.5
+"""Time after which an entry notices that a backend server is gone."""
+
+
+class Act(core.Message, frozen=True, tag=True):
+    """Makes an entry do something, when its router is not paused."""
+
+    action: Callable[["Entry"], Sequence[core.Envelope]]
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A backend server that runs what it is given, and may vanish."""
+
+    record: models.BackendServer
+    running: dict[str, float] = dataclasses.field(default_factory=dict)
+    gone: bool = False
+    cold_since: float = float("-inf")
+    cold_until: float = 0.0
+    boot: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request of a caller and what became of it."""
+
+    request_id: str
+    service: str
+    route: models.Route
+    workspace: str
+    work_s: float
+    due: float
+    key: str = ""
+    started: int = 0
+    answer: str = ""
+    answered_at: float = 0.0
+    avoid: tuple[str, ...] = ()
+
+
+class Entry:
+    """Stands for the entry service: starts what is permitted."""
+
+    handles: ClassVar[tuple[type[core.Message], ...]] = (
+        Act,
+        dispatch.Permitted,
+        dispatch.Refused,
+        claims.ClaimResult,
+        configuration.ServingChanged,
+        configuration.SnapshotInForce,
+        configuration.ChangeReport,
+        membership.RosterChanged,
+        dispatch.LeaseHeld,
+        dispatch.LeaseLost,
+    )
+
+    def __init__(self, world: "World", node: str) -> None:
+        self.node = node
+        self.world = world
+        self.serving = False
+        self.live: tuple[str, ...] = ()
+        self.snapshot = models.empty_snapshot()
+        self.requests: dict[str, Request] = {}
+        self.held: dict[str, dispatch.LeaseHeld] = {}
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> Sequence[core.Envelope]:
+        """Takes one message in."""
+        msg = delivery.msg
+        self.world.observe(self, msg, now)
+        match msg:
+            case Act():
+                return msg.action(self)
+            case configuration.ServingChanged():
+                self.serving = msg.serving
+            case configuration.SnapshotInForce():
+                self.snapshot = msg.snapshot
+            case membership.RosterChanged():
+                self.live = msg.live
+            case dispatch.LeaseHeld():
+                self.held[msg.shard] = msg
+            case dispatch.LeaseLost():
+                self.held.pop(msg.shard, None)
+            case dispatch.Permitted() if msg.request_id in self.requests:
+                return self._start(self.requests[msg.request_id], msg, now)
+            case dispatch.Refused() if msg.request_id in self.requests:
+                return self.end(self.requests[msg.request_id], msg.reason, now)
+            case claims.ClaimResult() if msg.request_id in self.requests:
+                req = self.requests[msg.request_id]
+                if msg.answer is claims.ClaimAnswer.RUN:
+                    return self.want(req, now)
+                return self.end(req, msg.answer.value, now, claimed=False)
+        return ()
+
+    def tick(self, now: float) -> Sequence[core.Envelope]:
+        """Does nothing."""
+        return ()
+
+    def arrive(self, req: Request, now: float) -> Sequence[core.Envelope]:
+        """Takes a caller's request."""
+        if not self.serving:
+            return self.end(req, "not_serving", now, claimed=False)
+        self.requests[req.request_id] = req
+        if req.route.idempotent:
+            return self.want(req, now)
+        want = claims.ClaimWant(req.request_id, req.key, "body", 2.0)
+        return [core.Envelope(const.LOCAL_NODE, want)]
+
+    def want(self, req: Request, now: float) -> Sequence[core.Envelope]:
+        """Asks for a permit."""
+        left = req.due - now
+        want = dispatch.Want(
+            service=req.service,
+            request_id=req.request_id,
+            workspace=req.workspace,
+            end_user="",
+            route=req.route.name,
+            hint_cost=0.0,
+            deadline_s=left,
+            avoid=req.avoid,
+        )
+        return [core.Envelope(const.LOCAL_NODE, want)]
+
+    def end(
+        self, req: Request, answer: str, now: float, claimed: bool = True
+    ) -> Sequence[core.Envelope]:
+        """Answers the caller."""
+        self.requests.pop(req.request_id, None)
+        self.world.answered(req, answer, now)
+        if req.route.idempotent or not claimed:
+            return ()
+        state = claims.ClaimState.ABANDONED
+        if req.started:
+            ok = answer == "ok"
+            state = (
+                claims.ClaimState.FINISHED if ok else claims.ClaimState.UNKNOWN
+            )
+        close = claims.ClaimClose(req.request_id, state, 200)
+        return [core.Envelope(const.LOCAL_NODE, close)]
+
+    def _start(
+        self, req: Request, permit: dispatch.Permitted, now: float
+    ) -> Sequence[core.Envelope]:
+        if now >= permit.start_by:
+            done = dispatch.Done(req.request_id, 0.0, dispatch.Outcome.UNUSED)
+            return [core.Envelope(const.LOCAL_NODE, done), *self.want(req, now)]
+        self.world.start(self, req, permit, now)
+        return ()
+
+    def finished(
+        self, req: Request, outcome: dispatch.Outcome, now: float
+    ) -> Sequence[core.Envelope]:
+        """Takes the end of a run: answers, or tries another server."""
+        used = req.work_s * 1000
+        done = core.Envelope(
+            const.LOCAL_NODE, dispatch.Done(req.request_id, used, outcome, 0.01)
+        )
+        if outcome is not dispatch.Outcome.FAILED:
+            return [done, *self.end(req, "ok", now)]
+        if req.route.idempotent and now < req.due:
+            return [done, *self.want(req, now)]
+        return [done, *self.end(req, "backend_failed", now)]
+
+
+class World:
+    """A fleet in the harness, its backend servers and its callers' answers."""
+
+    def __init__(self, seed: int, zones: dict[str, str]) -> None:
+        self.bus = harness.Harness(seed)
+        self.rng = random.Random(seed)
+        self.store = fake_store.FakeStore(self.bus, const.STORE_NODE)
+        self.bus.add_fake(const.STORE_NODE, self.store)
+        self.zone = zones
+        self.entries: dict[str, Entry] = {}
+        self.servers: dict[str, Server] = {}
+        self.answers: list[Request] = []
+        self.starts: list[tuple[float, str]] = []
+        self._lives = 0
+        self.bus.at(0.0, self._poll_loads)
+
+    def load_records(self) -> tuple[configuration.RecordEdit, ...]:
+        """Returns Asahikawa's records, and makes their backend servers."""
+        path = ROOT / "examples" / "asahikawa" / "records.toml"
+        records = files.load(path).unwrap()
+        for record in records:
+            if isinstance(record.model, models.BackendServer):
+                self.servers[record.model.name] = Server(record.model)
+        return tuple(
+            configuration.RecordEdit(
+                f"{rec.kind}/{rec.name}", codec.encode(rec)
+            )
+            for rec in records
+        )
+
+    def router(self, node: str) -> None:
+        """Starts a router, or starts it again with empty state."""
+        self._lives += 1
+        rng = random.Random(self.rng.random())
+        entry = Entry(self, node)
+        self.entries[node] = entry
+        parts: tuple[core.Decider, ...] = (
+            member.MemberDecider(node, self.zone[node], "", self._lives, rng),
+            leases.ShardLeases(node, rng),
+            applier.Applier(node, rng, snapshot.SnapshotCodec()),
+            changes.ChangeWriter(node, rng, snapshot.SnapshotCodec()),
+            dispatcher.Dispatcher(node, rng),
+            permit_client.PermitClient(node, rng),
+            keeper.Keeper(node, rng, 3600.0, 4096),
+            claim_client.ClaimClient(node, rng, self._lives),
+            entry,
+        )
+        self.bus.start(core.DeciderGroup(node, parts))
+
+    def kill(self, node: str) -> None:
+        """Ends a router; its callers lose their connections."""
+        self.bus.kill(node)
+        for req in list(self.entries[node].requests.values()):
+            self.answered(req, "connection_lost", self.bus.now)
+        self.entries[node].requests.clear()
+        self.entries[node].held.clear()
+
+    def call(self, node: str, req: Request) -> None:
+        """Sends a caller's request to a router."""
+        if not self.bus.alive(node):
+            self.answered(req, "connection_lost", self.bus.now)
+            return
+        self._act(node, lambda entry: entry.arrive(req, self.bus.now))
+
+    def start(
+        self, entry: Entry, req: Request, permit: dispatch.Permitted, now: float
+    ) -> None:
+        """Runs a request on a backend server."""
+        server = self.servers[permit.server]
+        req.started += 1
+        req.avoid = (*req.avoid, permit.server)
+        run = f"{req.request_id}#{req.started}"
+        if server.gone:
+            self._finish_later(entry, req, LOST_AFTER_S, failed=True)
+            return
+        server.running[run] = now
+        self.started(entry, req, server, now)
+        self.bus.at(
+            now + req.work_s, lambda: self._end_run(server, run, entry, req)
+        )
+
+    def vanish(self, name: str) -> None:
+        """Takes a backend server away with all that runs on it."""
+        self.servers[name].gone = True
+
+    def come_back(self, name: str) -> None:
+        """Brings a backend server back, cold and empty."""
+        server = self.servers[name]
+        server.gone = False
+        server.running.clear()
+        server.boot += 1
+        self.chill(name, 5.0)
+
+    def chill(self, name: str, seconds: float) -> None:
+        """Makes a backend server cold for some time."""
+        server = self.servers[name]
+        server.cold_since = self.bus.now
+        server.cold_until = self.bus.now + seconds
+
+    # For the measurements to override.
+
+    def observe(self, entry: Entry, msg: core.Message, now: float) -> None:
+        """Sees each local message of a router."""
+
+    def started(
+        self, entry: Entry, req: Request, server: Server, now: float
+    ) -> None:
+        """Sees each start of work on a backend server."""
+
+    def answered(self, req: Request, answer: str, now: float) -> None:
+        """Takes the answer of a request."""
+        req.answer = answer
+        req.answered_at = now
+        self.answers.append(req)
+
+    # Inner steps.
+
+    def _end_run(
+        self, server: Server, run: str, entry: Entry, req: Request
+    ) -> None:
+        lost = server.gone or server.running.pop(run, None) is None
+        self._finish_later(entry, req, LOST_AFTER_S if lost else 0.0, lost)
+
+    def _finish_later(
+        self, entry: Entry, req: Request, wait_s: float, failed: bool
+    ) -> None:
+        outcome = dispatch.Outcome.FAILED if failed else dispatch.Outcome.OK
+
+        def finish() -> None:
+            if self.entries[entry.node] is entry:
+                self._act(
+                    entry.node,
+                    lambda ent: ent.finished(req, outcome, self.bus.now),
+                )
+
+        self.bus.at(self.bus.now + wait_s, finish)
+
+    def _act(
+        self, node: str, action: Callable[[Entry], Sequence[core.Envelope]]
+    ) -> None:
+        self.bus.inject(node, Act(action))
+
+    def _poll_loads(self) -> None:
+        for node in self.entries:
+            for server in self.servers.values():
+                if not server.gone:
+                    self._report_load(node, server)
+        self.bus.at(self.bus.now + LOAD_POLL_S, self._poll_loads)
+
+    def _report_load(self, node: str, server: Server) -> None:
+        report = dispatch.LoadReport(
+            server.record.name,
+            len(server.running),
+            self.bus.now < server.cold_until,
+            LOAD_LAG_S,
+            str(server.boot),
+        )
+        arrival = self.bus.now + self.rng.uniform(0.0, LOAD_LAG_S)
+        self.bus.at(arrival, lambda: self.bus.inject(node, report))
