--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "processes",
     "real_fleet",
     "real_load",
+    "world",
 }
 
 
