Test that routers hear only peers of their own authority

Cause: mutual TLS between routers had credentials but no test that a stranger is refused. Change: one table over a peer of the same authority, of another, and without TLS. Result: only the first is heard.

--- /dev/null
+++ b/tests/components/transport/test_tls.py
@@ -0,0 +1,58 @@
+"""Routers talk to each other by mutual TLS alone."""
+
+import asyncio
+import contextlib
+import pathlib
+
+import pytest
+
+from tamarackbridge import core
+from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.settings import models as settings
+from tamarackbridge.components.tls import peers
+from tamarackbridge.components.transport import service
+from tests import certificates
+
+MSG = dispatch.ResyncAsk("s/0", 1)
+LONG_S = 5.0
+SHORT_S = 0.5
+
+
+def peer(
+    node: str, tls: settings.TlsSettings
+) -> tuple[service.PeerService, asyncio.Queue[core.Delivery]]:
+    queue: asyncio.Queue[core.Delivery] = asyncio.Queue()
+    made = service.PeerService(
+        node,
+        f"boot-{node}",
+        settings.ListenSettings(),
+        core.SystemClock(),
+        queue.put_nowait,
+        peers.PeerCredentials(tls) if tls.certificate else None,
+    )
+    return made, queue
+
+
+@pytest.mark.parametrize("sender", ["ours", "strange", "plain"])
+async def test_only_peers_of_the_same_authority_are_heard(
+    tmp_path: pathlib.Path, sender: str
+) -> None:
+    ours = certificates.Authority(tmp_path, "ours")
+    strange = certificates.Authority(tmp_path, "strange")
+    tls = {
+        "ours": ours.issue("b", ours.path),
+        "strange": strange.issue("c", ours.path),
+        "plain": settings.TlsSettings(),
+    }
+    receiving, queue = peer("a", ours.issue("a", ours.path))
+    sending, _ = peer("b", tls[sender])
+    async with receiving, sending:
+        sending.set_addresses({"a": f"127.0.0.1:{receiving.port}"})
+        sending.post("a", MSG)
+        if sender == "ours":
+            delivery = await asyncio.wait_for(queue.get(), LONG_S)
+            assert (delivery.src, delivery.msg) == ("b", MSG)
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(queue.get(), SHORT_S)
+            pytest.fail("a stranger was heard")
