Encode messages between routers as arrays

Cause: field names made up almost half of each message: an Ask took 175 bytes, a Grant 155, a Finish 93. Change: messages and what they hold are encoded as arrays, which still lets a newer version add fields at the end.

--- a/tamarackbridge/components/dispatch/messages.py
+++ b/tamarackbridge/components/dispatch/messages.py
@@ -133,7 +133,7 @@
     first_byte_s: float = 0.0
 
 
-class HeldPermit(msgspec.Struct, frozen=True):
+class HeldPermit(msgspec.Struct, frozen=True, array_like=True):
     """One running permit, as its entry reports it to a new dispatcher."""
 
     epoch: int
@@ -145,7 +145,7 @@
     life_left_s: float
 
 
-class WorkspaceCounter(msgspec.Struct, frozen=True):
+class WorkspaceCounter(msgspec.Struct, frozen=True, array_like=True):
     """The highest virtual service counter that an entry saw granted."""
 
     workspace: str
--- a/tamarackbridge/components/membership/messages.py
+++ b/tamarackbridge/components/membership/messages.py
@@ -9,7 +9,7 @@
 """Value of `known` of a router that can't yet speak for what it knows."""
 
 
-class Member(msgspec.Struct, frozen=True):
+class Member(msgspec.Struct, frozen=True, array_like=True):
     """One router of the fleet.
 
     Attributes:
--- a/tamarackbridge/core.py
+++ b/tamarackbridge/core.py
@@ -17,7 +17,7 @@
 from tamarackbridge import const, exceptions
 
 
-class Message(msgspec.Struct, frozen=True, tag=True):
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of every typed message between deciders and routers."""
 
 
