Batch for 5 ms between routers; let the demo wait for dispatchers

Cause: a batch waited up to 20 ms each way between Ask, Grant and Finish, and the demo began before any shard had a dispatcher. Change: the time between two batches to a peer is a constant of the transport, 5 ms; the demo waits for holders.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -19,6 +19,7 @@
 OUT_AT_S = 7.0
 BACK_AT_S = 13.0
 SAMPLE_S = 0.25
+HOLDER_POLLS = 60
 WORK_DIR = pathlib.Path("build/demo")
 ZONE = {"mela": "multan", "asahikawa": "obihiro"}
 BACKLOGGED_S = (3.0, 19.0)
@@ -169,6 +170,20 @@
     return total
 
 
+async def async_holders(fleet: real_fleet.RealFleet) -> None:
+    """Waits until every shard of every service has a dispatcher."""
+    headers = {"Authorization": f"Bearer {fleet.token}"}
+    url = next(iter(fleet.operators.values())) + "/v1/status"
+    async with aiohttp.ClientSession(headers=headers) as session:
+        for _ in range(HOLDER_POLLS):
+            async with session.get(url) as resp:
+                shards = (await resp.json())["shards"]
+            if shards and all(item["holder"] for item in shards):
+                return
+            await asyncio.sleep(SAMPLE_S)
+    raise TimeoutError("a shard has no dispatcher")
+
+
 async def async_zone(fleet: real_fleet.RealFleet, load: real_load.Load) -> None:
     """Takes a zone out and brings it back."""
     zone = ZONE[fleet.deployment]
@@ -196,7 +211,8 @@
     await fleet.async_wait("/healthz")
     say(fleet.apply_records().strip().splitlines()[-1])
     await fleet.async_wait("/readyz")
-    say(f"{ROUTERS} routers are ready")
+    await async_holders(fleet)
+    say(f"{ROUTERS} routers are ready, each shard has its dispatcher")
     load = real_load.Load(fleet, seed)
     sampler = Sampler(fleet)
     control = await async_control(fleet)
--- a/tamarackbridge/components/transport/const.py
+++ b/tamarackbridge/components/transport/const.py
@@ -5,6 +5,9 @@
 METHOD: Final = "/tamarackbridge.Peer/Exchange"
 SERVICE: Final = "tamarackbridge.Peer"
 
+BATCH_S: Final = 0.005
+"""Least time between two batches to one peer."""
+
 MAX_QUEUED_MESSAGES: Final = 20_000
 """Messages that wait for one peer; the oldest are dropped beyond it."""
 
--- a/tamarackbridge/components/transport/link.py
+++ b/tamarackbridge/components/transport/link.py
@@ -9,7 +9,6 @@
 from grpc import aio
 import mode
 
-from tamarackbridge import const as core_const
 from tamarackbridge import core, messages
 from tamarackbridge.components.transport import age, const
 
@@ -17,8 +16,8 @@
 class PeerLink(core.Service):
     """Owns the channel to one peer and batches what goes to it.
 
-    The first message after a quiet tick leaves at once; what comes within
-    the tick after it leaves together at its end.
+    The first message after a quiet time leaves at once; what comes within
+    `const.BATCH_S` after it leaves together at its end.
     """
 
     def __init__(
@@ -83,7 +82,7 @@
             if not self._queue:
                 continue
             yield self._next_batch()
-            await asyncio.sleep(core_const.TICK_S)
+            await asyncio.sleep(const.BATCH_S)
 
     def _next_batch(self) -> bytes:
         msgs = tuple(messages.encode_message(msg) for msg in self._queue)
--- a/tamarackbridge/const.py
+++ b/tamarackbridge/const.py
@@ -18,7 +18,7 @@
 """A permit that was not used within this time of its issue is void."""
 
 TICK_S: Final = 0.02
-"""Interval at which outgoing control messages are batched per peer."""
+"""Longest interval between two ticks of a decider."""
 
 MS_PER_S: Final = 1000
 """Milliseconds in one second."""
