--- a/bench/fairness_network.py
+++ b/bench/fairness_network.py
@@ -45,8 +45,12 @@
         envs = self._queued.pop(link)
         self._sent_at[link] = self.now
         self._count(link, envs)
+        delays = self.faults.delay_s
+        delay = self.rng.uniform(*delays)
+        self.faults.delay_s = (delay, delay)
         for env in envs:
             super().send(link[0], env)
+        self.faults.delay_s = delays
 
     def _count(self, link: tuple[str, str], envs: list[core.Envelope]) -> None:
         started = time.process_time()
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -289,8 +289,9 @@
 
     def _free(self, now: float) -> dict[str, int]:
         free: dict[str, int] = {}
+        complete = self._takeover.complete(now)
         for name in self._servers:
-            if not self._takeover.known(name, now):
+            if not complete and not self._takeover.known(name, now):
                 continue
             held = self.permits.count_server(name)
             in_use = self._occupancy[name].in_use(held, now)
