--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -230,6 +230,10 @@
             out.append(core.Envelope(item.entry, move))
         return out
 
+    def limits(self, now: float) -> dict[str, int]:
+        """Returns how many requests each server may run now."""
+        return {name: item.allowed(now) for name, item in self._limits.items()}
+
     # Inner steps.
 
     def _sweep(self, now: float) -> list[core.Envelope]:
--- a/tamarackbridge/core.py
+++ b/tamarackbridge/core.py
@@ -17,7 +17,7 @@
 from tamarackbridge import const, exceptions
 
 
-class Message(msgspec.Struct, frozen=True, tag=True):
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of every typed message between deciders and routers."""
 
 
@@ -142,6 +142,12 @@
         return leaving
 
 
+class Service(mode.Service):
+    """A service of one router; starting and stopping is no news."""
+
+    mundane_level = "debug"
+
+
 class Kernel:
     """Registry in which the services of one router find each other."""
 
--- /dev/null
+++ b/tamarackbridge/router.py
@@ -0,0 +1,238 @@
+"""The composition root: wires the parts of one router process."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import ssl
+import uuid
+
+from absl import logging
+import mode
+
+from tamarackbridge import const as core_const
+from tamarackbridge import core, decider_loop
+from tamarackbridge.components.backend import client as backend_client
+from tamarackbridge.components.backend import load_poller
+from tamarackbridge.components.claims import client as claim_client
+from tamarackbridge.components.claims import keeper
+from tamarackbridge.components.configuration import applier, changes
+from tamarackbridge.components.dispatch import dispatcher, permit_client
+from tamarackbridge.components.entry import forward
+from tamarackbridge.components.entry import port as entry_port
+from tamarackbridge.components.entry import service as entry_service
+from tamarackbridge.components.membership import leases, member
+from tamarackbridge.components.membership import messages as membership
+from tamarackbridge.components.object_api import http as object_api_http
+from tamarackbridge.components.operator import const as operator_const
+from tamarackbridge.components.operator import (
+    fleet_writer,
+    request_view,
+    status_view,
+)
+from tamarackbridge.components.operator import service as operator_service
+from tamarackbridge.components.records import snapshot
+from tamarackbridge.components.settings import models as settings_models
+from tamarackbridge.components.telemetry import logs, metrics, router_metrics
+from tamarackbridge.components.tls import contexts, reloader
+from tamarackbridge.components.tls import peers as tls_peers
+from tamarackbridge.components.transport import port as transport_port
+from tamarackbridge.components.transport import service as transport
+from tamarackbridge.components.vm_list import http as vm_list_http
+from tamarackbridge.components.vm_list import poller as vm_list_poller
+
+
+class Router:
+    """All services of one router process, found by name in its kernel."""
+
+    def __init__(self, settings: settings_models.Settings) -> None:
+        self.settings = settings
+        self._boot = uuid.uuid4().hex
+        clock = core.SystemClock()
+        kernel = core.Kernel(clock, random.Random(self._boot))
+        self.kernel = kernel
+        kernel.register(operator_const.SERVICE_SETTINGS, settings)
+        self._changes = fleet_writer.ChangePort()
+        self._entries = entry_port.EntryPort()
+        self._loads = load_poller.LoadPort()
+        self._dispatcher = dispatcher.Dispatcher(settings.node, kernel.rng)
+        self._status = status_view.StatusView(
+            settings.node, settings.zone, clock, self._dispatcher
+        )
+        self._requests = request_view.RequestView(settings.node, clock)
+        codec = snapshot.SnapshotCodec()
+        self._applier = applier.Applier(settings.node, kernel.rng, codec)
+        self._peers = self._make_peers()
+        store = object_api_http.HttpObjectApi(settings.platform)
+        self._loop = decider_loop.DeciderLoop(
+            self._make_group(codec), clock, store, self._peers.post
+        )
+        backend = backend_client.BackendClient()
+        self._tls = reloader.ReloadService()
+        self._entry = entry_service.EntryService(
+            settings,
+            clock,
+            self._entries,
+            forward.Forwarder(backend),
+            self._loop.inject,
+            self._context(settings.caller),
+        )
+        registry = metrics.Metrics()
+        router_metrics.register(registry, self._peers, self._entry, store)
+        kernel.register(operator_const.SERVICE_TELEMETRY, registry)
+        kernel.register(operator_const.SERVICE_STATUS, self._status)
+        kernel.register(operator_const.SERVICE_REQUESTS, self._requests)
+        kernel.register(
+            operator_const.SERVICE_CONFIG_CHANGES, self._make_writer()
+        )
+        vms = vm_list_http.HttpVmList(settings.platform)
+        kernel.register("object_api", store)
+        kernel.register("vm_list", vms)
+        kernel.register("backend", backend)
+        kernel.register("tls", self._tls)
+        kernel.register("peers", self._peers)
+        kernel.register("deciders", self._loop)
+        kernel.register("load_poller", self._make_poller(backend))
+        kernel.register(
+            "vm_list_poller",
+            vm_list_poller.VmListPoller(vms, kernel.rng, self._loop.inject),
+        )
+        kernel.register("entry", self._entry)
+        kernel.register(
+            "operator",
+            operator_service.OperatorService(
+                kernel, self._context(settings.operator)
+            ),
+        )
+
+    def _make_group(self, codec: snapshot.SnapshotCodec) -> core.DeciderGroup:
+        node = self.settings.node
+        rng = self.kernel.rng
+        wall = self.kernel.clock.wall()
+        incarnation = int(wall * core_const.MS_PER_S)
+        claims = self.settings.claims
+        return core.DeciderGroup(
+            node,
+            (
+                transport_port.AddressPort(self._peers.set_addresses),
+                member.MemberDecider(
+                    node,
+                    self.settings.zone,
+                    self.settings.advertise,
+                    incarnation,
+                    rng,
+                ),
+                leases.ShardLeases(node, rng),
+                self._applier,
+                changes.ChangeWriter(node, rng, codec),
+                self._dispatcher,
+                permit_client.PermitClient(node, rng),
+                keeper.Keeper(
+                    node, rng, claims.retention_s, claims.max_outcome_bytes
+                ),
+                claim_client.ClaimClient(node, rng, incarnation),
+                self._entries,
+                self._loads,
+                self._changes,
+                self._status,
+                self._requests,
+            ),
+        )
+
+    def _make_peers(self) -> transport.PeerService:
+        listen = self.settings.peer
+        credentials = None
+        if contexts.enabled(listen):
+            credentials = tls_peers.PeerCredentials(listen.tls)
+        return transport.PeerService(
+            self.settings.node,
+            self._boot,
+            listen,
+            self.kernel.clock,
+            self._receive,
+            credentials,
+        )
+
+    def _make_poller(
+        self, backend: backend_client.BackendClient
+    ) -> load_poller.LoadPoller:
+        return load_poller.LoadPoller(
+            self._loads,
+            backend,
+            self.kernel.clock,
+            self.kernel.rng,
+            self._loop.inject,
+        )
+
+    def _make_writer(self) -> fleet_writer.FleetWriter:
+        return fleet_writer.FleetWriter(
+            self.settings.node,
+            self._changes,
+            lambda: self._applier.records,
+            self._loop.inject,
+        )
+
+    def _context(
+        self, listen: settings_models.ListenSettings
+    ) -> ssl.SSLContext | None:
+        if not contexts.enabled(listen):
+            return None
+        return self._tls.add(listen.tls)
+
+    async def async_run(self) -> int:
+        """Runs until a signal asks for the end; returns the exit code."""
+        stop = asyncio.Event()
+        force = asyncio.Event()
+
+        def on_signal() -> None:
+            if stop.is_set():
+                force.set()
+            stop.set()
+
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, on_signal)
+        services = self.kernel.mode_services()
+        for svc in services:
+            await svc.start()
+        logging.info("router started")
+        await stop.wait()
+        await self._async_drain(force)
+        await _async_stop(services)
+        logging.info("router stopped")
+        return 0
+
+    def _receive(self, delivery: core.Delivery) -> None:
+        self._loop.receive(delivery)
+
+    async def _async_drain(self, force: asyncio.Event) -> None:
+        """Waits until no request is held, the time is up or a 2nd signal."""
+        self._entry.draining = True
+        self._loop.inject(membership.LeaveFleet())
+        waits = [
+            asyncio.create_task(self._entry.async_idle()),
+            asyncio.create_task(force.wait()),
+        ]
+        await asyncio.wait(
+            waits,
+            timeout=self.settings.drain_timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in waits:
+            task.cancel()
+
+
+async def _async_stop(services: list[mode.Service]) -> None:
+    for svc in reversed(services):
+        with contextlib.suppress(asyncio.CancelledError):
+            await svc.stop()
+
+
+def run(settings: settings_models.Settings) -> int:
+    """Runs a router; returns the exit code of the process."""
+    logs.set_up(settings.telemetry, settings.node)
+
+    async def async_main() -> int:
+        return await Router(settings).async_run()
+
+    return asyncio.run(async_main())
