Repeat unanswered asks less often

Cause: waiting asks were sent again after 1, 2, 4 and 8 s, about six times a request when waits are long; the transport is a stream, and a new dispatcher asks for all that waits.

--- a/tamarackbridge/components/dispatch/const.py
+++ b/tamarackbridge/components/dispatch/const.py
@@ -17,10 +17,10 @@
 EXCHANGE_S: Final = 0.2
 """Interval at which the shards of a service exchange served totals."""
 
-ASK_RETRY_S: Final = 1.0
+ASK_RETRY_S: Final = 5.0
 """First interval after which an unanswered ask is sent again."""
 
-MAX_ASK_RETRY_S: Final = 8.0
+MAX_ASK_RETRY_S: Final = 40.0
 """Longest interval between two sendings of an unanswered ask."""
 
 FULL_PAUSE_S: Final = 0.2
