Start no work on a router whose evidence has run out

Change: the permit client bounds each permit's start by the router's evidence.

Conclusion: the bound closes the gap between resuming and the next evidence.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     "__init__",
     "__main__",
     "fake_store",
+    "faults",
     "harness",
     "path_load",
     "processes",
--- a/bench/world.py
+++ b/bench/world.py
@@ -108,7 +108,9 @@
             case dispatch.Permitted() if msg.request_id in self.requests:
                 return self._start(self.requests[msg.request_id], msg, now)
             case dispatch.Refused() if msg.request_id in self.requests:
-                return self.end(self.requests[msg.request_id], msg.reason, now)
+                req = self.requests[msg.request_id]
+                reason = "backend_failed" if req.started else msg.reason
+                return self.end(req, reason, now)
             case claims.ClaimResult() if msg.request_id in self.requests:
                 req = self.requests[msg.request_id]
                 if msg.answer is claims.ClaimAnswer.RUN:
@@ -248,6 +250,7 @@
         if not self.bus.alive(node):
             self.answered(req, "connection_lost", self.bus.now)
             return
+        self.entries[node].requests[req.request_id] = req
         self._act(node, lambda entry: entry.arrive(req, self.bus.now))
 
     def start(
@@ -315,7 +318,7 @@
         outcome = dispatch.Outcome.FAILED if failed else dispatch.Outcome.OK
 
         def finish() -> None:
-            if self.entries[entry.node] is entry:
+            if self.entries.get(entry.node) is entry:
                 self._act(
                     entry.node,
                     lambda ent: ent.finished(req, outcome, self.bus.now),
--- a/tamarackbridge/components/dispatch/permit_client.py
+++ b/tamarackbridge/components/dispatch/permit_client.py
@@ -1,6 +1,7 @@
 """The permit client decider: asks dispatchers on behalf of this entry."""
 
 from collections.abc import Sequence
+import math
 import random
 from typing import ClassVar
 
@@ -31,6 +32,7 @@
     handles: ClassVar[tuple[type[core.Message], ...]] = (
         configuration.SnapshotInForce,
         membership.RosterChanged,
+        membership.FleetEvidence,
         messages.ShardHolder,
         messages.Want,
         messages.GiveUp,
@@ -48,6 +50,7 @@
         self._snapshot = models.empty_snapshot()
         self._started_at: float | None = None
         self._progress_at = 0.0
+        self._evidence_until = math.inf
         self._waiting = admission.WaitingRequests()
         self._holdings = holdings.Holdings()
         self._placement = placement.Placement(rng)
@@ -62,6 +65,8 @@
         match msg:
             case configuration.SnapshotInForce():
                 self._snapshot = msg.snapshot
+            case membership.FleetEvidence():
+                self._evidence_until = msg.until
             case messages.ShardHolder():
                 return self._set_holder(msg, now)
             case messages.Want():
@@ -166,6 +171,7 @@
         if stale or self._holdings.holds(grant):
             return ()
         use_s = grant.use_s / (1 + fleet_const.CLOCK_DRIFT_RATIO) - age_s
+        use_s = min(use_s, self._evidence_until - now)
         request = self._waiting.get(grant.request_id)
         wanted = request is not None and request.shard == grant.shard
         if request is None or not wanted or use_s <= 0:
