Measure service while a zone leaves and returns

Chaos gives each repeated payment a request identifier of its own: two repeats of one payment shared one, which showed as an unanswered request.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
     "real_fleet",
     "real_load",
     "world",
+    "zone_baseline",
+    "zone_run",
 }
 
 
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -210,9 +210,10 @@
 
     def _repeat(self, req: world.Request) -> None:
         """Lets a caller repeat a payment elsewhere under the same key."""
+        self._requests += 1
         again = dataclasses.replace(
             req,
-            request_id=f"{req.request_id}b",
+            request_id=f"q{self._requests}b",
             answer="",
             started=0,
             avoid=(),
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,6 +1,6 @@
 """Faults that are composed at random, over a world of routers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 import dataclasses
 import random
 
@@ -37,7 +37,7 @@
 )
 
 
-Undo = Callable[[], None]
+Undo = world.Action
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bench/world.py
+++ b/bench/world.py
@@ -25,6 +25,8 @@
 LOST_AFTER_S = 0.5
 """Time after which an entry notices that a backend server is gone."""
 
+Action = Callable[[], None]
+
 
 class Act(core.Message, frozen=True, tag=True):
     """Makes an entry do something, when its router is not paused."""
@@ -55,6 +57,7 @@
     work_s: float
     due: float
     key: str = ""
+    sent_at: float = 0.0
     started: int = 0
     answer: str = ""
     answered_at: float = 0.0
@@ -201,6 +204,8 @@
         self.servers: dict[str, Server] = {}
         self.answers: list[Request] = []
         self.starts: list[tuple[float, str]] = []
+        self.connect_lost_s = LOST_AFTER_S
+        self.stream_lost_s = LOST_AFTER_S
         self._lives = 0
         self.bus.at(0.0, self._poll_loads)
 
@@ -261,8 +266,9 @@
         req.started += 1
         req.avoid = (*req.avoid, permit.server)
         run = f"{req.request_id}#{req.started}"
+        self.tried_start(entry, server, now)
         if server.gone:
-            self._finish_later(entry, req, LOST_AFTER_S, failed=True)
+            self._finish_later(entry, req, self.connect_lost_s, failed=True)
             return
         server.running[run] = now
         self.started(entry, req, server, now)
@@ -293,6 +299,9 @@
     def observe(self, entry: Entry, msg: core.Message, now: float) -> None:
         """Sees each local message of a router."""
 
+    def tried_start(self, entry: Entry, server: Server, now: float) -> None:
+        """Sees each attempt to start work, also on a server that is gone."""
+
     def started(
         self, entry: Entry, req: Request, server: Server, now: float
     ) -> None:
@@ -310,7 +319,8 @@
         self, server: Server, run: str, entry: Entry, req: Request
     ) -> None:
         lost = server.gone or server.running.pop(run, None) is None
-        self._finish_later(entry, req, LOST_AFTER_S if lost else 0.0, lost)
+        wait_s = self.stream_lost_s if lost else 0.0
+        self._finish_later(entry, req, wait_s, lost)
 
     def _finish_later(
         self, entry: Entry, req: Request, wait_s: float, failed: bool
