Let a zone that came back in end chaos's check of it

It is as strict for a zone that is still out.

Conclusion: the check now follows the order of generations.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -87,6 +87,7 @@
                 if generation < self._generation.get(entry, 0):
                     self.fail(f"{entry.node} reverted to {generation}")
                 self._generation[entry] = generation
+                self._see_zones_in(msg.snapshot)
             case configuration.ChangeReport():
                 self._on_report(msg, now)
             case dispatch.Refused():
@@ -96,6 +97,13 @@
                 if (entry, msg.request_id) in self._refused:
                     self.fail(f"{msg.request_id} permitted after a refusal")
 
+    def _see_zones_in(self, snapshot: models.Snapshot) -> None:
+        for zone in snapshot.zones.values():
+            newer = snapshot.generation > self._zone_order.get(zone.name, 0)
+            if newer and not zone.out:
+                self._zone_order[zone.name] = snapshot.generation
+                self._zone_out_at.pop(zone.name, None)
+
     def _on_report(
         self, report: configuration.ChangeReport, now: float
     ) -> None:
