--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,12 +8,15 @@
     "__init__",
     "__main__",
     "fake_store",
+    "faults",
     "harness",
     "path_load",
     "processes",
     "real_fleet",
     "real_load",
     "world",
+    "zone_baseline",
+    "zone_run",
 }
 
 
