Make operators' changes through the configuration decider

Cause: records were written one by one and nobody waited for acceptance; a router's deciders were listed in the composition root alone, so that tests could not run the same set on a virtual clock. Change: ConfigWriter reads the newest generation from the platform (or what is in force while it is down), writes a change atomically through ChangeWriter and reports conflict, unknown and unconfirmed outcomes apart; a change carries the client's identifier and author, so that it is made once although several routers are asked; a change without edits waits until the newest generation is accepted. policy.build() makes the deciders for the composition root and for tests. References between records are checked where changes are written, not where they are applied. The writer, status and request index that the composition root had are replaced by these.

--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 from typing import Annotated, Literal, TypeVar
+import uuid
 
 import cyclopts
 import msgspec
@@ -50,6 +51,7 @@
         ca: PEM file of the authorities of the routers' certificates.
         certificate: PEM file of a client certificate.
         key: PEM file of the key of the client certificate.
+        author: Name that other operators are told on a conflict.
         output: Table for people or JSON for scripts.
     """
 
@@ -62,6 +64,7 @@
     ca: pathlib.Path | None = None
     certificate: pathlib.Path | None = None
     key: pathlib.Path | None = None
+    author: Annotated[str, cyclopts.Parameter(env_var="USER")] = "operator"
     output: Literal["table", "json"] = "table"
 
     def client(self) -> http.Client:
@@ -159,9 +162,7 @@
     found = options.client().call(
         http.Call("GET", path, query), messages.RecordsReply
     )
-    return _show(
-        found, options, lambda body: tables.print_records(kind, body.records)
-    )
+    return _show(found, options, lambda body: tables.print_records(kind, body))
 
 
 @app.command
@@ -301,7 +302,12 @@
 
 
 def _change(call: http.Call, options: Options) -> int:
-    found = options.client().call(call, messages.ChangeReply)
+    headers = (
+        (api.HEADER_CHANGE_ID, uuid.uuid4().hex),
+        (api.HEADER_AUTHOR, options.author),
+    )
+    named = dataclasses.replace(call, headers=headers)
+    found = options.client().call(named, messages.ChangeReply)
     return _show(found, options, tables.print_changes)
 
 
--- a/tamarackbridge/components/client/http.py
+++ b/tamarackbridge/components/client/http.py
@@ -68,6 +68,7 @@
     path: str
     query: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
 
     def url(self, base: str) -> str:
         """Returns the URL of this call at one router."""
@@ -88,7 +89,11 @@
         self._access = access
 
     def call(self, call: Call, kind: type[_T]) -> result.Result[_T, CallError]:
-        """Makes a call to the first router that can be reached."""
+        """Makes a call to the first router that answers.
+
+        A change carries its identifier, so that it is made once although
+        more than one router is asked.
+        """
         return asyncio.run(self._async_call(call, kind))
 
     def call_all(
@@ -100,15 +105,16 @@
     async def _async_call(
         self, call: Call, kind: type[_T]
     ) -> result.Result[_T, CallError]:
-        found: result.Result[_T, CallError] = result.Err(
-            CallError(const.Exit.USAGE, "no router was named")
-        )
+        worst = CallError(const.Exit.USAGE, "no router was named")
         async with self._session() as session:
             for base in self._access.urls:
                 found = await _async_one(session, base, call, kind)
-                if not _is_unreached(found):
+                if isinstance(found, result.Ok):
+                    return found
+                if not isinstance(found.err_value, _UnansweredError):
                     return found
-        return found
+                worst = max(worst, found.err_value, key=_severity)
+        return result.Err(worst)
 
     async def _async_call_all(
         self, call: Call, kind: type[_T]
@@ -138,8 +144,8 @@
         )
 
 
-class _UnreachedError(CallError):
-    """The connection was not made, so nothing was sent."""
+class _UnansweredError(CallError):
+    """No answer came, so that another router may be asked."""
 
     __slots__ = ()
 
@@ -148,10 +154,8 @@
     return "" if path is None else str(path)
 
 
-def _is_unreached(found: result.Result[object, CallError]) -> bool:
-    if isinstance(found, result.Ok):
-        return False
-    return isinstance(found.err_value, _UnreachedError)
+def _severity(err: CallError) -> int:
+    return err.exit_code
 
 
 async def _async_one(
@@ -160,14 +164,18 @@
     url = call.url(base)
     try:
         async with session.request(
-            call.method, url, data=call.body or None, allow_redirects=False
+            call.method,
+            url,
+            data=call.body or None,
+            headers=dict(call.headers),
+            allow_redirects=False,
         ) as resp:
             return _read(base, resp.status, await resp.read(), kind)
     except aiohttp.InvalidURL:
         return result.Err(CallError(const.Exit.USAGE, f"{base} is no URL"))
     except aiohttp.ClientConnectorError as exc:
         detail = f"{base} can't be reached: {exc.strerror or exc}"
-        return result.Err(_UnreachedError(const.Exit.UNAVAILABLE, detail))
+        return result.Err(_UnansweredError(const.Exit.UNAVAILABLE, detail))
     except (TimeoutError, aiohttp.ClientError, OSError) as exc:
         reason = str(exc) or type(exc).__name__
         return result.Err(_lost(call, f"{base} gave no answer: {reason}"))
@@ -175,9 +183,9 @@
 
 def _lost(call: Call, detail: str) -> CallError:
     if call.method == "GET":
-        return CallError(const.Exit.UNAVAILABLE, detail)
+        return _UnansweredError(const.Exit.UNAVAILABLE, detail)
     hint = "; the change may be written, read the records before retrying"
-    return CallError(const.Exit.UNKNOWN, detail + hint)
+    return _UnansweredError(const.Exit.UNKNOWN, detail + hint)
 
 
 def _read(
--- a/tamarackbridge/components/client/tables.py
+++ b/tamarackbridge/components/client/tables.py
@@ -29,12 +29,14 @@
     rich.console.Console(markup=False).print(table)
 
 
-def print_records(kind: str, docs: Sequence[dict[str, Any]]) -> None:
+def print_records(kind: str, reply: messages.RecordsReply) -> None:
     """Prints records of one kind."""
+    docs: Sequence[dict[str, Any]] = reply.records
     columns = list(dict.fromkeys(key for doc in docs for key in doc))
     shown = [key for key in columns if key not in ("kind", "key_hashes")]
     rows = [[doc.get(key, "") for key in shown] for doc in docs]
-    print_table(f"{kind} ({len(docs)})", shown, rows)
+    source = "" if reply.from_store else ", as in force on the router asked"
+    print_table(f"{kind}, generation {reply.generation}{source}", shown, rows)
 
 
 def print_changes(reply: messages.ChangeReply) -> None:
@@ -55,13 +57,11 @@
         print("nothing was written")
         return
     if all(change.action == "unchanged" for change in reply.changes):
-        print("nothing to change")
-        return
-    print(f"accepted in generation {reply.generation}")
-    if reply.confirmed:
-        print(f"in force on {', '.join(reply.confirmed)}")
-    if reply.missing:
-        print(f"not yet confirmed by {', '.join(reply.missing)}")
+        print(f"nothing to change, generation {reply.generation} is accepted")
+    else:
+        print(f"accepted in generation {reply.generation}")
+    if reply.lagging:
+        print(f"not yet confirmed by {', '.join(reply.lagging)}")
 
 
 def print_status(found: Sequence[messages.Status]) -> None:
--- a/tamarackbridge/components/configuration/applier.py
+++ b/tamarackbridge/components/configuration/applier.py
@@ -59,6 +59,11 @@
         self._evidence: membership.FleetEvidence | None = None
         self._told: messages.ServingChanged | None = None
 
+    @property
+    def generation(self) -> int:
+        """Generation in force on this router; 0 for none."""
+        return self._generation
+
     def handle(
         self, delivery: core.Delivery, now: float
     ) -> Sequence[core.Envelope]:
--- a/tamarackbridge/components/configuration/changes.py
+++ b/tamarackbridge/components/configuration/changes.py
@@ -187,6 +187,10 @@
             return self._confirm(
                 pending, found.generation, pending.head_version
             )
+        if not pending.ask.edits:
+            return self._confirm(
+                pending, pending.head.generation, pending.head_version
+            )
         if pending.head.data_key:
             return self._start(pending, _Step.READ_DATA, now)
         return self._edit(pending, {}, now)
--- a/tamarackbridge/components/configuration/messages.py
+++ b/tamarackbridge/components/configuration/messages.py
@@ -66,6 +66,8 @@
         change_id: Identifier that the operator's client chose; asking again
             with the same one never makes the change twice.
         author: Who makes the change.
+        edits: What it writes; without any, the newest generation is waited
+            for.
         wait_s: Time to wait for acceptance before telling the state.
     """
 
--- a/tamarackbridge/components/operator/app.py
+++ b/tamarackbridge/components/operator/app.py
@@ -84,7 +84,7 @@
             const.SERVICE_TELEMETRY
         )
         headers = {"Content-Type": metrics.CONTENT_TYPE}
-        return web.Response(body=telemetry.render(), headers=headers)
+        return web.Response(body=telemetry.metrics(), headers=headers)
 
     async def async_health(self, req: web.Request) -> web.Response:
         """Answers while the process runs."""
--- /dev/null
+++ b/tamarackbridge/components/operator/config_writer.py
@@ -0,0 +1,198 @@
+"""Reads configuration and has changes made by the router's own decider."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import ClassVar, Final
+
+import result
+
+from tamarackbridge import core
+from tamarackbridge.components import object_api
+from tamarackbridge.components.configuration import applier, messages, stored
+from tamarackbridge.components.membership import const as membership_const
+from tamarackbridge.components.object_api import messages as store
+from tamarackbridge.components.operator import protocols
+from tamarackbridge.components.records import changes, codec, schemas
+
+ACCEPT_WAIT_S: Final = 8.0
+"""Time that a change is given to be accepted."""
+
+REPORT_MARGIN_S: Final = 4.0
+"""Time beyond it after which a missing report counts as unknown."""
+
+_TAG: Final = "operator:read"
+
+_Read = result.Result[protocols.Configuration, protocols.ChangeError]
+_Written = result.Result[protocols.Acceptance, protocols.ChangeError]
+_Reason = protocols.ChangeReason
+
+_REASONS: Final[Mapping[messages.ChangeState, _Reason]] = {
+    messages.ChangeState.WRITTEN: _Reason.NOT_CONFIRMED,
+    messages.ChangeState.UNKNOWN: _Reason.UNKNOWN,
+    messages.ChangeState.CONFLICT: _Reason.CONFLICT,
+    messages.ChangeState.INVALID: _Reason.INVALID,
+    messages.ChangeState.NOT_WRITTEN: _Reason.STORE_UNAVAILABLE,
+}
+
+_DETAILS: Final[Mapping[messages.ChangeState, str]] = {
+    messages.ChangeState.WRITTEN: (
+        "the change is written, but a majority of routers has not confirmed it"
+    ),
+    messages.ChangeState.UNKNOWN: (
+        "the change may be written; the object API gave no answer"
+    ),
+    messages.ChangeState.NOT_WRITTEN: (
+        "the object API gave no answer; nothing was written"
+    ),
+}
+
+
+class ReportPort:
+    """A decider that hands reports of changes to who waits for them."""
+
+    handles: ClassVar[tuple[type[core.Message], ...]] = (messages.ChangeReport,)
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, list[asyncio.Future[messages.ChangeReport]]]
+        self._waiting = {}
+
+    def expect(self, change_id: str) -> asyncio.Future[messages.ChangeReport]:
+        """Returns a future of the report of a change."""
+        fut: asyncio.Future[messages.ChangeReport]
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting.setdefault(change_id, []).append(fut)
+        return fut
+
+    def handle(
+        self, delivery: core.Delivery, now: float
+    ) -> Sequence[core.Envelope]:
+        """Takes one report in."""
+        del now
+        report = delivery.msg
+        if isinstance(report, messages.ChangeReport):
+            for fut in self._waiting.pop(report.change_id, ()):
+                if not fut.done():
+                    fut.set_result(report)
+        return ()
+
+    def tick(self, now: float) -> Sequence[core.Envelope]:
+        """Forgets those that no longer wait."""
+        del now
+        for change_id, futs in list(self._waiting.items()):
+            if all(fut.done() for fut in futs):
+                del self._waiting[change_id]
+        return ()
+
+
+class ConfigWriter:
+    """Implements `protocols.ConfigWriter` for one router."""
+
+    def __init__(
+        self,
+        reports: ReportPort,
+        applied: applier.Applier,
+        api: object_api.ObjectApi,
+        inject: Callable[[core.Message], None],
+    ) -> None:
+        self._reports = reports
+        self._applier = applied
+        self._api = api
+        self._inject = inject
+
+    async def async_read(self) -> _Read:
+        """Reads all records from the platform."""
+        key = membership_const.KEY_CONFIG
+        head = await self._api.async_call(store.StoreGet(key, _TAG))
+        if head.status is store.StoreStatus.NOT_FOUND:
+            return result.Ok(protocols.Configuration(0, {}, True))
+        if not head.objects:
+            return _unavailable()
+        try:
+            return await self._async_read_data(head.objects[0].value)
+        except stored.ConfigurationError as exc:
+            return _error(_Reason.INVALID, str(exc))
+
+    async def _async_read_data(self, value: bytes) -> _Read:
+        head = stored.decode_head(value)
+        call = store.StoreGet(head.data_key, _TAG)
+        data = await self._api.async_call(call)
+        if not data.objects:
+            return _unavailable()
+        records = stored.decode_records(data.objects[0].value)
+        return _configuration(head.generation, records, True)
+
+    def in_force(self) -> protocols.Configuration:
+        """Returns the records that are in force on this router."""
+        applied = self._applier
+        found = _configuration(applied.generation, applied.records, False)
+        return found.unwrap_or(protocols.Configuration(0, {}, False))
+
+    async def async_write(
+        self,
+        base: changes.Stored,
+        wanted: changes.ChangeSet,
+        origin: protocols.Origin,
+    ) -> _Written:
+        """Writes a change and waits until it is accepted."""
+        puts = (_put(base, record) for record in wanted.puts)
+        deletes = (_delete(base, key) for key in wanted.deletes)
+        ask = messages.ChangeAsk(
+            change_id=origin.change_id,
+            author=origin.author,
+            edits=(*puts, *deletes),
+            wait_s=ACCEPT_WAIT_S,
+        )
+        fut = self._reports.expect(origin.change_id)
+        self._inject(ask)
+        try:
+            async with asyncio.timeout(ACCEPT_WAIT_S + REPORT_MARGIN_S):
+                return _written(await fut)
+        except TimeoutError:
+            detail = _DETAILS[messages.ChangeState.UNKNOWN]
+            return _error(_Reason.UNKNOWN, detail)
+
+
+def _put(base: changes.Stored, record: schemas.Record) -> messages.RecordEdit:
+    key = changes.id_of(record)
+    known = base.get(key)
+    expect = known.generation if known else 0
+    return messages.RecordEdit(str(key), codec.encode(record), expect)
+
+
+def _delete(base: changes.Stored, key: changes.RecordId) -> messages.RecordEdit:
+    return messages.RecordEdit(str(key), b"", base[key].generation)
+
+
+def _configuration(
+    generation: int,
+    records: Mapping[str, stored.StoredRecord],
+    from_store: bool,
+) -> _Read:
+    found: dict[changes.RecordId, changes.StoredRecord] = {}
+    for key, item in records.items():
+        read = codec.decode(item.body, key)
+        if isinstance(read, result.Err):
+            return _error(_Reason.INVALID, str(read.err_value))
+        record = read.ok_value
+        known = changes.StoredRecord(record, item.generation)
+        found[changes.id_of(record)] = known
+    return result.Ok(protocols.Configuration(generation, found, from_store))
+
+
+def _written(report: messages.ChangeReport) -> _Written:
+    if report.state is messages.ChangeState.ACCEPTED:
+        accepted = protocols.Acceptance(report.generation, report.lagging)
+        return result.Ok(accepted)
+    detail = _DETAILS.get(report.state, report.detail)
+    if report.lagging:
+        detail = f"{detail}: {', '.join(report.lagging)}"
+    return _error(_REASONS[report.state], detail)
+
+
+def _unavailable() -> result.Err[protocols.ChangeError]:
+    detail = _DETAILS[messages.ChangeState.NOT_WRITTEN]
+    return _error(_Reason.STORE_UNAVAILABLE, detail)
+
+
+def _error(reason: _Reason, detail: str) -> result.Err[protocols.ChangeError]:
+    return result.Err(protocols.ChangeError(reason, detail))
--- a/tamarackbridge/components/operator/const.py
+++ b/tamarackbridge/components/operator/const.py
@@ -16,6 +16,9 @@
 OPEN_PATHS: Final = frozenset({PATH_HEALTH, PATH_READY})
 """Paths that need no token: they tell no more than up and ready."""
 
+HEADER_CHANGE_ID: Final = "Idempotency-Key"
+HEADER_AUTHOR: Final = "X-Operator"
+
 ATTR_DRY_RUN: Final = "dry_run"
 
 ACTION_TAKE_OUT: Final = "take-out"
--- a/tamarackbridge/components/operator/messages.py
+++ b/tamarackbridge/components/operator/messages.py
@@ -41,20 +41,26 @@
         dry_run: Whether nothing was written.
         generation: Generation in which the change is in force; 0 for none.
         changes: What changes.
-        confirmed: Routers that have the change in force.
-        missing: Routers that have not confirmed it.
+        lagging: Live routers that have not confirmed it, a few of them.
     """
 
     dry_run: bool
     generation: int
     changes: tuple[RecordChange, ...]
-    confirmed: tuple[str, ...] = ()
-    missing: tuple[str, ...] = ()
+    lagging: tuple[str, ...] = ()
 
 
 class RecordsReply(msgspec.Struct, frozen=True):
-    """Lists records, each in the version of its writer."""
+    """Lists records, each in the version of its writer.
 
+    Attributes:
+        generation: Generation that they are of.
+        from_store: Whether they were read from the platform, or else are
+            those in force on the answering router.
+    """
+
+    generation: int
+    from_store: bool
     records: tuple[dict[str, Any], ...]
 
 
--- a/tamarackbridge/components/operator/protocols.py
+++ b/tamarackbridge/components/operator/protocols.py
@@ -42,28 +42,62 @@
 
     Attributes:
         generation: Generation in which it is in force.
-        confirmed: Routers that have it in force.
-        missing: Routers that have not confirmed it.
+        lagging: Live routers that have not confirmed it, a few of them.
     """
 
     generation: int
-    confirmed: tuple[str, ...] = ()
-    missing: tuple[str, ...] = ()
+    lagging: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Who makes a change.
+
+    Attributes:
+        change_id: Identifier that the operator's client chose; a change that
+            is asked for again with the same one is made once.
+        author: Name that other operators are told on a conflict.
+    """
+
+    change_id: str
+    author: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """All records of one generation.
+
+    Attributes:
+        generation: The generation; 0 while nothing was written.
+        records: Its records.
+        from_store: Whether they were read from the platform just now, or
+            else are those in force on this router.
+    """
+
+    generation: int
+    records: changes.Stored
+    from_store: bool
 
 
 class ConfigWriter(Protocol):
     """Reads records from and writes them to the platform."""
 
-    async def async_read(self) -> result.Result[changes.Stored, ChangeError]:
-        """Reads all records with their versions."""
+    async def async_read(self) -> result.Result[Configuration, ChangeError]:
+        """Reads all records from the platform."""
+        ...
+
+    def in_force(self) -> Configuration:
+        """Returns the records that are in force on this router."""
         ...
 
     async def async_write(
-        self, base: changes.Stored, wanted: changes.ChangeSet
+        self, base: changes.Stored, wanted: changes.ChangeSet, origin: Origin
     ) -> result.Result[Acceptance, ChangeError]:
         """Writes a change to the records that were read as `base`.
 
-        A record whose version is no longer that of `base` is a conflict.
+        A record that is no longer as in `base` is a conflict, and nothing is
+        written. An empty change waits until the newest generation is
+        accepted.
         """
         ...
 
@@ -95,6 +129,6 @@
 class Telemetry(Protocol):
     """The counters of this router."""
 
-    def render(self) -> bytes:
+    def metrics(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         ...
--- a/tamarackbridge/components/operator/records_api.py
+++ b/tamarackbridge/components/operator/records_api.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 import dataclasses
 from typing import Any
+import uuid
 
 from aiohttp import web
 import result
@@ -19,9 +20,13 @@
     files,
     references,
     schemas,
+    snapshot,
 )
 from tamarackbridge.components.records import const as records_const
 
+MAX_NAME = 64
+"""Most characters kept of a change's identifier and of its author."""
+
 _Edit = Callable[[Any], Any]
 
 _ZONE_EDITS: Mapping[str, _Edit] = {
@@ -67,23 +72,19 @@
         kind = req.match_info["kind"]
         if kind not in records_const.KINDS:
             return _unknown_kind(kind)
-        read = await self._writer.async_read()
-        if isinstance(read, result.Err):
-            return responses.change_problem(read.err_value)
+        found = await self._async_best()
         docs = [
-            codec.to_document(read.ok_value[key].record)
-            for key in sorted(read.ok_value)
+            codec.to_document(found.records[key].record)
+            for key in sorted(found.records)
             if key.kind == kind
         ]
-        return responses.reply(messages.RecordsReply(tuple(docs)))
+        return _records_reply(found, docs)
 
     async def async_get(self, req: web.Request) -> web.Response:
         """Reads one record, in its writer's version or in the one asked."""
         key = _record_id(req)
-        read = await self._writer.async_read()
-        if isinstance(read, result.Err):
-            return responses.change_problem(read.err_value)
-        found = read.ok_value.get(key)
+        best = await self._async_best()
+        found = best.records.get(key)
         if found is None:
             return _not_found(key)
         version = req.query.get(records_const.CONF_SCHEMA_VERSION, "")
@@ -93,7 +94,7 @@
             detail = f"{key.kind} has schema version {known}"
             return responses.problem(400, "invalid", detail)
         doc = codec.to_document(found.record, int(version or 0) or None)
-        return responses.reply(messages.RecordsReply((doc,)))
+        return _records_reply(best, [doc])
 
     async def async_delete(self, req: web.Request) -> web.Response:
         """Deletes one record."""
@@ -122,13 +123,14 @@
             read = await self._writer.async_read()
             if isinstance(read, result.Err):
                 return responses.change_problem(read.err_value)
-            found = read.ok_value.get(key)
+            stored = read.ok_value.records
+            found = stored.get(key)
             if found is None:
                 return _not_found(key)
             model = edits[action](found.record.model)
             record = dataclasses.replace(found.record, model=model)
             wanted = changes.ChangeSet(puts=(record,))
-            written = await self._async_write(req, read.ok_value, wanted)
+            written = await self._async_write(req, stored, wanted)
             if written.status != 409:
                 return written
         return written
@@ -139,10 +141,18 @@
         read = await self._writer.async_read()
         if isinstance(read, result.Err):
             return responses.change_problem(read.err_value)
-        missing = [key for key in wanted.deletes if key not in read.ok_value]
+        stored = read.ok_value.records
+        missing = [key for key in wanted.deletes if key not in stored]
         if missing:
             return _not_found(missing[0])
-        return await self._async_write(req, read.ok_value, wanted)
+        return await self._async_write(req, stored, wanted)
+
+    async def _async_best(self) -> protocols.Configuration:
+        """Reads the platform, or what is in force here when it is down."""
+        read = await self._writer.async_read()
+        if isinstance(read, result.Ok):
+            return read.ok_value
+        return self._writer.in_force()
 
     async def _async_write(
         self,
@@ -150,14 +160,16 @@
         stored: changes.Stored,
         wanted: changes.ChangeSet,
     ) -> web.Response:
-        misfit = references.check(changes.merge(stored, wanted).values())
+        merged = changes.merge(stored, wanted)
+        misfit = references.check(snapshot.build(0, merged.values()))
         if misfit is not None:
             return responses.problem(400, "invalid", str(misfit))
         listed = _listed(changes.diff(stored, wanted))
         if _flag(req, const.ATTR_DRY_RUN):
             return responses.reply(messages.ChangeReply(True, 0, listed))
         effective = changes.effective(stored, wanted)
-        written = await self._writer.async_write(stored, effective)
+        origin = _origin(req)
+        written = await self._writer.async_write(stored, effective, origin)
         if isinstance(written, result.Err):
             return responses.change_problem(written.err_value)
         accepted = written.ok_value
@@ -165,8 +177,7 @@
             dry_run=False,
             generation=accepted.generation,
             changes=listed,
-            confirmed=accepted.confirmed,
-            missing=accepted.missing,
+            lagging=accepted.lagging,
         )
         return responses.reply(body)
 
@@ -175,6 +186,30 @@
     return req.query.get(name, "").lower() in ("1", "true", "yes")
 
 
+def _records_reply(
+    found: protocols.Configuration, docs: list[dict[str, Any]]
+) -> web.Response:
+    body = messages.RecordsReply(
+        generation=found.generation,
+        from_store=found.from_store,
+        records=tuple(docs),
+    )
+    return responses.reply(body)
+
+
+def _origin(req: web.Request) -> protocols.Origin:
+    change_id = req.headers.get(const.HEADER_CHANGE_ID, "")
+    author = req.headers.get(const.HEADER_AUTHOR, "")
+    return protocols.Origin(
+        change_id=_short(change_id) or uuid.uuid4().hex,
+        author=_short(author) or "an operator",
+    )
+
+
+def _short(text: str) -> str:
+    return "".join(char for char in text if char.isprintable())[:MAX_NAME]
+
+
 def _record_id(req: web.Request) -> changes.RecordId:
     return changes.RecordId(req.match_info["kind"], req.match_info["name"])
 
--- a/tamarackbridge/components/records/changes.py
+++ b/tamarackbridge/components/records/changes.py
@@ -27,15 +27,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRecord:
-    """A record as it was read from the object API.
+    """A record as it was read from the configuration.
 
     Attributes:
         record: What it says.
-        version: Version that the object API gave to it.
+        generation: Generation in which it was last changed.
     """
 
     record: schemas.Record
-    version: int
+    generation: int
 
 
 Stored = Mapping[RecordId, StoredRecord]
--- a/tamarackbridge/components/records/references.py
+++ b/tamarackbridge/components/records/references.py
@@ -1,35 +1,50 @@
 """Checks that records which are in force together fit each other."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from tamarackbridge.components.records import (
     const,
     exceptions,
     models,
-    schemas,
-    snapshots,
+    snapshot,
 )
 
 _Misfit = exceptions.RecordError | None
 
 
-def check(records: Iterable[schemas.Record]) -> _Misfit:
+class CheckedCodec(snapshot.SnapshotCodec):
+    """Reads records of one generation and checks that they fit each other.
+
+    What writes configuration uses it; what applies it doesn't.
+    """
+
+    def decode(
+        self, generation: int, records: Mapping[str, bytes]
+    ) -> models.Snapshot:
+        """Reads all records of a generation.
+
+        Raises:
+            ValueError: A record is not readable, or they don't fit.
+        """
+        found = super().decode(generation, records)
+        misfit = check(found)
+        if misfit is not None:
+            raise ValueError(str(misfit))
+        return found
+
+
+def check(snap: models.Snapshot) -> _Misfit:
     """Returns the first misfit, or `None` when all records fit."""
-    snapshot = snapshots.build(0, records)
-    return (
-        _check_servers(snapshot)
-        or _check_routes(snapshot)
-        or _check_keys(snapshot)
-    )
+    return _check_servers(snap) or _check_routes(snap) or _check_keys(snap)
 
 
-def _check_servers(snapshot: models.Snapshot) -> _Misfit:
-    for name, server in snapshot.servers.items():
+def _check_servers(snap: models.Snapshot) -> _Misfit:
+    for name, server in snap.servers.items():
         place = f"{const.KIND_SERVER}/{name}"
-        if server.service not in snapshot.services:
+        if server.service not in snap.services:
             allowed = f"no record {const.KIND_SERVICE}/{server.service} exists"
             return exceptions.RecordError(place, "service", allowed)
-        if server.zone not in snapshot.zones:
+        if server.zone not in snap.zones:
             allowed = f"no record {const.KIND_ZONE}/{server.zone} exists"
             return exceptions.RecordError(place, "zone", allowed)
         if server.limit_cold > server.limit_warm:
@@ -38,8 +53,8 @@
     return None
 
 
-def _check_routes(snapshot: models.Snapshot) -> _Misfit:
-    for name, service in snapshot.services.items():
+def _check_routes(snap: models.Snapshot) -> _Misfit:
+    for name, service in snap.services.items():
         seen: set[str] = set()
         for index, route in enumerate(service.routes):
             if route.name in seen:
@@ -51,9 +66,9 @@
     return None
 
 
-def _check_keys(snapshot: models.Snapshot) -> _Misfit:
+def _check_keys(snap: models.Snapshot) -> _Misfit:
     owners: dict[str, str] = {}
-    for name, workspace in snapshot.workspaces.items():
+    for name, workspace in snap.workspaces.items():
         for index, digest in enumerate(workspace.key_hashes):
             owner = owners.setdefault(digest, name)
             if owner != name:
--- a/tamarackbridge/components/records/snapshot.py
+++ b/tamarackbridge/components/records/snapshot.py
@@ -1,14 +1,35 @@
-"""Snapshots out of stored records of any known schema version."""
+"""Snapshots out of records of any known schema version."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 import result
 
-from tamarackbridge.components.records import codec, models
+from tamarackbridge.components.records import codec, const, models, schemas
+
+
+def build(
+    generation: int, records: Iterable[schemas.Record]
+) -> models.Snapshot:
+    """Returns the snapshot of one generation."""
+    found: dict[str, dict[str, Any]] = {kind: {} for kind in const.KINDS}
+    for record in records:
+        found[record.kind][record.name] = record.model
+    return models.Snapshot(
+        generation=generation,
+        workspaces=found[const.KIND_WORKSPACE],
+        services=found[const.KIND_SERVICE],
+        servers=found[const.KIND_SERVER],
+        zones=found[const.KIND_ZONE],
+    )
 
 
 class SnapshotCodec:
-    """Reads all records of one generation into their internal form."""
+    """Reads all records of one generation into their internal form.
+
+    It doesn't check that records fit each other, so that a router goes on
+    with what a router of another version has accepted.
+    """
 
     def decode(
         self, generation: int, records: Mapping[str, bytes]
@@ -22,21 +43,10 @@
         Raises:
             ValueError: A record is not readable; its message says which.
         """
-        workspaces: dict[str, models.Workspace] = {}
-        services: dict[str, models.Service] = {}
-        servers: dict[str, models.BackendServer] = {}
-        zones: dict[str, models.Zone] = {}
+        found: list[schemas.Record] = []
         for key, body in records.items():
             read = codec.decode(body, key)
             if isinstance(read, result.Err):
                 raise ValueError(str(read.err_value))
-            match read.ok_value.model:
-                case models.Workspace() as workspace:
-                    workspaces[workspace.name] = workspace
-                case models.Service() as service:
-                    services[service.name] = service
-                case models.BackendServer() as server:
-                    servers[server.name] = server
-                case models.Zone() as zone:
-                    zones[zone.name] = zone
-        return models.Snapshot(generation, workspaces, services, servers, zones)
+            found.append(read.ok_value)
+        return build(generation, found)
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -11,24 +11,16 @@
 import mode
 
 from tamarackbridge import const as core_const
-from tamarackbridge import core, decider_loop
+from tamarackbridge import core, decider_loop, policy
 from tamarackbridge.components.backend import client as backend_client
 from tamarackbridge.components.backend import load_poller
-from tamarackbridge.components.claims import client as claim_client
-from tamarackbridge.components.claims import keeper
-from tamarackbridge.components.configuration import applier, changes
-from tamarackbridge.components.dispatch import dispatcher, permit_client
 from tamarackbridge.components.entry import forward
-from tamarackbridge.components.entry import index as entry_index
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.entry import service as entry_service
-from tamarackbridge.components.membership import leases, member
 from tamarackbridge.components.object_api import http as object_api_http
+from tamarackbridge.components.operator import config_writer
 from tamarackbridge.components.operator import const as operator_const
-from tamarackbridge.components.operator import fleet_writer
 from tamarackbridge.components.operator import service as operator_service
-from tamarackbridge.components.operator import status as operator_status
-from tamarackbridge.components.records import snapshot
 from tamarackbridge.components.settings import models as settings_models
 from tamarackbridge.components.telemetry import logs, metrics, router_metrics
 from tamarackbridge.components.tls import contexts, reloader
@@ -49,16 +41,14 @@
         kernel = core.Kernel(clock, random.Random(self._boot))
         self.kernel = kernel
         kernel.register(operator_const.SERVICE_SETTINGS, settings)
-        self._changes = fleet_writer.ChangePort()
         self._entries = entry_port.EntryPort()
         self._loads = load_poller.LoadPort()
-        self._status = operator_status.FleetStatus(settings.node, settings.zone)
-        codec = snapshot.SnapshotCodec()
-        self._applier = applier.Applier(settings.node, kernel.rng, codec)
+        incarnation = int(clock.wall() * core_const.MS_PER_S)
+        self._policy = policy.build(settings, incarnation, clock, kernel.rng)
         self._peers = self._make_peers()
         store = object_api_http.HttpObjectApi(settings.platform)
         self._loop = decider_loop.DeciderLoop(
-            self._make_group(codec), clock, store, self._peers.post
+            self._make_group(), clock, store, self._peers.post
         )
         backend = backend_client.BackendClient()
         self._tls = reloader.ReloadService()
@@ -73,12 +63,10 @@
         registry = metrics.Metrics()
         router_metrics.register(registry, self._peers, self._entry, store)
         kernel.register(operator_const.SERVICE_TELEMETRY, registry)
-        kernel.register(operator_const.SERVICE_STATUS, self._status)
+        kernel.register(operator_const.SERVICE_STATUS, self._policy.status)
+        kernel.register(operator_const.SERVICE_REQUESTS, self._policy.requests)
         kernel.register(
-            operator_const.SERVICE_REQUESTS, entry_index.RequestIndex()
-        )
-        kernel.register(
-            operator_const.SERVICE_CONFIG_CHANGES, self._make_writer()
+            operator_const.SERVICE_CONFIG_CHANGES, self._make_writer(store)
         )
         kernel.register("object_api", store)
         kernel.register("backend", backend)
@@ -94,36 +82,14 @@
             ),
         )
 
-    def _make_group(self, codec: snapshot.SnapshotCodec) -> core.DeciderGroup:
-        node = self.settings.node
-        rng = self.kernel.rng
-        wall = self.kernel.clock.wall()
-        incarnation = int(wall * core_const.MS_PER_S)
-        claims = self.settings.claims
+    def _make_group(self) -> core.DeciderGroup:
         return core.DeciderGroup(
-            node,
+            self.settings.node,
             (
                 transport_port.AddressPort(self._peers.set_addresses),
-                member.MemberDecider(
-                    node,
-                    self.settings.zone,
-                    self.settings.advertise,
-                    incarnation,
-                    rng,
-                ),
-                leases.ShardLeases(node, rng),
-                self._applier,
-                changes.ChangeWriter(node, rng, codec),
-                dispatcher.Dispatcher(node, rng),
-                permit_client.PermitClient(node, rng),
-                keeper.Keeper(
-                    node, rng, claims.retention_s, claims.max_outcome_bytes
-                ),
-                claim_client.ClaimClient(node, rng, incarnation),
+                *self._policy.deciders(),
                 self._entries,
                 self._loads,
-                self._changes,
-                self._status,
             ),
         )
 
@@ -152,11 +118,13 @@
             self._loop.inject,
         )
 
-    def _make_writer(self) -> fleet_writer.FleetWriter:
-        return fleet_writer.FleetWriter(
-            self.settings.node,
-            self._changes,
-            lambda: self._applier.records,
+    def _make_writer(
+        self, store: object_api_http.HttpObjectApi
+    ) -> config_writer.ConfigWriter:
+        return config_writer.ConfigWriter(
+            self._policy.reports,
+            self._policy.applier,
+            store,
             self._loop.inject,
         )
 
--- a/tests/components/client/test_app.py
+++ b/tests/components/client/test_app.py
@@ -7,7 +7,7 @@
 import syrupy.assertion
 
 from tamarackbridge.components.client import app, const
-from tests.components.operator import fixtures
+from tests import fleet
 
 RECORDS = """\
 [[records]]
@@ -46,8 +46,8 @@
     "status",
     "status --output json",
     "explain gate",
+    "explain nobody",
     "requests find r1",
-    "requests find r2",
     "get zoo",
     "apply -f {dir}/none.toml",
 ]
@@ -61,13 +61,16 @@
 ) -> None:
     monkeypatch.setenv("COLUMNS", "100")
     token = tmp_path / "token"
-    token.write_text(fixtures.TOKEN)
+    token.write_text(fleet.TOKEN)
     first, second = tmp_path / "one.toml", tmp_path / "two.toml"
     first.write_text(RECORDS.format(hash="ab" * 32, queued=9))
     second.write_text(RECORDS.format(hash="ab" * 32, queued=8))
     names = {"file": first, "file2": second, "dir": tmp_path}
     seen: list[str] = []
-    async with fixtures.running() as router:
+    routers = fleet.Fleet()
+    routers.start()
+    routers.run(3.0)
+    async with routers.operated("mela-1") as router:
         monkeypatch.setenv(const.ENV_URL, router.url)
         monkeypatch.setenv(const.ENV_TOKEN_FILE, str(token))
         for line in SESSION:
--- a/tests/components/operator/test_views.py
+++ b/tests/components/operator/test_views.py
@@ -11,7 +11,7 @@
 from tamarackbridge.components.dispatch import dispatcher, messages
 from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.components.operator import request_view, status_view
-from tamarackbridge.components.records import files, models, snapshots
+from tamarackbridge.components.records import files, models, snapshot
 
 SHARD = "mela-app/0"
 LARGE, SMALL = "lahore-franchise", "gate-desk"
@@ -32,7 +32,7 @@
 def mela() -> models.Snapshot:
     read = files.load(pathlib.Path("examples/mela/records.toml"))
     assert isinstance(read, result.Ok)
-    return snapshots.build(1, read.ok_value)
+    return snapshot.build(1, read.ok_value)
 
 
 def make() -> tuple[core.DeciderGroup, status_view.StatusView]:
--- a/tests/components/records/test_files.py
+++ b/tests/components/records/test_files.py
@@ -14,6 +14,7 @@
     files,
     references,
     schemas,
+    snapshot,
 )
 
 EXAMPLES = pathlib.Path("examples")
@@ -139,7 +140,7 @@
         "server": 8,
         "workspace": 16,
     }
-    assert references.check(read.ok_value) is None
+    assert references.check(snapshot.build(1, read.ok_value)) is None
 
 
 MISFITS = [
@@ -164,7 +165,7 @@
 def test_misfit_names_record_and_key(docs: list[object], expected: str) -> None:
     read = files.from_documents({"records": docs}, "f")
     assert isinstance(read, result.Ok)
-    assert expected in str(references.check(read.ok_value))
+    assert expected in str(references.check(snapshot.build(1, read.ok_value)))
 
 
 SHARES = st.floats(0.001, 1e6)
