--- a/tamarackbridge/components/operator/protocols.py
+++ b/tamarackbridge/components/operator/protocols.py
@@ -129,6 +129,6 @@
 class Telemetry(Protocol):
     """The counters of this router."""
 
-    def metrics(self) -> bytes:
+    def render(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         ...
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -17,6 +17,7 @@
 from tamarackbridge.components.entry import forward
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.entry import service as entry_service
+from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.components.object_api import http as object_api_http
 from tamarackbridge.components.operator import config_writer
 from tamarackbridge.components.operator import const as operator_const
@@ -27,8 +28,8 @@
 from tamarackbridge.components.tls import peers as tls_peers
 from tamarackbridge.components.transport import port as transport_port
 from tamarackbridge.components.transport import service as transport
-
-DRAIN_POLL_S = 0.05
+from tamarackbridge.components.vm_list import http as vm_list_http
+from tamarackbridge.components.vm_list import poller as vm_list_poller
 
 
 class Router:
@@ -68,12 +69,18 @@
         kernel.register(
             operator_const.SERVICE_CONFIG_CHANGES, self._make_writer(store)
         )
+        vms = vm_list_http.HttpVmList(settings.platform)
         kernel.register("object_api", store)
+        kernel.register("vm_list", vms)
         kernel.register("backend", backend)
         kernel.register("tls", self._tls)
         kernel.register("peers", self._peers)
         kernel.register("deciders", self._loop)
         kernel.register("load_poller", self._make_poller(backend))
+        kernel.register(
+            "vm_list_poller",
+            vm_list_poller.VmListPoller(vms, kernel.rng, self._loop.inject),
+        )
         kernel.register("entry", self._entry)
         kernel.register(
             "operator",
@@ -164,6 +171,7 @@
     async def _async_drain(self, force: asyncio.Event) -> None:
         """Waits until no request is held, the time is up or a 2nd signal."""
         self._entry.draining = True
+        self._loop.inject(membership.LeaveFleet())
         waits = [
             asyncio.create_task(self._entry.async_idle()),
             asyncio.create_task(force.wait()),
