Run the harness's routers with the deciders of the product

Cause: the chaos world and the operators' tests each listed a router's deciders, which policy.build() now makes for the process. Change: World makes its routers by policy.build() and loads either deployment's records; the operators' tests run over World; the harness is a clock.

--- a/bench/harness.py
+++ b/bench/harness.py
@@ -80,6 +80,14 @@
         self._paused: dict[str, list[tuple[core.Delivery, float]]] = {}
         self._life: dict[str, int] = {}
 
+    def monotonic(self) -> float:
+        """Returns virtual time, as a `core.Clock`."""
+        return self.now
+
+    def wall(self) -> float:
+        """Returns virtual time, as a `core.Clock`."""
+        return self.now
+
     def at(self, when: float, action: Callable[[], None]) -> None:
         """Schedules `action` at virtual time `when`, in seconds."""
         self._order += 1
--- a/bench/world.py
+++ b/bench/world.py
@@ -7,17 +7,13 @@
 from typing import ClassVar
 
 from bench import fake_store, harness
-from tamarackbridge import const, core
-from tamarackbridge.components.claims import client as claim_client
-from tamarackbridge.components.claims import keeper
+from tamarackbridge import const, core, policy
 from tamarackbridge.components.claims import messages as claims
-from tamarackbridge.components.configuration import applier, changes
 from tamarackbridge.components.configuration import messages as configuration
-from tamarackbridge.components.dispatch import dispatcher, permit_client
 from tamarackbridge.components.dispatch import messages as dispatch
-from tamarackbridge.components.membership import leases, member
 from tamarackbridge.components.membership import messages as membership
-from tamarackbridge.components.records import codec, files, models, snapshot
+from tamarackbridge.components.records import codec, files, models
+from tamarackbridge.components.settings import models as settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 LOAD_POLL_S = 0.5
@@ -196,15 +192,18 @@
         self.bus.add_fake(const.STORE_NODE, self.store)
         self.zone = zones
         self.entries: dict[str, Entry] = {}
+        self.policies: dict[str, policy.Policy] = {}
         self.servers: dict[str, Server] = {}
         self.answers: list[Request] = []
         self.starts: list[tuple[float, str]] = []
         self._lives = 0
         self.bus.at(0.0, self._poll_loads)
 
-    def load_records(self) -> tuple[configuration.RecordEdit, ...]:
-        """Returns Asahikawa's records, and makes their backend servers."""
-        path = ROOT / "examples" / "asahikawa" / "records.toml"
+    def load_records(
+        self, deployment: str = "asahikawa"
+    ) -> tuple[configuration.RecordEdit, ...]:
+        """Returns a deployment's records, and makes their backend servers."""
+        path = ROOT / "examples" / deployment / "records.toml"
         records = files.load(path).unwrap()
         for record in records:
             if isinstance(record.model, models.BackendServer):
@@ -222,18 +221,25 @@
         rng = random.Random(self.rng.random())
         entry = Entry(self, node)
         self.entries[node] = entry
-        parts: tuple[core.Decider, ...] = (
-            member.MemberDecider(node, self.zone[node], "", self._lives, rng),
-            leases.ShardLeases(node, rng),
-            applier.Applier(node, rng, snapshot.SnapshotCodec()),
-            changes.ChangeWriter(node, rng, snapshot.SnapshotCodec()),
-            dispatcher.Dispatcher(node, rng),
-            permit_client.PermitClient(node, rng),
-            keeper.Keeper(node, rng, 3600.0, 4096),
-            claim_client.ClaimClient(node, rng, self._lives),
-            entry,
+        made = self.make_policy(node, rng)
+        self.policies[node] = made
+        self.bus.start(core.DeciderGroup(node, (*made.deciders(), entry)))
+
+    def make_policy(self, node: str, rng: random.Random) -> policy.Policy:
+        """Makes the deciders of a router."""
+        listen = settings.ListenSettings()
+        cfg = settings.Settings(
+            node=node,
+            zone=self.zone[node],
+            caller=listen,
+            peer=listen,
+            operator=settings.OperatorSettings(),
+            platform=settings.PlatformSettings(object_api="", vm_list=""),
+            claims=settings.ClaimSettings(
+                retention_s=3600.0, max_outcome_bytes=4096
+            ),
         )
-        self.bus.start(core.DeciderGroup(node, parts))
+        return policy.build(cfg, self._lives, self.bus, rng)
 
     def kill(self, node: str) -> None:
         """Ends a router; its callers lose their connections."""
--- a/tests/components/client/test_app.py
+++ b/tests/components/client/test_app.py
@@ -68,8 +68,6 @@
     names = {"file": first, "file2": second, "dir": tmp_path}
     seen: list[str] = []
     routers = fleet.Fleet()
-    routers.start()
-    routers.run(3.0)
     async with routers.operated("mela-1") as router:
         monkeypatch.setenv(const.ENV_URL, router.url)
         monkeypatch.setenv(const.ENV_TOKEN_FILE, str(token))
--- a/tests/components/operator/test_app.py
+++ b/tests/components/operator/test_app.py
@@ -51,10 +51,7 @@
 
 @pytest.fixture
 def routers() -> fleet.Fleet:
-    made = fleet.Fleet()
-    made.start()
-    made.run(3.0)
-    return made
+    return fleet.Fleet()
 
 
 async def test_no_path_answers_without_a_known_token(
@@ -207,7 +204,7 @@
 async def test_change_that_few_confirm_is_told_as_such(
     routers: fleet.Fleet,
 ) -> None:
-    routers.cut("mela-1")
+    routers.bus.faults.isolate(["mela-1"], ["mela-2", "mela-3"])
     async with routers.operated("mela-1") as router:
         url = f"{router.url}/v1/records"
         routers.bus.faults.isolate(["mela-2", "mela-3"], [const.STORE_NODE])
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,20 +1,23 @@
-"""Whole routers' deciders in the harness, with callers and operators."""
+"""Whole routers in the harness, operated through the real interface."""
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 import contextlib
 import dataclasses
 import hashlib
-import pathlib
 import random
 from typing import TypeVar
 
 import result
 
-from bench import fake_store, harness
-from tamarackbridge import const, core, policy
+from bench import harness, world
+from tamarackbridge import const, core
 from tamarackbridge.components.object_api import messages as store
-from tamarackbridge.components.operator import config_writer, protocols, service
+from tamarackbridge.components.operator import (
+    config_writer,
+    protocols,
+    service,
+)
 from tamarackbridge.components.operator import const as operator_const
 from tamarackbridge.components.records import changes
 from tamarackbridge.components.settings import loader, models
@@ -28,19 +31,6 @@
 STORE_TIMEOUT_S = 2.0
 
 
-class VirtualClock:
-    """Reads the harness's clock."""
-
-    def __init__(self, bus: harness.Harness) -> None:
-        self._bus = bus
-
-    def monotonic(self) -> float:
-        return self._bus.now
-
-    def wall(self) -> float:
-        return self._bus.now
-
-
 class StoreClient:
     """Calls the fake store for a router's operator interface."""
 
@@ -53,12 +43,8 @@
     def handle(
         self, delivery: core.Delivery, now: float
     ) -> Sequence[core.Envelope]:
-        msg = delivery.msg
-        fut = self._fut
-        if fut is None or fut.done():
-            return ()
-        if isinstance(msg, store.StoreReply):
-            fut.set_result(msg)
+        if isinstance(delivery.msg, store.StoreReply) and self._fut:
+            _answer(self._fut, delivery.msg)
         return ()
 
     async def async_call(self, call: core.Message) -> store.StoreReply:
@@ -66,13 +52,17 @@
         fut = asyncio.get_running_loop().create_future()
         self._fut = fut
         self._bus.send(self._name, core.Envelope(const.STORE_NODE, call))
-        self._bus.at(self._bus.now + STORE_TIMEOUT_S, lambda: _give_up(fut))
+        late = store.StoreReply("", store.StoreStatus.UNKNOWN)
+        end = self._bus.now + STORE_TIMEOUT_S
+        self._bus.at(end, lambda: _answer(fut, late))
         return await fut
 
 
-def _give_up(fut: asyncio.Future[store.StoreReply]) -> None:
+def _answer(
+    fut: asyncio.Future[store.StoreReply], reply: store.StoreReply
+) -> None:
     if not fut.done():
-        fut.set_result(store.StoreReply("", store.StoreStatus.UNKNOWN))
+        fut.set_result(reply)
 
 
 class PumpedWriter:
@@ -120,51 +110,31 @@
     writer: PumpedWriter
 
 
-class Fleet:
-    """Routers of a deployment's settings over one fake store."""
+class Fleet(world.World):
+    """Routers of a deployment, each in the zone that its settings name."""
 
     def __init__(
         self, seed: int = 1, deployment: str = "mela", size: int = 3
     ) -> None:
-        self.bus = harness.Harness(seed)
-        self.store = fake_store.FakeStore(self.bus, const.STORE_NODE)
-        self.bus.add_fake(const.STORE_NODE, self.store)
-        self.clock = VirtualClock(self.bus)
+        self.deployment = deployment
         self.cfg: dict[str, models.Settings] = {}
-        self.policies: dict[str, policy.Policy] = {}
-        self.extra: dict[str, tuple[core.Decider, ...]] = {}
-        self._incarnation = 0
-        folder = pathlib.Path("examples") / deployment
+        folder = world.ROOT / "examples" / deployment
         for number in range(1, size + 1):
             cfg = loader.load(folder / f"router-{number}.toml").unwrap()
             operator = dataclasses.replace(
                 cfg.operator, port=0, token_hashes=("0" * 64, HASH)
             )
             self.cfg[cfg.node] = dataclasses.replace(cfg, operator=operator)
-
-    def start(self, *nodes: str) -> None:
-        """Starts routers, or starts them again with empty state."""
-        for node in nodes or self.cfg:
-            self._incarnation += 1
-            made = policy.build(
-                self.cfg[node], self._incarnation, self.clock, self.bus.rng
-            )
-            self.policies[node] = made
-            parts = (*made.deciders(), *self.extra.get(node, ()))
-            self.bus.start(core.DeciderGroup(node, parts))
+        zones = {node: cfg.zone for node, cfg in self.cfg.items()}
+        super().__init__(seed, zones)
+        for node in self.cfg:
+            self.router(node)
+        self.run(3.0)
 
     def run(self, seconds: float) -> None:
         """Lets time pass."""
         self.bus.run_until(self.bus.now + seconds)
 
-    def cut(self, *inside: str, off_store: bool = False) -> None:
-        """Cuts some routers off all others, and off the store if asked."""
-        outside = [node for node in self.cfg if node not in inside]
-        if off_store:
-            outside.append(const.STORE_NODE)
-            inside += tuple(f"operator-{node}" for node in inside)
-        self.bus.faults.isolate(inside, outside)
-
     @contextlib.asynccontextmanager
     async def operated(self, node: str) -> AsyncIterator[Operated]:
         """Runs the operator interface of one router on loopback."""
@@ -176,7 +146,7 @@
             lambda msg: self.bus.inject(node, msg),
         )
         pumped = PumpedWriter(self.bus, writer)
-        kernel = core.Kernel(self.clock, random.Random(1))
+        kernel = core.Kernel(self.bus, random.Random(1))
         kernel.register(operator_const.SERVICE_SETTINGS, self.cfg[node])
         kernel.register(operator_const.SERVICE_CONFIG_CHANGES, pumped)
         kernel.register(operator_const.SERVICE_STATUS, made.status)
