--- a/tamarackbridge/components/client/tables.py
+++ b/tamarackbridge/components/client/tables.py
@@ -77,8 +77,8 @@
     joined = join_status(found)
     print_table(
         "members",
-        ("node", "zone", "live", "generation"),
-        [(m.node, m.zone, m.live, m.generation) for m in joined.members],
+        ("node", "zone", "live", "confirmed"),
+        [(m.node, m.zone, m.live, m.confirmed) for m in joined.members],
     )
     print_table(
         "shards",
@@ -115,14 +115,15 @@
 
 
 def join_status(found: Sequence[messages.Status]) -> messages.Status:
-    """Joins answers; of a shard the answer of its holder is taken."""
+    """Joins answers.
+
+    Of members the answer with the highest generation is taken, of a shard the
+    answer of its holder.
+    """
     members: dict[str, messages.MemberStatus] = {}
     shards: dict[str, messages.ShardStatus] = {}
-    for item in found:
-        for member in item.members:
-            known = members.get(member.node)
-            if known is None or member.generation > known.generation:
-                members[member.node] = member
+    for item in sorted(found, key=_generation):
+        members.update({member.node: member for member in item.members})
         for shard in item.shards:
             best = shards.get(shard.shard)
             if best is None or _rank(shard) > _rank(best):
@@ -140,6 +141,10 @@
     )
 
 
+def _generation(item: messages.Status) -> int:
+    return item.generation
+
+
 def _rank(shard: messages.ShardStatus) -> tuple[int, int]:
     return shard.epoch, shard.permits
 
--- a/tamarackbridge/components/configuration/applier.py
+++ b/tamarackbridge/components/configuration/applier.py
@@ -64,6 +64,11 @@
         """Generation in force on this router; 0 for none."""
         return self._generation
 
+    @property
+    def version(self) -> int:
+        """Store version of the head whose generation is in force."""
+        return self._version
+
     def handle(
         self, delivery: core.Delivery, now: float
     ) -> Sequence[core.Envelope]:
--- a/tamarackbridge/components/membership/member.py
+++ b/tamarackbridge/components/membership/member.py
@@ -108,6 +108,10 @@
                 return self._on_store_reply(delivery.msg, now)
         return ()
 
+    def known_by(self, node: str) -> int:
+        """Returns the store version up to which a router knows all objects."""
+        return self._ledger.row(node).known
+
     def tick(self, now: float) -> Sequence[core.Envelope]:
         """Sends what is due."""
         self._started_at = min(self._started_at, now)
--- a/tamarackbridge/components/operator/config_writer.py
+++ b/tamarackbridge/components/operator/config_writer.py
@@ -93,11 +93,13 @@
         applied: applier.Applier,
         api: object_api.ObjectApi,
         inject: Callable[[core.Message], None],
+        behind: Callable[[], tuple[str, ...]],
     ) -> None:
         self._reports = reports
         self._applier = applied
         self._api = api
         self._inject = inject
+        self._behind = behind
 
     async def async_read(self) -> _Read:
         """Reads all records from the platform."""
@@ -146,11 +148,23 @@
         self._inject(ask)
         try:
             async with asyncio.timeout(ACCEPT_WAIT_S + REPORT_MARGIN_S):
-                return _written(await fut)
+                return self._written(await fut)
         except TimeoutError:
             detail = _DETAILS[messages.ChangeState.UNKNOWN]
             return _error(_Reason.UNKNOWN, detail)
 
+    def _written(self, report: messages.ChangeReport) -> _Written:
+        lagging = report.lagging
+        if self._applier.generation == report.generation:
+            lagging = self._behind()
+        if report.state is messages.ChangeState.ACCEPTED:
+            accepted = protocols.Acceptance(report.generation, lagging)
+            return result.Ok(accepted)
+        detail = _DETAILS.get(report.state, report.detail)
+        if report.state is messages.ChangeState.WRITTEN and lagging:
+            detail = f"{detail}: {', '.join(lagging)}"
+        return _error(_REASONS[report.state], detail)
+
 
 def _put(base: changes.Stored, record: schemas.Record) -> messages.RecordEdit:
     key = changes.id_of(record)
@@ -179,16 +193,6 @@
     return result.Ok(protocols.Configuration(generation, found, from_store))
 
 
-def _written(report: messages.ChangeReport) -> _Written:
-    if report.state is messages.ChangeState.ACCEPTED:
-        accepted = protocols.Acceptance(report.generation, report.lagging)
-        return result.Ok(accepted)
-    detail = _DETAILS.get(report.state, report.detail)
-    if report.lagging:
-        detail = f"{detail}: {', '.join(report.lagging)}"
-    return _error(_REASONS[report.state], detail)
-
-
 def _unavailable() -> result.Err[protocols.ChangeError]:
     detail = _DETAILS[messages.ChangeState.NOT_WRITTEN]
     return _error(_Reason.STORE_UNAVAILABLE, detail)
--- a/tamarackbridge/components/operator/explain.py
+++ b/tamarackbridge/components/operator/explain.py
@@ -58,7 +58,7 @@
             f"it runs as many requests at once as its record allows"
             f" ({running} of {workspace.max_running})"
         )
-    if queued:
+    elif queued:
         yield from _order_reasons(workspace, held)
     yield from _server_reasons(held, snapshot, now)
 
--- a/tamarackbridge/components/operator/messages.py
+++ b/tamarackbridge/components/operator/messages.py
@@ -41,7 +41,7 @@
         dry_run: Whether nothing was written.
         generation: Generation in which the change is in force; 0 for none.
         changes: What changes.
-        lagging: Live routers that have not confirmed it, a few of them.
+        lagging: Live routers that have not confirmed it.
     """
 
     dry_run: bool
@@ -68,13 +68,14 @@
     """One router as the answering router sees it.
 
     Attributes:
-        generation: Generation in force there; 0 when not known.
+        confirmed: Whether it has confirmed the answering router's
+            generation.
     """
 
     node: str
     zone: str
     live: bool
-    generation: int
+    confirmed: bool
 
 
 class ShardStatus(msgspec.Struct, frozen=True):
--- a/tamarackbridge/components/operator/protocols.py
+++ b/tamarackbridge/components/operator/protocols.py
@@ -42,7 +42,7 @@
 
     Attributes:
         generation: Generation in which it is in force.
-        lagging: Live routers that have not confirmed it, a few of them.
+        lagging: Live routers that have not confirmed it.
     """
 
     generation: int
--- a/tamarackbridge/components/operator/status_view.py
+++ b/tamarackbridge/components/operator/status_view.py
@@ -1,6 +1,6 @@
 """What one router knows of the fleet, as operators see it."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import ClassVar
 
 from tamarackbridge import core
@@ -16,7 +16,8 @@
     """A decider that only listens, and answers operators.
 
     It sends nothing, so that a router's decisions are the same with and
-    without it.
+    without it. `confirms` tells whether another router is known to have the
+    configuration that is in force here.
     """
 
     handles: ClassVar[tuple[type[core.Message], ...]] = (
@@ -32,11 +33,13 @@
         zone: str,
         clock: core.Clock,
         dispatching: dispatcher.Dispatcher,
+        confirms: Callable[[str], bool],
     ) -> None:
         self._node = node
         self._zone = zone
         self._clock = clock
         self._dispatcher = dispatching
+        self._confirms = confirms
         self._snapshot = models.empty_snapshot()
         self._serving = configuration.ServingChanged(False, "starting")
         self._roster = membership.RosterChanged((), ())
@@ -67,6 +70,14 @@
         """Tells whether configuration is in force and work is accepted."""
         return self._snapshot.generation > 0 and self._serving.serving
 
+    def behind(self) -> tuple[str, ...]:
+        """Returns live routers that haven't confirmed what is in force here."""
+        return tuple(
+            node
+            for node in sorted(self._roster.live)
+            if not self._has_confirmed(node)
+        )
+
     def status(self) -> messages.Status:
         """Returns members, shards, servers and queues."""
         now = self._clock.monotonic()
@@ -102,14 +113,16 @@
 
     def _members(self) -> Iterable[messages.MemberStatus]:
         for member in self._roster.members:
-            own = member.node == self._node
             yield messages.MemberStatus(
                 node=member.node,
                 zone=member.zone,
                 live=member.node in self._roster.live,
-                generation=self._snapshot.generation if own else 0,
+                confirmed=self._has_confirmed(member.node),
             )
 
+    def _has_confirmed(self, node: str) -> bool:
+        return node == self._node or self._confirms(node)
+
     def _shards(self) -> Iterable[messages.ShardStatus]:
         for name in self._snapshot.shard_names():
             known = self._holders.get(name)
--- a/tamarackbridge/policy.py
+++ b/tamarackbridge/policy.py
@@ -56,12 +56,18 @@
     """
     node = cfg.node
     dispatching = dispatcher.Dispatcher(node, rng)
+    joining = member.MemberDecider(
+        node, cfg.zone, cfg.advertise, incarnation, rng
+    )
+    applied = applier.Applier(node, rng, snapshot.SnapshotCodec())
+
+    def confirms(other: str) -> bool:
+        return joining.known_by(other) >= applied.version
+
     return Policy(
-        member=member.MemberDecider(
-            node, cfg.zone, cfg.advertise, incarnation, rng
-        ),
+        member=joining,
         leases=leases.ShardLeases(node, rng),
-        applier=applier.Applier(node, rng, snapshot.SnapshotCodec()),
+        applier=applied,
         changes=changes.ChangeWriter(node, rng, references.CheckedCodec()),
         dispatcher=dispatching,
         permits=permit_client.PermitClient(node, rng),
@@ -72,7 +78,9 @@
             cfg.claims.max_outcome_bytes,
         ),
         claims=claim_client.ClaimClient(node, rng, incarnation),
-        status=status_view.StatusView(node, cfg.zone, clock, dispatching),
+        status=status_view.StatusView(
+            node, cfg.zone, clock, dispatching, confirms
+        ),
         requests=request_view.RequestView(node, clock),
         reports=config_writer.ReportPort(),
     )
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -133,6 +133,7 @@
             self._policy.applier,
             store,
             self._loop.inject,
+            self._policy.status.behind,
         )
 
     def _context(
--- a/tests/components/operator/test_views.py
+++ b/tests/components/operator/test_views.py
@@ -37,7 +37,9 @@
 
 def make() -> tuple[core.DeciderGroup, status_view.StatusView]:
     deciding = dispatcher.Dispatcher("a", random.Random(1))
-    view = status_view.StatusView("a", "lahore", Clock(), deciding)
+    view = status_view.StatusView(
+        "a", "lahore", Clock(), deciding, lambda node: node != "b"
+    )
     return core.DeciderGroup("a", [deciding, view]), view
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -144,6 +144,7 @@
             made.applier,
             StoreClient(self.bus, f"operator-{node}"),
             lambda msg: self.bus.inject(node, msg),
+            made.status.behind,
         )
         pumped = PumpedWriter(self.bus, writer)
         kernel = core.Kernel(self.bus, random.Random(1))
