--- a/tamarackbridge/components/claims/claim_range.py
+++ b/tamarackbridge/components/claims/claim_range.py
@@ -93,7 +93,7 @@
         self._due: dict[str, None] = {}
         self._waiting: dict[str, dict[str, None]] = {}
         self._settles: dict[str, _Settle] = {}
-        self._in_write: tuple[str, ...] = ()
+        self._ends_in_write: tuple[str, ...] = ()
         self._commits = 0
         self._fetches: dict[str, _Fetch] = {}
         self._needs_read = False
@@ -177,11 +177,11 @@
 
     def _committed(self) -> None:
         self._commits = self.journal.commits
-        for attempt in self._in_write:
+        for attempt in self._ends_in_write:
             done = self._settles.pop(attempt, None)
             if done is not None:
                 self._settled(done)
-        self._in_write = ()
+        self._ends_in_write = ()
 
     def _settled(self, done: _Settle) -> None:
         key = done.settle.key
@@ -215,7 +215,7 @@
         claims = self._claim_records(keys)
         records = _fitting({**ends, **claims})
         if records or self.journal.copy.upkeep_due(now):
-            self._in_write = tuple(records)
+            self._ends_in_write = tuple(set(records) & set(ends))
             self.journal.write(tuple(records.values()), now)
         elif self._needs_read:
             self._needs_read = False
@@ -313,7 +313,10 @@
             return _ANSWER.MISMATCH
         if entry.state is _STATE.FINISHED:
             return _ANSWER.REPLAY
-        if entry.state is _STATE.UNKNOWN or self._is_gone(entry.attempt):
+        if entry.state is _STATE.UNKNOWN:
+            return _ANSWER.OUTCOME_UNKNOWN
+        waited_s = held.repeated - held.since
+        if waited_s >= const.GONE_WAIT_S and self._is_gone(entry.attempt):
             return _ANSWER.OUTCOME_UNKNOWN
         return _ANSWER.IN_PROGRESS
 
--- a/tamarackbridge/components/claims/client.py
+++ b/tamarackbridge/components/claims/client.py
@@ -21,6 +21,7 @@
     Attributes:
         deadline: Time until which the entry waits for an answer.
         running: Whether the entry was told to run.
+        unanswered: Messages sent since the last answer.
         close: How the attempt ended; None while it is open.
     """
 
@@ -28,6 +29,7 @@
     ask: messages.ClaimAsk
     deadline: float
     sent_at: float
+    unanswered: int = 0
     running: bool = False
     waiting_answer: messages.ClaimAnswer = _ANSWER.UNAVAILABLE
     close: messages.ClaimSettle | None = None
@@ -127,6 +129,7 @@
             content_type=close.content_type,
             body=close.body,
         )
+        attempt.unanswered = 0
         self._send(attempt, now)
 
     def _reply(
@@ -138,6 +141,7 @@
             return
         if attempt.close is not None or attempt.running:
             return
+        attempt.unanswered = 0
         if reply.answer is _ANSWER.IN_PROGRESS:
             attempt.waiting_answer = reply.answer
         elif reply.answer is _ANSWER.RUN:
@@ -202,7 +206,10 @@
         return ranges.keeper_of(ranges.range_of(key), self._live)
 
     def _send(self, attempt: _Attempt, now: float) -> None:
+        place = attempt.unanswered // const.SENDS_PER_KEEPER
+        number = ranges.range_of(attempt.ask.key)
+        keeper = ranges.stand_in(number, self._live, place)
         attempt.sent_at = now
+        attempt.unanswered += 1
         msg = attempt.close or attempt.ask
-        env = core.Envelope(self._keeper(attempt.ask.key), msg)
-        self._out.append(env)
+        self._out.append(core.Envelope(keeper, msg))
--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -46,3 +46,9 @@
 
 WAIT_REFRESH_S: Final = 1.0
 """While asks wait for another attempt, the range is read this often."""
+
+GONE_WAIT_S: Final = 3.0
+"""An ask waits this long for an attempt whose router has ended."""
+
+SENDS_PER_KEEPER: Final = 2
+"""A client turns to the next keeper after so many unanswered messages."""
--- a/tamarackbridge/components/claims/ranges.py
+++ b/tamarackbridge/components/claims/ranges.py
@@ -17,6 +17,12 @@
     return rendezvous.owner(f"{const.KEY_PREFIX}/{number}", nodes)
 
 
+def stand_in(number: int, nodes: Iterable[str], place: int) -> str:
+    """Returns the router that is asked after `place` others did not answer."""
+    ranked = rendezvous.rank(f"{const.KEY_PREFIX}/{number}", nodes)
+    return ranked[place % len(ranked)]
+
+
 def tail_key(number: int) -> str:
     """Returns the key of the object that takes a range's next records."""
     return f"{const.KEY_PREFIX}/{number}/tail"
