--- /dev/null
+++ b/tamarackbridge/components/dispatch/occupancy.py
@@ -0,0 +1,93 @@
+"""How much of one backend server's limit may be in use.
+
+Combines the permits that are out with the server's lagging load report.
+"""
+
+import collections
+import dataclasses
+
+from tamarackbridge import const
+from tamarackbridge.components.dispatch import const as dispatch_const
+from tamarackbridge.components.dispatch import messages, permits
+
+START_WINDOW_S = const.GRANT_USE_S + dispatch_const.NETWORK_S
+"""Work of a permit arrives at its server within this time of its issue."""
+
+MAX_FINISHES = 4096
+"""Ends that are remembered to explain a lagging report."""
+
+
+class Occupancy:
+    """Requests that may be running on one backend server.
+
+    Attributes:
+        unknown: Permits of earlier epochs that no entry has reported.
+        unknown_until: Monotonic time at which the last of them has ended.
+    """
+
+    def __init__(self) -> None:
+        self.unknown = 0
+        self.unknown_until = 0.0
+        self._excess = 0
+        self._report: _Measured | None = None
+        self._finishes: collections.deque[float] = collections.deque(
+            maxlen=MAX_FINISHES
+        )
+
+    def finished(self, now: float) -> None:
+        """Notes the end of one permit."""
+        self._finishes.append(now)
+
+    def in_use(self, held: int, now: float) -> int:
+        """Returns how many requests may run, with `held` permits out."""
+        if now >= self.unknown_until:
+            self.unknown = 0
+        return held + self.unknown + self._excess
+
+    def reported(
+        self, report: messages.LoadReport, held: int, now: float
+    ) -> None:
+        """Takes the server's own report in, with `held` permits out."""
+        measured_from = now - report.lag_s
+        while self._finishes and self._finishes[0] < measured_from:
+            self._finishes.popleft()
+        explained = held + self.unknown + len(self._finishes)
+        self._excess = max(report.in_flight - explained, 0)
+        self._report = _Measured(report.in_flight, measured_from, now)
+
+    def ended(
+        self, held: list[permits.Permit], now: float
+    ) -> list[permits.Permit]:
+        """Returns the silent permits that the last report shows to have ended.
+
+        What the server ran when it measured was either a permit that its
+        entry still named afterwards, or one of the rest. So no more of the
+        rest can run than the report leaves for them.
+        """
+        report = self._report
+        if report is None:
+            return []
+        old = [item for item in held if _started_before(item, report.since)]
+        named = sum(item.heard_at >= report.until for item in old)
+        left = max(report.in_flight - named, 0)
+        self.unknown = min(self.unknown, left)
+        silent = [item for item in old if is_silent(item, now)]
+        silent.sort(key=lambda item: item.granted_at)
+        surplus = self.unknown + len(silent) - left
+        return silent[: max(surplus, 0)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Measured:
+    in_flight: int
+    since: float
+    until: float
+
+
+def _started_before(permit: permits.Permit, moment: float) -> bool:
+    return permit.granted_at + START_WINDOW_S <= moment
+
+
+def is_silent(permit: permits.Permit, now: float) -> bool:
+    """Tells whether a permit's entry has not been heard for long."""
+    return now - permit.heard_at > dispatch_const.SILENCE_S
