Decide each attempt's end by one table; resume streams; drain without cuts

Cause: a stream that was cut was never resumed, half an event could reach the caller, retries had no budget, a payment whose caller left kept its claim open for good, and a draining router refused instead of serving. Change: Attempts maps each way an attempt can end to retry, refuse or break, with what may truly be said of the work. StreamCheck passes on whole events in order over any number of attempts. The retry budget is a share of requests. Claimed work goes on without its caller and its end is stored. Permits that are granted as their request gives up are given back. SIGTERM: not ready, requests still taken for drain_notice_s as the last of their connection, then listening ends, held work and owed claims finish within drain_timeout_s; a second SIGTERM ends the wait. Keepers leave out leaving routers. A refusal before the claim could be read says not_run "unknown" for a keyed request, because an earlier one with its key may have run. Conclusion: wired; faults against real listeners are tested next.

--- a/tamarackbridge/components/claims/client.py
+++ b/tamarackbridge/components/claims/client.py
@@ -57,7 +57,7 @@
         self, node: str, rng: random.Random, incarnation: int = 0
     ) -> None:
         self._node = node
-        self._live: tuple[str, ...] = (node,)
+        self._keepers: tuple[str, ...] = (node,)
         self._life = f"{node}.{incarnation}.{rng.getrandbits(32):08x}"
         self._count = 0
         self._attempts: dict[str, _Attempt] = {}
@@ -83,7 +83,7 @@
             case messages.ClaimSettled() as settled:
                 self._settled(settled)
             case membership.RosterChanged() as roster:
-                self._live = roster.live or (self._node,)
+                self._keepers = ranges.keepers(roster) or (self._node,)
         return self._flush()
 
     def tick(self, now: float) -> Sequence[core.Envelope]:
@@ -203,12 +203,12 @@
         self._by_request.pop(attempt.request_id, None)
 
     def _keeper(self, key: str) -> str:
-        return ranges.keeper_of(ranges.range_of(key), self._live)
+        return ranges.keeper_of(ranges.range_of(key), self._keepers)
 
     def _send(self, attempt: _Attempt, now: float) -> None:
         place = attempt.unanswered // const.SENDS_PER_KEEPER
         number = ranges.range_of(attempt.ask.key)
-        keeper = ranges.stand_in(number, self._live, place)
+        keeper = ranges.stand_in(number, self._keepers, place)
         attempt.sent_at = now
         attempt.unanswered += 1
         msg = attempt.close or attempt.ask
--- a/tamarackbridge/components/claims/keeper.py
+++ b/tamarackbridge/components/claims/keeper.py
@@ -137,7 +137,7 @@
         self._owned = frozenset(
             number
             for number in range(const.RANGES)
-            if ranges.keeper_of(number, roster.live) == self._node
+            if ranges.keeper_of(number, ranges.keepers(roster)) == self._node
         )
         for number in self._owned:
             self._range(number, now).used = now
--- a/tamarackbridge/components/claims/ranges.py
+++ b/tamarackbridge/components/claims/ranges.py
@@ -4,6 +4,7 @@
 import zlib
 
 from tamarackbridge.components.claims import const
+from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.helpers import rendezvous
 
 
@@ -12,6 +13,12 @@
     return zlib.crc32(key.encode()) % const.RANGES
 
 
+def keepers(roster: membership.RosterChanged) -> tuple[str, ...]:
+    """Returns the routers that may keep ranges."""
+    staying = tuple(n for n in roster.live if n not in roster.leaving)
+    return staying or roster.live
+
+
 def keeper_of(number: int, nodes: Iterable[str]) -> str:
     """Returns the router that keeps a range, or an empty string for none."""
     return rendezvous.owner(f"{const.KEY_PREFIX}/{number}", nodes)
--- /dev/null
+++ b/tamarackbridge/components/entry/attempts.py
@@ -0,0 +1,166 @@
+"""Decides what follows each way in which an attempt can end."""
+
+import dataclasses
+import enum
+import random
+
+from tamarackbridge.components.entry import const, problem, retry_budget
+
+MAX_ATTEMPTS = 4
+"""Attempts that one request is given at most."""
+
+BACKOFF_S = 0.02
+"""Greatest pause before the first retry; doubles with each further one."""
+
+
+class End(enum.Enum):
+    """How one attempt on a backend server ended."""
+
+    WHOLE = "whole"
+    LAPSED = "lapsed"
+    """The permit ran out before anything was sent."""
+    NOT_SENT = "not_sent"
+    """No connection; nothing was sent."""
+    NOT_STARTED = "not_started"
+    """The backend server proved that it did not start the work."""
+    FAILED = "failed"
+    """An error status without a proof that the work did not start."""
+    CROSSED = "crossed"
+    """The answer was another request's."""
+    EMPTY = "empty"
+    TRUNCATED = "truncated"
+    """The connection ended before the answer did."""
+    TIMED_OUT = "timed_out"
+    CUT_OFF = "cut_off"
+    """The router ended an answer that ran longer than its permit."""
+
+
+class Step(enum.Enum):
+    """What the entry does next."""
+
+    FINISH = "finish"
+    RETRY = "retry"
+    """Asks for a permit again; a stream resumes at its offset."""
+    REFUSE = "refuse"
+    """Tells the caller that there is no answer."""
+    BREAK = "break"
+    """Cuts the caller's connection: part of the answer is already sent."""
+
+
+PROVED_NOT_RUN = frozenset({End.LAPSED, End.NOT_SENT, End.NOT_STARTED})
+"""Ends after which the work certainly did not run."""
+
+_NEVER_RETRIED = frozenset({End.TIMED_OUT, End.CUT_OFF})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """The next step of a request.
+
+    Attributes:
+        pause_s: Pause before a retry.
+        reason: Why the caller gets no answer.
+        not_run: What the caller is told of the work.
+    """
+
+    step: Step
+    pause_s: float = 0.0
+    reason: const.Reason = const.Reason.BACKEND_FAILED
+    not_run: problem.NotRun = problem.NotRun.UNKNOWN
+
+
+class Attempts:
+    """The attempts of one request.
+
+    Attributes:
+        avoid: Backend servers that failed it.
+        may_have_run: Whether any ended attempt may have started the work.
+        sending: Whether an attempt is out that may start the work.
+    """
+
+    def __init__(
+        self,
+        idempotent: bool,
+        deadline: float,
+        budget: retry_budget.RetryBudget,
+        rng: random.Random,
+    ) -> None:
+        self.avoid: tuple[str, ...] = ()
+        self.may_have_run = False
+        self.sending = False
+        self._idempotent = idempotent
+        self._deadline = deadline
+        self._budget = budget
+        self._rng = rng
+        self._count = 0
+
+    @property
+    def not_run(self) -> problem.NotRun:
+        """What may truly be said of the work so far."""
+        if self.may_have_run:
+            return problem.NotRun.UNKNOWN
+        return problem.NotRun.TRUE
+
+    def after(
+        self,
+        end: End,
+        server: str,
+        now: float,
+        caller_has_part: bool = False,
+        resumable: bool = True,
+    ) -> Decision:
+        """Takes the end of an attempt.
+
+        Args:
+            end: How it ended.
+            server: The backend server it ran on.
+            now: Monotonic time in seconds.
+            caller_has_part: Whether part of the answer went to the caller.
+            resumable: Whether another attempt can continue that part.
+        """
+        self.sending = False
+        if end is End.WHOLE:
+            return Decision(Step.FINISH)
+        self._count += 1
+        self.may_have_run |= end not in PROVED_NOT_RUN
+        if end is not End.LAPSED:
+            self.avoid = (*self.avoid, server)
+        if self._may_retry(end, caller_has_part, resumable, now):
+            ceiling = BACKOFF_S * 2 ** (self._count - 1)
+            return Decision(Step.RETRY, self._rng.uniform(0.0, ceiling))
+        return self.give_up(_REASONS.get(end), caller_has_part)
+
+    def give_up(
+        self, reason: const.Reason | None, caller_has_part: bool
+    ) -> Decision:
+        """Ends the request without a whole answer."""
+        if caller_has_part:
+            return Decision(Step.BREAK, reason=const.Reason.TRUNCATED)
+        if not self._idempotent and self.may_have_run:
+            reason = const.Reason.OUTCOME_UNKNOWN
+        return Decision(
+            Step.REFUSE,
+            reason=reason or const.Reason.BACKEND_FAILED,
+            not_run=self.not_run,
+        )
+
+    def _may_retry(
+        self, end: End, caller_has_part: bool, resumable: bool, now: float
+    ) -> bool:
+        if end in _NEVER_RETRIED or self._count >= MAX_ATTEMPTS:
+            return False
+        if self.may_have_run and not self._idempotent:
+            return False
+        if caller_has_part and not resumable:
+            return False
+        if now >= self._deadline and not caller_has_part:
+            return False
+        return self._budget.take(now)
+
+
+_REASONS = {
+    End.TIMED_OUT: const.Reason.DEADLINE,
+    End.CUT_OFF: const.Reason.TRUNCATED,
+    End.TRUNCATED: const.Reason.TRUNCATED,
+    End.LAPSED: const.Reason.NO_CAPACITY,
+}
--- a/tamarackbridge/components/entry/const.py
+++ b/tamarackbridge/components/entry/const.py
@@ -36,5 +36,6 @@
     IN_PROGRESS = "in_progress"
     STORE_UNAVAILABLE = "store_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    OUTCOME_NOT_KEPT = "outcome_not_kept"
     BACKEND_FAILED = "backend_failed"
     TRUNCATED = "truncated"
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -1,34 +1,28 @@
 """One attempt of one request on one backend server."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Mapping
 import dataclasses
 import time
 
 import aiohttp
-from aiohttp import web
 import msgspec
 
+from tamarackbridge import const as core_const
 from tamarackbridge.components.backend import client, exceptions
 from tamarackbridge.components.dispatch import messages as dispatch
-from tamarackbridge.components.entry import const
+from tamarackbridge.components.entry import (
+    attempts,
+    caller_stream,
+    const,
+    stream_check,
+    whole_answer,
+)
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
 
-_DATA = b"data: "
-_DONE = b"[DONE]"
-_RETURNED_HEADERS = ("Content-Type", "ETag", "Cache-Control", "Location")
-
-
-class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-
-
-class _Chunk(msgspec.Struct):
-    usage: _Usage | None = None
-
-
-_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+_END = attempts.End
+_STREAM_TYPE = "text/event-stream"
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,25 +30,58 @@
     """How far one attempt has come.
 
     Attributes:
-        sent: Whether any of it may have reached the backend server.
-        prepared: Whether the caller has been sent the answer's header.
-        whole: Whether the caller has the whole answer.
+        end: How it ended; `TRUNCATED` until more is known.
         used: Cost so far.
         first_byte_s: Time from start to the first byte of the answer.
         status: HTTP status of the answer; 0 while there is none.
-        outcome: How the attempt ended.
+        headers: Headers of the answer.
+        body: Body of an answer that is not streamed to the caller.
+        is_stream: Whether the answer is a stream of events.
     """
 
-    sent: bool = False
-    prepared: bool = False
-    whole: bool = False
+    end: attempts.End = _END.TRUNCATED
     used: float = 0.0
     first_byte_s: float = 0.0
     status: int = 0
-    outcome: dispatch.Outcome = dispatch.Outcome.UNUSED
-    tokens: int = 0
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
-    content_type: str = ""
+    is_stream: bool = False
+
+    @property
+    def outcome(self) -> dispatch.Outcome:
+        """What the dispatcher is told."""
+        return _OUTCOMES.get(self.end, dispatch.Outcome.FAILED)
+
+
+_OUTCOMES = {
+    _END.WHOLE: dispatch.Outcome.OK,
+    _END.LAPSED: dispatch.Outcome.UNUSED,
+    _END.NOT_STARTED: dispatch.Outcome.COLD,
+    _END.CUT_OFF: dispatch.Outcome.CANCELLED,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """What one attempt is to do.
+
+    Attributes:
+        request: The caller's request.
+        server: Where it runs.
+        permit: The permit that it runs under.
+        check: State of the answer's stream over all attempts.
+        stream: Where a streamed answer goes; None to collect it.
+        limit_s: Longest time until a plain answer is whole.
+        report: Told the cost so far, now and then.
+    """
+
+    request: entry_models.Request
+    server: models.BackendServer
+    permit: dispatch.Permitted
+    check: stream_check.StreamCheck
+    stream: caller_stream.CallerStream | None
+    limit_s: float
+    report: Callable[[float], None]
 
 
 class Forwarder:
@@ -63,166 +90,124 @@
     def __init__(self, backend: client.BackendClient) -> None:
         self._backend = backend
 
-    async def async_run(
-        self,
-        req: web.Request,
-        accepted: entry_models.Request,
-        server: models.BackendServer,
-        permit: dispatch.Permitted,
-        report: Callable[[float], None],
-    ) -> tuple[Attempt, web.StreamResponse | None]:
-        """Runs one attempt.
-
-        Args:
-            req: The caller's request.
-            accepted: What was accepted of it.
-            server: Where it may run.
-            permit: The permit that it runs under.
-            report: Told the cost so far, now and then.
-
-        Returns:
-            How it went, and the answer where one was begun.
+    async def async_run(self, job: Job, attempt: Attempt) -> None:
+        """Runs one attempt and notes in `attempt` how it went.
+
+        Raises:
+            CallerGoneError: The caller left during a stream; the backend
+                server's connection is closed, which cancels the work.
         """
-        attempt = Attempt()
         started = time.monotonic()
-        headers = dict(accepted.headers)
-        headers[const.HEADER_REQUEST_ID] = accepted.request_id
-        if server.checks_fencing:
-            headers[const.HEADER_FENCING] = str(permit.epoch)
-        answer: web.StreamResponse | None = None
+        job.check.begin()
+        limit_s = min(job.limit_s, job.permit.life_s)
         try:
-            attempt.sent = True
-            attempt.outcome = dispatch.Outcome.FAILED
-            async with self._backend.async_open(
-                accepted.route.method,
-                server.address,
-                accepted.path,
-                headers,
-                accepted.body,
-            ) as resp:
-                attempt.first_byte_s = time.monotonic() - started
-                attempt.status = resp.status
-                if not self._own(resp, accepted):
-                    return attempt, None
-                if resp.status >= 500:
-                    self._failed(resp, attempt)
-                    return attempt, None
-                answer = _answer(resp, accepted)
-                if _is_stream(resp):
-                    await self._async_stream(
-                        req, resp, answer, accepted, attempt, report, started
-                    )
-                else:
-                    await self._async_plain(
-                        req, resp, answer, accepted, attempt
-                    )
+            async with asyncio.timeout(limit_s) as timer:
+                await self._async_exchange(job, attempt, started, timer)
         except exceptions.NotSentError:
-            attempt.sent = False
+            attempt.end = _END.NOT_SENT
         except exceptions.BackendError:
-            attempt.outcome = dispatch.Outcome.FAILED
+            attempt.end = _END.TRUNCATED
+        except TimeoutError:
+            attempt.end = _END.CUT_OFF if attempt.is_stream else _END.TIMED_OUT
         finally:
-            self._settle(accepted.service, attempt, started)
-        return attempt, answer
-
-    def _own(
-        self, resp: aiohttp.ClientResponse, accepted: entry_models.Request
-    ) -> bool:
-        echoed = resp.headers.get(const.HEADER_REQUEST_ID)
-        return echoed is None or echoed == accepted.request_id
+            _count_cost(job, attempt, time.monotonic() - started)
 
-    def _failed(self, resp: aiohttp.ClientResponse, attempt: Attempt) -> None:
-        if resp.headers.get(const.HEADER_NOT_STARTED) == "true":
-            attempt.sent = False
-            attempt.outcome = dispatch.Outcome.COLD
-
-    async def _async_plain(
+    async def _async_exchange(
         self,
-        req: web.Request,
-        resp: aiohttp.ClientResponse,
-        answer: web.StreamResponse,
-        accepted: entry_models.Request,
+        job: Job,
         attempt: Attempt,
+        started: float,
+        timer: asyncio.Timeout,
     ) -> None:
-        body = await resp.read()
-        if not body and accepted.route.empty_is_failure:
-            return
-        attempt.outcome = dispatch.Outcome.OK
-        attempt.body = body
-        attempt.content_type = resp.headers.get("Content-Type", "")
-        answer.content_length = len(body)
-        await answer.prepare(req)
-        attempt.prepared = True
-        await answer.write(body)
-        await answer.write_eof()
-        attempt.whole = True
+        request = job.request
+        async with self._backend.async_open(
+            request.route.method,
+            job.server.address,
+            request.path,
+            _headers(job),
+            request.body,
+        ) as resp:
+            attempt.first_byte_s = time.monotonic() - started
+            attempt.status = resp.status
+            attempt.headers = resp.headers
+            end = whole_answer.header_end(
+                resp.status, resp.headers, request.request_id
+            )
+            if end is not None:
+                attempt.end = end
+            elif resp.content_type == _STREAM_TYPE:
+                attempt.is_stream = True
+                now = asyncio.get_running_loop().time()
+                timer.reschedule(now + job.permit.life_s)
+                await self._async_stream(job, attempt, resp)
+            else:
+                attempt.body = await resp.read()
+                attempt.end = whole_answer.body_end(
+                    attempt.body, resp.headers, request.route.empty_is_failure
+                )
 
     async def _async_stream(
-        self,
-        req: web.Request,
-        resp: aiohttp.ClientResponse,
-        answer: web.StreamResponse,
-        accepted: entry_models.Request,
-        attempt: Attempt,
-        report: Callable[[float], None],
-        started: float,
+        self, job: Job, attempt: Attempt, resp: aiohttp.ClientResponse
     ) -> None:
-        reported = started
-        weight = accepted.service.output_weight
-        async for line in resp.content:
-            if not attempt.prepared:
-                await answer.prepare(req)
-                attempt.prepared = True
-            await answer.write(line)
-            if not line.startswith(_DATA):
-                continue
-            data = line[len(_DATA) :].strip()
-            if data == _DONE:
-                attempt.whole = True
-                continue
-            attempt.tokens += 1
-            attempt.used = max(attempt.used, attempt.tokens * weight)
-            if b'"usage"' in data:
-                attempt.used = _usage_cost(data, weight, attempt.used)
+        reported = time.monotonic()
+        first = job.check.offset
+        collected = []
+        async for data in resp.content.iter_any():
+            passed = job.check.feed(data)
+            if passed and job.stream is not None:
+                await job.stream.async_write(resp.headers, passed)
+            elif passed:
+                collected.append(passed)
+            if job.check.broken or job.check.whole:
+                break
             now = time.monotonic()
             if now - reported > const.USED_REPORT_S:
                 reported = now
-                report(attempt.used)
-        if attempt.whole:
-            attempt.outcome = dispatch.Outcome.OK
-            await answer.write_eof()
-
-    def _settle(
-        self, service: models.Service, attempt: Attempt, started: float
-    ) -> None:
-        if service.cost_rule is models.CostRule.SERVER_MS:
-            attempt.used = (time.monotonic() - started) * 1000
-        if not attempt.sent:
-            attempt.used = 0.0
-            if attempt.outcome is dispatch.Outcome.UNUSED:
-                attempt.outcome = dispatch.Outcome.FAILED
-
-
-def _usage_cost(data: bytes, weight: float, fallback: float) -> float:
+                tokens = job.check.offset - first
+                job.report(tokens * job.request.service.output_weight)
+        attempt.body = b"".join(collected)
+        if job.check.whole:
+            attempt.end = _END.WHOLE
+        elif job.check.crossed:
+            attempt.end = _END.CROSSED
+
+
+def _headers(job: Job) -> dict[str, str]:
+    headers = dict(job.request.headers)
+    headers[const.HEADER_REQUEST_ID] = job.request.request_id
+    if job.server.checks_fencing:
+        headers[const.HEADER_FENCING] = str(job.permit.epoch)
+    if job.check.offset:
+        headers[const.HEADER_RESUME_OFFSET] = str(job.check.offset)
+    return headers
+
+
+class _PlainUsage(msgspec.Struct):
+    usage: stream_check.Usage | None = None
+
+
+_USAGE_DECODER = msgspec.json.Decoder(_PlainUsage)
+
+
+def _count_cost(job: Job, attempt: Attempt, took_s: float) -> None:
+    service = job.request.service
+    if attempt.end in attempts.PROVED_NOT_RUN:
+        return
+    if service.cost_rule is models.CostRule.SERVER_MS:
+        attempt.used = took_s * core_const.MS_PER_S
+        return
+    usage = job.check.usage
+    if not attempt.is_stream:
+        usage = _plain_usage(attempt.body)
+    tokens = float(job.check.offset)
+    if usage is not None:
+        tokens = max(tokens, usage.completion_tokens)
+        attempt.used = usage.prompt_tokens
+    attempt.used += service.output_weight * tokens
+
+
+def _plain_usage(body: bytes) -> stream_check.Usage | None:
     try:
-        usage = _CHUNK_DECODER.decode(data).usage
+        return _USAGE_DECODER.decode(body).usage
     except msgspec.MsgspecError:
-        return fallback
-    if usage is None:
-        return fallback
-    return usage.prompt_tokens + weight * usage.completion_tokens
-
-
-def _is_stream(resp: aiohttp.ClientResponse) -> bool:
-    return resp.content_type == "text/event-stream"
-
-
-def _answer(
-    resp: aiohttp.ClientResponse, accepted: entry_models.Request
-) -> web.StreamResponse:
-    headers = {
-        name: resp.headers[name]
-        for name in _RETURNED_HEADERS
-        if name in resp.headers
-    }
-    headers[const.HEADER_REQUEST_ID] = accepted.request_id
-    return web.StreamResponse(status=resp.status, headers=headers)
+        return None
--- /dev/null
+++ b/tamarackbridge/components/entry/once.py
@@ -0,0 +1,167 @@
+"""Runs non-idempotent requests at most once."""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+
+from aiohttp import web
+
+from tamarackbridge import core
+from tamarackbridge.components.claims import messages as claims
+from tamarackbridge.components.entry import (
+    attempts,
+    caller_stream,
+    const,
+    forward,
+    problem,
+    refusals,
+    runner,
+)
+from tamarackbridge.components.entry import models as entry_models
+from tamarackbridge.components.entry import port as entry_port
+
+_STATE = claims.ClaimState
+
+
+class OnceRunner:
+    """Claims the key, runs the work and stores how it ended.
+
+    The work goes on when the caller leaves or its deadline passes after it
+    was sent, so that a retry learns the outcome.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        port: entry_port.EntryPort,
+        tries: runner.AttemptRunner,
+        inject: Callable[[core.Message], None],
+    ) -> None:
+        self._clock = clock
+        self._port = port
+        self._tries = tries
+        self._inject = inject
+        self._tasks: set[asyncio.Task[web.Response]] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of requests whose work has not ended."""
+        return len(self._tasks)
+
+    async def async_run(self, request: entry_models.Request) -> web.Response:
+        """Answers a request by its deadline."""
+        tried = self._tries.begin(request)
+        task = asyncio.create_task(self._async_work(request, tried))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        left_s = request.deadline - self._clock.monotonic()
+        try:
+            await asyncio.wait({task}, timeout=left_s + _ANSWER_GRACE_S)
+        except asyncio.CancelledError:
+            if not tried.sending:
+                task.cancel()
+            raise
+        if task.done():
+            return task.result()
+        return problem.Problem(
+            const.Reason.DEADLINE,
+            problem.NotRun.UNKNOWN,
+            request.request_id,
+            "the work has not ended; ask again with the same key",
+            refusals.RETRY_AFTER_S,
+        ).response()
+
+    async def _async_work(
+        self, request: entry_models.Request, tried: attempts.Attempts
+    ) -> web.Response:
+        claim = await self._async_claim(request)
+        if claim.answer is claims.ClaimAnswer.REPLAY:
+            return _replay(request, claim)
+        if claim.answer is not claims.ClaimAnswer.RUN:
+            refusal = refusals.of_claim(claim.answer, request.request_id)
+            return refusal.response()
+        end: forward.Attempt | None = None
+        try:
+            done = await self._tries.async_attempts(
+                request,
+                tried,
+                stream=None,
+                start_by=claim.start_by,
+                limit_s=request.service.max_request_s,
+            )
+            if isinstance(done, problem.Problem):
+                return done.response()
+            end = done
+            return runner.plain_response(request, done)
+        finally:
+            self._close(request, tried, end)
+
+    async def _async_claim(
+        self, request: entry_models.Request
+    ) -> claims.ClaimResult:
+        request_id = request.request_id
+        left_s = request.deadline - self._clock.monotonic()
+        fut = self._port.expect_claim(request_id)
+        self._inject(
+            claims.ClaimWant(
+                request_id, _claim_key(request), _body_hash(request), left_s
+            )
+        )
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            self._inject(claims.ClaimClose(request_id, _STATE.ABANDONED))
+            raise
+        finally:
+            self._port.forget_claim(request_id)
+
+    def _close(
+        self,
+        request: entry_models.Request,
+        tried: attempts.Attempts,
+        end: forward.Attempt | None,
+    ) -> None:
+        request_id = request.request_id
+        if end is None:
+            ran = tried.may_have_run or tried.sending
+            state = _STATE.UNKNOWN if ran else _STATE.ABANDONED
+            close = claims.ClaimClose(request_id, state)
+        else:
+            close = claims.ClaimClose(
+                request_id=request_id,
+                state=_STATE.FINISHED,
+                status=end.status,
+                content_type=end.headers.get("Content-Type", ""),
+                body=end.body,
+            )
+        self._port.owe_claim(request_id)
+        self._inject(close)
+
+
+_ANSWER_GRACE_S = 0.05
+"""Time for a refusal that was decided at the deadline to be handed over."""
+
+
+def _claim_key(request: entry_models.Request) -> str:
+    parts = (
+        request.workspace.name,
+        request.service.name,
+        request.route.name,
+        request.idempotency_key,
+    )
+    return hashlib.sha256("\0".join(parts).encode()).hexdigest()[:32]
+
+
+def _body_hash(request: entry_models.Request) -> str:
+    head = f"{request.route.method} {request.path}\0".encode()
+    return hashlib.sha256(head + request.body).hexdigest()[:32]
+
+
+def _replay(
+    request: entry_models.Request, claim: claims.ClaimResult
+) -> web.Response:
+    headers = caller_stream.returned_headers(
+        {"Content-Type": claim.content_type}, request.request_id
+    )
+    headers["Idempotent-Replayed"] = "true"
+    return web.Response(status=claim.status, headers=headers, body=claim.body)
--- a/tamarackbridge/components/entry/port.py
+++ b/tamarackbridge/components/entry/port.py
@@ -22,12 +22,14 @@
         snapshot: The configuration in force.
         serving: Whether new work may start.
         not_serving_reason: Why not.
+        claims_owed: Requests whose end is not stored yet.
     """
 
     handles: ClassVar[tuple[type[core.Message], ...]] = (
         dispatch.Permitted,
         dispatch.Refused,
         claims.ClaimResult,
+        claims.ClaimClosed,
         configuration.SnapshotInForce,
         configuration.ServingChanged,
     )
@@ -36,6 +38,7 @@
         self.snapshot = models.empty_snapshot()
         self.serving = False
         self.not_serving_reason = "no configuration yet"
+        self.claims_owed: set[str] = set()
         self._permits: dict[str, asyncio.Future[PermitAnswer]] = {}
         self._claims: dict[str, asyncio.Future[claims.ClaimResult]] = {}
 
@@ -63,6 +66,10 @@
         """Stops waiting for a claim."""
         self._claims.pop(request_id, None)
 
+    def owe_claim(self, request_id: str) -> None:
+        """Notes that the end of a request has to be stored."""
+        self.claims_owed.add(request_id)
+
     def handle(
         self, delivery: core.Delivery, now: float
     ) -> Sequence[core.Envelope]:
@@ -73,6 +80,8 @@
                 _resolve(self._permits.pop(answer.request_id, None), answer)
             case claims.ClaimResult() as found:
                 _resolve(self._claims.pop(found.request_id, None), found)
+            case claims.ClaimClosed(request_id=request_id):
+                self.claims_owed.discard(request_id)
             case configuration.SnapshotInForce(snapshot=snapshot):
                 self.snapshot = snapshot
             case configuration.ServingChanged() as news:
--- a/tamarackbridge/components/entry/problem.py
+++ b/tamarackbridge/components/entry/problem.py
@@ -35,6 +35,7 @@
     const.Reason.IN_PROGRESS: 409,
     const.Reason.STORE_UNAVAILABLE: 503,
     const.Reason.OUTCOME_UNKNOWN: 409,
+    const.Reason.OUTCOME_NOT_KEPT: 409,
     const.Reason.BACKEND_FAILED: 502,
     const.Reason.TRUNCATED: 502,
 }
--- /dev/null
+++ b/tamarackbridge/components/entry/runner.py
@@ -0,0 +1,159 @@
+"""Runs the attempts of one request."""
+
+import asyncio
+import random
+
+from aiohttp import web
+
+from tamarackbridge import core
+from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.entry import (
+    attempts,
+    caller_stream,
+    forward,
+    permits,
+    problem,
+    refusals,
+    retry_budget,
+    stream_check,
+)
+from tamarackbridge.components.entry import models as entry_models
+
+
+class AttemptRunner:
+    """Takes requests through permits and attempts to an end.
+
+    Attributes:
+        budget: Bounds the retries of all requests of this router.
+        ends: Count of attempts by how they ended.
+        repeated_events: Stream events held back as already delivered.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        held_permits: permits.Permits,
+        forwarder: forward.Forwarder,
+        rng: random.Random,
+    ) -> None:
+        self.budget = retry_budget.RetryBudget()
+        self.ends: dict[attempts.End, int] = dict.fromkeys(attempts.End, 0)
+        self.repeated_events = 0
+        self._clock = clock
+        self._permits = held_permits
+        self._forwarder = forwarder
+        self._rng = rng
+
+    def begin(self, request: entry_models.Request) -> attempts.Attempts:
+        """Begins the attempts of a new request."""
+        self.budget.request()
+        return attempts.Attempts(
+            request.route.idempotent, request.deadline, self.budget, self._rng
+        )
+
+    async def async_repeatable(
+        self, req: web.Request, request: entry_models.Request
+    ) -> web.StreamResponse:
+        """Answers an idempotent request; streams go through as they come."""
+        stream = caller_stream.CallerStream(req, request.request_id)
+        tried = self.begin(request)
+        try:
+            done = await self.async_attempts(request, tried, stream)
+        except caller_stream.CallerGoneError:
+            return stream.break_off()
+        if isinstance(done, forward.Attempt):
+            if done.is_stream:
+                return await stream.async_finish()
+            return plain_response(request, done)
+        if stream.response is not None:
+            return stream.break_off()
+        return done.response()
+
+    async def async_attempts(
+        self,
+        request: entry_models.Request,
+        tried: attempts.Attempts,
+        stream: caller_stream.CallerStream | None,
+        start_by: float = float("inf"),
+        limit_s: float | None = None,
+    ) -> forward.Attempt | problem.Problem:
+        """Tries until an answer is whole or nothing more may be tried.
+
+        Args:
+            request: The request.
+            tried: Its attempts.
+            stream: Where a streamed answer goes; None to collect it.
+            start_by: Monotonic time before which an attempt must start.
+            limit_s: Longest time of an attempt; None for the deadline.
+        """
+        check = stream_check.StreamCheck(request.request_id)
+        while True:
+            begun = stream is not None and stream.response is not None
+            until = min(request.deadline, start_by)
+            if begun:
+                until = self._clock.monotonic() + request.service.max_request_s
+            permit = await self._permits.async_wait(request, tried.avoid, until)
+            if isinstance(permit, dispatch.Refused):
+                return refusals.of_permit(permit, tried.not_run)
+            attempt = forward.Attempt()
+            tried.sending = True
+            left_s = request.deadline - self._clock.monotonic()
+            await self._async_attempt(
+                request, permit, attempt, check, stream, limit_s or left_s
+            )
+            self.ends[attempt.end] += 1
+            decision = tried.after(
+                attempt.end,
+                permit.server,
+                self._clock.monotonic(),
+                stream is not None and stream.response is not None,
+                check.resumable,
+            )
+            if decision.step is attempts.Step.FINISH:
+                self.repeated_events += check.repeated
+                return attempt
+            if decision.step is not attempts.Step.RETRY:
+                return refusals.of_attempts(decision, request.request_id)
+            await asyncio.sleep(decision.pause_s)
+
+    async def _async_attempt(
+        self,
+        request: entry_models.Request,
+        permit: dispatch.Permitted,
+        attempt: forward.Attempt,
+        check: stream_check.StreamCheck,
+        stream: caller_stream.CallerStream | None,
+        limit_s: float,
+    ) -> None:
+        server = self._permits.server(permit)
+        if server is None or limit_s <= 0:
+            attempt.end = attempts.End.LAPSED
+            self._permits.give_back(request.request_id, attempt, False)
+            return
+        cancelled = True
+        job = forward.Job(
+            request=request,
+            server=server,
+            permit=permit,
+            check=check,
+            stream=stream,
+            limit_s=limit_s,
+            report=lambda used: self._permits.used(request.request_id, used),
+        )
+        try:
+            await self._forwarder.async_run(job, attempt)
+            cancelled = False
+        finally:
+            self._permits.give_back(request.request_id, attempt, cancelled)
+
+
+def plain_response(
+    request: entry_models.Request, attempt: forward.Attempt
+) -> web.Response:
+    """Returns a whole answer that was not streamed through."""
+    headers = caller_stream.returned_headers(
+        attempt.headers, request.request_id
+    )
+    return web.Response(
+        status=attempt.status, headers=headers, body=attempt.body
+    )
--- a/tamarackbridge/components/operator/status_view.py
+++ b/tamarackbridge/components/operator/status_view.py
@@ -17,6 +17,9 @@
 
     It sends nothing, so that a router's decisions are the same with and
     without it.
+
+    Attributes:
+        draining: Whether the router is shutting down.
     """
 
     handles: ClassVar[tuple[type[core.Message], ...]] = (
@@ -33,6 +36,7 @@
         clock: core.Clock,
         dispatching: dispatcher.Dispatcher,
     ) -> None:
+        self.draining = False
         self._node = node
         self._zone = zone
         self._clock = clock
@@ -65,6 +69,8 @@
 
     def ready(self) -> bool:
         """Tells whether configuration is in force and work is accepted."""
+        if self.draining:
+            return False
         return self._snapshot.generation > 0 and self._serving.serving
 
     def status(self) -> messages.Status:
--- a/tamarackbridge/components/settings/models.py
+++ b/tamarackbridge/components/settings/models.py
@@ -126,6 +126,9 @@
         zone: Availability zone that this VM is in.
         advertise: Address at which other routers reach this one, `host:port`.
         drain_timeout_s: Longest time that a graceful shutdown takes.
+        drain_notice_s: Time in a graceful shutdown during which requests are
+            still taken, until the balancer has seen that this router is not
+            ready.
         caller: Listener for callers.
         peer: Listener for other routers.
         operator: Listener for operators.
@@ -140,6 +143,7 @@
     platform: PlatformSettings
     advertise: str = ""
     drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
+    drain_notice_s: float = pydantic.Field(default=2.0, ge=0)
     limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
     claims: ClaimSettings = dataclasses.field(default_factory=ClaimSettings)
     telemetry: TelemetrySettings = dataclasses.field(
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -41,6 +41,9 @@
 from tamarackbridge.components.vm_list import http as vm_list_http
 from tamarackbridge.components.vm_list import poller as vm_list_poller
 
+HANDOVER_S = 1.0
+"""Time for the other routers to learn that this one leaves."""
+
 
 class Router:
     """All services of one router process, found by name in its kernel."""
@@ -74,6 +77,7 @@
             clock,
             self._entries,
             forward.Forwarder(backend),
+            kernel.rng,
             self._loop.inject,
             self._context(settings.caller),
         )
@@ -206,20 +210,25 @@
         self._loop.receive(delivery)
 
     async def _async_drain(self, force: asyncio.Event) -> None:
-        """Waits until no request is held, the time is up or a 2nd signal."""
-        self._entry.draining = True
+        """Waits for held requests, the time limit or a second signal."""
+        self._status.draining = True
+        drained = asyncio.create_task(self._entry.async_drain())
+        await _async_first(drained, force, self.settings.drain_timeout_s)
         self._loop.inject(membership.LeaveFleet())
-        waits = [
-            asyncio.create_task(self._entry.async_idle()),
-            asyncio.create_task(force.wait()),
-        ]
-        await asyncio.wait(
-            waits,
-            timeout=self.settings.drain_timeout_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in waits:
-            task.cancel()
+        handed_over = asyncio.create_task(asyncio.sleep(HANDOVER_S))
+        await _async_first(handed_over, force, HANDOVER_S)
+
+
+async def _async_first(
+    task: asyncio.Task[None], force: asyncio.Event, timeout_s: float
+) -> None:
+    """Waits for a task, an event or a time-out, whichever comes first."""
+    waits = {task, asyncio.create_task(force.wait())}
+    await asyncio.wait(
+        waits, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    for wait in waits:
+        wait.cancel()
 
 
 async def _async_stop(services: list[mode.Service]) -> None:
--- /dev/null
+++ b/tests/components/entry/test_attempts.py
@@ -0,0 +1,83 @@
+"""The table of what follows each end of an attempt."""
+
+import random
+
+import pytest
+
+from tamarackbridge.components.entry import attempts, retry_budget
+
+_END = attempts.End
+_DEADLINE = 10.0
+
+# end, retried when idempotent, retried when not, not_run when refused.
+_TABLE = [
+    (_END.LAPSED, True, True, "true"),
+    (_END.NOT_SENT, True, True, "true"),
+    (_END.NOT_STARTED, True, True, "true"),
+    (_END.FAILED, True, False, "unknown"),
+    (_END.CROSSED, True, False, "unknown"),
+    (_END.EMPTY, True, False, "unknown"),
+    (_END.TRUNCATED, True, False, "unknown"),
+    (_END.TIMED_OUT, False, False, "unknown"),
+    (_END.CUT_OFF, False, False, "unknown"),
+]
+
+
+def _attempts(idempotent: bool) -> attempts.Attempts:
+    budget = retry_budget.RetryBudget()
+    return attempts.Attempts(idempotent, _DEADLINE, budget, random.Random(1))
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(("end", "retry", "retry_once", "not_run"), _TABLE)
+def test_end(
+    end: attempts.End,
+    retry: bool,
+    retry_once: bool,
+    not_run: str,
+    idempotent: bool,
+) -> None:
+    tried = _attempts(idempotent)
+    retried = retry if idempotent else retry_once
+
+    first = tried.after(end, "s1", 1.0)
+    late = tried.after(end, "s2", _DEADLINE)
+
+    assert (first.step is attempts.Step.RETRY) == retried
+    assert late.step is attempts.Step.REFUSE
+    assert late.not_run == not_run
+    assert tried.avoid == (() if end is _END.LAPSED else ("s1", "s2"))
+
+
+def test_proof_of_a_later_attempt_does_not_undo_an_earlier_doubt() -> None:
+    tried = _attempts(True)
+    tried.after(_END.FAILED, "s1", 1.0)
+
+    decision = tried.after(_END.NOT_SENT, "s2", _DEADLINE)
+
+    assert decision.not_run == "unknown"
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_begun_stream_is_resumed_or_broken(resumable: bool) -> None:
+    tried = _attempts(True)
+
+    steps = [
+        tried.after(_END.TRUNCATED, "s", 1.0, True, resumable).step
+        for _ in range(attempts.MAX_ATTEMPTS)
+    ]
+
+    resumed = attempts.MAX_ATTEMPTS - 1 if resumable else 0
+    assert steps[:resumed] == [attempts.Step.RETRY] * resumed
+    assert set(steps[resumed:]) == {attempts.Step.BREAK}
+
+
+def test_retries_stay_a_share_of_requests_when_all_fail() -> None:
+    budget = retry_budget.RetryBudget(share=0.1, reserve=5.0)
+    retries = 0
+    for step in range(10_000):
+        budget.request()
+        retries += budget.take(step * 0.001)
+
+    assert retries <= 10_000 * 0.1 + 10 * 5.0 + 5.0
+    assert budget.refused == 10_000 - retries
--- /dev/null
+++ b/tests/components/entry/test_stream_check.py
@@ -0,0 +1,109 @@
+"""Streams across attempts: nothing lost, repeated or crossed."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from tamarackbridge.components.entry import attempts, stream_check, whole_answer
+
+_DONE = b"data: [DONE]\n\n"
+
+
+def _event(index: int, request_id: str = "r") -> bytes:
+    doc = {"id": request_id, "index": index, "choices": [{"text": f"t{index}"}]}
+    return b"data: " + json.dumps(doc).encode() + b"\n\n"
+
+
+def _events(start: int, end: int) -> bytes:
+    return b"".join(_event(index) for index in range(start, end))
+
+
+@hypothesis.given(
+    tokens=st.integers(0, 8),
+    cuts=st.lists(st.integers(0, 600), max_size=4),
+    resumes=st.lists(st.booleans(), min_size=4, max_size=4),
+    chunk=st.integers(1, 80),
+)
+def test_caller_gets_each_token_once_however_often_it_is_cut(
+    tokens: int, cuts: list[int], resumes: list[bool], chunk: int
+) -> None:
+    check = stream_check.StreamCheck("r")
+    got = b""
+    for cut, resumes_it in [*zip(cuts, resumes, strict=False), (10**6, True)]:
+        check.begin()
+        start = check.offset if resumes_it else 0
+        sent = (_events(start, tokens) + _DONE)[:cut]
+        for at in range(0, len(sent), chunk):
+            got += check.feed(sent[at : at + chunk])
+        if check.whole:
+            break
+
+    assert check.whole
+    assert not check.broken
+    assert got == _events(0, tokens) + _DONE
+
+
+@pytest.mark.parametrize(
+    ("data", "crossed"),
+    [
+        (_event(2), False),
+        (_event(0, "other"), True),
+        (b"data: {nonsense\n\n", False),
+        (b"x" * (stream_check.MAX_EVENT_BYTES + 1), False),
+    ],
+    ids=["skipped token", "another's", "no json", "endless event"],
+)
+def test_wrong_event_is_not_passed_on(data: bytes, crossed: bool) -> None:
+    check = stream_check.StreamCheck("r")
+
+    passed = check.feed(data) + check.feed(_DONE)
+
+    assert passed == b""
+    assert check.broken
+    assert check.crossed == crossed
+    assert not check.whole
+
+
+def test_stream_without_numbers_is_not_resumed() -> None:
+    check = stream_check.StreamCheck("r")
+
+    assert check.feed(b'data: {"choices": []}\r\n\r\n') != b""
+    assert not check.resumable
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "end"),
+    [
+        (200, {}, None),
+        (404, {"X-Request-Id": "r"}, None),
+        (200, {"X-Request-Id": "other"}, attempts.End.CROSSED),
+        (500, {}, attempts.End.FAILED),
+        (503, {"X-Not-Started": "true"}, attempts.End.NOT_STARTED),
+        (
+            503,
+            {"X-Not-Started": "true", "X-Request-Id": "other"},
+            attempts.End.CROSSED,
+        ),
+    ],
+)
+def test_header(
+    status: int, headers: dict[str, str], end: attempts.End | None
+) -> None:
+    assert whole_answer.header_end(status, headers, "r") is end
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "strict", "end"),
+    [
+        (b"ok", {}, True, attempts.End.WHOLE),
+        (b"", {}, False, attempts.End.WHOLE),
+        (b" \n", {}, True, attempts.End.EMPTY),
+        (b"ok", {"Content-Length": "3"}, False, attempts.End.TRUNCATED),
+    ],
+)
+def test_body(
+    body: bytes, headers: dict[str, str], strict: bool, end: attempts.End
+) -> None:
+    assert whole_answer.body_end(body, headers, strict) is end
