--- a/tamarackbridge/components/operator/status_view.py
+++ b/tamarackbridge/components/operator/status_view.py
@@ -18,6 +18,9 @@
     It sends nothing, so that a router's decisions are the same with and
     without it. `confirms` tells whether another router is known to have the
     configuration that is in force here.
+
+    Attributes:
+        draining: Whether the router is shutting down.
     """
 
     handles: ClassVar[tuple[type[core.Message], ...]] = (
@@ -35,6 +38,7 @@
         dispatching: dispatcher.Dispatcher,
         confirms: Callable[[str], bool],
     ) -> None:
+        self.draining = False
         self._node = node
         self._zone = zone
         self._clock = clock
@@ -68,6 +72,8 @@
 
     def ready(self) -> bool:
         """Tells whether configuration is in force and work is accepted."""
+        if self.draining:
+            return False
         return self._snapshot.generation > 0 and self._serving.serving
 
     def behind(self) -> tuple[str, ...]:
