--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -175,7 +175,7 @@
 
     async def _async_drain(self, force: asyncio.Event) -> None:
         """Waits for held requests, the time limit or a second signal."""
-        self._status.draining = True
+        self._policy.status.draining = True
         drained = asyncio.create_task(self._entry.async_drain())
         await _async_first(drained, force, self.settings.drain_timeout_s)
         self._loop.inject(membership.LeaveFleet())
