Hand shards over without a gap, and only when needed

Change: the holder writes the next epoch, goes on for a fixed time and stops; the next begins when that time has passed since it learned of the write, and entries are told then. Shards move only from a member that leaves, whose zone is out, or that holds more than its share. A hand-over begins only while the store answers; holders keep a watch. The dispatcher takes a shortened lease.

--- a/tamarackbridge/components/dispatch/dispatcher.py
+++ b/tamarackbridge/components/dispatch/dispatcher.py
@@ -144,7 +144,7 @@
         if held is None or held.epoch < msg.epoch:
             held = self._open(msg, now)
         if held is not None and held.epoch == msg.epoch:
-            held.until = max(held.until, msg.until)
+            held.until = msg.until
 
     def _open(
         self, msg: messages.LeaseHeld, now: float
--- a/tamarackbridge/components/membership/leases.py
+++ b/tamarackbridge/components/membership/leases.py
@@ -3,8 +3,12 @@
 A take-over is one conditional write of the shard's object. The new holder
 begins when a majority of the roster knows the new epoch and one lease has
 passed since, so that no evidence of the holder before can still be fresh. A
-holder keeps its lease by the evidence of membership alone, without writes; when
-the evidence runs out the lease lapses, and it goes on in the same epoch if
+planned hand-over needs no such wait: the holder writes the new epoch, goes on
+for a fixed time and stops, and the next begins when that time has passed since
+it learned of the write, which is later.
+
+A holder keeps its lease by the evidence of membership alone, without writes.
+When the evidence runs out the lease lapses; it goes on in the same epoch if
 evidence returns and nobody took the shard meanwhile.
 """
 
@@ -32,8 +36,14 @@
 FENCE_S = core_const.LEASE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
 """Time after which evidence that others gathered earlier has lapsed."""
 
-USE_S = core_const.GRANT_USE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
-"""Time after a hand-over for which permits of the old epoch may be used."""
+HAND_OVER_S = 0.5
+"""Time for which a holder goes on after it wrote a hand-over."""
+
+HAND_OVER_END_S = HAND_OVER_S * (1 - core_const.CLOCK_DRIFT_RATIO)
+HAND_OVER_FENCE_S = HAND_OVER_S * (1 + core_const.CLOCK_DRIFT_RATIO)
+
+STORE_FRESH_S = 3.0
+"""Age of the last read of the store up to which a hand-over is begun."""
 
 PUT_TIMEOUT_S = 1.0
 """A write without an answer for this time counts as failed."""
@@ -61,6 +71,9 @@
         surrendered: Whether a hand-over of this version was sent, which may
             take effect at any time.
         held: Whether this router dispatches the shard.
+        held_epoch: The epoch in which it does.
+        ends_at: When it stops because of a hand-over.
+        announce_at: When the holder is to be told to the other deciders.
         put_until: Time until which a write of this router is on the way.
         absent_since: Since when the holder is missed.
         better_since: Since when another member is the preferred holder.
@@ -74,6 +87,9 @@
     mine: bool = False
     surrendered: bool = False
     held: bool = False
+    held_epoch: int = 0
+    ends_at: float = math.inf
+    announce_at: float = math.inf
     put_until: float = -math.inf
     absent_since: float = math.inf
     better_since: float = math.inf
@@ -101,6 +117,7 @@
         self._roster = messages.RosterChanged((), ())
         self._evidence: messages.FleetEvidence | None = None
         self._preferred: dict[str, str] = {}
+        self._bound = 1
         self._leaving = False
         self._count = 0
         self._attempts = f"{node}.{rng.getrandbits(48):x}."
@@ -128,8 +145,18 @@
         return ()
 
     def tick(self, now: float) -> Sequence[core.Envelope]:
-        """Does nothing: a lease lapses at the time that it was held until."""
-        return ()
+        """Ends epochs that were handed over, and tells who begins.
+
+        A lease without evidence lapses by itself, at the time that it was
+        held until.
+        """
+        out: list[core.Envelope] = []
+        for state in self._shards.values():
+            if state.held and now >= state.ends_at:
+                out.extend(self._lose(state))
+            if now >= state.announce_at:
+                out.extend(self._announce(state))
+        return out
 
     def _until(self) -> float:
         return self._evidence.until if self._evidence else -math.inf
@@ -174,9 +201,11 @@
             return ()
         if version <= state.version:
             return ()
-        out = list(self._lose(state)) if state.held else []
-        handed = value.released and state.version > 0
-        state.mine = handed or value.attempt.startswith(self._attempts)
+        first = state.version == 0
+        own = value.attempt.startswith(self._attempts)
+        planned = own and value.released
+        out = list(self._lose(state)) if state.held and not planned else []
+        state.mine = own or (value.released and not first)
         state.surrendered = False
         state.value = value
         state.version = version
@@ -186,8 +215,16 @@
         state.absent_since = math.inf
         state.better_since = math.inf
         state.changed_at = [*state.changed_at[-7:], now]
+        if value.released and not first:
+            state.announce_at = now + HAND_OVER_S
+            return out
+        return [*out, *self._announce(state)]
+
+    def _announce(self, state: _Shard) -> Sequence[core.Envelope]:
+        state.announce_at = math.inf
+        value = state.value
         news = dispatch.ShardHolder(value.shard, value.epoch, value.holder)
-        return [*out, _local(news)]
+        return (_local(news),)
 
     def _place(self) -> None:
         usable = frozenset(self._roster.live) - frozenset(self._roster.leaving)
@@ -197,6 +234,7 @@
             self._roster.members, usable, self._snapshot
         )
         self._preferred = placement.place(self._shards, nodes, self._snapshot)
+        self._bound = placement.bound(self._shards, nodes)
 
     def _review_all(self, now: float) -> Sequence[core.Envelope]:
         out: list[core.Envelope] = []
@@ -232,13 +270,19 @@
     def _renew(
         self, name: str, state: _Shard, until: float, now: float
     ) -> Sequence[core.Envelope]:
+        if state.surrendered:
+            return ()
+        epoch = state.value.epoch
         target = self._hand_over_to(name, state, now)
-        if target:
-            state.surrendered = True
-            value = self._next(state, target, released=True)
-            return [*self._lose(state), *self._put(state, value, now)]
-        held = dispatch.LeaseHeld(name, state.value.epoch, until, fresh=False)
-        return (_local(held),)
+        if not target:
+            held = dispatch.LeaseHeld(name, epoch, until, fresh=False)
+            return (_local(held),)
+        state.surrendered = True
+        state.ends_at = now + HAND_OVER_END_S
+        last = min(until, state.ends_at)
+        held = dispatch.LeaseHeld(name, epoch, last, fresh=False)
+        value = self._next(state, target, released=True)
+        return [_local(held), *self._put(state, value, now)]
 
     def _begin(
         self, name: str, state: _Shard, now: float
@@ -250,20 +294,21 @@
             return self._put(state, value, now)
         fence = state.recognised_at + FENCE_S
         if state.value.released:
-            fence = state.learned_at + USE_S
+            fence = state.learned_at + HAND_OVER_FENCE_S
         if now < fence:
             return ()
         state.held = True
+        state.ends_at = math.inf
         epoch = state.value.epoch
+        state.held_epoch = epoch
         held = dispatch.LeaseHeld(name, epoch, self._until(), fresh=True)
         return (_local(held),)
 
     def _lose(self, state: _Shard) -> Sequence[core.Envelope]:
         state.held = False
-        return (_local(self._lost(state)),)
-
-    def _lost(self, state: _Shard) -> dispatch.LeaseLost:
-        return dispatch.LeaseLost(state.value.shard, state.value.epoch)
+        state.ends_at = math.inf
+        lost = dispatch.LeaseLost(state.value.shard, state.held_epoch)
+        return (_local(lost),)
 
     def _may_take(self, name: str, state: _Shard, now: float) -> bool:
         evidence = self._evidence
@@ -293,12 +338,23 @@
             state.better_since = math.inf
             return ""
         state.better_since = min(state.better_since, now)
+        evidence = self._evidence
+        if evidence is None or now - evidence.store_read_at > STORE_FRESH_S:
+            return ""
         if self._must_leave():
             return target
+        if self._count_held() <= self._bound:
+            return ""
         if now - state.better_since < STABLE_S + self._damping(state, now):
             return ""
         return target
 
+    def _count_held(self) -> int:
+        return sum(
+            state.held and not state.surrendered
+            for state in self._shards.values()
+        )
+
     def _must_leave(self) -> bool:
         if self._leaving:
             return True
--- a/tamarackbridge/components/membership/member.py
+++ b/tamarackbridge/components/membership/member.py
@@ -9,6 +9,7 @@
 
 from tamarackbridge import const as core_const
 from tamarackbridge import core
+from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.membership import (
     beats,
     const,
@@ -40,6 +41,8 @@
         messages.ConfigApplied,
         messages.VmListRead,
         messages.LeaveFleet,
+        dispatch.LeaseHeld,
+        dispatch.LeaseLost,
         store.StoreReply,
     )
 
@@ -64,6 +67,7 @@
         self._told: set[str] = set()
         self._started_at = math.inf
         self._leaving = False
+        self._holds: set[str] = set()
         self._vms: frozenset[str] | None = None
         self._live: frozenset[str] = frozenset()
         self._heard: dict[str, float] = {}
@@ -104,6 +108,10 @@
             case messages.LeaveFleet():
                 self._leaving = True
                 self._next_beat = now
+            case dispatch.LeaseHeld():
+                self._holds.add(delivery.msg.shard)
+            case dispatch.LeaseLost():
+                self._holds.discard(delivery.msg.shard)
             case store.StoreReply():
                 return self._on_store_reply(delivery.msg, now)
         return ()
@@ -223,7 +231,7 @@
         return bool(self._gone()) and self._evidence.accepted < self._known
 
     def _watches(self) -> bool:
-        if len(self._roster.groups) <= 1:
+        if len(self._roster.groups) <= 1 or self._holds:
             return True
         return self._topology.is_relay(self._roster, self._live)
 
--- a/tamarackbridge/components/membership/placement.py
+++ b/tamarackbridge/components/membership/placement.py
@@ -1,6 +1,6 @@
 """Which member should hold which shard."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 import math
 
 from tamarackbridge.components.membership import messages
@@ -26,6 +26,11 @@
     return inside or found
 
 
+def bound(shards: Collection[str], nodes: Collection[str]) -> int:
+    """Returns how many shards one member holds at most."""
+    return math.ceil(len(shards) / max(len(nodes), 1))
+
+
 def place(
     shards: Iterable[str], nodes: dict[str, str], snapshot: models.Snapshot
 ) -> dict[str, str]:
@@ -38,11 +43,11 @@
     names = sorted(shards)
     if not nodes:
         return {}
-    bound = math.ceil(len(names) / len(nodes))
+    most = bound(names, nodes)
     load = dict.fromkeys(nodes, 0)
     chosen: dict[str, str] = {}
     for shard in names:
-        chosen[shard] = _pick(shard, nodes, load, bound, snapshot)
+        chosen[shard] = _pick(shard, nodes, load, most, snapshot)
         load[chosen[shard]] += 1
     return chosen
 
@@ -51,11 +56,11 @@
     shard: str,
     nodes: dict[str, str],
     load: dict[str, int],
-    bound: int,
+    most: int,
     snapshot: models.Snapshot,
 ) -> str:
     servers = snapshot.shard_servers(shard)
     zones = {srv.zone for srv in servers if snapshot.usable(srv)}
-    open_nodes = [node for node in nodes if load[node] < bound]
+    open_nodes = [node for node in nodes if load[node] < most]
     near = [node for node in open_nodes if nodes[node] in zones]
     return rendezvous.owner(shard, near or open_nodes)
