Hand server limits to a new dispatcher

Cause: after a dispatcher's loss all limits began at the cold limit, and nothing was granted while more than that still ran.

--- a/tamarackbridge/components/dispatch/const.py
+++ b/tamarackbridge/components/dispatch/const.py
@@ -40,3 +40,6 @@
 
 SWEEP_S: Final = 0.2
 """Interval at which a dispatcher looks for what has expired."""
+
+LIMIT_MEMORY_S: Final = 10.0
+"""For how long a limit that an entry saw may be handed to a new dispatcher."""
--- a/tamarackbridge/components/dispatch/holdings.py
+++ b/tamarackbridge/components/dispatch/holdings.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from tamarackbridge.components.dispatch import messages
+from tamarackbridge.components.dispatch import const, messages
 
 MAX_ENDED = 1024
 """Ended permits that are remembered, to answer duplicates."""
@@ -14,6 +14,12 @@
 QUIET_S = 2.0
 """For how long an entry without permits goes on saying so."""
 
+_ENDS_TRUST = (
+    messages.Outcome.FAILED,
+    messages.Outcome.COLD,
+    messages.Outcome.SLOW,
+)
+
 _Key = tuple[str, int, int]
 
 
@@ -34,6 +40,7 @@
         self._ended: collections.OrderedDict[_Key, messages.Finish] = (
             collections.OrderedDict()
         )
+        self._limits: dict[tuple[str, str], tuple[int, float]] = {}
         self._quiet: dict[tuple[str, int], float] = {}
         self._counters: collections.OrderedDict[tuple[str, str], float] = (
             collections.OrderedDict()
@@ -49,6 +56,7 @@
         )
         self._keys.add(_key(grant))
         self._learn_counter(grant, want.workspace)
+        self._limits[(grant.shard, grant.server)] = (grant.limit, now)
 
     def holds(self, grant: messages.Grant) -> bool:
         """Tells whether a grant is a duplicate of one in use."""
@@ -74,6 +82,8 @@
         if holding is None:
             return None
         grant = holding.grant
+        if done.outcome in _ENDS_TRUST:
+            self._limits[(grant.shard, grant.server)] = (0, now)
         self._keys.discard(_key(grant))
         self._quiet[(grant.shard, grant.epoch)] = now + QUIET_S
         return self._end(grant, done.used, done.outcome, done.first_byte_s)
@@ -118,6 +128,17 @@
             if name == shard
         )
 
+    def limits(
+        self, shard: str, now: float
+    ) -> tuple[messages.ServerLimit, ...]:
+        """Returns the limits seen lately; 0 for servers that failed since."""
+        fresh = now - const.LIMIT_MEMORY_S
+        return tuple(
+            messages.ServerLimit(server, limit, now - seen_at)
+            for (name, server), (limit, seen_at) in self._limits.items()
+            if name == shard and seen_at >= fresh
+        )
+
     def _learn_counter(self, grant: messages.Grant, workspace: str) -> None:
         key = (grant.shard, workspace)
         self._counters[key] = grant.counter
--- a/tamarackbridge/components/dispatch/limits.py
+++ b/tamarackbridge/components/dispatch/limits.py
@@ -25,6 +25,7 @@
         self._server = server
         self._limit = server.limit_cold
         self._before_failure = 0
+        self._trusted_at = float("-inf")
         self._fell_at = float("-inf")
         self._credit = 0
         self._warm_seen = server.load_lag_s <= 0
@@ -47,6 +48,18 @@
             return min(PROBE_LIMIT, self._limit)
         return self._limit
 
+    def trust(self, limit: int, seen_at: float, fence: float) -> None:
+        """Notes the limit of an earlier dispatcher, as one entry saw it.
+
+        The latest sight counts. The limit holds once the server reports a
+        measurement after `fence` that isn't cold.
+        """
+        if seen_at <= self._trusted_at:
+            return
+        self._trusted_at = seen_at
+        self._before_failure = limit
+        self._fell_at = max(self._fell_at, fence)
+
     def finished(
         self, outcome: messages.Outcome, granted_at: float, now: float
     ) -> None:
--- a/tamarackbridge/components/dispatch/messages.py
+++ b/tamarackbridge/components/dispatch/messages.py
@@ -73,6 +73,7 @@
             start under it; never beyond the dispatcher's lease.
         life_s: Seconds from start after which the work must have ended.
         counter: The workspace's virtual service counter after this grant.
+        limit: Requests that the backend server was trusted with at once.
     """
 
     shard: str
@@ -83,6 +84,7 @@
     use_s: float
     life_s: float
     counter: float
+    limit: int = 0
 
 
 class Refuse(core.Message, frozen=True, tag=True):
@@ -152,6 +154,18 @@
     counter: float
 
 
+class ServerLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The limit of a backend server that an entry last saw in a grant.
+
+    Attributes:
+        age_s: Time since that grant arrived.
+    """
+
+    server: str
+    limit: int
+    age_s: float
+
+
 class ResyncAsk(core.Message, frozen=True, tag=True):
     """Asks an entry for all it holds of a shard, for a new epoch."""
 
@@ -165,6 +179,7 @@
     Attributes:
         up_s: How long the entry has been running; it can't vouch for permits
             that it may have held before.
+        limits: Limits that the entry saw lately; 0 after a failure.
     """
 
     shard: str
@@ -173,6 +188,7 @@
     waiting: tuple[Ask, ...]
     counters: tuple[WorkspaceCounter, ...]
     up_s: float = math.inf
+    limits: tuple[ServerLimit, ...] = ()
 
 
 class Move(core.Message, frozen=True, tag=True):
--- a/tamarackbridge/components/dispatch/permit_client.py
+++ b/tamarackbridge/components/dispatch/permit_client.py
@@ -253,5 +253,6 @@
             waiting=tuple(request.ask(now) for request in waiting),
             counters=self._holdings.counters(msg.shard),
             up_s=self._up_s(now),
+            limits=self._holdings.limits(msg.shard, now),
         )
         return [core.Envelope(src, report)]
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -139,6 +139,11 @@
             self._adopt(src, held, age_s, now)
         self._free_ended(now)
         self._takeover.learn_counters(msg.counters)
+        for seen in msg.limits:
+            if seen.server in self._limits:
+                self._limits[seen.server].trust(
+                    seen.limit, now - seen.age_s, self._takeover.fence
+                )
         self._takeover.reported(src, msg.up_s, now)
         out: list[core.Envelope] = []
         for ask in msg.waiting:
@@ -347,6 +352,7 @@
             use_s=min(fleet_const.GRANT_USE_S, lease_left_s),
             life_s=self._service.max_request_s,
             counter=self.order.counters.value(ask.workspace),
+            limit=self._limits[server].allowed(now),
         )
         return core.Envelope(item.entry, grant)
 
