--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 NOT_MEASUREMENTS = {
     "__init__",
     "__main__",
+    "answers_scene",
     "fake_store",
     "harness",
     "path_load",
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -114,6 +114,10 @@
         for delivery, sent_at in self._paused.pop(node, []):
             self._deliver(node, delivery, sent_at)
 
+    def paused(self, node: str) -> bool:
+        """Tells whether a node is frozen."""
+        return node in self._paused
+
     def alive(self, node: str) -> bool:
         """Tells whether a node runs, paused or not."""
         return node in self._nodes
--- /dev/null
+++ b/tests/components/claims/test_replica.py
@@ -0,0 +1,115 @@
+"""Sealing, archives, retention and memory of a range's journal."""
+
+import tracemalloc
+
+import pytest
+
+from tamarackbridge.components.claims import const, messages, replica, segment
+from tests.components.claims import fleet as fleet_lib
+
+_STATE = messages.ClaimState
+MAX_CLAIM_BYTES = 1024
+
+
+def _small_segments(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(const, "SEGMENT_BYTES", 400)
+
+
+def test_outcome_in_an_archived_segment_is_replayed_by_any_keeper(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _small_segments(monkeypatch)
+    fleet = fleet_lib.Fleet()
+    first = [fleet.pay("r1", f"k{n}") for n in range(60)]
+    fleet.pass_s(5)
+    for node in fleet.nodes:
+        fleet.bus.kill(node)
+        fleet.start(node)
+    again = [fleet.pay("r2", f"k{n}") for n in range(60)]
+    fleet.pass_s(5)
+
+    assert [fleet.answer(name) for name in again] == ["replay"] * 60
+    assert fleet.crossed() == []
+    assert [fleet.seen[name].body for name in again] == [
+        fleet.seen[name].body for name in first
+    ]
+    archives = [key for key in fleet.store.objects if "tail" not in key]
+    assert len(archives) >= const.RANGES
+
+
+def test_whole_segments_are_removed_after_retention_and_not_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _small_segments(monkeypatch)
+    fleet = fleet_lib.Fleet()
+    for n in range(40):
+        fleet.pay("r1", f"k{n}")
+    fleet.pass_s(fleet_lib.RETENTION_S * 0.95)
+    kept = fleet.pay("r2", "k1")
+    fleet.pass_s(5)
+    assert fleet.answer(kept) == "replay"
+
+    fleet.pass_s(fleet_lib.RETENTION_S * 1.5)
+
+    assert not [key for key in fleet.store.objects if "tail" not in key]
+    assert sum(kpr.claims_held for kpr in fleet.keepers.values()) == 0
+    late = fleet.pay("r2", "k1")
+    fleet.pass_s(5)
+    assert fleet.answer(late) == "run"
+
+
+def test_too_large_outcome_is_told_as_run_and_not_kept() -> None:
+    fleet = fleet_lib.Fleet()
+    key = "k" * fleet_lib.MAX_OUTCOME_BYTES
+    fleet.pay("r1", key)
+    fleet.pass_s(1)
+    again = fleet.pay("r2", key)
+    fleet.pass_s(1)
+
+    assert fleet.answer(again) == "outcome_not_kept"
+
+
+def test_corrupt_journal_answers_unavailable_and_runs_nothing() -> None:
+    fleet = fleet_lib.Fleet()
+    fleet.pay("r1", "k")
+    fleet.pass_s(1)
+    for key, obj in fleet.store.objects.items():
+        broken = type(obj)(obj.key, obj.version, b"\xff")
+        fleet.store.objects[key] = broken
+    for node in fleet.nodes:
+        fleet.bus.kill(node)
+        fleet.start(node)
+    again = fleet.pay("r2", "k")
+    fleet.pass_s(5)
+
+    assert fleet.answer(again) == "unavailable"
+    assert len(fleet.runs["k"]) == 1
+
+
+def test_memory_of_one_claim_is_bounded() -> None:
+    copy = replica.Replica(600.0)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    count = 0
+    for number in range(4):
+        raws = []
+        for n in range(1000):
+            key = f"{number:04d}{n:028d}"
+            for state in (_STATE.CLAIMED, _STATE.FINISHED):
+                body = b"x" * 10_000 if state is _STATE.FINISHED else b""
+                record = segment.Record(
+                    key, "h" * 32, f"router-1.1.{n}", state, 200, "", body
+                )
+                raws.append(segment.encode_record(record))
+            count += 1
+        data = segment.encode(
+            segment.Segment(number=number, sealed=True, records=tuple(raws))
+        )
+        del raws
+        copy.add_archive(segment.decode(data))
+        del data
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+    assert len(copy.entries) == count
+    assert (after - before) / count < MAX_CLAIM_BYTES
