Fetch asks that came before a shard's first lease; log changes of state

Cause: entries learn who will dispatch a new shard before its lease is held; the asks they sent then were dropped, and a dispatcher of a first epoch did not ask for what waits, so that they came again after 5 s. The new log lines of leases, holders and members showed it. Change: every new epoch asks for what the members hold; NewsLog writes one line for each change of state.

--- a/tamarackbridge/components/dispatch/takeover.py
+++ b/tamarackbridge/components/dispatch/takeover.py
@@ -38,7 +38,7 @@
 
     def due(self, now: float) -> bool:
         """Tells whether to ask the missing members again."""
-        if self._first or not self.missing():
+        if not self.missing():
             return False
         if now < self._asked_at + const.RESYNC_RETRY_S:
             return False
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -23,7 +23,12 @@
 from tamarackbridge.components.operator import const as operator_const
 from tamarackbridge.components.operator import service as operator_service
 from tamarackbridge.components.settings import models as settings_models
-from tamarackbridge.components.telemetry import logs, metrics, router_metrics
+from tamarackbridge.components.telemetry import (
+    logs,
+    metrics,
+    news,
+    router_metrics,
+)
 from tamarackbridge.components.tls import contexts, reloader
 from tamarackbridge.components.tls import peers as tls_peers
 from tamarackbridge.components.transport import port as transport_port
@@ -101,6 +106,7 @@
                 *self._policy.deciders(),
                 self._entries,
                 self._loads,
+                news.NewsLog(),
             ),
         )
 
