Find out what still runs after an entry's loss

Cause: permits of a dead entry and unreported ones of earlier epochs stayed counted for the longest request's life, and asks of the dead entry were still granted.

--- a/tamarackbridge/components/dispatch/admission.py
+++ b/tamarackbridge/components/dispatch/admission.py
@@ -118,6 +118,10 @@
                 found.append(request)
         return found
 
+    def shards(self) -> set[str]:
+        """Returns the shards at which requests wait."""
+        return {request.shard for request in self._requests.values()}
+
     def of_shard(self, shard: str) -> list[Request]:
         """Returns the requests that ask one shard, oldest first."""
         return [req for req in self._requests.values() if req.shard == shard]
--- a/tamarackbridge/components/dispatch/holdings.py
+++ b/tamarackbridge/components/dispatch/holdings.py
@@ -88,9 +88,20 @@
         self._quiet[(grant.shard, grant.epoch)] = now + QUIET_S
         return self._end(grant, done.used, done.outcome, done.first_byte_s)
 
-    def progress(self, up_s: float, now: float) -> list[messages.Progress]:
-        """Returns what all held permits have used, by shard and epoch."""
-        used: dict[tuple[str, int], list[tuple[int, float]]] = {}
+    def progress(
+        self, waiting_at: set[tuple[str, int]], up_s: float, now: float
+    ) -> list[messages.Progress]:
+        """Returns what all held permits have used, by shard and epoch.
+
+        Args:
+            waiting_at: Shards and epochs at which requests wait; they hear
+                of this entry even when it holds nothing.
+            up_s: How long this entry has been running.
+            now: Monotonic time in seconds.
+        """
+        used: dict[tuple[str, int], list[tuple[int, float]]] = {
+            source: [] for source in sorted(waiting_at)
+        }
         for source, until in list(self._quiet.items()):
             used[source] = []
             if until <= now:
--- a/tamarackbridge/components/dispatch/occupancy.py
+++ b/tamarackbridge/components/dispatch/occupancy.py
@@ -13,6 +13,15 @@
 START_WINDOW_S = const.GRANT_USE_S + dispatch_const.NETWORK_S
 """Work of a permit arrives at its server within this time of its issue."""
 
+PAUSE_INTERVAL_S = 10.0
+"""Least time between two pauses of one backend server."""
+
+MAX_PAUSE_S = 3.0
+"""Longest pause, should no report arrive."""
+
+SETTLE_S = 2 * dispatch_const.PROGRESS_S
+"""Every entry has named its permits within this time of a report."""
+
 MAX_FINISHES = 4096
 """Ends that are remembered to explain a lagging report."""
 
@@ -30,6 +39,8 @@
         self.unknown_until = 0.0
         self._excess = 0
         self._report: _Measured | None = None
+        self._paused_at: float | None = None
+        self._next_pause = float("-inf")
         self._finishes: collections.deque[float] = collections.deque(
             maxlen=MAX_FINISHES
         )
@@ -53,7 +64,8 @@
             self._finishes.popleft()
         explained = held + self.unknown + len(self._finishes)
         self._excess = max(report.in_flight - explained, 0)
-        self._report = _Measured(report.in_flight, measured_from, now)
+        if self._report is None or now >= self._report.until + SETTLE_S:
+            self._report = _Measured(report.in_flight, measured_from, now)
 
     def ended(
         self, held: list[permits.Permit], now: float
@@ -76,6 +88,35 @@
         surplus = self.unknown + len(silent) - left
         return silent[: max(surplus, 0)]
 
+    @property
+    def paused(self) -> bool:
+        """Tells whether nothing new is issued until the server is measured."""
+        return self._paused_at is not None
+
+    def doubtful(self, held: list[permits.Permit], now: float) -> bool:
+        """Tells whether permits are counted that may have ended unseen."""
+        return self.unknown > 0 or any(is_silent(item, now) for item in held)
+
+    def pause(self, now: float) -> None:
+        """Stops issuing, so that a measurement tells what still runs."""
+        if now >= self._next_pause:
+            self._paused_at = now
+            self._next_pause = now + PAUSE_INTERVAL_S
+
+    def resume(self, doubtful: bool, now: float) -> None:
+        """Issues again once the pause was measured or isn't needed."""
+        report = self._report
+        if self._paused_at is None:
+            return
+        started_until = self._paused_at + START_WINDOW_S
+        measured = report is not None and report.since >= started_until
+        settled = report is not None and now >= report.until + SETTLE_S
+        if not doubtful or (measured and settled) or self._overdue(now):
+            self._paused_at = None
+
+    def _overdue(self, now: float) -> bool:
+        return now >= self._next_pause - PAUSE_INTERVAL_S + MAX_PAUSE_S
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Measured:
--- a/tamarackbridge/components/dispatch/permit_client.py
+++ b/tamarackbridge/components/dispatch/permit_client.py
@@ -218,7 +218,12 @@
 
     def _report_progress(self, now: float) -> Sequence[core.Envelope]:
         out: list[core.Envelope] = []
-        for report in self._holdings.progress(self._up_s(now), now):
+        waiting_at = {
+            (shard, self._placement.epoch(shard))
+            for shard in self._waiting.shards()
+        }
+        reports = self._holdings.progress(waiting_at, self._up_s(now), now)
+        for report in reports:
             holder = self._placement.holder(report.shard)
             if holder:
                 out.append(core.Envelope(holder, report))
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -55,6 +55,7 @@
         self._takeover = takeover.TakeOver(
             now, service.max_request_s + fleet_const.GRANT_USE_S, epoch <= 1
         )
+        self._heard: dict[str, float] = {}
         self._number = 0
         self._swept_at = now
         self._counters_due = epoch > 1
@@ -86,6 +87,7 @@
         self, src: str, ask: messages.Ask, age_s: float, now: float
     ) -> list[core.Envelope]:
         """Queues one request, or refuses it."""
+        self._heard[src] = now
         request_id = ask.request_id
         if request_id in self.order or self.permits.has_request(request_id):
             return []
@@ -105,6 +107,7 @@
         self, src: str, msg: messages.Progress, age_s: float, now: float
     ) -> None:
         """Charges what running permits have used so far."""
+        self._heard[src] = now
         for number, used in msg.used:
             permit = self.permits.get((msg.epoch, number))
             if permit is None or permit.entry != src:
@@ -191,8 +194,7 @@
         out: list[core.Envelope] = []
         while free:
             item = self.order.take(
-                self._may_run,
-                lambda item: any(name not in item.ask.avoid for name in free),
+                self._may_run, lambda item: self._fits(item, free, now)
             )
             if item is None:
                 break
@@ -250,6 +252,7 @@
             if permit.ends_at <= now:
                 self._release(permit, now)
         self._free_ended(now)
+        self._pause_doubtful(now)
         self.order.prune(self.permits.workspaces())
         return out
 
@@ -260,6 +263,17 @@
                 place.unknown = 0
             for permit in place.ended(self.permits.on_server(name), now):
                 self._release(permit, now)
+            held = self.permits.on_server(name)
+            place.resume(place.doubtful(held, now), now)
+
+    def _pause_doubtful(self, now: float) -> None:
+        if any(place.paused for place in self._occupancy.values()):
+            return
+        for name, place in self._occupancy.items():
+            if place.doubtful(self.permits.on_server(name), now):
+                place.pause(now)
+            if place.paused:
+                return
 
     def _refusal(self, ask: messages.Ask) -> Reason | None:
         if all(name in ask.avoid for name in self._servers):
@@ -300,7 +314,8 @@
         free: dict[str, int] = {}
         complete = self._takeover.complete(now)
         for name in self._servers:
-            if not complete and not self._takeover.known(name, now):
+            known = complete or self._takeover.known(name, now)
+            if not known or self._occupancy[name].paused:
                 continue
             held = self.permits.count_server(name)
             in_use = self._occupancy[name].in_use(held, now)
@@ -309,6 +324,14 @@
                 free[name] = room
         return free
 
+    def _fits(
+        self, item: waiting.Waiting, free: dict[str, int], now: float
+    ) -> bool:
+        heard_at = self._heard.get(item.entry, item.arrived_at)
+        if now - heard_at > const.SILENCE_S:
+            return False
+        return any(name not in item.ask.avoid for name in free)
+
     def _choose(self, free: dict[str, int], avoid: Sequence[str]) -> str:
         names = [name for name in free if name not in avoid]
         return max(names, key=lambda name: (free[name], name))
--- /dev/null
+++ b/tests/components/dispatch/test_limits.py
@@ -0,0 +1,116 @@
+"""Tests of the limit of one backend server: rows of events and limits."""
+
+import dataclasses
+
+import pytest
+
+from tamarackbridge.components.dispatch import breaker, limits, messages
+from tests.components.dispatch import builders
+
+Outcome = messages.Outcome
+WARM, COLD = 8, 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    cold: bool = False
+    boot: str = "1"
+
+
+def _limit(lag_s: float = 0.4) -> limits.ServerLimit:
+    server = builders.server(
+        "s0", limit_warm=WARM, limit_cold=COLD, load_lag_s=lag_s
+    )
+    return limits.ServerLimit(server)
+
+
+def _play(limit: limits.ServerLimit, events: list[object]) -> float:
+    now = 0.0
+    for event in events:
+        now += 1.0
+        if isinstance(event, Report):
+            report = messages.LoadReport("s0", 0, event.cold, 0.4, event.boot)
+            limit.reported(report, now)
+        elif isinstance(event, Outcome):
+            limit.finished(event, now - 0.1, now)
+    return now
+
+
+OK3 = [Outcome.OK] * 3
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        ([], COLD),
+        (OK3, COLD),
+        ([Report(), *OK3], COLD + 3),
+        ([Report(), *[Outcome.OK] * 20], WARM),
+        ([Report(), *OK3, Outcome.COLD], COLD),
+        ([Report(), *OK3, Outcome.COLD, *OK3], COLD),
+        ([Report(), *OK3, Report(cold=True), *OK3], COLD),
+        ([Report(), *OK3, Report(boot="2")], COLD),
+        ([Report(), *OK3, Outcome.FAILED], COLD),
+        ([Report(), *OK3, Outcome.FAILED, Report()], COLD + 3),
+        ([Report(), *OK3, Outcome.FAILED, Report(boot="2")], COLD),
+        ([Report(), *OK3, *OK3, Outcome.SLOW], WARM // 2),
+        ([Report(), *OK3, Outcome.CANCELLED, Outcome.UNUSED], COLD + 3),
+    ],
+)
+def test_limit_rises_by_evidence_and_falls_at_once(
+    events: list[object], expected: int
+) -> None:
+    limit = _limit()
+    now = _play(limit, events)
+    assert limit.allowed(now) == expected
+
+
+def test_limit_without_reports_rises_slower() -> None:
+    limit = _limit(lag_s=0.0)
+    _play(limit, [Outcome.OK] * 4)
+    assert limit.allowed(5.0) == COLD + 1
+
+
+def test_work_begun_before_a_fall_is_no_evidence() -> None:
+    limit = _limit()
+    _play(limit, [Report(), Outcome.COLD, Report()])
+    limit.finished(Outcome.OK, granted_at=1.5, now=4.0)
+    assert limit.allowed(4.0) == COLD
+
+
+def test_lagging_warm_report_does_not_undo_a_fall() -> None:
+    limit = _limit()
+    now = _play(limit, [Report(), *OK3, Outcome.FAILED])
+    late = messages.LoadReport("s0", 0, False, 0.4, "1")
+    limit.reported(late, now + 0.1)
+    assert limit.allowed(now + 0.1) == COLD
+
+
+def test_handed_limit_waits_for_a_report_after_the_take_over() -> None:
+    limit = _limit()
+    limit.trust(WARM, seen_at=9.0, fence=10.0)
+    limit.reported(messages.LoadReport("s0", 0, False, 0.4, "1"), 10.2)
+    assert limit.allowed(10.2) == COLD
+    limit.reported(messages.LoadReport("s0", 0, False, 0.4, "1"), 10.5)
+    assert limit.allowed(10.5) == WARM
+
+
+def test_latest_sight_of_a_handed_limit_counts() -> None:
+    limit = _limit()
+    limit.trust(WARM, seen_at=8.0, fence=10.0)
+    limit.trust(0, seen_at=9.0, fence=10.0)
+    limit.reported(messages.LoadReport("s0", 0, False, 0.4, "1"), 10.5)
+    assert limit.allowed(10.5) == COLD
+
+
+def test_breaker_opens_probes_and_closes() -> None:
+    sick = breaker.Breaker()
+    for _ in range(breaker.MIN_OUTCOMES):
+        sick.record(True, 0.0)
+    assert sick.state(0.5) is breaker.State.OPEN
+    probing_at = breaker.FIRST_OPEN_S
+    assert sick.state(probing_at) is breaker.State.HALF_OPEN
+    sick.record(True, probing_at)
+    assert sick.state(probing_at + 1.5) is breaker.State.OPEN
+    sick.record(False, probing_at + 2.0)
+    assert sick.state(probing_at + 2.0) is breaker.State.CLOSED
