--- a/tamarackbridge/components/membership/const.py
+++ b/tamarackbridge/components/membership/const.py
@@ -9,17 +9,11 @@
 KEY_CONFIG: Final = "fleet/config"
 SHARD_PREFIX: Final = "fleet/shard/"
 
-HEARTBEAT_S: Final = 0.4
-"""Interval between two heartbeats to the same peer."""
-
 PROMPT_HEARTBEAT_S: Final = 0.04
 """Least interval between two heartbeats when there is news to tell."""
 
-DEAD_AFTER_S: Final = 1.2
-"""A member of the own group that was not heard for so long is not live."""
-
 GROUP_DEAD_AFTER_S: Final = 2.0
-"""The same for a member that is heard of through its group's relay."""
+"""Silence after which a member heard of through its relay is not live."""
 
 GROUP_SIZE: Final = 16
 """Members that exchange heartbeats directly; larger zones are split."""
@@ -27,12 +21,12 @@
 EVIDENCE_INTERVAL_S: Final = 0.1
 """Interval at which the age of the evidence is worked out."""
 
-POLL_AGE_S: Final = 0.9
-"""Evidence older than this makes a router read the store for more."""
-
 POLL_S: Final = 0.4
 """Interval between reads of the store that serve as evidence."""
 
+ASK_S: Final = 0.4
+"""Interval between two questions to peers for what they know."""
+
 READ_TIMEOUT_S: Final = 1.0
 """A read without an answer for this time counts as failed."""
 
--- a/tamarackbridge/components/membership/leases.py
+++ b/tamarackbridge/components/membership/leases.py
@@ -25,22 +25,25 @@
 from tamarackbridge.components.membership import (
     const,
     messages,
+    pace,
     placement,
     shard_object,
 )
+from tamarackbridge.components.membership import evidence as evidence_rules
 from tamarackbridge.components.object_api import messages as store
 from tamarackbridge.components.records import models
 
 TAG = "leases:"
 
-FENCE_S = core_const.LEASE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
-"""Time after which evidence that others gathered earlier has lapsed."""
+DRIFT_FACTOR = 1 + core_const.CLOCK_DRIFT_RATIO
+"""Factor on a time after which it has passed on every router."""
 
 HAND_OVER_S = 0.5
 """Time for which a holder goes on after it wrote a hand-over."""
 
 HAND_OVER_END_S = HAND_OVER_S * (1 - core_const.CLOCK_DRIFT_RATIO)
-HAND_OVER_FENCE_S = HAND_OVER_S * (1 + core_const.CLOCK_DRIFT_RATIO)
+HAND_OVER_FENCE_S = HAND_OVER_S * DRIFT_FACTOR
+
 
 STORE_FRESH_S = 3.0
 """Age of the last read of the store up to which a hand-over is begun."""
@@ -158,8 +161,12 @@
                 out.extend(self._announce(state))
         return out
 
-    def _until(self) -> float:
-        return self._evidence.until if self._evidence else -math.inf
+    def _until(self, state: _Shard) -> float:
+        """Returns until when evidence lets this router hold a shard."""
+        if self._evidence is None:
+            return -math.inf
+        lease_s = state.value.lease_s * (1 - core_const.CLOCK_DRIFT_RATIO)
+        return self._evidence.until - evidence_rules.LEASE_USE_S + lease_s
 
     def _on_snapshot(
         self, snapshot: models.Snapshot, now: float
@@ -253,14 +260,14 @@
         if state.value.holder == self._node:
             return self._keep(name, state, now)
         if self._may_take(name, state, now):
-            value = self._next(state, self._node, released=False)
+            value = self._next(state, self._node, False, now)
             return self._put(state, value, now)
         return ()
 
     def _keep(
         self, name: str, state: _Shard, now: float
     ) -> Sequence[core.Envelope]:
-        until = self._until()
+        until = self._until(state)
         if now >= until:
             return ()
         if not state.held:
@@ -281,7 +288,7 @@
         state.ends_at = now + HAND_OVER_END_S
         last = min(until, state.ends_at)
         held = dispatch.LeaseHeld(name, epoch, last, fresh=False)
-        value = self._next(state, target, released=True)
+        value = self._next(state, target, True, now)
         return [_local(held), *self._put(state, value, now)]
 
     def _begin(
@@ -290,9 +297,9 @@
         if now < state.put_until:
             return ()
         if state.surrendered or not state.mine:
-            value = self._next(state, self._node, released=state.surrendered)
+            value = self._next(state, self._node, state.surrendered, now)
             return self._put(state, value, now)
-        fence = state.recognised_at + FENCE_S
+        fence = state.recognised_at + state.value.fence_s * DRIFT_FACTOR
         if state.value.released:
             fence = state.learned_at + HAND_OVER_FENCE_S
         if now < fence:
@@ -301,7 +308,7 @@
         state.ends_at = math.inf
         epoch = state.value.epoch
         state.held_epoch = epoch
-        held = dispatch.LeaseHeld(name, epoch, self._until(), fresh=True)
+        held = dispatch.LeaseHeld(name, epoch, self._until(state), fresh=True)
         return (_local(held),)
 
     def _lose(self, state: _Shard) -> Sequence[core.Envelope]:
@@ -363,7 +370,7 @@
         return zone is not None and zone.out
 
     def _next(
-        self, state: _Shard, holder: str, released: bool
+        self, state: _Shard, holder: str, released: bool, now: float
     ) -> shard_object.ShardValue:
         self._count += 1
         return shard_object.ShardValue(
@@ -372,8 +379,22 @@
             holder=holder,
             attempt=f"{self._attempts}{self._count}",
             released=released,
+            lease_s=pace.of(len(self._roster.members)).shard_lease_s,
+            fence_s=self._fence_s(state, released, now),
         )
 
+    def _fence_s(self, state: _Shard, released: bool, now: float) -> float:
+        """Returns the longest lease of earlier epochs that may still run.
+
+        The first epoch waits for a router that has the shard's backend
+        servers in another shard, by an older configuration.
+        """
+        before = state.value
+        ended = now - state.recognised_at > before.fence_s * DRIFT_FACTOR
+        if released or ended or not state.version:
+            return before.lease_s
+        return max(before.lease_s, before.fence_s)
+
     def _put(
         self, state: _Shard, value: shard_object.ShardValue, now: float
     ) -> Sequence[core.Envelope]:
--- a/tamarackbridge/components/membership/member.py
+++ b/tamarackbridge/components/membership/member.py
@@ -16,6 +16,7 @@
     evidence,
     fleet_state,
     messages,
+    pace,
     roster,
     roster_changes,
     store_reader,
@@ -129,6 +130,10 @@
         out.extend(self._beat(now))
         return out
 
+    @property
+    def _pace(self) -> pace.Pace:
+        return pace.of(len(self._roster.members))
+
     @property
     def _known(self) -> int:
         if not self._established:
@@ -220,7 +225,7 @@
         return ()
 
     def _read_store(self, now: float) -> Sequence[core.Envelope]:
-        old = now - self._evidence_at() > const.POLL_AGE_S
+        old = now - self._evidence_at() > self._pace.poll_age_s
         poll = old or not self._established
         poll = poll or (
             self._store_at < self._known_at and self._waits_on_gone()
@@ -285,9 +290,9 @@
         nodes = self._roster.nodes | self._roster.former
         live = set()
         for node in nodes:
-            limit = (
-                const.DEAD_AFTER_S if node in own else const.GROUP_DEAD_AFTER_S
-            )
+            limit = const.GROUP_DEAD_AFTER_S
+            if node in own:
+                limit = self._pace.dead_after_s
             if node == self._node or now - self._ledger.row(node).at < limit:
                 live.add(node)
         return frozenset(live)
@@ -330,13 +335,13 @@
         self._behind_since = min(self._behind_since, now)
         if now - self._behind_since < BEHIND_GRACE_S or now < self._next_ask:
             return ()
-        self._next_ask = now + const.HEARTBEAT_S
+        self._next_ask = now + const.ASK_S
         return (core.Envelope(node, messages.StateAsk(self._state.cut)),)
 
     def _ask_all(self, now: float) -> Sequence[core.Envelope]:
         if now < self._next_ask:
             return ()
-        self._next_ask = now + 2 * const.HEARTBEAT_S
+        self._next_ask = now + 2 * const.ASK_S
         ask = messages.StateAsk(self._state.cut)
         nodes = sorted((set(self._heard) | self._roster.nodes) - {self._node})
         return [core.Envelope(node, ask) for node in nodes]
@@ -372,7 +377,7 @@
         if now < self._next_beat and not prompt:
             return ()
         jitter = self._rng.uniform(0.9, 1.0)
-        self._next_beat = now + const.HEARTBEAT_S * jitter
+        self._next_beat = now + self._pace.heartbeat_s * jitter
         self._last_beat = now
         self._told_known = self._known
         if self._node not in self._roster.nodes | self._roster.former:
--- a/tamarackbridge/components/membership/roster_changes.py
+++ b/tamarackbridge/components/membership/roster_changes.py
@@ -4,7 +4,12 @@
 import math
 import random
 
-from tamarackbridge.components.membership import const, messages, roster
+from tamarackbridge.components.membership import (
+    const,
+    messages,
+    pace,
+    roster,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +91,7 @@
     def _is_gone(self, node: str, view: View) -> bool:
         silent_s = view.silent_s.get(node, math.inf)
         if node in view.leaving:
-            return silent_s > const.DEAD_AFTER_S
+            return silent_s > pace.RELAYED.dead_after_s
         confirmed = view.vms is not None and node not in view.vms
         return confirmed and silent_s > const.REMOVE_AFTER_S
 
--- a/tamarackbridge/components/membership/shard_object.py
+++ b/tamarackbridge/components/membership/shard_object.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from tamarackbridge import const as core_const
 from tamarackbridge.components.membership import const
 from tamarackbridge.components.object_api import messages as store
 
@@ -14,7 +15,9 @@
         epoch: Grows by one with each change of holder.
         holder: Node of the holder.
         attempt: Identifier of the write, to recognise it after a lost answer.
-        released: Whether the holder before had stopped when this was written.
+        released: Whether the holder before hands the shard over by this.
+        lease_s: How long evidence lets this epoch's holder issue permits.
+        fence_s: The longest lease of earlier epochs that may not have ended.
     """
 
     shard: str
@@ -22,6 +25,8 @@
     holder: str
     attempt: str
     released: bool = False
+    lease_s: float = core_const.LEASE_S
+    fence_s: float = core_const.LEASE_S
 
 
 def key(shard: str) -> str:
