--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -13,6 +13,7 @@
 import result
 
 from tamarackbridge.components.client import const, http, tables
+from tamarackbridge.components.client import reference as reference_page
 from tamarackbridge.components.operator import const as api
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.records import codec, files
@@ -268,6 +269,13 @@
     )
 
 
+@app.command
+def reference() -> int:
+    """Prints all keys of settings and records, as Markdown."""
+    print(reference_page.page(), end="")
+    return const.Exit.OK
+
+
 @app.command
 def completion(shell: Literal["bash", "zsh", "fish"]) -> int:
     """Prints the completion script for a shell.
--- a/tamarackbridge/components/settings/models.py
+++ b/tamarackbridge/components/settings/models.py
@@ -30,7 +30,13 @@
 
 @checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class ListenSettings:
-    """Where one listener accepts connections."""
+    """Where one listener accepts connections.
+
+    Attributes:
+        host: Address to listen on.
+        port: Port to listen on; 0 lets the operating system choose one.
+        allow_plain_text: Whether plain text is allowed off loopback.
+    """
 
     host: str = "127.0.0.1"
     port: int = pydantic.Field(default=0, ge=0, le=65535)
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -19,7 +19,7 @@
 from tamarackbridge.components.entry import service as entry_service
 from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.components.object_api import http as object_api_http
-from tamarackbridge.components.operator import config_writer
+from tamarackbridge.components.operator import config_writer, gauges
 from tamarackbridge.components.operator import const as operator_const
 from tamarackbridge.components.operator import service as operator_service
 from tamarackbridge.components.settings import models as settings_models
@@ -63,6 +63,7 @@
         )
         registry = metrics.Metrics()
         router_metrics.register(registry, self._peers, self._entry, store)
+        gauges.register(registry, self._policy.status)
         kernel.register(operator_const.SERVICE_TELEMETRY, registry)
         kernel.register(operator_const.SERVICE_STATUS, self._policy.status)
         kernel.register(operator_const.SERVICE_REQUESTS, self._policy.requests)
--- a/tests/components/operator/test_app.py
+++ b/tests/components/operator/test_app.py
@@ -84,11 +84,19 @@
     assert after == (200, "ready\n")
 
 
-async def test_metrics_are_prometheus_text(routers: fleet.Fleet) -> None:
+async def test_metrics_tell_what_alarms_are_set_on(
+    routers: fleet.Fleet,
+) -> None:
     async with routers.operated("mela-1") as router:
-        status, text = await call(f"{router.url}/metrics")
-    assert status == 200
-    assert "# TYPE " in text
+        _, before = await call(f"{router.url}/metrics")
+        await call(f"{router.url}/v1/records", "POST", {"records": [ZONE]})
+        routers.run(2.0)
+        routers.bus.kill("mela-3")
+        routers.run(8.0)
+        _, after = await call(f"{router.url}/metrics")
+    assert "tamarackbridge_serving 0.0" in before
+    for line in ("serving 1.0", "config_generation 1.0", "members_live 2.0"):
+        assert f"tamarackbridge_{line}\n" in after
 
 
 REFUSED = [
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,6 +15,7 @@
 from tamarackbridge.components.object_api import messages as store
 from tamarackbridge.components.operator import (
     config_writer,
+    gauges,
     protocols,
     service,
 )
@@ -152,7 +153,9 @@
         kernel.register(operator_const.SERVICE_CONFIG_CHANGES, pumped)
         kernel.register(operator_const.SERVICE_STATUS, made.status)
         kernel.register(operator_const.SERVICE_REQUESTS, made.requests)
-        kernel.register(operator_const.SERVICE_TELEMETRY, metrics.Metrics())
+        registry = metrics.Metrics()
+        gauges.register(registry, made.status)
+        kernel.register(operator_const.SERVICE_TELEMETRY, registry)
         operator = service.OperatorService(kernel)
         async with operator:
             yield Operated(f"http://127.0.0.1:{operator.port}", pumped)
--- a/tests/sessions/session.py
+++ b/tests/sessions/session.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import re
+import shlex
 from unittest import mock
 
 from bench import world
@@ -52,8 +53,13 @@
 
     # Operators.
 
-    async def operate(self, node: str, *commands: str) -> None:
-        """Runs commands of the operators' client, one router asked first."""
+    async def operate(self, node: str, *commands: str) -> int:
+        """Runs commands of the operators' client, one router asked first.
+
+        Returns:
+            The exit code of the last command.
+        """
+        code = 0
         async with contextlib.AsyncExitStack() as stack:
             urls = []
             others = [name for name in self.cfg if name != node]
@@ -68,12 +74,13 @@
                 "USER": "noor",
             }
             for command in commands:
-                await self._command(node, command, env)
+                code = await self._command(node, command, env)
+        return code
 
     async def _command(
         self, node: str, command: str, env: dict[str, str]
-    ) -> None:
-        words = command.replace("DIR", str(self.folder)).split()
+    ) -> int:
+        words = shlex.split(command.replace("DIR", str(self.folder)))
         out = io.StringIO()
         self.say(f"operator at {node}", f"$ tamarackbridge {command}")
         with (
@@ -85,6 +92,7 @@
         for line in out.getvalue().splitlines():
             self.lines.append(f"    {line}")
         self.say(f"operator at {node}", f"exit {int(code)}")
+        return code
 
     # Callers.
 
--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -148,7 +148,9 @@
 async def test_store_outage(tmp_path: pathlib.Path, snapshot: Snapshot) -> None:
     played = await started(tmp_path, "mela")
     _, lookup, fee = DAYS["mela"]
-    played.title("the object API goes down")
+    played.title("a fee is paid, then the object API goes down")
+    played.ask("mela-1", fee[1], fee[0], key="paid-before")
+    played.run(2.0)
     played.store.down = True
     played.run(20.0)
     for node in played.cfg:
@@ -158,6 +160,15 @@
     await played.operate(
         "mela-1", "zone take-out multan", "get zone multan", "status"
     )
+    played.title("the fee that was paid is sent again")
+    for node in played.cfg:
+        played.ask(node, fee[1], fee[0], key="paid-before")
+        played.run(3.0)
+    played.title("a router that holds no shard restarts empty")
+    played.router("mela-1")
+    played.run(6.0)
+    played.ask("mela-1", lookup[1], lookup[0])
+    played.run(3.0)
     played.title("a router is cut off from the others as well")
     played.bus.faults.isolate(["mela-3"], ["mela-1", "mela-2"])
     played.run(6.0)
