--- a/tamarackbridge/components/claims/client.py
+++ b/tamarackbridge/components/claims/client.py
@@ -21,6 +21,7 @@
     Attributes:
         deadline: Time until which the entry waits for an answer.
         running: Whether the entry was told to run.
+        unanswered: Messages sent since the last answer.
         close: How the attempt ended; None while it is open.
     """
 
@@ -28,6 +29,7 @@
     ask: messages.ClaimAsk
     deadline: float
     sent_at: float
+    unanswered: int = 0
     running: bool = False
     waiting_answer: messages.ClaimAnswer = _ANSWER.UNAVAILABLE
     close: messages.ClaimSettle | None = None
@@ -55,7 +57,7 @@
         self, node: str, rng: random.Random, incarnation: int = 0
     ) -> None:
         self._node = node
-        self._live: tuple[str, ...] = (node,)
+        self._keepers: tuple[str, ...] = (node,)
         self._life = f"{node}.{incarnation}.{rng.getrandbits(32):08x}"
         self._count = 0
         self._attempts: dict[str, _Attempt] = {}
@@ -81,7 +83,7 @@
             case messages.ClaimSettled() as settled:
                 self._settled(settled)
             case membership.RosterChanged() as roster:
-                self._live = roster.live or (self._node,)
+                self._keepers = ranges.keepers(roster) or (self._node,)
         return self._flush()
 
     def tick(self, now: float) -> Sequence[core.Envelope]:
@@ -127,6 +129,7 @@
             content_type=close.content_type,
             body=close.body,
         )
+        attempt.unanswered = 0
         self._send(attempt, now)
 
     def _reply(
@@ -138,6 +141,7 @@
             return
         if attempt.close is not None or attempt.running:
             return
+        attempt.unanswered = 0
         if reply.answer is _ANSWER.IN_PROGRESS:
             attempt.waiting_answer = reply.answer
         elif reply.answer is _ANSWER.RUN:
@@ -199,10 +203,13 @@
         self._by_request.pop(attempt.request_id, None)
 
     def _keeper(self, key: str) -> str:
-        return ranges.keeper_of(ranges.range_of(key), self._live)
+        return ranges.keeper_of(ranges.range_of(key), self._keepers)
 
     def _send(self, attempt: _Attempt, now: float) -> None:
+        place = attempt.unanswered // const.SENDS_PER_KEEPER
+        number = ranges.range_of(attempt.ask.key)
+        keeper = ranges.stand_in(number, self._keepers, place)
         attempt.sent_at = now
+        attempt.unanswered += 1
         msg = attempt.close or attempt.ask
-        env = core.Envelope(self._keeper(attempt.ask.key), msg)
-        self._out.append(env)
+        self._out.append(core.Envelope(keeper, msg))
