--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,6 +23,7 @@
 from tamarackbridge.components.records import changes
 from tamarackbridge.components.settings import loader, models
 from tamarackbridge.components.telemetry import metrics
+from tamarackbridge.components.tls import contexts
 
 _T = TypeVar("_T")
 
@@ -156,6 +157,10 @@
         registry = metrics.Metrics()
         gauges.register(registry, made.status)
         kernel.register(operator_const.SERVICE_TELEMETRY, registry)
-        operator = service.OperatorService(kernel)
+        listen = self.cfg[node].operator
+        scheme, context = "http", None
+        if contexts.enabled(listen):
+            scheme, context = "https", contexts.server_context(listen.tls)
+        operator = service.OperatorService(kernel, context)
         async with operator:
-            yield Operated(f"http://127.0.0.1:{operator.port}", pumped)
+            yield Operated(f"{scheme}://127.0.0.1:{operator.port}", pumped)
