Answer a claim when its write is acknowledged

Cause: an acknowledged claim was answered only when its range might write again. Change: what a write decided is answered at its acknowledgement. Writes per payment are the same.

--- a/tamarackbridge/components/claims/claim_range.py
+++ b/tamarackbridge/components/claims/claim_range.py
@@ -173,6 +173,7 @@
             self._committed()
         elif self.journal.take_changed():
             self._due.update(dict.fromkeys(self._asks))
+        self._claim_records(set())  # Answers what the write has decided.
         self._write(now)
 
     def _committed(self) -> None:
