Pace a range's writes by a bucket

Cause: the write of one payment's end made the next claim of its range wait for the rest of a fixed interval. Change: after a calm time four writes may start at once; the mean rate keeps its bound.

--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -12,7 +12,10 @@
 """First part of the tag of each store call of a keeper."""
 
 COMMIT_INTERVAL_S: Final = 0.1
-"""Least time between the starts of two writes of one busy range."""
+"""Mean time between the starts of two writes of one busy range, at least."""
+
+COMMIT_BURST: Final = 4.0
+"""Writes that a range may start at once after a calm time."""
 
 SEGMENT_BYTES: Final = 262_144
 """A segment of at least this size is sealed."""
--- a/tamarackbridge/components/claims/journal.py
+++ b/tamarackbridge/components/claims/journal.py
@@ -12,7 +12,13 @@
 
 from tamarackbridge import const as core_const
 from tamarackbridge import core
-from tamarackbridge.components.claims import const, ranges, replica, segment
+from tamarackbridge.components.claims import (
+    const,
+    pace,
+    ranges,
+    replica,
+    segment,
+)
 from tamarackbridge.components.object_api import messages as store
 
 _STATUS = store.StoreStatus
@@ -61,7 +67,7 @@
         self._on_reply: Callable[[store.StoreReply, float], None] | None = None
         self._tail_read: tuple[segment.Segment, int] | None = None
         self._writing: segment.Segment | None = None
-        self._last_write = float("-inf")
+        self._pace = pace.Pace()
         self._retire: list[int] = []
         self._out: list[core.Envelope] = []
 
@@ -72,9 +78,7 @@
 
     def may_write(self, now: float) -> bool:
         """Tells whether `write` may be called now."""
-        if self.phase is not Phase.READY:
-            return False
-        return now - self._last_write >= const.COMMIT_INTERVAL_S
+        return self.phase is Phase.READY and self._pace.may_write(now)
 
     def refresh(self, now: float) -> None:
         """Reads the tail, to learn whether the copy is up to date."""
@@ -84,7 +88,7 @@
 
     def write(self, records: tuple[msgspec.Raw, ...], now: float) -> None:
         """Adds records; `phase` is `READY` again when they are stored."""
-        self._last_write = now
+        self._pace.wrote(now)
         self.writes += 1
         self._put(records, now)
 
