Seal claim segments at 32 KB

Cause: each write sends the whole tail of its range. Change: segments are sealed at 32 KB instead of 256 KB; the measurement counts written bytes.

--- a/bench/answers.py
+++ b/bench/answers.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from bench import answers_scene
+from tamarackbridge import core
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.claims import replica, segment
 from tamarackbridge.components.object_api import messages as store
@@ -197,6 +198,13 @@
     before = scene.store.calls.get(store.StorePut.__name__, 0)
     kind = answers_scene.Kind("payment", rate, 0.05, 15.0, keyed=True)
     scene.arrivals(kind, 1.0 + PAYMENT_RUN_S)
+    sizes: list[int] = []
+
+    def weigh(_: str, env: core.Envelope, __: float) -> None:
+        if isinstance(env.msg, store.StorePut):
+            sizes.append(len(env.msg.value))
+
+    scene.bus.taps.append(weigh)
     scene.bus.run_until(PAYMENT_RUN_S + 5.0)
     writes = scene.store.calls[store.StorePut.__name__] - before
     cuts = statistics.quantiles(scene.claim_s, n=100)
@@ -204,6 +212,7 @@
         "payments": len(scene.calls),
         "writes_per_payment": round(writes / len(scene.calls), 3),
         "writes_per_s": round(writes / PAYMENT_RUN_S, 1),
+        "written_bytes_per_s": round(sum(sizes) / PAYMENT_RUN_S),
         "added_p50_ms": round(cuts[49] * 1000, 1),
         "added_p99_ms": round(cuts[98] * 1000, 1),
     }
--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -17,7 +17,7 @@
 COMMIT_BURST: Final = 4.0
 """Writes that a range may start at once after a calm time."""
 
-SEGMENT_BYTES: Final = 262_144
+SEGMENT_BYTES: Final = 32_768
 """A segment of at least this size is sealed."""
 
 BATCH_BYTES: Final = 524_288
