--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,12 +9,15 @@
     "__main__",
     "answers_scene",
     "fake_store",
+    "faults",
     "harness",
     "path_load",
     "processes",
     "real_fleet",
     "real_load",
     "world",
+    "zone_baseline",
+    "zone_run",
 }
 
 
