--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,13 +7,17 @@
 NOT_MEASUREMENTS = {
     "__init__",
     "__main__",
+    "answers_scene",
     "fake_store",
+    "faults",
     "harness",
     "path_load",
     "processes",
     "real_fleet",
     "real_load",
     "world",
+    "zone_baseline",
+    "zone_run",
 }
 
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -7,17 +7,13 @@
 from typing import ClassVar
 
 from bench import fake_store, harness
-from tamarackbridge import const, core
-from tamarackbridge.components.claims import client as claim_client
-from tamarackbridge.components.claims import keeper
+from tamarackbridge import const, core, policy
 from tamarackbridge.components.claims import messages as claims
-from tamarackbridge.components.configuration import applier, changes
 from tamarackbridge.components.configuration import messages as configuration
-from tamarackbridge.components.dispatch import dispatcher, permit_client
 from tamarackbridge.components.dispatch import messages as dispatch
-from tamarackbridge.components.membership import leases, member
 from tamarackbridge.components.membership import messages as membership
-from tamarackbridge.components.records import codec, files, models, snapshot
+from tamarackbridge.components.records import codec, files, models
+from tamarackbridge.components.settings import models as settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 LOAD_POLL_S = 0.5
@@ -25,6 +21,8 @@
 LOST_AFTER_S = 0.5
 """Time after which an entry notices that a backend server is gone."""
 
+Action = Callable[[], None]
+
 
 class Act(core.Message, frozen=True, tag=True):
     """Makes an entry do something, when its router is not paused."""
@@ -55,6 +53,7 @@
     work_s: float
     due: float
     key: str = ""
+    sent_at: float = 0.0
     started: int = 0
     answer: str = ""
     answered_at: float = 0.0
@@ -108,7 +107,9 @@
             case dispatch.Permitted() if msg.request_id in self.requests:
                 return self._start(self.requests[msg.request_id], msg, now)
             case dispatch.Refused() if msg.request_id in self.requests:
-                return self.end(self.requests[msg.request_id], msg.reason, now)
+                req = self.requests[msg.request_id]
+                reason = "backend_failed" if req.started else msg.reason
+                return self.end(req, reason, now)
             case claims.ClaimResult() if msg.request_id in self.requests:
                 req = self.requests[msg.request_id]
                 if msg.answer is claims.ClaimAnswer.RUN:
@@ -196,15 +197,20 @@
         self.bus.add_fake(const.STORE_NODE, self.store)
         self.zone = zones
         self.entries: dict[str, Entry] = {}
+        self.policies: dict[str, policy.Policy] = {}
         self.servers: dict[str, Server] = {}
         self.answers: list[Request] = []
         self.starts: list[tuple[float, str]] = []
+        self.connect_lost_s = LOST_AFTER_S
+        self.stream_lost_s = LOST_AFTER_S
         self._lives = 0
         self.bus.at(0.0, self._poll_loads)
 
-    def load_records(self) -> tuple[configuration.RecordEdit, ...]:
-        """Returns Asahikawa's records, and makes their backend servers."""
-        path = ROOT / "examples" / "asahikawa" / "records.toml"
+    def load_records(
+        self, deployment: str = "asahikawa"
+    ) -> tuple[configuration.RecordEdit, ...]:
+        """Returns a deployment's records, and makes their backend servers."""
+        path = ROOT / "examples" / deployment / "records.toml"
         records = files.load(path).unwrap()
         for record in records:
             if isinstance(record.model, models.BackendServer):
@@ -222,18 +228,25 @@
         rng = random.Random(self.rng.random())
         entry = Entry(self, node)
         self.entries[node] = entry
-        parts: tuple[core.Decider, ...] = (
-            member.MemberDecider(node, self.zone[node], "", self._lives, rng),
-            leases.ShardLeases(node, rng),
-            applier.Applier(node, rng, snapshot.SnapshotCodec()),
-            changes.ChangeWriter(node, rng, snapshot.SnapshotCodec()),
-            dispatcher.Dispatcher(node, rng),
-            permit_client.PermitClient(node, rng),
-            keeper.Keeper(node, rng, 3600.0, 4096),
-            claim_client.ClaimClient(node, rng, self._lives),
-            entry,
+        made = self.make_policy(node, rng)
+        self.policies[node] = made
+        self.bus.start(core.DeciderGroup(node, (*made.deciders(), entry)))
+
+    def make_policy(self, node: str, rng: random.Random) -> policy.Policy:
+        """Makes the deciders of a router."""
+        listen = settings.ListenSettings()
+        cfg = settings.Settings(
+            node=node,
+            zone=self.zone[node],
+            caller=listen,
+            peer=listen,
+            operator=settings.OperatorSettings(),
+            platform=settings.PlatformSettings(object_api="", vm_list=""),
+            claims=settings.ClaimSettings(
+                retention_s=3600.0, max_outcome_bytes=4096
+            ),
         )
-        self.bus.start(core.DeciderGroup(node, parts))
+        return policy.build(cfg, self._lives, self.bus, rng)
 
     def kill(self, node: str) -> None:
         """Ends a router; its callers lose their connections."""
@@ -248,6 +261,7 @@
         if not self.bus.alive(node):
             self.answered(req, "connection_lost", self.bus.now)
             return
+        self.entries[node].requests[req.request_id] = req
         self._act(node, lambda entry: entry.arrive(req, self.bus.now))
 
     def start(
@@ -258,8 +272,9 @@
         req.started += 1
         req.avoid = (*req.avoid, permit.server)
         run = f"{req.request_id}#{req.started}"
+        self.tried_start(entry, server, now)
         if server.gone:
-            self._finish_later(entry, req, LOST_AFTER_S, failed=True)
+            self._finish_later(entry, req, self.connect_lost_s, failed=True)
             return
         server.running[run] = now
         self.started(entry, req, server, now)
@@ -290,6 +305,9 @@
     def observe(self, entry: Entry, msg: core.Message, now: float) -> None:
         """Sees each local message of a router."""
 
+    def tried_start(self, entry: Entry, server: Server, now: float) -> None:
+        """Sees each attempt to start work, also on a server that is gone."""
+
     def started(
         self, entry: Entry, req: Request, server: Server, now: float
     ) -> None:
@@ -307,7 +325,8 @@
         self, server: Server, run: str, entry: Entry, req: Request
     ) -> None:
         lost = server.gone or server.running.pop(run, None) is None
-        self._finish_later(entry, req, LOST_AFTER_S if lost else 0.0, lost)
+        wait_s = self.stream_lost_s if lost else 0.0
+        self._finish_later(entry, req, wait_s, lost)
 
     def _finish_later(
         self, entry: Entry, req: Request, wait_s: float, failed: bool
@@ -315,7 +334,7 @@
         outcome = dispatch.Outcome.FAILED if failed else dispatch.Outcome.OK
 
         def finish() -> None:
-            if self.entries[entry.node] is entry:
+            if self.entries.get(entry.node) is entry:
                 self._act(
                     entry.node,
                     lambda ent: ent.finished(req, outcome, self.bus.now),
