Trace each hop of a request and time answers, queues and first bytes

Cause: the tracer and the latency histograms were not fed. Change: a span for the request, for each wait for a permit and for each attempt, whose context goes to the backend server; counters of answers and attempts; latencies by route and service.

--- a/tamarackbridge/components/entry/accept.py
+++ b/tamarackbridge/components/entry/accept.py
@@ -9,6 +9,7 @@
 from tamarackbridge.components.entry import const, problem
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
+from tamarackbridge.components.telemetry import traces
 
 _PASSED_HEADERS = frozenset(
     {"accept", "content-type", "idempotency-key", "traceparent", "tracestate"}
@@ -62,7 +63,10 @@
 
 
 async def async_accept(
-    req: web.Request, snapshot: models.Snapshot, now: float
+    req: web.Request,
+    snapshot: models.Snapshot,
+    now: float,
+    span: traces.Span,
 ) -> result.Result[entry_models.Request, problem.Problem]:
     """Turns an HTTP request into an accepted request or a refusal."""
     request_id = uuid.uuid4().hex
@@ -108,5 +112,6 @@
         hint_cost=_hint(req),
         idempotency_key=key,
         deadline=now + route.deadline_s,
+        span=span,
     )
     return result.Ok(accepted)
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -20,6 +20,7 @@
 )
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
+from tamarackbridge.components.telemetry import traces
 
 _END = attempts.End
 _STREAM_TYPE = "text/event-stream"
@@ -73,6 +74,7 @@
         stream: Where a streamed answer goes; None to collect it.
         limit_s: Longest time until a plain answer is whole.
         report: Told the cost so far, now and then.
+        span: The span of this attempt.
     """
 
     request: entry_models.Request
@@ -82,6 +84,7 @@
     stream: caller_stream.CallerStream | None
     limit_s: float
     report: Callable[[float], None]
+    span: traces.Span
 
 
 class Forwarder:
@@ -174,6 +177,10 @@
 
 def _headers(job: Job) -> dict[str, str]:
     headers = dict(job.request.headers)
+    if context := job.span.headers():
+        for name in [key for key in headers if key.lower() in context]:
+            del headers[name]
+        headers.update(context)
     headers[const.HEADER_REQUEST_ID] = job.request.request_id
     if job.server.checks_fencing:
         headers[const.HEADER_FENCING] = str(job.permit.epoch)
--- a/tamarackbridge/components/entry/models.py
+++ b/tamarackbridge/components/entry/models.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from tamarackbridge.components.records import models
+from tamarackbridge.components.telemetry import traces
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,6 +22,7 @@
         hint_cost: Caller's estimate of the cost; 0 for none.
         idempotency_key: The caller's key; empty for none.
         deadline: Monotonic time by which the answer must be whole.
+        span: The span of the whole request.
     """
 
     request_id: str
@@ -34,3 +36,4 @@
     hint_cost: float
     idempotency_key: str
     deadline: float
+    span: traces.Span = dataclasses.field(default_factory=traces.NullSpan)
--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -16,6 +16,7 @@
     refusals,
     retry_budget,
     stream_check,
+    telemetry,
 )
 from tamarackbridge.components.entry import models as entry_models
 
@@ -35,7 +36,9 @@
         held_permits: permits.Permits,
         forwarder: forward.Forwarder,
         rng: random.Random,
+        counted: telemetry.RequestTelemetry,
     ) -> None:
+        self._telemetry = counted
         self.budget = retry_budget.RetryBudget()
         self.ends: dict[attempts.End, int] = dict.fromkeys(attempts.End, 0)
         self.repeated_events = 0
@@ -92,7 +95,7 @@
             until = min(request.deadline, start_by)
             if begun:
                 until = self._clock.monotonic() + request.service.max_request_s
-            permit = await self._permits.async_wait(request, tried.avoid, until)
+            permit = await self._async_permit(request, tried.avoid, until)
             if isinstance(permit, dispatch.Refused):
                 return refusals.of_permit(permit, tried.not_run)
             attempt = forward.Attempt()
@@ -116,6 +119,24 @@
                 return refusals.of_attempts(decision, request.request_id)
             await asyncio.sleep(decision.pause_s)
 
+    async def _async_permit(
+        self,
+        request: entry_models.Request,
+        avoid: tuple[str, ...],
+        until: float,
+    ) -> dispatch.Permitted | dispatch.Refused:
+        asked = self._clock.monotonic()
+        with request.span.child("permit") as span:
+            permit = await self._permits.async_wait(request, avoid, until)
+            if isinstance(permit, dispatch.Permitted):
+                span.set("server", permit.server)
+                span.set("epoch", permit.epoch)
+            else:
+                span.set("refused", permit.reason)
+        took_s = self._clock.monotonic() - asked
+        self._telemetry.queued(request.service.name, took_s)
+        return permit
+
     async def _async_attempt(
         self,
         request: entry_models.Request,
@@ -131,20 +152,29 @@
             self._permits.give_back(request.request_id, attempt, False)
             return
         cancelled = True
-        job = forward.Job(
-            request=request,
-            server=server,
-            permit=permit,
-            check=check,
-            stream=stream,
-            limit_s=limit_s,
-            report=lambda used: self._permits.used(request.request_id, used),
+        with request.span.child("backend server") as span:
+            span.set("server", server.name)
+            job = forward.Job(
+                request=request,
+                server=server,
+                permit=permit,
+                check=check,
+                stream=stream,
+                limit_s=limit_s,
+                report=lambda used: self._permits.used(
+                    request.request_id, used
+                ),
+                span=span,
+            )
+            try:
+                await self._forwarder.async_run(job, attempt)
+                cancelled = False
+            finally:
+                self._permits.give_back(request.request_id, attempt, cancelled)
+                span.set("end", attempt.end.value)
+        self._telemetry.attempted(
+            request.service.name, attempt.end.value, attempt.first_byte_s
         )
-        try:
-            await self._forwarder.async_run(job, attempt)
-            cancelled = False
-        finally:
-            self._permits.give_back(request.request_id, attempt, cancelled)
 
 
 def plain_response(
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -19,7 +19,9 @@
     problem,
     refusals,
     runner,
+    telemetry,
 )
+from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.settings import models as settings_models
 
@@ -46,9 +48,11 @@
         forwarder: forward.Forwarder,
         rng: random.Random,
         inject: Callable[[core.Message], None],
+        counted: telemetry.RequestTelemetry,
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__()
+        self._telemetry = counted
         self._ssl_context = ssl_context
         self.port = 0
         self.draining = False
@@ -57,7 +61,7 @@
         self._clock = clock
         self._port = port
         desk = permits.Permits(clock, port, inject)
-        self._tries = runner.AttemptRunner(clock, desk, forwarder, rng)
+        self._tries = runner.AttemptRunner(clock, desk, forwarder, rng, counted)
         self._once = once.OnceRunner(clock, port, self._tries, inject)
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
@@ -117,13 +121,30 @@
         return resp
 
     async def _async_accepted(self, req: web.Request) -> web.StreamResponse:
-        if not self._port.serving:
-            return self._not_serving(req).response()
-        now = self._clock.monotonic()
-        accepted = await accept.async_accept(req, self._port.snapshot, now)
-        if isinstance(accepted, result.Err):
-            return accepted.err_value.response()
-        request = accepted.ok_value
+        with self._telemetry.tracer.start("request", req.headers) as span:
+            if not self._port.serving:
+                return self._not_serving(req).response()
+            now = self._clock.monotonic()
+            accepted = await accept.async_accept(
+                req, self._port.snapshot, now, span
+            )
+            if isinstance(accepted, result.Err):
+                resp = accepted.err_value.response()
+                self._telemetry.answered("", resp.status, 0.0)
+                return resp
+            request = accepted.ok_value
+            span.set("request_id", request.request_id)
+            span.set("workspace", request.workspace.name)
+            span.set("route", request.route.name)
+            answer = await self._async_answer(req, request)
+            span.set("status", answer.status)
+        took_s = self._clock.monotonic() - now
+        self._telemetry.answered(request.route.name, answer.status, took_s)
+        return answer
+
+    async def _async_answer(
+        self, req: web.Request, request: entry_models.Request
+    ) -> web.StreamResponse:
         if request.route.idempotent:
             return await self._tries.async_repeatable(req, request)
         return await self._once.async_run(request)
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -17,6 +17,7 @@
 from tamarackbridge.components.entry import forward
 from tamarackbridge.components.entry import port as entry_port
 from tamarackbridge.components.entry import service as entry_service
+from tamarackbridge.components.entry import telemetry as entry_telemetry
 from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.components.object_api import http as object_api_http
 from tamarackbridge.components.operator import config_writer, gauges
@@ -28,6 +29,7 @@
     metrics,
     news,
     router_metrics,
+    traces,
 )
 from tamarackbridge.components.tls import contexts, reloader
 from tamarackbridge.components.tls import peers as tls_peers
@@ -61,6 +63,8 @@
         )
         backend = backend_client.BackendClient()
         self._tls = reloader.ReloadService()
+        registry = metrics.Metrics()
+        self._tracer = traces.make_tracer(settings.telemetry, settings.node)
         self._entry = entry_service.EntryService(
             settings,
             clock,
@@ -68,9 +72,9 @@
             forward.Forwarder(backend),
             kernel.rng,
             self._loop.inject,
+            entry_telemetry.RequestTelemetry(registry, self._tracer),
             self._context(settings.caller),
         )
-        registry = metrics.Metrics()
         router_metrics.register(registry, self._peers, self._entry, store)
         gauges.register(registry, self._policy.status)
         kernel.register(operator_const.SERVICE_TELEMETRY, registry)
@@ -174,6 +178,7 @@
         await stop.wait()
         await self._async_drain(force)
         await _async_stop(services)
+        self._tracer.close()
         logging.info("router stopped")
         return 0
 
