Shorten the pace of small fleets and take no shard from an unheard holder

And dispatch still stopped for 2 s after a death.

Change: a shard is taken only when a majority was heard, and the epoch known, for the time in which a death is seen. Small fleets: heartbeat 0.15 s, death after 0.5 s, shard lease 0.6 s.

--- a/tamarackbridge/components/membership/leases.py
+++ b/tamarackbridge/components/membership/leases.py
@@ -119,6 +119,7 @@
         self._early: dict[str, tuple[shard_object.ShardValue, int]] = {}
         self._roster = messages.RosterChanged((), ())
         self._evidence: messages.FleetEvidence | None = None
+        self._majority_since = math.inf
         self._preferred: dict[str, str] = {}
         self._bound = 1
         self._leaving = False
@@ -139,6 +140,7 @@
                 return self._on_objects(delivery.msg, now)
             case messages.FleetEvidence():
                 self._evidence = delivery.msg
+                self._note_majority(delivery.msg.majority, now)
                 return self._review_all(now)
             case messages.LeaveFleet():
                 self._leaving = True
@@ -161,6 +163,12 @@
                 out.extend(self._announce(state))
         return out
 
+    def _note_majority(self, majority: bool, now: float) -> None:
+        if not majority:
+            self._majority_since = math.inf
+            return
+        self._majority_since = min(self._majority_since, now)
+
     def _until(self, state: _Shard) -> float:
         """Returns until when evidence lets this router hold a shard."""
         if self._evidence is None:
@@ -329,6 +337,9 @@
             return False
         if self._preferred.get(name) != self._node or now < state.put_until:
             return False
+        heard_since = max(self._majority_since, state.learned_at)
+        if now - heard_since < pace.of(len(self._roster.members)).dead_after_s:
+            return False
         return now - state.absent_since >= self._damping(state, now)
 
     def _damping(self, state: _Shard, now: float) -> float:
--- a/tamarackbridge/components/membership/pace.py
+++ b/tamarackbridge/components/membership/pace.py
@@ -29,7 +29,7 @@
     shard_lease_s: float
 
 
-FAST = Pace(0.2, 0.7, 0.45, 0.8)
+FAST = Pace(0.15, 0.5, 0.35, 0.6)
 RELAYED = Pace(0.4, 1.2, 0.9, core_const.LEASE_S)
 
 
