--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -12,9 +12,12 @@
 """First part of the tag of each store call of a keeper."""
 
 COMMIT_INTERVAL_S: Final = 0.1
-"""Least time between the starts of two writes of one busy range."""
+"""Mean time between the starts of two writes of one busy range, at least."""
 
-SEGMENT_BYTES: Final = 262_144
+COMMIT_BURST: Final = 4.0
+"""Writes that a range may start at once after a calm time."""
+
+SEGMENT_BYTES: Final = 32_768
 """A segment of at least this size is sealed."""
 
 BATCH_BYTES: Final = 524_288
@@ -46,3 +49,9 @@
 
 WAIT_REFRESH_S: Final = 1.0
 """While asks wait for another attempt, the range is read this often."""
+
+GONE_WAIT_S: Final = 3.0
+"""An ask waits this long for an attempt whose router has ended."""
+
+SENDS_PER_KEEPER: Final = 2
+"""A client turns to the next keeper after so many unanswered messages."""
--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -6,12 +6,14 @@
 import pathlib
 import sys
 from typing import Annotated, Literal, TypeVar
+import uuid
 
 import cyclopts
 import msgspec
 import result
 
 from tamarackbridge.components.client import const, http, tables
+from tamarackbridge.components.client import reference as reference_page
 from tamarackbridge.components.operator import const as api
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.records import codec, files
@@ -50,6 +52,7 @@
         ca: PEM file of the authorities of the routers' certificates.
         certificate: PEM file of a client certificate.
         key: PEM file of the key of the client certificate.
+        author: Name that other operators are told on a conflict.
         output: Table for people or JSON for scripts.
     """
 
@@ -62,6 +65,7 @@
     ca: pathlib.Path | None = None
     certificate: pathlib.Path | None = None
     key: pathlib.Path | None = None
+    author: Annotated[str, cyclopts.Parameter(env_var="USER")] = "operator"
     output: Literal["table", "json"] = "table"
 
     def client(self) -> http.Client:
@@ -159,9 +163,7 @@
     found = options.client().call(
         http.Call("GET", path, query), messages.RecordsReply
     )
-    return _show(
-        found, options, lambda body: tables.print_records(kind, body.records)
-    )
+    return _show(found, options, lambda body: tables.print_records(kind, body))
 
 
 @app.command
@@ -267,6 +269,13 @@
     )
 
 
+@app.command
+def reference() -> int:
+    """Prints all keys of settings and records, as Markdown."""
+    print(reference_page.page(), end="")
+    return const.Exit.OK
+
+
 @app.command
 def completion(shell: Literal["bash", "zsh", "fish"]) -> int:
     """Prints the completion script for a shell.
@@ -301,7 +310,12 @@
 
 
 def _change(call: http.Call, options: Options) -> int:
-    found = options.client().call(call, messages.ChangeReply)
+    headers = (
+        (api.HEADER_CHANGE_ID, uuid.uuid4().hex),
+        (api.HEADER_AUTHOR, options.author),
+    )
+    named = dataclasses.replace(call, headers=headers)
+    found = options.client().call(named, messages.ChangeReply)
     return _show(found, options, tables.print_changes)
 
 
--- a/tamarackbridge/components/settings/models.py
+++ b/tamarackbridge/components/settings/models.py
@@ -30,7 +30,13 @@
 
 @checked.dataclass(frozen=True, slots=True, kw_only=True, config=_CONFIG)
 class ListenSettings:
-    """Where one listener accepts connections."""
+    """Where one listener accepts connections.
+
+    Attributes:
+        host: Address to listen on.
+        port: Port to listen on; 0 lets the operating system choose one.
+        allow_plain_text: Whether plain text is allowed off loopback.
+    """
 
     host: str = "127.0.0.1"
     port: int = pydantic.Field(default=0, ge=0, le=65535)
@@ -126,6 +132,9 @@
         zone: Availability zone that this VM is in.
         advertise: Address at which other routers reach this one, `host:port`.
         drain_timeout_s: Longest time that a graceful shutdown takes.
+        drain_notice_s: Time in a graceful shutdown during which requests are
+            still taken, until the balancer has seen that this router is not
+            ready.
         caller: Listener for callers.
         peer: Listener for other routers.
         operator: Listener for operators.
@@ -140,6 +149,7 @@
     platform: PlatformSettings
     advertise: str = ""
     drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
+    drain_notice_s: float = pydantic.Field(default=2.0, ge=0)
     limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
     claims: ClaimSettings = dataclasses.field(default_factory=ClaimSettings)
     telemetry: TelemetrySettings = dataclasses.field(
