Let the harness's callers wait for a claim until their deadline

Cause: the world's entry gave up on a claim after 2 s, so that a payment whose router had died was told in_progress for ever; the product's entry waits until the deadline, and the keeper tells outcome_unknown after 3 s. Change: ClaimWant carries the time left until the deadline, as in the entry. A route with a deadline under 3 s would still be told in_progress after its router died; that is safe, but its caller never learns more.

--- a/bench/world.py
+++ b/bench/world.py
@@ -128,7 +128,8 @@
         self.requests[req.request_id] = req
         if req.route.idempotent:
             return self.want(req, now)
-        want = claims.ClaimWant(req.request_id, req.key, "body", 2.0)
+        left = req.due - now
+        want = claims.ClaimWant(req.request_id, req.key, "body", left)
         return [core.Envelope(const.LOCAL_NODE, want)]
 
     def want(self, req: Request, now: float) -> Sequence[core.Envelope]:
