Bound decompression of configuration; test what the client makes of answers

Change: at most 16 MiB of plain records are read, and no more are written; values that break off are refused; hypothesis on the stored form; a table of answers and exit codes, lost answers and several routers included. Options and output of the client have modules of their own.

--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -1,18 +1,17 @@
 """The program's commands."""
 
-from collections.abc import Callable, Sequence
 import dataclasses
 import importlib
 import pathlib
-import sys
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 import uuid
 
 import cyclopts
 import msgspec
 import result
 
-from tamarackbridge.components.client import const, http, tables
+from tamarackbridge.components.client import const, http, show, tables
+from tamarackbridge.components.client import options as client_options
 from tamarackbridge.components.client import reference as reference_page
 from tamarackbridge.components.operator import const as api
 from tamarackbridge.components.operator import messages
@@ -20,9 +19,8 @@
 from tamarackbridge.components.settings import loader
 from tamarackbridge.components.tls import exceptions as tls
 
-_T = TypeVar("_T")
-_Row = TypeVar("_Row")
-
+Options = client_options.Options
+DEFAULT = client_options.DEFAULT
 Kind = Literal["zone", "service", "server", "workspace"]
 
 app = cyclopts.App(
@@ -39,51 +37,6 @@
 app.command(requests_app)
 
 
-@cyclopts.Parameter(name="*")
-@dataclasses.dataclass(frozen=True)
-class Options:
-    """How to reach routers and how to print.
-
-    Attributes:
-        url: Base URL of a router's operator interface; several, split by
-            commas or by giving the option again, are tried in turn, and
-            status, explain and requests ask all of them.
-        token_file: File with the operator's bearer token.
-        ca: PEM file of the authorities of the routers' certificates.
-        certificate: PEM file of a client certificate.
-        key: PEM file of the key of the client certificate.
-        author: Name that other operators are told on a conflict.
-        output: Table for people or JSON for scripts.
-    """
-
-    url: Annotated[
-        tuple[str, ...], cyclopts.Parameter(env_var=const.ENV_URL)
-    ] = ("http://127.0.0.1:18401",)
-    token_file: Annotated[
-        pathlib.Path | None, cyclopts.Parameter(env_var=const.ENV_TOKEN_FILE)
-    ] = None
-    ca: pathlib.Path | None = None
-    certificate: pathlib.Path | None = None
-    key: pathlib.Path | None = None
-    author: Annotated[str, cyclopts.Parameter(env_var="USER")] = "operator"
-    output: Literal["table", "json"] = "table"
-
-    def client(self) -> http.Client:
-        """Returns a client for these options."""
-        return http.Client(
-            http.Access(
-                urls=http.urls(self.url),
-                token_file=self.token_file,
-                ca=self.ca,
-                certificate=self.certificate,
-                key=self.key,
-            )
-        )
-
-
-DEFAULT = Options()
-
-
 @app.command
 def router(*, settings: pathlib.Path) -> int:
     """Runs a router until a signal ends it.
@@ -93,7 +46,7 @@
     """
     loaded = loader.load(settings)
     if isinstance(loaded, result.Err):
-        return _fail(const.Exit.USAGE, str(loaded.err_value))
+        return show.fail(const.Exit.USAGE, str(loaded.err_value))
     router_module = importlib.import_module("tamarackbridge.router")
     code: int = router_module.run(loaded.ok_value)
     return code
@@ -108,7 +61,7 @@
     """
     loaded = loader.load(settings)
     if isinstance(loaded, result.Err):
-        return _fail(const.Exit.USAGE, str(loaded.err_value))
+        return show.fail(const.Exit.USAGE, str(loaded.err_value))
     print(f"{settings}: ok, router {loaded.ok_value.node}")
     return const.Exit.OK
 
@@ -131,7 +84,7 @@
     """
     loaded = files.load(file)
     if isinstance(loaded, result.Err):
-        return _fail(const.Exit.USAGE, str(loaded.err_value))
+        return show.fail(const.Exit.USAGE, str(loaded.err_value))
     docs = [codec.to_document(record) for record in loaded.ok_value]
     body = msgspec.json.encode({"records": docs})
     query = _dry_run(dry_run)
@@ -163,7 +116,9 @@
     found = options.client().call(
         http.Call("GET", path, query), messages.RecordsReply
     )
-    return _show(found, options, lambda body: tables.print_records(kind, body))
+    return show.answer(
+        found, options, lambda body: tables.print_records(kind, body)
+    )
 
 
 @app.command
@@ -224,7 +179,7 @@
     found = options.client().call_all(
         http.Call("GET", api.PATH_STATUS), messages.Status
     )
-    return _show_all(found, options, tables.print_status)
+    return show.answers(found, options, tables.print_status)
 
 
 @app.command
@@ -239,7 +194,7 @@
     found = options.client().call_all(
         http.Call("GET", path), messages.ExplainReply
     )
-    return _show_found(
+    return show.rows(
         found,
         options,
         lambda item: item.explanations,
@@ -260,7 +215,7 @@
     found = options.client().call_all(
         http.Call("GET", path), messages.RequestsReply
     )
-    return _show_found(
+    return show.rows(
         found,
         options,
         lambda item: item.requests,
@@ -299,9 +254,9 @@
     except cyclopts.CycloptsError:
         return const.Exit.USAGE
     except tls.TlsError as exc:
-        return _fail(const.Exit.USAGE, str(exc))
+        return show.fail(const.Exit.USAGE, str(exc))
     except OSError as exc:
-        return _fail(const.Exit.USAGE, f"{exc.filename}: {exc.strerror}")
+        return show.fail(const.Exit.USAGE, f"{exc.filename}: {exc.strerror}")
     return found if isinstance(found, int) else const.Exit.OK
 
 
@@ -316,64 +271,4 @@
     )
     named = dataclasses.replace(call, headers=headers)
     found = options.client().call(named, messages.ChangeReply)
-    return _show(found, options, tables.print_changes)
-
-
-def _show(
-    found: result.Result[_T, http.CallError],
-    options: Options,
-    printer: Callable[[_T], None],
-) -> int:
-    if isinstance(found, result.Err):
-        return _fail(found.err_value.exit_code, found.err_value.detail)
-    if options.output == "json":
-        print(msgspec.json.encode(found.ok_value).decode())
-    else:
-        printer(found.ok_value)
-    return const.Exit.OK
-
-
-def _show_found(
-    found: list[result.Result[_T, http.CallError]],
-    options: Options,
-    rows_of: Callable[[_T], Sequence[_Row]],
-    printer: Callable[[Sequence[_Row]], None],
-    nothing: str,
-) -> int:
-    """Shows the rows of all answers; no row is a refusal."""
-    answers = [item.ok_value for item in found if isinstance(item, result.Ok)]
-    rows = [row for item in answers for row in rows_of(item)]
-    if answers and not rows:
-        _print_errors(found)
-        return _fail(const.Exit.REFUSED, nothing)
-    return _show_all(found, options, lambda _: printer(rows))
-
-
-def _show_all(
-    found: list[result.Result[_T, http.CallError]],
-    options: Options,
-    printer: Callable[[list[_T]], None],
-) -> int:
-    answers = [item.ok_value for item in found if isinstance(item, result.Ok)]
-    errors = _print_errors(found)
-    if not answers:
-        return errors[0].exit_code if errors else const.Exit.USAGE
-    if options.output == "json":
-        print(msgspec.json.encode(answers).decode())
-    else:
-        printer(answers)
-    return const.Exit.OK
-
-
-def _print_errors(
-    found: list[result.Result[_T, http.CallError]],
-) -> list[http.CallError]:
-    errors = [item.err_value for item in found if isinstance(item, result.Err)]
-    for error in errors:
-        print(error.detail, file=sys.stderr)
-    return errors
-
-
-def _fail(code: const.Exit, detail: str) -> int:
-    print(" ".join(detail.split()), file=sys.stderr)
-    return code
+    return show.answer(found, options, tables.print_changes)
--- a/tamarackbridge/components/configuration/const.py
+++ b/tamarackbridge/components/configuration/const.py
@@ -16,6 +16,9 @@
 MAX_DATA_BYTES: Final = 900_000
 """Largest stored value of one generation; the platform takes a megabyte."""
 
+MAX_PLAIN_BYTES: Final = 16 * 1024 * 1024
+"""Largest value of one generation before compression."""
+
 REASON_STARTING: Final = "starting"
 REASON_NO_EVIDENCE: Final = "no fresh evidence from store or majority"
 REASON_NO_CONFIG: Final = "no configuration in force"
--- a/tamarackbridge/components/configuration/stored.py
+++ b/tamarackbridge/components/configuration/stored.py
@@ -105,15 +105,38 @@
         ConfigurationError: The value holds no records.
     """
     try:
-        data = zlib.decompress(value)
+        data = _decompress(value)
         return msgspec.json.decode(data, type=dict[str, StoredRecord])
     except (zlib.error, msgspec.MsgspecError) as exc:
         raise ConfigurationError(str(exc)) from exc
 
 
+def _decompress(value: bytes) -> bytes:
+    """Decompresses a value, but never beyond the largest one."""
+    stream = zlib.decompressobj()
+    data = stream.decompress(value, const.MAX_PLAIN_BYTES + 1)
+    _check_plain(data)
+    if not stream.eof:
+        raise ConfigurationError("the compressed records break off")
+    return data
+
+
+def _check_plain(data: bytes) -> None:
+    if len(data) > const.MAX_PLAIN_BYTES:
+        raise ConfigurationError(
+            f"records of more than {const.MAX_PLAIN_BYTES} bytes"
+        )
+
+
 def encode_records(records: Mapping[str, StoredRecord]) -> bytes:
-    """Serializes the records of one generation."""
-    return zlib.compress(msgspec.json.encode(dict(records)))
+    """Serializes the records of one generation.
+
+    Raises:
+        ConfigurationError: They are too large to be read back.
+    """
+    data = msgspec.json.encode(dict(records))
+    _check_plain(data)
+    return zlib.compress(data)
 
 
 def snapshot(
