--- a/bench/path.py
+++ b/bench/path.py
@@ -350,8 +350,8 @@
 def main(argv: Sequence[str]) -> None:
     """Runs the measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("parts", nargs="*", default=PARTS, choices=PARTS)
-    found = asyncio.run(_async_main(parser.parse_args(argv).parts))
+    parser.add_argument("--only", action="append", choices=PARTS)
+    found = asyncio.run(_async_main(parser.parse_args(argv).only or PARTS))
     OUT.parent.mkdir(parents=True, exist_ok=True)
     OUT.write_text(json.dumps(found, indent=2))
     report(found)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -71,9 +71,9 @@
 def main(argv: Sequence[str]) -> None:
     """Runs the measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("axes", nargs="*", default=AXES, choices=AXES)
+    parser.add_argument("--only", action="append", choices=AXES)
     found = json.loads(OUT.read_text()) if OUT.exists() else {}
-    for name in parser.parse_args(argv).axes:
+    for name in parser.parse_args(argv).only or AXES:
         found[name] = measure(AXES[name])
         report(name, found[name])
     found["message_bytes"] = slopes_dispatch.message_sizes()
