--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,6 +15,7 @@
 from tamarackbridge.components.object_api import messages as store
 from tamarackbridge.components.operator import (
     config_writer,
+    gauges,
     protocols,
     service,
 )
@@ -22,6 +23,7 @@
 from tamarackbridge.components.records import changes
 from tamarackbridge.components.settings import loader, models
 from tamarackbridge.components.telemetry import metrics
+from tamarackbridge.components.tls import contexts
 
 _T = TypeVar("_T")
 
@@ -152,7 +154,13 @@
         kernel.register(operator_const.SERVICE_CONFIG_CHANGES, pumped)
         kernel.register(operator_const.SERVICE_STATUS, made.status)
         kernel.register(operator_const.SERVICE_REQUESTS, made.requests)
-        kernel.register(operator_const.SERVICE_TELEMETRY, metrics.Metrics())
-        operator = service.OperatorService(kernel)
+        registry = metrics.Metrics()
+        gauges.register(registry, made.status)
+        kernel.register(operator_const.SERVICE_TELEMETRY, registry)
+        listen = self.cfg[node].operator
+        scheme, context = "http", None
+        if contexts.enabled(listen):
+            scheme, context = "https", contexts.server_context(listen.tls)
+        operator = service.OperatorService(kernel, context)
         async with operator:
-            yield Operated(f"http://127.0.0.1:{operator.port}", pumped)
+            yield Operated(f"{scheme}://127.0.0.1:{operator.port}", pumped)
