--- a/bench/answers.py
+++ b/bench/answers.py
@@ -16,7 +16,7 @@
 import tracemalloc
 from typing import Any
 
-from bench import answers_scene
+from bench import answers_scene, rolling
 from tamarackbridge import core
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.claims import replica, segment
@@ -288,6 +288,9 @@
         "runs": runs,
         "wall_s": round(time.monotonic() - started, 1),
     }
+    if args.rolling:
+        doc["rolling"] = rolling.run(args.seed)
+        doc["rolling_cut"] = doc["rolling"]["rolling_cut"]
     RESULT.parent.mkdir(parents=True, exist_ok=True)
     RESULT.write_text(json.dumps(doc, indent=2) + "\n")
     report(doc)
--- a/bench/answers_scene.py
+++ b/bench/answers_scene.py
@@ -410,7 +410,12 @@
         )
         check = stream_check.StreamCheck(request_id)
         req = Request(request_id, call, entry, tried, deadline, check)
-        self._when_running(node, entry, lambda: entry.arrive(req))
+        self._when_running(
+            node,
+            entry,
+            lambda: entry.arrive(req),
+            lambda: self.answered(req, "lost", self.bus.now, None),
+        )
 
     def start(self, req: Request) -> None:
         """Starts an attempt on a backend server."""
@@ -460,10 +465,15 @@
         self.bus.at(now + wait_s, lambda: self.send(call))
 
     def _when_running(
-        self, node: str, entry: Entry, action: Callable[[], None]
+        self,
+        node: str,
+        entry: Entry,
+        action: Callable[[], None],
+        gone: Callable[[], None] = lambda: None,
     ) -> None:
-        """Acts once a router is not paused; never if it has ended."""
+        """Acts once a router is not paused, or once it has ended."""
         if self.entries[node] is not entry or not self.bus.alive(node):
+            gone()
             return
         if self.bus.paused(node):
             later = self.bus.now + 0.1
