Count the wait for a link into a message's age; tick less while idle

Cause: a message that waited for a broken link was stamped when it left, so a grant of a second ago looked fresh to its receiver, and work could have started after the dispatcher's lease had ended. The batch also carried 64 bytes of process identifiers, and an idle router spent 5 % of a core, half of it in ticks. Change: a batch is stamped with the time at which its oldest message was posted; process lives are numbers; the decider loop ticks every 60 ms while nothing is received.

--- a/bench/fairness_network.py
+++ b/bench/fairness_network.py
@@ -6,7 +6,7 @@
 from bench import harness
 from tamarackbridge import const, core, messages
 
-BOOT = "0123456789abcdef"
+BOOT = 2**31 - 1
 
 
 class BatchingHarness(harness.Harness):
--- a/bench/slopes_fit.py
+++ b/bench/slopes_fit.py
@@ -11,8 +11,11 @@
 
 from tamarackbridge import core, messages
 
+BOOT = 2**31 - 1
+"""Largest identifier of a process life."""
+
 EMPTY_BATCH = messages.Batch(
-    "router-000", "b" * 32, 12345.5, "b" * 32, 12345.5, 0.5, ()
+    "router-000", BOOT, 12345.5, BOOT, 12345.5, 0.5, ()
 )
 """What goes over the wire beside the messages."""
 
--- a/bench/slopes_transport.py
+++ b/bench/slopes_transport.py
@@ -22,8 +22,8 @@
     taken: list[core.Delivery] = []
     clock = core.SystemClock()
     listen = settings.ListenSettings()
-    receiving = service.PeerService("a", "boot-a", listen, clock, taken.append)
-    sending = service.PeerService("b", "boot-b", listen, clock, taken.append)
+    receiving = service.PeerService("a", 1, listen, clock, taken.append)
+    sending = service.PeerService("b", 2, listen, clock, taken.append)
     async with receiving, sending:
         sending.set_addresses({"a": f"127.0.0.1:{receiving.port}"})
         sending.post("a", _FINISH)
@@ -49,10 +49,10 @@
     clock = core.SystemClock()
     listen = settings.ListenSettings()
     peers = [
-        service.PeerService(f"p{i}", f"boot-{i}", listen, clock, taken.append)
+        service.PeerService(f"p{i}", i + 3, listen, clock, taken.append)
         for i in range(size)
     ]
-    sending = service.PeerService("b", "boot-b", listen, clock, taken.append)
+    sending = service.PeerService("b", 2, listen, clock, taken.append)
     async with contextlib.AsyncExitStack() as stack:
         for peer in [*peers, sending]:
             await stack.enter_async_context(peer)
--- a/tamarackbridge/components/transport/link.py
+++ b/tamarackbridge/components/transport/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator, Callable
+import dataclasses
 
 from absl import logging
 import grpc
@@ -13,6 +14,12 @@
 from tamarackbridge.components.transport import age, const
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Posted:
+    msg: core.Message
+    at: float
+
+
 class PeerLink(core.Service):
     """Owns the channel to one peer and batches what goes to it.
 
@@ -35,7 +42,7 @@
         self._open_channel = open_channel
         self._ages = ages
         self._clock = clock
-        self._queue: collections.deque[core.Message] = collections.deque()
+        self._queue: collections.deque[_Posted] = collections.deque()
         self._wake = asyncio.Event()
 
     def post(self, msg: core.Message) -> None:
@@ -43,7 +50,7 @@
         if len(self._queue) >= const.MAX_QUEUED_MESSAGES:
             self._queue.popleft()
             self.dropped += 1
-        self._queue.append(msg)
+        self._queue.append(_Posted(msg, self._clock.monotonic()))
         self._wake.set()
 
     @mode.Service.task
@@ -85,10 +92,11 @@
             await asyncio.sleep(const.BATCH_S)
 
     def _next_batch(self) -> bytes:
-        msgs = tuple(messages.encode_message(msg) for msg in self._queue)
+        msgs = tuple(messages.encode_message(it.msg) for it in self._queue)
+        posted_at = self._queue[0].at
         self._queue.clear()
-        now = self._clock.monotonic()
-        data = messages.encode_batch(self._ages.stamp(self._peer, now, msgs))
+        batch = self._ages.stamp(self._peer, posted_at, msgs)
+        data = messages.encode_batch(batch)
         self.sent_batches += 1
         self.sent_bytes += len(data)
         return data
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -32,7 +32,7 @@
     def __init__(
         self,
         node: str,
-        boot: str,
+        boot: int,
         listen: settings_models.ListenSettings,
         clock: core.Clock,
         receive: Callable[[core.Delivery], None],
--- a/tamarackbridge/decider_loop.py
+++ b/tamarackbridge/decider_loop.py
@@ -1,12 +1,17 @@
 """Runs the deciders of one router on the real clock and network."""
 
+import asyncio
 from collections.abc import Callable, Sequence
+import contextlib
 
 import mode
 
 from tamarackbridge import const, core
 from tamarackbridge.components import object_api
 
+IDLE_TICK_S = 0.06
+"""Longest interval between ticks while nothing is received."""
+
 
 class DeciderLoop(core.Service):
     """Owns the decider group; everything that happens passes through it."""
@@ -23,9 +28,11 @@
         self._clock = clock
         self._store = store
         self._post = post
+        self._wake = asyncio.Event()
 
     def receive(self, delivery: core.Delivery) -> None:
         """Delivers one message from another router."""
+        self._wake.set()
         now = self._clock.monotonic()
         self._send(self._group.handle(delivery, now))
 
@@ -37,7 +44,11 @@
     async def _async_tick(self) -> None:
         while not self.should_stop:
             self._send(self._group.tick(self._clock.monotonic()))
-            await self.sleep(const.TICK_S)
+            self._wake.clear()
+            await asyncio.sleep(const.TICK_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(IDLE_TICK_S - const.TICK_S):
+                    await self._wake.wait()
 
     def _send(self, envs: Sequence[core.Envelope]) -> None:
         for env in envs:
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -46,17 +46,19 @@
     Attributes:
         src: Identifier of the sending router.
         boot: Identifier of the sender's process life.
-        sent_at: Sender's monotonic time of sending, in seconds.
+        sent_at: Sender's monotonic time, in seconds, at which the oldest of
+            the messages was posted.
         echo_boot: The receiver's `boot` that `echo` came with.
         echo: The highest `sent_at` received from the receiver; 0 for none.
-        hold_s: Seconds between receiving `echo` and sending this batch.
+        hold_s: Seconds from receiving `echo` to `sent_at`; below zero when
+            `echo` came later.
         msgs: The messages, each serialized with its type.
     """
 
     src: str
-    boot: str
+    boot: int
     sent_at: float
-    echo_boot: str
+    echo_boot: int
     echo: float
     hold_s: float
     msgs: tuple[Raw, ...]
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 import random
+import secrets
 import signal
 import ssl
-import uuid
 
 from absl import logging
 import mode
@@ -41,13 +41,16 @@
 HANDOVER_S = 1.0
 """Time for the other routers to learn that this one leaves."""
 
+BOOT_BITS = 31
+"""Size of the identifier of one process life."""
+
 
 class Router:
     """All services of one router process, found by name in its kernel."""
 
     def __init__(self, settings: settings_models.Settings) -> None:
         self.settings = settings
-        self._boot = uuid.uuid4().hex
+        self._boot = secrets.randbits(BOOT_BITS)
         clock = core.SystemClock()
         kernel = core.Kernel(clock, random.Random(self._boot))
         self.kernel = kernel
--- a/tests/components/transport/test_tls.py
+++ b/tests/components/transport/test_tls.py
@@ -24,7 +24,7 @@
     queue: asyncio.Queue[core.Delivery] = asyncio.Queue()
     made = service.PeerService(
         node,
-        f"boot-{node}",
+        len(node),
         settings.ListenSettings(),
         core.SystemClock(),
         queue.put_nowait,
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -12,7 +12,7 @@
 def test_batch_round_trip() -> None:
     withdraw = dispatch.Withdraw("lm/0", "r1")
     raw = messages.encode_message(withdraw)
-    batch = messages.Batch("a", "b1", 1.0, "b2", 0.5, 0.1, (raw,))
+    batch = messages.Batch("a", 1, 1.0, 2, 0.5, 0.1, (raw,))
 
     read = messages.decode_batch(messages.encode_batch(batch))
 
