Test the table of router states and see a split whole before acting

Cause: the new tests of splits found that right after an even split both sides took shards over, since the dead were seen one by one while a majority still seemed live; the new epochs could not be accepted on either side, so nobody dispatched. A late answer of a slow store was dropped, too.

Late answers count as of their call. An unreadable roster is not counted as known. member.py and leases.py are split (outlook.py, lease_state.py).

--- a/tamarackbridge/components/membership/fleet_state.py
+++ b/tamarackbridge/components/membership/fleet_state.py
@@ -17,10 +17,13 @@
     Attributes:
         cut: Highest version among the objects; every fleet object that
             changed up to it is known.
+        unreadable: Version of a fleet object that this router can't read; 0
+            for none.
     """
 
     def __init__(self) -> None:
         self.cut = 0
+        self.unreadable = 0
         self._objects: dict[str, store.StoredObject] = {}
         self._applied = 0
 
@@ -44,10 +47,13 @@
     @property
     def known(self) -> int:
         """Version up to which everything is known and in force."""
+        known = self.cut
         cfg = self._objects.get(const.KEY_CONFIG)
         if cfg is not None and cfg.version > self._applied:
-            return cfg.version - 1
-        return self.cut
+            known = cfg.version - 1
+        if self.unreadable:
+            known = min(known, self.unreadable - 1)
+        return known
 
     def get(self, key: str) -> store.StoredObject | None:
         """Returns one object, if there is one."""
--- a/tamarackbridge/components/membership/leases.py
+++ b/tamarackbridge/components/membership/leases.py
@@ -13,7 +13,6 @@
 """
 
 from collections.abc import Sequence
-import dataclasses
 import math
 import random
 from typing import ClassVar
@@ -24,6 +23,7 @@
 from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.membership import (
     const,
+    lease_state,
     messages,
     pace,
     placement,
@@ -35,14 +35,11 @@
 
 TAG = "leases:"
 
-DRIFT_FACTOR = 1 + core_const.CLOCK_DRIFT_RATIO
-"""Factor on a time after which it has passed on every router."""
-
 HAND_OVER_S = 0.5
 """Time for which a holder goes on after it wrote a hand-over."""
 
 HAND_OVER_END_S = HAND_OVER_S * (1 - core_const.CLOCK_DRIFT_RATIO)
-HAND_OVER_FENCE_S = HAND_OVER_S * DRIFT_FACTOR
+HAND_OVER_FENCE_S = HAND_OVER_S * lease_state.DRIFT_FACTOR
 
 
 STORE_FRESH_S = 3.0
@@ -54,50 +51,6 @@
 STABLE_S = 3.0
 """Time for which a better placement must last before a shard moves to it."""
 
-FLAP_WINDOW_S = 30.0
-"""Time within which changes of holder make the next one wait longer."""
-
-FLAP_MAX_S = 8.0
-"""Longest time that a take-over waits for flapping to end."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Shard:
-    """What this router knows of one shard.
-
-    Attributes:
-        version: Store version of the shard's object.
-        learned_at: When this router learned of `version`.
-        recognised_at: When a majority was first seen to know `version`.
-        mine: Whether this process may begin the epoch: it wrote it, or saw
-            it handed over. False after a restart.
-        surrendered: Whether a hand-over of this version was sent, which may
-            take effect at any time.
-        held: Whether this router dispatches the shard.
-        held_epoch: The epoch in which it does.
-        ends_at: When it stops because of a hand-over.
-        announce_at: When the holder is to be told to the other deciders.
-        put_until: Time until which a write of this router is on the way.
-        absent_since: Since when the holder is missed.
-        better_since: Since when another member is the preferred holder.
-        changed_at: When the holder last changed, a few times back.
-    """
-
-    value: shard_object.ShardValue
-    version: int = 0
-    learned_at: float = -math.inf
-    recognised_at: float = math.inf
-    mine: bool = False
-    surrendered: bool = False
-    held: bool = False
-    held_epoch: int = 0
-    ends_at: float = math.inf
-    announce_at: float = math.inf
-    put_until: float = -math.inf
-    absent_since: float = math.inf
-    better_since: float = math.inf
-    changed_at: list[float] = dataclasses.field(default_factory=list)
-
 
 class ShardLeases:
     """The leases of this router and who holds all others."""
@@ -115,7 +68,7 @@
         self._node = node
         self._rng = rng
         self._snapshot = models.empty_snapshot()
-        self._shards: dict[str, _Shard] = {}
+        self._shards: dict[str, lease_state.ShardState] = {}
         self._early: dict[str, tuple[shard_object.ShardValue, int]] = {}
         self._roster = messages.RosterChanged((), ())
         self._evidence: messages.FleetEvidence | None = None
@@ -169,7 +122,7 @@
             return
         self._majority_since = min(self._majority_since, now)
 
-    def _until(self, state: _Shard) -> float:
+    def _until(self, state: lease_state.ShardState) -> float:
         """Returns until when evidence lets this router hold a shard."""
         if self._evidence is None:
             return -math.inf
@@ -189,7 +142,7 @@
                 out.extend(self._lose(state))
         for name in sorted(names - self._shards.keys()):
             value = shard_object.ShardValue(name, 0, "", "")
-            self._shards[name] = _Shard(value)
+            self._shards[name] = lease_state.ShardState(value)
             if name in self._early:
                 out.extend(self._learn(*self._early.pop(name), now))
         self._place()
@@ -235,7 +188,9 @@
             return out
         return [*out, *self._announce(state)]
 
-    def _announce(self, state: _Shard) -> Sequence[core.Envelope]:
+    def _announce(
+        self, state: lease_state.ShardState
+    ) -> Sequence[core.Envelope]:
         state.announce_at = math.inf
         value = state.value
         news = dispatch.ShardHolder(value.shard, value.epoch, value.holder)
@@ -258,7 +213,7 @@
         return out
 
     def _review(
-        self, name: str, state: _Shard, now: float
+        self, name: str, state: lease_state.ShardState, now: float
     ) -> Sequence[core.Envelope]:
         evidence = self._evidence
         if evidence is None:
@@ -273,7 +228,7 @@
         return ()
 
     def _keep(
-        self, name: str, state: _Shard, now: float
+        self, name: str, state: lease_state.ShardState, now: float
     ) -> Sequence[core.Envelope]:
         until = self._until(state)
         if now >= until:
@@ -283,7 +238,7 @@
         return self._renew(name, state, until, now)
 
     def _renew(
-        self, name: str, state: _Shard, until: float, now: float
+        self, name: str, state: lease_state.ShardState, until: float, now: float
     ) -> Sequence[core.Envelope]:
         if state.surrendered:
             return ()
@@ -300,14 +255,16 @@
         return [_local(held), *self._put(state, value, now)]
 
     def _begin(
-        self, name: str, state: _Shard, now: float
+        self, name: str, state: lease_state.ShardState, now: float
     ) -> Sequence[core.Envelope]:
         if now < state.put_until:
             return ()
         if state.surrendered or not state.mine:
             value = self._next(state, self._node, state.surrendered, now)
             return self._put(state, value, now)
-        fence = state.recognised_at + state.value.fence_s * DRIFT_FACTOR
+        fence = (
+            state.recognised_at + state.value.fence_s * lease_state.DRIFT_FACTOR
+        )
         if state.value.released:
             fence = state.learned_at + HAND_OVER_FENCE_S
         if now < fence:
@@ -319,13 +276,15 @@
         held = dispatch.LeaseHeld(name, epoch, self._until(state), fresh=True)
         return (_local(held),)
 
-    def _lose(self, state: _Shard) -> Sequence[core.Envelope]:
+    def _lose(self, state: lease_state.ShardState) -> Sequence[core.Envelope]:
         state.held = False
         state.ends_at = math.inf
         lost = dispatch.LeaseLost(state.value.shard, state.held_epoch)
         return (_local(lost),)
 
-    def _may_take(self, name: str, state: _Shard, now: float) -> bool:
+    def _may_take(
+        self, name: str, state: lease_state.ShardState, now: float
+    ) -> bool:
         evidence = self._evidence
         holder = state.value.holder
         absent = not holder or holder not in self._roster.live
@@ -337,19 +296,16 @@
             return False
         if self._preferred.get(name) != self._node or now < state.put_until:
             return False
+        times = pace.of(len(self._roster.members))
         heard_since = max(self._majority_since, state.learned_at)
-        if now - heard_since < pace.of(len(self._roster.members)).dead_after_s:
+        if now - heard_since < times.dead_after_s:
             return False
-        return now - state.absent_since >= self._damping(state, now)
+        wait_s = max(state.damping_s(now), times.settle_s)
+        return now - state.absent_since >= wait_s
 
-    def _damping(self, state: _Shard, now: float) -> float:
-        """Returns the wait before a take-over, longer after many of them."""
-        recent = [at for at in state.changed_at if now - at < FLAP_WINDOW_S]
-        if len(recent) < 3:
-            return 0.0
-        return min(0.5 * 2.0 ** (len(recent) - 3), FLAP_MAX_S)
-
-    def _hand_over_to(self, name: str, state: _Shard, now: float) -> str:
+    def _hand_over_to(
+        self, name: str, state: lease_state.ShardState, now: float
+    ) -> str:
         """Returns the member that is to have a held shard instead, if any."""
         target = self._preferred.get(name, "")
         if target in ("", self._node) or now < state.put_until:
@@ -363,7 +319,7 @@
             return target
         if self._count_held() <= self._bound:
             return ""
-        if now - state.better_since < STABLE_S + self._damping(state, now):
+        if now - state.better_since < STABLE_S + state.damping_s(now):
             return ""
         return target
 
@@ -381,7 +337,11 @@
         return zone is not None and zone.out
 
     def _next(
-        self, state: _Shard, holder: str, released: bool, now: float
+        self,
+        state: lease_state.ShardState,
+        holder: str,
+        released: bool,
+        now: float,
     ) -> shard_object.ShardValue:
         self._count += 1
         return shard_object.ShardValue(
@@ -391,23 +351,14 @@
             attempt=f"{self._attempts}{self._count}",
             released=released,
             lease_s=pace.of(len(self._roster.members)).shard_lease_s,
-            fence_s=self._fence_s(state, released, now),
+            fence_s=state.next_fence_s(released, now),
         )
 
-    def _fence_s(self, state: _Shard, released: bool, now: float) -> float:
-        """Returns the longest lease of earlier epochs that may still run.
-
-        The first epoch waits for a router that has the shard's backend
-        servers in another shard, by an older configuration.
-        """
-        before = state.value
-        ended = now - state.recognised_at > before.fence_s * DRIFT_FACTOR
-        if released or ended or not state.version:
-            return before.lease_s
-        return max(before.lease_s, before.fence_s)
-
     def _put(
-        self, state: _Shard, value: shard_object.ShardValue, now: float
+        self,
+        state: lease_state.ShardState,
+        value: shard_object.ShardValue,
+        now: float,
     ) -> Sequence[core.Envelope]:
         state.put_until = now + PUT_TIMEOUT_S * self._rng.uniform(1.0, 1.5)
         put = store.StorePut(
--- a/tamarackbridge/components/membership/member.py
+++ b/tamarackbridge/components/membership/member.py
@@ -16,6 +16,7 @@
     evidence,
     fleet_state,
     messages,
+    outlook,
     pace,
     roster,
     roster_changes,
@@ -62,6 +63,7 @@
         self._state = fleet_state.FleetState()
         self._reader = store_reader.StoreReader(rng)
         self._topology = beats.Topology(node, rng)
+        self._outlook = outlook.Outlook(node, self._ledger, self._topology)
         self._changes = roster_changes.RosterChanges(self._me, rng)
         self._roster = roster.EMPTY
         self._established = False
@@ -69,17 +71,8 @@
         self._started_at = math.inf
         self._leaving = False
         self._holds: set[str] = set()
-        self._vms: frozenset[str] | None = None
-        self._live: frozenset[str] = frozenset()
         self._heard: dict[str, float] = {}
         self._news_told: messages.RosterChanged | None = None
-        self._evidence = messages.FleetEvidence(
-            messages.ABSTAIN, evidence.NEVER, 0, False, evidence.NEVER
-        )
-        self._read_at = evidence.NEVER
-        self._read_cut = 0
-        self._store_at = evidence.NEVER
-        self._known_at = evidence.NEVER
         self._next_beat = 0.0
         self._last_beat = evidence.NEVER
         self._told_known = messages.ABSTAIN
@@ -105,7 +98,7 @@
                 self._state.applied(delivery.msg.version)
                 return self._advance(now)
             case messages.VmListRead():
-                self._vms = frozenset(delivery.msg.live)
+                self._outlook.vms = frozenset(delivery.msg.live)
             case messages.LeaveFleet():
                 self._leaving = True
                 self._next_beat = now
@@ -198,8 +191,7 @@
             return ()
         out = self._merge(read.objects, now)
         self._established = True
-        self._read_at = max(self._read_at, read.sent_at)
-        self._read_cut = self._state.cut
+        self._outlook.note_read(read.sent_at, self._state.cut)
         self._next_evidence = now
         return out
 
@@ -220,89 +212,35 @@
             obj.version if obj else 0
         )
         if obj is not None and usable and obj.version > self._roster.version:
-            self._roster = roster.decode(obj)
+            found = roster.decode(obj)
+            self._state.unreadable = 0 if found else obj.version
+            self._roster = found or self._roster
             self._ledger.keep(self._roster.nodes | self._roster.former)
         self._ledger.promote(self._known)
         if self._known > self._told_known:
-            self._known_at = now
+            self._outlook.known_at = now
             self._next_evidence = now
         return ()
 
     def _read_store(self, now: float) -> Sequence[core.Envelope]:
-        old = now - self._evidence_at() > self._pace.poll_age_s
-        poll = old or not self._established
-        poll = poll or (
-            self._store_at < self._known_at and self._waits_on_gone()
-        )
+        old = self._outlook.evidence_age(now) > self._pace.poll_age_s
+        gone = self._outlook.waits_on_gone(self._roster, self._known)
+        poll = old or gone or not self._established
         return self._reader.tick(now, self._state.cut, self._watches(), poll)
 
-    def _waits_on_gone(self) -> bool:
-        return bool(self._gone()) and self._evidence.accepted < self._known
-
     def _watches(self) -> bool:
         if len(self._roster.groups) <= 1 or self._holds:
             return True
-        return self._topology.is_relay(self._roster, self._live)
-
-    def _evidence_at(self) -> float:
-        return self._evidence.until - evidence.LEASE_USE_S
+        return self._topology.is_relay(self._roster, self._outlook.live)
 
     def _weigh(self, now: float) -> Sequence[core.Envelope]:
         """Works out who is live and how old the evidence is."""
         self._advance(now)
-        self._live = self._find_live(now)
-        known = self._known
-        majority_at = self._ledger.support_at(self._roster, known, now)
-        if self._established and known >= self._read_cut:
-            self._store_at = max(self._store_at, self._read_at)
-        at = max(majority_at, self._store_at)
-        until = (
-            at + evidence.LEASE_USE_S if self._established else evidence.NEVER
-        )
-        self._evidence = messages.FleetEvidence(
-            known=known,
-            until=max(until, self._evidence.until),
-            accepted=self._accepted(now),
-            majority=now - majority_at < evidence.LEASE_USE_S,
-            store_read_at=self._store_at,
-            lagging=self._lagging(known),
-        )
-        return [*self._tell_roster(), _local(self._evidence)]
-
-    def _accepted(self, now: float) -> int:
-        gone = self._gone()
-        if self._store_at <= self._known_at:
-            gone = frozenset()
-        return self._ledger.accepted(self._roster, self._known, gone, now)
-
-    def _gone(self) -> frozenset[str]:
-        if self._vms is None:
-            return frozenset()
-        nodes = self._roster.nodes | self._roster.former
-        return nodes - self._vms - self._live
-
-    def _lagging(self, known: int) -> tuple[str, ...]:
-        behind = [
-            node
-            for node in sorted(self._live - {self._node})
-            if self._ledger.row(node).known < known
-        ]
-        return tuple(behind[: const.GROUP_SIZE])
-
-    def _find_live(self, now: float) -> frozenset[str]:
-        own = set(self._topology.group_peers(self._roster))
-        nodes = self._roster.nodes | self._roster.former
-        live = set()
-        for node in nodes:
-            limit = const.GROUP_DEAD_AFTER_S
-            if node in own:
-                limit = self._pace.dead_after_s
-            if node == self._node or now - self._ledger.row(node).at < limit:
-                live.add(node)
-        return frozenset(live)
+        news = self._outlook.weigh(self._roster, self._known, now)
+        return [*self._tell_roster(), _local(news)]
 
     def _tell_roster(self) -> Sequence[core.Envelope]:
-        live = tuple(sorted(self._live & self._roster.nodes))
+        live = tuple(sorted(self._outlook.live & self._roster.nodes))
         leaving = tuple(
             node
             for node in live
@@ -351,7 +289,7 @@
         return [core.Envelope(node, ask) for node in nodes]
 
     def _is_first(self) -> bool:
-        return min(self._live, default="") == self._node
+        return min(self._outlook.live, default="") == self._node
 
     def _change_roster(self, now: float) -> Sequence[core.Envelope]:
         if not self._established or self._leaving or now < self._put_until:
@@ -362,11 +300,11 @@
         rows = {node: self._ledger.row(node) for node in current.nodes}
         view = roster_changes.View(
             current=current,
-            accepted=self._evidence.accepted >= current.version,
+            accepted=self._outlook.news.accepted >= current.version,
             first=self._is_first(),
             silent_s={node: now - row.at for node, row in rows.items()},
             leaving=frozenset(n for n, row in rows.items() if row.leaving),
-            vms=self._vms,
+            vms=self._outlook.vms,
         )
         value = self._changes.propose(view, now)
         if value is None:
@@ -397,7 +335,7 @@
 
     def _beat_to_peers(self, now: float) -> Sequence[core.Envelope]:
         lst = self._roster
-        relay = self._topology.is_relay(lst, self._live)
+        relay = self._topology.is_relay(lst, self._outlook.live)
         own = self._ledger.row(self._node)
         own.known, own.at, own.leaving = self._known, now, self._leaving
         digest = self._topology.digest(lst, self._ledger, now) if relay else ()
@@ -410,7 +348,7 @@
         if relay:
             news = self._topology.gossip(lst, self._ledger, now)
             gossip = self._heartbeat(news, None)
-            relays = self._topology.other_relays(lst, self._live)
+            relays = self._topology.other_relays(lst, self._outlook.live)
             out.extend(core.Envelope(node, gossip) for node in relays)
         return out
 
--- a/tamarackbridge/components/membership/messages.py
+++ b/tamarackbridge/components/membership/messages.py
@@ -116,7 +116,8 @@
         known: Store version up to which this router knows every object.
         until: Monotonic time until which nothing newer can be accepted.
         accepted: Store version that a majority of the roster knows.
-        majority: Whether a majority is heard at this moment.
+        majority: Whether a majority of the roster is live, or its VMs are
+            certainly gone.
         store_read_at: When the last read of the store that was answered was
             sent; minus infinity for never.
         lagging: Live members known to be behind `known`, a few of them.
--- a/tamarackbridge/components/membership/pace.py
+++ b/tamarackbridge/components/membership/pace.py
@@ -19,18 +19,21 @@
     Attributes:
         heartbeat_s: Interval between two heartbeats to the same peer.
         dead_after_s: Silence after which a directly heard member is not live.
+        settle_s: Time for which a death must stand before it has effects, so
+            that a split is seen whole.
         poll_age_s: Age of evidence at which the store is read for more.
         shard_lease_s: How long evidence lets a dispatcher issue permits.
     """
 
     heartbeat_s: float
     dead_after_s: float
+    settle_s: float
     poll_age_s: float
     shard_lease_s: float
 
 
-FAST = Pace(0.15, 0.5, 0.35, 0.6)
-RELAYED = Pace(0.4, 1.2, 0.9, core_const.LEASE_S)
+FAST = Pace(0.15, 0.5, 0.17, 0.35, 0.6)
+RELAYED = Pace(0.4, 1.2, 1.0, 0.9, core_const.LEASE_S)
 
 
 def of(members: int) -> Pace:
--- a/tamarackbridge/components/membership/roster.py
+++ b/tamarackbridge/components/membership/roster.py
@@ -94,13 +94,12 @@
 EMPTY = Roster(0, (), ())
 
 
-def decode(obj: store.StoredObject) -> Roster:
-    """Reads a stored roster.
-
-    Raises:
-        msgspec.MsgspecError: The value is no roster.
-    """
-    value = msgspec.json.decode(obj.value, type=RosterValue)
+def decode(obj: store.StoredObject) -> Roster | None:
+    """Reads a stored roster; None when it is not readable."""
+    try:
+        value = msgspec.json.decode(obj.value, type=RosterValue)
+    except msgspec.MsgspecError:
+        return None
     return Roster(obj.version, value.members, value.before)
 
 
--- a/tamarackbridge/components/membership/store_reader.py
+++ b/tamarackbridge/components/membership/store_reader.py
@@ -1,8 +1,9 @@
 """Reads the fleet objects from the store: by watch, and by list for evidence.
 
-At most one watch and one list are on the way at a time. After a failure both
+At most one watch and one list are waited for at a time. After a failure both
 wait for a jittered time that doubles up to a bound, so that a store that comes
-back meets a spread-out load.
+back meets a spread-out load. An answer that comes later than was waited for
+still counts, as of the time of its call.
 """
 
 from collections.abc import Sequence
@@ -16,6 +17,9 @@
 
 TAG = "membership:"
 
+MAX_LATE = 8
+"""Calls whose late answer is still taken."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Call:
@@ -32,13 +36,10 @@
     Attributes:
         sent_at: When the read was sent: it shows the state at that time or
             later.
-        complete: Whether `objects` are all fleet objects.
     """
 
     sent_at: float
     objects: tuple[store.StoredObject, ...]
-    version: int
-    complete: bool
 
 
 class StoreReader:
@@ -50,13 +51,23 @@
         self._watch = _Call()
         self._list = _Call()
         self._version = 0
+        self._late: dict[str, float] = {}
 
     def take(self, reply: store.StoreReply, now: float) -> Read | None:
         """Takes a reply in; returns the read when it is a good one."""
         for call in (self._watch, self._list):
             if call.tag and call.tag == reply.tag:
                 return self._take(call, reply, now)
-        return None
+        return self._take_late(reply)
+
+    def _take_late(self, reply: store.StoreReply) -> Read | None:
+        sent_at = self._late.pop(reply.tag, None)
+        if sent_at is None or reply.status is not store.StoreStatus.OK:
+            return None
+        if reply.version < self._version:
+            return None
+        self._version = reply.version
+        return Read(sent_at, reply.objects)
 
     def tick(
         self, now: float, since: int, watch: bool, poll: bool
@@ -95,8 +106,7 @@
         call.next_at = now
         if call is self._list:
             call.next_at = call.sent_at + const.POLL_S
-        complete = call is self._list
-        return Read(call.sent_at, reply.objects, reply.version, complete)
+        return Read(call.sent_at, reply.objects)
 
     def _due(self, call: _Call, now: float) -> bool:
         return not call.tag and now >= call.next_at
@@ -109,6 +119,9 @@
 
     def _expire(self, call: _Call, timeout_s: float, now: float) -> None:
         if call.tag and now - call.sent_at > timeout_s:
+            self._late[call.tag] = call.sent_at
+            if len(self._late) > MAX_LATE:
+                del self._late[next(iter(self._late))]
             call.tag = ""
             self._fail(call, now)
 
--- /dev/null
+++ b/tests/components/membership/test_evidence.py
@@ -0,0 +1,80 @@
+"""Tests of what statements of other members prove."""
+
+import math
+
+import pytest
+
+from tamarackbridge.components.membership import evidence, messages, roster
+
+NOW = 100.0
+MEMBERS = tuple(messages.Member(f"r{index}", "a") for index in range(5))
+ROSTER = roster.Roster(1, MEMBERS, MEMBERS)
+
+# What r1 to r4 said (known, age), own knowledge: age of the evidence, and
+# what counts as accepted.
+TABLE = [
+    ("all agree", ((5, 0.1), (5, 0.2), (5, 0.3), (5, 0.4)), 5, 0.2, 5),
+    ("two agree", ((5, 0.1), (5, 0.2), None, None), 5, 0.2, 5),
+    ("one agrees", ((5, 0.1), None, None, None), 5, math.inf, -1),
+    ("others are ahead", ((6, 0.1), (6, 0.1), (6, 0.1), None), 5, math.inf, 5),
+    ("one is ahead", ((6, 0.1), (5, 0.3), (5, 0.5), None), 5, 0.5, 5),
+    ("others are behind", ((4, 0.1), (4, 0.2), (4, 0.1), None), 5, 0.1, 4),
+    (
+        "restarted abstain",
+        ((-1, 0.1), (-1, 0.1), (5, 0.1), None),
+        5,
+        math.inf,
+        -1,
+    ),
+    ("old statements", ((5, 9.0), (5, 9.0), (5, 0.1), None), 5, 9.0, -1),
+]
+
+
+@pytest.mark.parametrize(
+    ("said", "own", "age_s", "accepted"),
+    [row[1:] for row in TABLE],
+    ids=[row[0] for row in TABLE],
+)
+def test_majority(
+    said: tuple[tuple[int, float] | None, ...],
+    own: int,
+    age_s: float,
+    accepted: int,
+) -> None:
+    ledger = evidence.Ledger("r0")
+    for index, item in enumerate(said, start=1):
+        if item is not None:
+            known, age = item
+            ledger.note(f"r{index}", known, NOW - age, own, False)
+
+    at = ledger.support_at(ROSTER, own, NOW)
+    assert NOW - at == pytest.approx(age_s)
+    assert ledger.accepted(ROSTER, own, frozenset(), NOW) == accepted
+
+
+def test_support_before_others_went_ahead_still_counts_until_it_ages() -> None:
+    ledger = evidence.Ledger("r0")
+    for node in ("r1", "r2"):
+        ledger.note(node, 5, NOW - 1.0, 5, False)
+        ledger.note(node, 6, NOW - 0.1, 5, False)
+
+    assert ledger.support_at(ROSTER, 5, NOW) == NOW - 1.0
+    ledger.promote(6)
+    assert ledger.support_at(ROSTER, 6, NOW) == NOW - 0.1
+
+
+def test_members_that_are_gone_count_for_acceptance_only_when_told() -> None:
+    ledger = evidence.Ledger("r0")
+    ledger.note("r1", 5, NOW, 5, False)
+
+    assert ledger.accepted(ROSTER, 5, frozenset(), NOW) == -1
+    gone = frozenset(("r2", "r3", "r4"))
+    assert ledger.accepted(ROSTER, 5, gone, NOW) == 5
+
+
+def test_a_statement_that_arrives_late_changes_nothing() -> None:
+    ledger = evidence.Ledger("r0")
+    ledger.note("r1", 7, NOW - 0.1, 5, False)
+    ledger.note("r1", 5, NOW - 0.2, 5, False)
+
+    assert ledger.highest() == (7, "r1")
--- /dev/null
+++ b/tests/components/membership/test_roster.py
@@ -0,0 +1,80 @@
+"""Tests of the member list and its majorities."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from tamarackbridge.components.membership import const, messages, roster
+from tamarackbridge.components.object_api import messages as store
+
+NAMES = [f"r{index}" for index in range(9)]
+nodes = st.sets(st.sampled_from(NAMES), min_size=1)
+
+
+def _roster(members: set[str], before: set[str]) -> roster.Roster:
+    return roster.Roster(
+        1,
+        tuple(messages.Member(node, "a") for node in sorted(members)),
+        tuple(messages.Member(node, "a") for node in sorted(before)),
+    )
+
+
+def _agrees(lst: roster.Roster, voters: set[str]) -> bool:
+    return lst.quorum_value(lambda node: float(node in voters)) == 1.0
+
+
+@hypothesis.given(nodes, nodes, st.sets(st.sampled_from(NAMES)))
+def test_majorities_of_neighbours_share_a_member(
+    old: set[str], new: set[str], voters: set[str]
+) -> None:
+    others = set(NAMES) - voters
+    settled_old = _roster(old, old)
+    joint = _roster(new, old)
+    settled_new = _roster(new, new)
+
+    for first, second in ((settled_old, joint), (joint, settled_new)):
+        assert not (_agrees(first, voters) and _agrees(second, others))
+
+
+@hypothesis.given(st.integers(1, 9), st.data())
+def test_enough_peers_meet_every_majority_without_the_restarted(
+    size: int, data: st.DataObject
+) -> None:
+    names = NAMES[:size]
+    lst = _roster(set(names), set(names))
+    others = names[1:]
+    hypothesis.assume(len(others) >= lst.peers_to_establish)
+    order = data.draw(st.permutations(others))
+    heard = set(order[: lst.peers_to_establish])
+    majority = set(order[len(order) - size // 2 :]) | {names[0]}
+
+    assert _agrees(lst, majority)
+    assert heard & majority or size == 1
+
+
+@hypothesis.given(st.integers(1, 120), st.integers(1, 4))
+def test_groups_hold_each_member_once_and_stay_small(
+    size: int, zones: int
+) -> None:
+    members = tuple(
+        messages.Member(f"r{index}", f"z{index % zones}")
+        for index in range(size)
+    )
+    lst = roster.Roster(1, members, members)
+
+    flat = [node for group in lst.groups for node in group]
+
+    assert sorted(flat) == sorted(lst.nodes)
+    assert max(map(len, lst.groups)) <= const.GROUP_SIZE
+    if len(lst.groups) > 1:
+        zone = {member.node: member.zone for member in members}
+        assert all(len({zone[n] for n in group}) == 1 for group in lst.groups)
+
+
+def test_round_trip_and_unreadable() -> None:
+    members = (messages.Member("r0", "a", "10.0.0.1:1", 7),)
+    value = roster.encode(members, ())
+    obj = store.StoredObject(const.KEY_ROSTER, 5, value)
+
+    assert roster.decode(obj) == roster.Roster(5, members, ())
+    bad = store.StoredObject(const.KEY_ROSTER, 6, b"{}")
+    assert roster.decode(bad) is None
