Ask for leave before the first record of a schema version

Cause: a record of version 2 that was written while two of three routers knew version 1 alone was not accepted, as it should be; but an old router that then restarted found no configuration it could read, and the shard that it held was not dispatched (lookups ended at their deadline) until the record was written in version 1 again. Conclusion: an early apply is refused with exit code 1 and changes nothing; the remedy, writing version 1 again, is accepted by all three routers.

--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -71,6 +71,7 @@
     *,
     file: Annotated[pathlib.Path, cyclopts.Parameter(alias="-f")],
     dry_run: bool = False,
+    new_schema_version: bool = False,
     options: Options = DEFAULT,
 ) -> int:
     """Writes the records of a file and waits until they are accepted.
@@ -80,6 +81,8 @@
     Args:
         file: TOML or JSON file with records.
         dry_run: Show what would change and write nothing.
+        new_schema_version: Allow the first record of a schema version, once
+            every router is upgraded to read it.
         options: How to reach routers and how to print.
     """
     loaded = files.load(file)
@@ -88,6 +91,8 @@
     docs = [codec.to_document(record) for record in loaded.ok_value]
     body = msgspec.json.encode({"records": docs})
     query = _dry_run(dry_run)
+    if new_schema_version:
+        query = (*query, (api.ATTR_NEW_SCHEMA_VERSION, "true"))
     call = http.Call("POST", api.PATH_RECORDS, query, body)
     return _change(call, options)
 
--- a/tamarackbridge/components/operator/const.py
+++ b/tamarackbridge/components/operator/const.py
@@ -21,6 +21,8 @@
 
 ATTR_DRY_RUN: Final = "dry_run"
 
+ATTR_NEW_SCHEMA_VERSION: Final = "new_schema_version"
+
 ACTION_TAKE_OUT: Final = "take-out"
 ACTION_BRING_BACK: Final = "bring-back"
 ACTION_DRAIN: Final = "drain"
--- a/tamarackbridge/components/operator/records_api.py
+++ b/tamarackbridge/components/operator/records_api.py
@@ -164,6 +164,9 @@
         misfit = references.check(snapshot.build(0, merged.values()))
         if misfit is not None:
             return responses.problem(400, "invalid", str(misfit))
+        first = changes.first_of_version(stored, wanted)
+        if first is not None and not _flag(req, const.ATTR_NEW_SCHEMA_VERSION):
+            return _new_version(first)
         listed = _listed(changes.diff(stored, wanted))
         if _flag(req, const.ATTR_DRY_RUN):
             return responses.reply(messages.ChangeReply(True, 0, listed))
@@ -210,6 +213,15 @@
     return "".join(char for char in text if char.isprintable())[:MAX_NAME]
 
 
+def _new_version(record: schemas.Record) -> web.Response:
+    detail = (
+        f"{changes.id_of(record)}: no {record.kind} of schema version"
+        f" {record.schema_version} is stored yet; routers of an older version"
+        " can't read it: upgrade all of them, then give --new-schema-version"
+    )
+    return responses.problem(400, "new_schema_version", detail)
+
+
 def _record_id(req: web.Request) -> changes.RecordId:
     return changes.RecordId(req.match_info["kind"], req.match_info["name"])
 
--- a/tamarackbridge/components/records/changes.py
+++ b/tamarackbridge/components/records/changes.py
@@ -97,6 +97,26 @@
     return after
 
 
+def first_of_version(
+    stored: Stored, wanted: ChangeSet
+) -> schemas.Record | None:
+    """Returns a record whose schema version no stored record of its kind has.
+
+    Routers of an older version can't read it. Version 1 is read by all, and
+    nothing is newer than an empty configuration.
+    """
+    if not stored:
+        return None
+    newest = dict.fromkeys(const.KINDS, 1)
+    for key, item in stored.items():
+        version = item.record.schema_version
+        newest[key.kind] = max(newest[key.kind], version)
+    for record in wanted.puts:
+        if record.schema_version > newest[record.kind]:
+            return record
+    return None
+
+
 def effective(stored: Stored, wanted: ChangeSet) -> ChangeSet:
     """Returns the part of a change set that changes anything."""
     puts = tuple(
--- a/tests/components/records/test_files.py
+++ b/tests/components/records/test_files.py
@@ -9,6 +9,7 @@
 import result
 
 from tamarackbridge.components.records import (
+    changes,
     codec,
     const,
     files,
@@ -204,6 +205,31 @@
         assert stored == result.Ok(record)
 
 
+VERSION_TABLE = [
+    ([], [WORKSPACE | {"schema_version": 2}], False),
+    ([ZONE], [WORKSPACE], False),
+    ([ZONE], [WORKSPACE | {"schema_version": 2}], True),
+    ([WORKSPACE], [WORKSPACE | {"schema_version": 2}], True),
+    (
+        [WORKSPACE | {"schema_version": 2}],
+        [WORKSPACE | {"name": "b", "schema_version": 2}],
+        False,
+    ),
+    ([WORKSPACE | {"schema_version": 2}], [WORKSPACE], False),
+]
+
+
+@pytest.mark.parametrize(("before", "puts", "first"), VERSION_TABLE)
+def test_first_record_of_a_version_is_found(
+    before: list[object], puts: list[object], first: bool
+) -> None:
+    old = files.from_documents({"records": before}, "f").unwrap()
+    new = files.from_documents({"records": puts}, "f").unwrap()
+    stored = {changes.id_of(rec): changes.StoredRecord(rec, 1) for rec in old}
+    found = changes.first_of_version(stored, changes.ChangeSet(puts=new))
+    assert (found is not None) == first
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: (
--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -253,6 +253,7 @@
     await played.operate(
         "mela-2",
         "apply -f DIR/new.toml",
+        "apply -f DIR/new.toml --new-schema-version",
         "get workspace gate-desk --output json",
         "get workspace gate-desk --schema-version 1 --output json",
         "get workspace jhang-farmers --output json",
@@ -277,12 +278,31 @@
     await played.operate("mela-1", f"{APPLY} --output json")
     played.run(4.0)
     played.upgrade("mela-1")
-    await played.operate("mela-1", "apply -f DIR/new.toml", "status")
+    await played.operate(
+        "mela-1",
+        "apply -f DIR/new.toml",
+        "apply -f DIR/new.toml --new-schema-version",
+        "status",
+    )
     mixed(played, 3)
     played.run(3.0)
+    played.title("an old router restarts and can't read what is written")
+    played.router("mela-3")
+    played.run(6.0)
+    played.ask("mela-2", "gate-desk", "mela-app/pen-lookup")
+    played.ask("mela-1", "gate-desk", "mela-app/pen-lookup")
+    played.run(3.0)
+    await played.operate("mela-1", "status")
+    played.title("the record is written in version 1 again")
+    old = NEW.format(hash=fleet.HASH).replace("version = 2", "version = 1")
+    (tmp_path / "old.toml").write_text(old.partition("limits")[0])
+    await played.operate("mela-1", "apply -f DIR/old.toml", "status")
+    played.ask("mela-2", "gate-desk", "mela-app/pen-lookup")
+    played.run(3.0)
+    played.title("the other routers are upgraded, then version 2 is written")
     played.upgrade("mela-2")
     played.upgrade("mela-3")
-    await played.operate("mela-1", "apply -f DIR/new.toml")
+    await played.operate("mela-1", "apply -f DIR/new.toml --new-schema-version")
     mixed(played, 3)
     played.run(3.0)
     assert played.transcript() == snapshot
