--- a/bench/answers_scene.py
+++ b/bench/answers_scene.py
@@ -477,6 +477,8 @@
             return
         if self.bus.paused(node):
             later = self.bus.now + 0.1
-            self.bus.at(later, lambda: self._when_running(node, entry, action))
+            self.bus.at(
+                later, lambda: self._when_running(node, entry, action, gone)
+            )
             return
         action()
--- a/tamarackbridge/components/claims/claim_range.py
+++ b/tamarackbridge/components/claims/claim_range.py
@@ -118,9 +118,7 @@
         since = held.since if held else now
         self._asks[ask.attempt] = _Ask(src, ask, since, now)
         self._due[ask.attempt] = None
-        if self.journal.phase is journal.Phase.DOWN:
-            self._refuse_all()
-        elif self.journal.phase in _ANSWERING:
+        if self.journal.phase in _ANSWERING:
             self._record_for(ask.attempt)
             self._write(now)
 
@@ -166,7 +164,7 @@
 
     def _after_call(self, now: float) -> None:
         if self.journal.phase is journal.Phase.DOWN:
-            self._refuse_all()
+            self._refuse_old(now)
         if self.journal.phase is not journal.Phase.READY:
             return
         if self.journal.commits > self._commits:
@@ -190,12 +188,12 @@
         self._send(done.src, reply)
         self._due.update(self._waiting.pop(key, {}))
 
-    def _refuse_all(self) -> None:
-        for held in self._asks.values():
-            self._answer(held, _ANSWER.UNAVAILABLE)
-        self._asks.clear()
-        self._due.clear()
-        self._waiting.clear()
+    def _refuse_old(self, now: float) -> None:
+        """Refuses asks that have waited long for a store that is down."""
+        for attempt, held in list(self._asks.items()):
+            if now - held.since >= const.DOWN_WAIT_S:
+                self._answer(held, _ANSWER.UNAVAILABLE)
+                self._drop(attempt)
 
     def _drop(self, attempt: str) -> None:
         self._due.pop(attempt, None)
--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -55,3 +55,6 @@
 
 SENDS_PER_KEEPER: Final = 2
 """A client turns to the next keeper after so many unanswered messages."""
+
+DOWN_WAIT_S: Final = 5.0
+"""An ask is refused when it has waited this long for a store that is down."""
