Tell waiting clients that their keeper lives

Cause: with the store slow or down a keeper sent nothing, so clients turned to the next keeper after a second and two keepers wrote one range against each other; and a keeper cut off from the store held its clients for 8 s. Change: a keeper that is in touch with the store answers a repeated ask or end with WAITING; one that is not stays silent and its clients turn elsewhere. Two rows more: a keeper cut off from the store, and a claim that arrives after its abandonment and the end of its router.

--- a/tamarackbridge/components/claims/claim_range.py
+++ b/tamarackbridge/components/claims/claim_range.py
@@ -121,16 +121,21 @@
         if self.journal.phase in _ANSWERING:
             self._record_for(ask.attempt)
             self._write(now)
+        if held is not None and ask.attempt in self._due:
+            self._tell_waiting(src, ask.key, ask.attempt)
 
     def settle(
         self, src: str, settle: messages.ClaimSettle, now: float
     ) -> None:
         """Takes the end of an attempt."""
         self.used = now
+        held = self._settles.get(settle.attempt)
         self._settles[settle.attempt] = _Settle(src, settle)
         if settle.state is _STATE.ABANDONED:
             self._drop(settle.attempt)
         self._write(now)
+        if held is not None and settle.attempt in self._settles:
+            self._tell_waiting(src, settle.key, settle.attempt)
 
     def reply(self, reply: store.StoreReply, now: float) -> bool:
         """Takes an answer of the store; False if it is not awaited."""
@@ -356,6 +361,15 @@
         ask = held.ask
         self._send(held.src, messages.ClaimReply(ask.key, ask.attempt, answer))
 
+    def _tell_waiting(self, to: str, key: str, attempt: str) -> None:
+        """Tells a client that repeats itself not to turn elsewhere.
+
+        With the store out of reach from here, it had better do so.
+        """
+        if not self.journal.in_touch:
+            return
+        self._send(to, messages.ClaimReply(key, attempt, _ANSWER.WAITING))
+
     def _send(self, to: str, msg: core.Message) -> None:
         self._out.append(core.Envelope(to, msg))
 
--- a/tamarackbridge/components/claims/client.py
+++ b/tamarackbridge/components/claims/client.py
@@ -139,9 +139,11 @@
         if attempt is None:
             self._disown(reply)
             return
+        attempt.unanswered = 0
         if attempt.close is not None or attempt.running:
             return
-        attempt.unanswered = 0
+        if reply.answer is _ANSWER.WAITING:
+            return
         if reply.answer is _ANSWER.IN_PROGRESS:
             attempt.waiting_answer = reply.answer
         elif reply.answer is _ANSWER.RUN:
--- a/tamarackbridge/components/claims/journal.py
+++ b/tamarackbridge/components/claims/journal.py
@@ -48,6 +48,7 @@
         writes: Conditional writes of the tail sent.
         commits: Writes of the tail that were acknowledged.
         corrupt: Objects that did not decode.
+        in_touch: False while the last call went unanswered.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.writes = 0
         self.commits = 0
         self.corrupt = 0
+        self.in_touch = True
         self._changed = False
         self._new_tag = new_tag
         self._tag = ""
@@ -107,6 +109,7 @@
         if not self._tag or reply.tag != self._tag:
             return False
         on_reply, self._tag, self._on_reply = self._on_reply, "", None
+        self.in_touch = True
         if reply.status is _STATUS.UNKNOWN:
             self._unanswered(now)
         elif on_reply is not None:
@@ -132,6 +135,7 @@
             self.phase = Phase.DOWN
 
     def _unanswered(self, now: float) -> None:
+        self.in_touch = False
         self._tag = ""
         self._writing = None
         if self.phase is Phase.WRITING:
--- a/tamarackbridge/components/claims/messages.py
+++ b/tamarackbridge/components/claims/messages.py
@@ -24,6 +24,8 @@
     """The claim is stored in this attempt's name: it may send."""
     REPLAY = "replay"
     IN_PROGRESS = "in_progress"
+    WAITING = "waiting"
+    """The keeper lives and waits for the store; the client keeps asking."""
     MISMATCH = "mismatch"
     """The key was used with another body."""
     OUTCOME_UNKNOWN = "outcome_unknown"
--- a/tests/components/claims/test_claim_faults.py
+++ b/tests/components/claims/test_claim_faults.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tamarackbridge import const
-from tamarackbridge.components.claims import messages
+from tamarackbridge.components.claims import messages, ranges
 from tests.components.claims import fleet as fleet_lib
 
 _STATE = messages.ClaimState
@@ -149,6 +149,30 @@
     return first, _retry(fleet)
 
 
+def _keeper_cut_off_from_the_store(
+    fleet: fleet_lib.Fleet,
+) -> tuple[str, str]:
+    keeper = ranges.keeper_of(ranges.range_of("k"), fleet.nodes)
+    fleet.bus.faults.cut_both(keeper, const.STORE_NODE)
+    first = fleet.pay("r1", "k")
+    fleet.pass_s(12)
+    return first, _retry(fleet)
+
+
+def _abandoned_claim_arrives_after_its_router_ended(
+    fleet: fleet_lib.Fleet,
+) -> tuple[str, str]:
+    fleet.roster("r1", ("r2",))
+    fleet.bus.faults.delay_s = (2.0, 2.0)
+    first = fleet.pay("r1", "k", wait_s=0.1)
+    fleet.bus.faults.delay_s = (0.0005, 0.0015)
+    fleet.roster("r1", ("r3",))
+    fleet.pass_s(1)
+    fleet.bus.kill("r1")
+    fleet.pass_s(2)
+    return first, _retry(fleet)
+
+
 def _two_keepers_at_once(fleet: fleet_lib.Fleet) -> tuple[str, str]:
     _apart(fleet)
     fleet.pass_s(0.5)
@@ -271,6 +295,20 @@
         "replay",
     ),
     Row("store slow", _store_slow, 1, "run", "replay"),
+    Row(
+        "keeper cut off from the store",
+        _keeper_cut_off_from_the_store,
+        1,
+        "run",
+        "replay",
+    ),
+    Row(
+        "abandoned claim arrives after its router ended",
+        _abandoned_claim_arrives_after_its_router_ended,
+        1,
+        "unavailable",
+        "run",
+    ),
     Row("two keepers", _two_keepers_at_once, 1, "run", "replay"),
     Row("keeper paused", _keeper_paused_and_resumed, 1, "run", "replay"),
     Row(
