--- a/tamarackbridge/components/claims/claim_range.py
+++ b/tamarackbridge/components/claims/claim_range.py
@@ -118,21 +118,24 @@
         since = held.since if held else now
         self._asks[ask.attempt] = _Ask(src, ask, since, now)
         self._due[ask.attempt] = None
-        if self.journal.phase is journal.Phase.DOWN:
-            self._refuse_all()
-        elif self.journal.phase in _ANSWERING:
+        if self.journal.phase in _ANSWERING:
             self._record_for(ask.attempt)
             self._write(now)
+        if held is not None and ask.attempt in self._due:
+            self._tell_waiting(src, ask.key, ask.attempt)
 
     def settle(
         self, src: str, settle: messages.ClaimSettle, now: float
     ) -> None:
         """Takes the end of an attempt."""
         self.used = now
+        held = self._settles.get(settle.attempt)
         self._settles[settle.attempt] = _Settle(src, settle)
         if settle.state is _STATE.ABANDONED:
             self._drop(settle.attempt)
         self._write(now)
+        if held is not None and settle.attempt in self._settles:
+            self._tell_waiting(src, settle.key, settle.attempt)
 
     def reply(self, reply: store.StoreReply, now: float) -> bool:
         """Takes an answer of the store; False if it is not awaited."""
@@ -166,7 +169,7 @@
 
     def _after_call(self, now: float) -> None:
         if self.journal.phase is journal.Phase.DOWN:
-            self._refuse_all()
+            self._refuse_old(now)
         if self.journal.phase is not journal.Phase.READY:
             return
         if self.journal.commits > self._commits:
@@ -190,12 +193,12 @@
         self._send(done.src, reply)
         self._due.update(self._waiting.pop(key, {}))
 
-    def _refuse_all(self) -> None:
-        for held in self._asks.values():
-            self._answer(held, _ANSWER.UNAVAILABLE)
-        self._asks.clear()
-        self._due.clear()
-        self._waiting.clear()
+    def _refuse_old(self, now: float) -> None:
+        """Refuses asks that have waited long for a store that is down."""
+        for attempt, held in list(self._asks.items()):
+            if now - held.since >= const.DOWN_WAIT_S:
+                self._answer(held, _ANSWER.UNAVAILABLE)
+                self._drop(attempt)
 
     def _drop(self, attempt: str) -> None:
         self._due.pop(attempt, None)
@@ -358,6 +361,15 @@
         ask = held.ask
         self._send(held.src, messages.ClaimReply(ask.key, ask.attempt, answer))
 
+    def _tell_waiting(self, to: str, key: str, attempt: str) -> None:
+        """Tells a client that repeats itself not to turn elsewhere.
+
+        With the store out of reach from here, it had better do so.
+        """
+        if not self.journal.in_touch:
+            return
+        self._send(to, messages.ClaimReply(key, attempt, _ANSWER.WAITING))
+
     def _send(self, to: str, msg: core.Message) -> None:
         self._out.append(core.Envelope(to, msg))
 
