--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -10,6 +10,7 @@
 
 OUTPUT = pathlib.Path("build/measure/fairness.json")
 RUN_S = 600.0
+LOOK_S = 0.1
 Report = dict[str, object]
 
 
--- a/bench/fairness_scene.py
+++ b/bench/fairness_scene.py
@@ -75,7 +75,13 @@
 class Scene:
     """Routers, servers and demand under one policy."""
 
-    def __init__(self, policy: Policy, seed: int, shards: int = 1) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        seed: int,
+        shards: int = 1,
+        cold_s: float = 0.0,
+    ) -> None:
         self.policy = policy
         self.records = fairness_records.mela(shards)
         self.bus = fairness_network.BatchingHarness(seed)
@@ -89,7 +95,10 @@
         }
         self.servers = {
             name: fake_server.FakeServer(
-                self.bus, server, fairness_records.RATES[server.service]
+                self.bus,
+                server,
+                fairness_records.RATES[server.service],
+                cold_s,
             )
             for name, server in self.records.servers.items()
         }
--- a/bench/fake_server.py
+++ b/bench/fake_server.py
@@ -35,14 +35,18 @@
     """
 
     def __init__(
-        self, bus: harness.Harness, record: models.BackendServer, rate: float
+        self,
+        bus: harness.Harness,
+        record: models.BackendServer,
+        rate: float,
+        cold_s: float = 0.0,
     ) -> None:
         self.record = record
         self.rate = rate
-        self.cold_until = float("-inf")
+        self.cold_until = bus.now + cold_s
         self.failing = False
         self.runs: dict[str, Run] = {}
-        self.violations = self.unwarned = self.fenced = 0
+        self.violations = self.unwarned = self.fenced = self.failed = 0
         self.worst_ratio = 0.0
         self.listeners: Callable[[], list[str]] = list
         self._turned_at = float("-inf")
@@ -90,6 +94,7 @@
 
     def _finish(self, request_id: str, run: Run) -> None:
         if self.runs.get(request_id) is run:
+            self.failed += self.failing
             outcome = Outcome.FAILED if self.failing else Outcome.OK
             self.stop(request_id, outcome)
 
--- a/tamarackbridge/components/dispatch/admission.py
+++ b/tamarackbridge/components/dispatch/admission.py
@@ -3,7 +3,7 @@
 import dataclasses
 import heapq
 
-from tamarackbridge.components.dispatch import const, messages
+from tamarackbridge.components.dispatch import const, messages, wire
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,8 +30,8 @@
             workspace=want.workspace,
             end_user=want.end_user,
             route=want.route,
-            hint_cost=want.hint_cost,
-            deadline_s=self.expires_at - now,
+            hint_cost=wire.whole(want.hint_cost),
+            deadline_s=wire.whole_up(self.expires_at - now),
             avoid=want.avoid,
         )
 
--- a/tamarackbridge/components/dispatch/holdings.py
+++ b/tamarackbridge/components/dispatch/holdings.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from tamarackbridge.components.dispatch import const, messages
+from tamarackbridge.components.dispatch import const, messages, wire
 
 MAX_ENDED = 1024
 """Ended permits that are remembered, to answer duplicates."""
@@ -109,9 +109,9 @@
         for holding in self._held.values():
             grant = holding.grant
             pairs = used.setdefault((grant.shard, grant.epoch), [])
-            pairs.append((grant.number, holding.used))
+            pairs.append((grant.number, wire.whole(holding.used)))
         return [
-            messages.Progress(shard, epoch, tuple(pairs), up_s)
+            messages.Progress(shard, epoch, tuple(pairs), wire.whole_down(up_s))
             for (shard, epoch), pairs in used.items()
         ]
 
@@ -168,7 +168,7 @@
             grant.shard,
             grant.epoch,
             grant.number,
-            used,
+            wire.whole(used),
             outcome,
             first_byte_s,
         )
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -16,6 +16,7 @@
     permits,
     takeover,
     waiting,
+    wire,
 )
 from tamarackbridge.components.entry import const as entry_const
 from tamarackbridge.components.records import models
@@ -373,8 +374,8 @@
             request_id=ask.request_id,
             server=server,
             use_s=min(fleet_const.GRANT_USE_S, lease_left_s),
-            life_s=self._service.max_request_s,
-            counter=self.order.counters.value(ask.workspace),
+            life_s=wire.whole_down(self._service.max_request_s),
+            counter=wire.whole(self.order.counters.value(ask.workspace)),
             limit=self._limits[server].allowed(now),
         )
         return core.Envelope(item.entry, grant)
