--- a/tamarackbridge/components/dispatch/const.py
+++ b/tamarackbridge/components/dispatch/const.py
@@ -5,7 +5,7 @@
 MAX_ESTIMATE_RATIO: Final = 0.25
 """Largest estimate, as a part of the service's largest cost."""
 
-PROGRESS_S: Final = 0.2
+PROGRESS_S: Final = 0.4
 """Interval at which an entry reports the cost of running permits."""
 
 SILENCE_S: Final = 1.0
