--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,13 +7,17 @@
 NOT_MEASUREMENTS = {
     "__init__",
     "__main__",
+    "answers_scene",
     "fake_store",
+    "faults",
     "harness",
     "path_load",
     "processes",
     "real_fleet",
     "real_load",
     "world",
+    "zone_baseline",
+    "zone_run",
 }
 
 
@@ -21,7 +25,7 @@
     """Returns the names of the measurements."""
     here = pathlib.Path(__file__).parent
     found = {path.stem for path in here.glob("*.py")} - NOT_MEASUREMENTS
-    hidden = ("_", "fake_", "fairness_")
+    hidden = ("_", "fake_", "fairness_", "slopes_")
     return sorted(name for name in found if not name.startswith(hidden))
 
 
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -73,6 +73,14 @@
         self._paused: dict[str, list[tuple[core.Delivery, float]]] = {}
         self._life: dict[str, int] = {}
 
+    def monotonic(self) -> float:
+        """Returns virtual time, as a `core.Clock`."""
+        return self.now
+
+    def wall(self) -> float:
+        """Returns virtual time, as a `core.Clock`."""
+        return self.now
+
     def at(self, when: float, action: Callable[[], None]) -> None:
         """Schedules `action` at virtual time `when`, in seconds."""
         self._order += 1
@@ -107,6 +115,10 @@
         for delivery, sent_at in self._paused.pop(node, []):
             self._deliver(node, delivery, sent_at)
 
+    def paused(self, node: str) -> bool:
+        """Tells whether a node is frozen."""
+        return node in self._paused
+
     def alive(self, node: str) -> bool:
         """Tells whether a node runs, paused or not."""
         return node in self._nodes
--- a/tamarackbridge/components/claims/claim_range.py
+++ b/tamarackbridge/components/claims/claim_range.py
@@ -93,7 +93,7 @@
         self._due: dict[str, None] = {}
         self._waiting: dict[str, dict[str, None]] = {}
         self._settles: dict[str, _Settle] = {}
-        self._in_write: tuple[str, ...] = ()
+        self._ends_in_write: tuple[str, ...] = ()
         self._commits = 0
         self._fetches: dict[str, _Fetch] = {}
         self._needs_read = False
@@ -118,21 +118,24 @@
         since = held.since if held else now
         self._asks[ask.attempt] = _Ask(src, ask, since, now)
         self._due[ask.attempt] = None
-        if self.journal.phase is journal.Phase.DOWN:
-            self._refuse_all()
-        elif self.journal.phase in _ANSWERING:
+        if self.journal.phase in _ANSWERING:
             self._record_for(ask.attempt)
             self._write(now)
+        if held is not None and ask.attempt in self._due:
+            self._tell_waiting(src, ask.key, ask.attempt)
 
     def settle(
         self, src: str, settle: messages.ClaimSettle, now: float
     ) -> None:
         """Takes the end of an attempt."""
         self.used = now
+        held = self._settles.get(settle.attempt)
         self._settles[settle.attempt] = _Settle(src, settle)
         if settle.state is _STATE.ABANDONED:
             self._drop(settle.attempt)
         self._write(now)
+        if held is not None and settle.attempt in self._settles:
+            self._tell_waiting(src, settle.key, settle.attempt)
 
     def reply(self, reply: store.StoreReply, now: float) -> bool:
         """Takes an answer of the store; False if it is not awaited."""
@@ -166,22 +169,23 @@
 
     def _after_call(self, now: float) -> None:
         if self.journal.phase is journal.Phase.DOWN:
-            self._refuse_all()
+            self._refuse_old(now)
         if self.journal.phase is not journal.Phase.READY:
             return
         if self.journal.commits > self._commits:
             self._committed()
         elif self.journal.take_changed():
             self._due.update(dict.fromkeys(self._asks))
+        self._claim_records(set())  # Answers what the write has decided.
         self._write(now)
 
     def _committed(self) -> None:
         self._commits = self.journal.commits
-        for attempt in self._in_write:
+        for attempt in self._ends_in_write:
             done = self._settles.pop(attempt, None)
             if done is not None:
                 self._settled(done)
-        self._in_write = ()
+        self._ends_in_write = ()
 
     def _settled(self, done: _Settle) -> None:
         key = done.settle.key
@@ -189,12 +193,12 @@
         self._send(done.src, reply)
         self._due.update(self._waiting.pop(key, {}))
 
-    def _refuse_all(self) -> None:
-        for held in self._asks.values():
-            self._answer(held, _ANSWER.UNAVAILABLE)
-        self._asks.clear()
-        self._due.clear()
-        self._waiting.clear()
+    def _refuse_old(self, now: float) -> None:
+        """Refuses asks that have waited long for a store that is down."""
+        for attempt, held in list(self._asks.items()):
+            if now - held.since >= const.DOWN_WAIT_S:
+                self._answer(held, _ANSWER.UNAVAILABLE)
+                self._drop(attempt)
 
     def _drop(self, attempt: str) -> None:
         self._due.pop(attempt, None)
@@ -215,7 +219,7 @@
         claims = self._claim_records(keys)
         records = _fitting({**ends, **claims})
         if records or self.journal.copy.upkeep_due(now):
-            self._in_write = tuple(records)
+            self._ends_in_write = tuple(set(records) & set(ends))
             self.journal.write(tuple(records.values()), now)
         elif self._needs_read:
             self._needs_read = False
@@ -313,7 +317,10 @@
             return _ANSWER.MISMATCH
         if entry.state is _STATE.FINISHED:
             return _ANSWER.REPLAY
-        if entry.state is _STATE.UNKNOWN or self._is_gone(entry.attempt):
+        if entry.state is _STATE.UNKNOWN:
+            return _ANSWER.OUTCOME_UNKNOWN
+        waited_s = held.repeated - held.since
+        if waited_s >= const.GONE_WAIT_S and self._is_gone(entry.attempt):
             return _ANSWER.OUTCOME_UNKNOWN
         return _ANSWER.IN_PROGRESS
 
@@ -354,6 +361,15 @@
         ask = held.ask
         self._send(held.src, messages.ClaimReply(ask.key, ask.attempt, answer))
 
+    def _tell_waiting(self, to: str, key: str, attempt: str) -> None:
+        """Tells a client that repeats itself not to turn elsewhere.
+
+        With the store out of reach from here, it had better do so.
+        """
+        if not self.journal.in_touch:
+            return
+        self._send(to, messages.ClaimReply(key, attempt, _ANSWER.WAITING))
+
     def _send(self, to: str, msg: core.Message) -> None:
         self._out.append(core.Envelope(to, msg))
 
--- a/tamarackbridge/components/claims/journal.py
+++ b/tamarackbridge/components/claims/journal.py
@@ -12,7 +12,13 @@
 
 from tamarackbridge import const as core_const
 from tamarackbridge import core
-from tamarackbridge.components.claims import const, ranges, replica, segment
+from tamarackbridge.components.claims import (
+    const,
+    pace,
+    ranges,
+    replica,
+    segment,
+)
 from tamarackbridge.components.object_api import messages as store
 
 _STATUS = store.StoreStatus
@@ -42,6 +48,7 @@
         writes: Conditional writes of the tail sent.
         commits: Writes of the tail that were acknowledged.
         corrupt: Objects that did not decode.
+        in_touch: False while the last call went unanswered.
     """
 
     def __init__(
@@ -54,6 +61,7 @@
         self.writes = 0
         self.commits = 0
         self.corrupt = 0
+        self.in_touch = True
         self._changed = False
         self._new_tag = new_tag
         self._tag = ""
@@ -61,7 +69,7 @@
         self._on_reply: Callable[[store.StoreReply, float], None] | None = None
         self._tail_read: tuple[segment.Segment, int] | None = None
         self._writing: segment.Segment | None = None
-        self._last_write = float("-inf")
+        self._pace = pace.Pace()
         self._retire: list[int] = []
         self._out: list[core.Envelope] = []
 
@@ -72,9 +80,7 @@
 
     def may_write(self, now: float) -> bool:
         """Tells whether `write` may be called now."""
-        if self.phase is not Phase.READY:
-            return False
-        return now - self._last_write >= const.COMMIT_INTERVAL_S
+        return self.phase is Phase.READY and self._pace.may_write(now)
 
     def refresh(self, now: float) -> None:
         """Reads the tail, to learn whether the copy is up to date."""
@@ -84,7 +90,7 @@
 
     def write(self, records: tuple[msgspec.Raw, ...], now: float) -> None:
         """Adds records; `phase` is `READY` again when they are stored."""
-        self._last_write = now
+        self._pace.wrote(now)
         self.writes += 1
         self._put(records, now)
 
@@ -103,6 +109,7 @@
         if not self._tag or reply.tag != self._tag:
             return False
         on_reply, self._tag, self._on_reply = self._on_reply, "", None
+        self.in_touch = True
         if reply.status is _STATUS.UNKNOWN:
             self._unanswered(now)
         elif on_reply is not None:
@@ -128,6 +135,7 @@
             self.phase = Phase.DOWN
 
     def _unanswered(self, now: float) -> None:
+        self.in_touch = False
         self._tag = ""
         self._writing = None
         if self.phase is Phase.WRITING:
--- a/tamarackbridge/components/client/tables.py
+++ b/tamarackbridge/components/client/tables.py
@@ -29,12 +29,14 @@
     rich.console.Console(markup=False).print(table)
 
 
-def print_records(kind: str, docs: Sequence[dict[str, Any]]) -> None:
+def print_records(kind: str, reply: messages.RecordsReply) -> None:
     """Prints records of one kind."""
+    docs: Sequence[dict[str, Any]] = reply.records
     columns = list(dict.fromkeys(key for doc in docs for key in doc))
     shown = [key for key in columns if key not in ("kind", "key_hashes")]
     rows = [[doc.get(key, "") for key in shown] for doc in docs]
-    print_table(f"{kind} ({len(docs)})", shown, rows)
+    source = "" if reply.from_store else ", as in force on the router asked"
+    print_table(f"{kind}, generation {reply.generation}{source}", shown, rows)
 
 
 def print_changes(reply: messages.ChangeReply) -> None:
@@ -55,13 +57,11 @@
         print("nothing was written")
         return
     if all(change.action == "unchanged" for change in reply.changes):
-        print("nothing to change")
-        return
-    print(f"accepted in generation {reply.generation}")
-    if reply.confirmed:
-        print(f"in force on {', '.join(reply.confirmed)}")
-    if reply.missing:
-        print(f"not yet confirmed by {', '.join(reply.missing)}")
+        print(f"nothing to change, generation {reply.generation} is accepted")
+    else:
+        print(f"accepted in generation {reply.generation}")
+    if reply.lagging:
+        print(f"not yet confirmed by {', '.join(reply.lagging)}")
 
 
 def print_status(found: Sequence[messages.Status]) -> None:
@@ -77,8 +77,8 @@
     joined = join_status(found)
     print_table(
         "members",
-        ("node", "zone", "live", "generation"),
-        [(m.node, m.zone, m.live, m.generation) for m in joined.members],
+        ("node", "zone", "live", "confirmed"),
+        [(m.node, m.zone, m.live, m.confirmed) for m in joined.members],
     )
     print_table(
         "shards",
@@ -115,14 +115,15 @@
 
 
 def join_status(found: Sequence[messages.Status]) -> messages.Status:
-    """Joins answers; of a shard the answer of its holder is taken."""
+    """Joins answers.
+
+    Of members the answer with the highest generation is taken, of a shard the
+    answer of its holder.
+    """
     members: dict[str, messages.MemberStatus] = {}
     shards: dict[str, messages.ShardStatus] = {}
-    for item in found:
-        for member in item.members:
-            known = members.get(member.node)
-            if known is None or member.generation > known.generation:
-                members[member.node] = member
+    for item in sorted(found, key=_generation):
+        members.update({member.node: member for member in item.members})
         for shard in item.shards:
             best = shards.get(shard.shard)
             if best is None or _rank(shard) > _rank(best):
@@ -140,6 +141,10 @@
     )
 
 
+def _generation(item: messages.Status) -> int:
+    return item.generation
+
+
 def _rank(shard: messages.ShardStatus) -> tuple[int, int]:
     return shard.epoch, shard.permits
 
--- a/tamarackbridge/components/entry/accept.py
+++ b/tamarackbridge/components/entry/accept.py
@@ -1,5 +1,6 @@
 """Reads and authenticates what callers send."""
 
+import asyncio
 import hashlib
 import uuid
 
@@ -9,6 +10,7 @@
 from tamarackbridge.components.entry import const, problem
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
+from tamarackbridge.components.telemetry import traces
 
 _PASSED_HEADERS = frozenset(
     {"accept", "content-type", "idempotency-key", "traceparent", "tracestate"}
@@ -62,7 +64,11 @@
 
 
 async def async_accept(
-    req: web.Request, snapshot: models.Snapshot, now: float
+    req: web.Request,
+    snapshot: models.Snapshot,
+    now: float,
+    body_timeout_s: float,
+    span: traces.Span,
 ) -> result.Result[entry_models.Request, problem.Problem]:
     """Turns an HTTP request into an accepted request or a refusal."""
     request_id = uuid.uuid4().hex
@@ -84,7 +90,11 @@
         detail = f"this route needs the header {const.HEADER_IDEMPOTENCY_KEY}"
         return result.Err(refuse(const.Reason.KEY_REQUIRED, detail))
     try:
-        body = await req.read()
+        async with asyncio.timeout(body_timeout_s):
+            body = await req.read()
+    except TimeoutError:
+        detail = "the body took too long"
+        return result.Err(refuse(const.Reason.TIMEOUT, detail))
     except web.HTTPRequestEntityTooLarge:
         detail = "the body is too large"
         return result.Err(refuse(const.Reason.TOO_LARGE, detail))
@@ -108,5 +118,6 @@
         hint_cost=_hint(req),
         idempotency_key=key,
         deadline=now + route.deadline_s,
+        span=span,
     )
     return result.Ok(accepted)
--- a/tamarackbridge/components/membership/leases.py
+++ b/tamarackbridge/components/membership/leases.py
@@ -3,13 +3,16 @@
 A take-over is one conditional write of the shard's object. The new holder
 begins when a majority of the roster knows the new epoch and one lease has
 passed since, so that no evidence of the holder before can still be fresh. A
-holder keeps its lease by the evidence of membership alone, without writes; when
-the evidence runs out the lease lapses, and it goes on in the same epoch if
+planned hand-over needs no such wait: the holder writes the new epoch, goes on
+for a fixed time and stops, and the next begins when that time has passed since
+it learned of the write, which is later.
+
+A holder keeps its lease by the evidence of membership alone, without writes.
+When the evidence runs out the lease lapses; it goes on in the same epoch if
 evidence returns and nobody took the shard meanwhile.
 """
 
 from collections.abc import Sequence
-import dataclasses
 import math
 import random
 from typing import ClassVar
@@ -20,20 +23,27 @@
 from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.membership import (
     const,
+    lease_state,
     messages,
+    pace,
     placement,
     shard_object,
 )
+from tamarackbridge.components.membership import evidence as evidence_rules
 from tamarackbridge.components.object_api import messages as store
 from tamarackbridge.components.records import models
 
 TAG = "leases:"
 
-FENCE_S = core_const.LEASE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
-"""Time after which evidence that others gathered earlier has lapsed."""
+HAND_OVER_S = 0.5
+"""Time for which a holder goes on after it wrote a hand-over."""
+
+HAND_OVER_END_S = HAND_OVER_S * (1 - core_const.CLOCK_DRIFT_RATIO)
+HAND_OVER_FENCE_S = HAND_OVER_S * lease_state.DRIFT_FACTOR
 
-USE_S = core_const.GRANT_USE_S * (1 + core_const.CLOCK_DRIFT_RATIO)
-"""Time after a hand-over for which permits of the old epoch may be used."""
+
+STORE_FRESH_S = 3.0
+"""Age of the last read of the store up to which a hand-over is begun."""
 
 PUT_TIMEOUT_S = 1.0
 """A write without an answer for this time counts as failed."""
@@ -41,44 +51,6 @@
 STABLE_S = 3.0
 """Time for which a better placement must last before a shard moves to it."""
 
-FLAP_WINDOW_S = 30.0
-"""Time within which changes of holder make the next one wait longer."""
-
-FLAP_MAX_S = 8.0
-"""Longest time that a take-over waits for flapping to end."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Shard:
-    """What this router knows of one shard.
-
-    Attributes:
-        version: Store version of the shard's object.
-        learned_at: When this router learned of `version`.
-        recognised_at: When a majority was first seen to know `version`.
-        mine: Whether this process may begin the epoch: it wrote it, or saw
-            it handed over. False after a restart.
-        surrendered: Whether a hand-over of this version was sent, which may
-            take effect at any time.
-        held: Whether this router dispatches the shard.
-        put_until: Time until which a write of this router is on the way.
-        absent_since: Since when the holder is missed.
-        better_since: Since when another member is the preferred holder.
-        changed_at: When the holder last changed, a few times back.
-    """
-
-    value: shard_object.ShardValue
-    version: int = 0
-    learned_at: float = -math.inf
-    recognised_at: float = math.inf
-    mine: bool = False
-    surrendered: bool = False
-    held: bool = False
-    put_until: float = -math.inf
-    absent_since: float = math.inf
-    better_since: float = math.inf
-    changed_at: list[float] = dataclasses.field(default_factory=list)
-
 
 class ShardLeases:
     """The leases of this router and who holds all others."""
@@ -96,11 +68,13 @@
         self._node = node
         self._rng = rng
         self._snapshot = models.empty_snapshot()
-        self._shards: dict[str, _Shard] = {}
+        self._shards: dict[str, lease_state.ShardState] = {}
         self._early: dict[str, tuple[shard_object.ShardValue, int]] = {}
         self._roster = messages.RosterChanged((), ())
         self._evidence: messages.FleetEvidence | None = None
+        self._majority_since = math.inf
         self._preferred: dict[str, str] = {}
+        self._bound = 1
         self._leaving = False
         self._count = 0
         self._attempts = f"{node}.{rng.getrandbits(48):x}."
@@ -119,6 +93,7 @@
                 return self._on_objects(delivery.msg, now)
             case messages.FleetEvidence():
                 self._evidence = delivery.msg
+                self._note_majority(delivery.msg.majority, now)
                 return self._review_all(now)
             case messages.LeaveFleet():
                 self._leaving = True
@@ -128,11 +103,31 @@
         return ()
 
     def tick(self, now: float) -> Sequence[core.Envelope]:
-        """Does nothing: a lease lapses at the time that it was held until."""
-        return ()
+        """Ends epochs that were handed over, and tells who begins.
 
-    def _until(self) -> float:
-        return self._evidence.until if self._evidence else -math.inf
+        A lease without evidence lapses by itself, at the time that it was
+        held until.
+        """
+        out: list[core.Envelope] = []
+        for state in self._shards.values():
+            if state.held and now >= state.ends_at:
+                out.extend(self._lose(state))
+            if now >= state.announce_at:
+                out.extend(self._announce(state))
+        return out
+
+    def _note_majority(self, majority: bool, now: float) -> None:
+        if not majority:
+            self._majority_since = math.inf
+            return
+        self._majority_since = min(self._majority_since, now)
+
+    def _until(self, state: lease_state.ShardState) -> float:
+        """Returns until when evidence lets this router hold a shard."""
+        if self._evidence is None:
+            return -math.inf
+        lease_s = state.value.lease_s * (1 - core_const.CLOCK_DRIFT_RATIO)
+        return self._evidence.until - evidence_rules.LEASE_USE_S + lease_s
 
     def _on_snapshot(
         self, snapshot: models.Snapshot, now: float
@@ -147,7 +142,7 @@
                 out.extend(self._lose(state))
         for name in sorted(names - self._shards.keys()):
             value = shard_object.ShardValue(name, 0, "", "")
-            self._shards[name] = _Shard(value)
+            self._shards[name] = lease_state.ShardState(value)
             if name in self._early:
                 out.extend(self._learn(*self._early.pop(name), now))
         self._place()
@@ -174,9 +169,11 @@
             return ()
         if version <= state.version:
             return ()
-        out = list(self._lose(state)) if state.held else []
-        handed = value.released and state.version > 0
-        state.mine = handed or value.attempt.startswith(self._attempts)
+        first = state.version == 0
+        own = value.attempt.startswith(self._attempts)
+        planned = own and value.released
+        out = list(self._lose(state)) if state.held and not planned else []
+        state.mine = own or (value.released and not first)
         state.surrendered = False
         state.value = value
         state.version = version
@@ -186,8 +183,18 @@
         state.absent_since = math.inf
         state.better_since = math.inf
         state.changed_at = [*state.changed_at[-7:], now]
+        if value.released and not first:
+            state.announce_at = now + HAND_OVER_S
+            return out
+        return [*out, *self._announce(state)]
+
+    def _announce(
+        self, state: lease_state.ShardState
+    ) -> Sequence[core.Envelope]:
+        state.announce_at = math.inf
+        value = state.value
         news = dispatch.ShardHolder(value.shard, value.epoch, value.holder)
-        return [*out, _local(news)]
+        return (_local(news),)
 
     def _place(self) -> None:
         usable = frozenset(self._roster.live) - frozenset(self._roster.leaving)
@@ -197,6 +204,7 @@
             self._roster.members, usable, self._snapshot
         )
         self._preferred = placement.place(self._shards, nodes, self._snapshot)
+        self._bound = placement.bound(self._shards, nodes)
 
     def _review_all(self, now: float) -> Sequence[core.Envelope]:
         out: list[core.Envelope] = []
@@ -205,7 +213,7 @@
         return out
 
     def _review(
-        self, name: str, state: _Shard, now: float
+        self, name: str, state: lease_state.ShardState, now: float
     ) -> Sequence[core.Envelope]:
         evidence = self._evidence
         if evidence is None:
@@ -215,14 +223,14 @@
         if state.value.holder == self._node:
             return self._keep(name, state, now)
         if self._may_take(name, state, now):
-            value = self._next(state, self._node, released=False)
+            value = self._next(state, self._node, False, now)
             return self._put(state, value, now)
         return ()
 
     def _keep(
-        self, name: str, state: _Shard, now: float
+        self, name: str, state: lease_state.ShardState, now: float
     ) -> Sequence[core.Envelope]:
-        until = self._until()
+        until = self._until(state)
         if now >= until:
             return ()
         if not state.held:
@@ -230,42 +238,53 @@
         return self._renew(name, state, until, now)
 
     def _renew(
-        self, name: str, state: _Shard, until: float, now: float
+        self, name: str, state: lease_state.ShardState, until: float, now: float
     ) -> Sequence[core.Envelope]:
+        if state.surrendered:
+            return ()
+        epoch = state.value.epoch
         target = self._hand_over_to(name, state, now)
-        if target:
-            state.surrendered = True
-            value = self._next(state, target, released=True)
-            return [*self._lose(state), *self._put(state, value, now)]
-        held = dispatch.LeaseHeld(name, state.value.epoch, until, fresh=False)
-        return (_local(held),)
+        if not target:
+            held = dispatch.LeaseHeld(name, epoch, until, fresh=False)
+            return (_local(held),)
+        state.surrendered = True
+        state.ends_at = now + HAND_OVER_END_S
+        last = min(until, state.ends_at)
+        held = dispatch.LeaseHeld(name, epoch, last, fresh=False)
+        value = self._next(state, target, True, now)
+        return [_local(held), *self._put(state, value, now)]
 
     def _begin(
-        self, name: str, state: _Shard, now: float
+        self, name: str, state: lease_state.ShardState, now: float
     ) -> Sequence[core.Envelope]:
         if now < state.put_until:
             return ()
         if state.surrendered or not state.mine:
-            value = self._next(state, self._node, released=state.surrendered)
+            value = self._next(state, self._node, state.surrendered, now)
             return self._put(state, value, now)
-        fence = state.recognised_at + FENCE_S
+        fence = (
+            state.recognised_at + state.value.fence_s * lease_state.DRIFT_FACTOR
+        )
         if state.value.released:
-            fence = state.learned_at + USE_S
+            fence = state.learned_at + HAND_OVER_FENCE_S
         if now < fence:
             return ()
         state.held = True
+        state.ends_at = math.inf
         epoch = state.value.epoch
-        held = dispatch.LeaseHeld(name, epoch, self._until(), fresh=True)
+        state.held_epoch = epoch
+        held = dispatch.LeaseHeld(name, epoch, self._until(state), fresh=True)
         return (_local(held),)
 
-    def _lose(self, state: _Shard) -> Sequence[core.Envelope]:
+    def _lose(self, state: lease_state.ShardState) -> Sequence[core.Envelope]:
         state.held = False
-        return (_local(self._lost(state)),)
-
-    def _lost(self, state: _Shard) -> dispatch.LeaseLost:
-        return dispatch.LeaseLost(state.value.shard, state.value.epoch)
+        state.ends_at = math.inf
+        lost = dispatch.LeaseLost(state.value.shard, state.held_epoch)
+        return (_local(lost),)
 
-    def _may_take(self, name: str, state: _Shard, now: float) -> bool:
+    def _may_take(
+        self, name: str, state: lease_state.ShardState, now: float
+    ) -> bool:
         evidence = self._evidence
         holder = state.value.holder
         absent = not holder or holder not in self._roster.live
@@ -277,28 +296,39 @@
             return False
         if self._preferred.get(name) != self._node or now < state.put_until:
             return False
-        return now - state.absent_since >= self._damping(state, now)
-
-    def _damping(self, state: _Shard, now: float) -> float:
-        """Returns the wait before a take-over, longer after many of them."""
-        recent = [at for at in state.changed_at if now - at < FLAP_WINDOW_S]
-        if len(recent) < 3:
-            return 0.0
-        return min(0.5 * 2.0 ** (len(recent) - 3), FLAP_MAX_S)
+        times = pace.of(len(self._roster.members))
+        heard_since = max(self._majority_since, state.learned_at)
+        if now - heard_since < times.dead_after_s:
+            return False
+        wait_s = max(state.damping_s(now), times.settle_s)
+        return now - state.absent_since >= wait_s
 
-    def _hand_over_to(self, name: str, state: _Shard, now: float) -> str:
+    def _hand_over_to(
+        self, name: str, state: lease_state.ShardState, now: float
+    ) -> str:
         """Returns the member that is to have a held shard instead, if any."""
         target = self._preferred.get(name, "")
         if target in ("", self._node) or now < state.put_until:
             state.better_since = math.inf
             return ""
         state.better_since = min(state.better_since, now)
+        evidence = self._evidence
+        if evidence is None or now - evidence.store_read_at > STORE_FRESH_S:
+            return ""
         if self._must_leave():
             return target
-        if now - state.better_since < STABLE_S + self._damping(state, now):
+        if self._count_held() <= self._bound:
+            return ""
+        if now - state.better_since < STABLE_S + state.damping_s(now):
             return ""
         return target
 
+    def _count_held(self) -> int:
+        return sum(
+            state.held and not state.surrendered
+            for state in self._shards.values()
+        )
+
     def _must_leave(self) -> bool:
         if self._leaving:
             return True
@@ -307,7 +337,11 @@
         return zone is not None and zone.out
 
     def _next(
-        self, state: _Shard, holder: str, released: bool
+        self,
+        state: lease_state.ShardState,
+        holder: str,
+        released: bool,
+        now: float,
     ) -> shard_object.ShardValue:
         self._count += 1
         return shard_object.ShardValue(
@@ -316,10 +350,15 @@
             holder=holder,
             attempt=f"{self._attempts}{self._count}",
             released=released,
+            lease_s=pace.of(len(self._roster.members)).shard_lease_s,
+            fence_s=state.next_fence_s(released, now),
         )
 
     def _put(
-        self, state: _Shard, value: shard_object.ShardValue, now: float
+        self,
+        state: lease_state.ShardState,
+        value: shard_object.ShardValue,
+        now: float,
     ) -> Sequence[core.Envelope]:
         state.put_until = now + PUT_TIMEOUT_S * self._rng.uniform(1.0, 1.5)
         put = store.StorePut(
--- a/tamarackbridge/components/operator/const.py
+++ b/tamarackbridge/components/operator/const.py
@@ -16,8 +16,13 @@
 OPEN_PATHS: Final = frozenset({PATH_HEALTH, PATH_READY})
 """Paths that need no token: they tell no more than up and ready."""
 
+HEADER_CHANGE_ID: Final = "Idempotency-Key"
+HEADER_AUTHOR: Final = "X-Operator"
+
 ATTR_DRY_RUN: Final = "dry_run"
 
+ATTR_NEW_SCHEMA_VERSION: Final = "new_schema_version"
+
 ACTION_TAKE_OUT: Final = "take-out"
 ACTION_BRING_BACK: Final = "bring-back"
 ACTION_DRAIN: Final = "drain"
--- a/tamarackbridge/components/records/snapshot.py
+++ b/tamarackbridge/components/records/snapshot.py
@@ -1,14 +1,35 @@
-"""Snapshots out of stored records of any known schema version."""
+"""Snapshots out of records of any known schema version."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 import result
 
-from tamarackbridge.components.records import codec, models, schemas, snapshots
+from tamarackbridge.components.records import codec, const, models, schemas
+
+
+def build(
+    generation: int, records: Iterable[schemas.Record]
+) -> models.Snapshot:
+    """Returns the snapshot of one generation."""
+    found: dict[str, dict[str, Any]] = {kind: {} for kind in const.KINDS}
+    for record in records:
+        found[record.kind][record.name] = record.model
+    return models.Snapshot(
+        generation=generation,
+        workspaces=found[const.KIND_WORKSPACE],
+        services=found[const.KIND_SERVICE],
+        servers=found[const.KIND_SERVER],
+        zones=found[const.KIND_ZONE],
+    )
 
 
 class SnapshotCodec:
-    """Reads all records of one generation into their internal form."""
+    """Reads all records of one generation into their internal form.
+
+    It doesn't check that records fit each other, so that a router goes on
+    with what a router of another version has accepted.
+    """
 
     def decode(
         self, generation: int, records: Mapping[str, bytes]
@@ -28,4 +49,4 @@
             if isinstance(read, result.Err):
                 raise ValueError(str(read.err_value))
             found.append(read.ok_value)
-        return snapshots.build(generation, found)
+        return build(generation, found)
--- a/tests/components/records/test_files.py
+++ b/tests/components/records/test_files.py
@@ -9,11 +9,13 @@
 import result
 
 from tamarackbridge.components.records import (
+    changes,
     codec,
     const,
     files,
     references,
     schemas,
+    snapshot,
 )
 
 EXAMPLES = pathlib.Path("examples")
@@ -139,7 +141,7 @@
         "server": 8,
         "workspace": 16,
     }
-    assert references.check(read.ok_value) is None
+    assert references.check(snapshot.build(1, read.ok_value)) is None
 
 
 MISFITS = [
@@ -164,7 +166,7 @@
 def test_misfit_names_record_and_key(docs: list[object], expected: str) -> None:
     read = files.from_documents({"records": docs}, "f")
     assert isinstance(read, result.Ok)
-    assert expected in str(references.check(read.ok_value))
+    assert expected in str(references.check(snapshot.build(1, read.ok_value)))
 
 
 SHARES = st.floats(0.001, 1e6)
@@ -203,6 +205,31 @@
         assert stored == result.Ok(record)
 
 
+VERSION_TABLE = [
+    ([], [WORKSPACE | {"schema_version": 2}], False),
+    ([ZONE], [WORKSPACE], False),
+    ([ZONE], [WORKSPACE | {"schema_version": 2}], True),
+    ([WORKSPACE], [WORKSPACE | {"schema_version": 2}], True),
+    (
+        [WORKSPACE | {"schema_version": 2}],
+        [WORKSPACE | {"name": "b", "schema_version": 2}],
+        False,
+    ),
+    ([WORKSPACE | {"schema_version": 2}], [WORKSPACE], False),
+]
+
+
+@pytest.mark.parametrize(("before", "puts", "first"), VERSION_TABLE)
+def test_first_record_of_a_version_is_found(
+    before: list[object], puts: list[object], first: bool
+) -> None:
+    old = files.from_documents({"records": before}, "f").unwrap()
+    new = files.from_documents({"records": puts}, "f").unwrap()
+    stored = {changes.id_of(rec): changes.StoredRecord(rec, 1) for rec in old}
+    found = changes.first_of_version(stored, changes.ChangeSet(puts=new))
+    assert (found is not None) == first
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: (
