Keep the claims of work that outlasts the retention time

Cause: a segment was removed at the end of its retention even if it held the claim of work that still ran; a retry would then have run beside it. Change: a segment with a claim that has no end is kept an hour longer. The rolling restart also tells latencies by kind. Conclusion: the retention setting can no longer cause a second run within an hour.

--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import pathlib
+import statistics
 import time
 from typing import Any
 
@@ -118,12 +119,28 @@
         "served": sum(one.served for one in load.results),
         "ends": dict(sorted(ends.items())),
         "cuts": cuts[:20],
+        "whole_p50_p99_ms": latencies(load),
         "restarted": len(stop_s),
         "stop_s": [round(seconds, 1) for seconds in stop_s],
         "ran_s": round(load.now(), 1),
     }
 
 
+def latencies(load: real_load.Load) -> dict[str, tuple[float, float]]:
+    """Returns median and 99th percentile of whole answers, by kind."""
+    table = {}
+    for work in real_load.MIX["asahikawa"]:
+        took = [
+            one.took_s * 1000
+            for one in load.results
+            if one.whole and one.work is work
+        ]
+        if len(took) > 1:
+            cuts = statistics.quantiles(took, n=100)
+            table[work.kind] = (round(cuts[49], 1), round(cuts[98], 1))
+    return table
+
+
 def run(seed: int, routers: int = ROUTERS) -> dict[str, Any]:
     """Starts a fleet, restarts its routers in turn, stops everything."""
     fleet = real_fleet.RealFleet("asahikawa", routers, WORK_DIR)
--- a/tamarackbridge/components/claims/const.py
+++ b/tamarackbridge/components/claims/const.py
@@ -58,3 +58,6 @@
 
 DOWN_WAIT_S: Final = 5.0
 """An ask is refused when it has waited this long for a store that is down."""
+
+UNSETTLED_KEEP_S: Final = 3600.0
+"""A claim without an end is kept this long beyond the retention time."""
--- a/tamarackbridge/components/claims/replica.py
+++ b/tamarackbridge/components/claims/replica.py
@@ -120,11 +120,25 @@
             written = self._archive_clocks.get(first)
             if first == self.tail.number:
                 written = self.tail.clock_s
-            if written is None or clock - written <= self._retention_s:
+            if written is None or not self._has_ended(first, clock - written):
                 break
             first += 1
         return first
 
+    def _has_ended(self, number: int, age_s: float) -> bool:
+        """Tells whether a segment is past its retention.
+
+        One with a claim whose attempt may still be running is kept longer.
+        """
+        if age_s <= self._retention_s:
+            return False
+        if age_s > self._retention_s + const.UNSETTLED_KEEP_S:
+            return True
+        return not any(
+            entry.segment == number and entry.state is _STATE.CLAIMED
+            for entry in self.entries.values()
+        )
+
     def _forget(self, first: int) -> None:
         if first <= self._first:
             return
--- a/tests/components/claims/fleet.py
+++ b/tests/components/claims/fleet.py
@@ -77,7 +77,12 @@
 class Fleet:
     """Three routers, one store, and a count of what ran and was seen."""
 
-    def __init__(self, seed: int = 1, nodes: Sequence[str] = NODES) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        nodes: Sequence[str] = NODES,
+        retention_s: float = RETENTION_S,
+    ) -> None:
         self.bus = harness.Harness(seed)
         self.store = fake_store.FakeStore(self.bus, const.STORE_NODE)
         self.bus.add_fake(const.STORE_NODE, self.store)
@@ -88,7 +93,7 @@
         self.refuse = False
         self.run_s = RUN_S
         self.end = _STATE.FINISHED
-        self.retention_s = RETENTION_S
+        self.retention_s = retention_s
         self.keepers: dict[str, keeper.Keeper] = {}
         self.clients: dict[str, client.ClaimClient] = {}
         self.lives: dict[str, int] = {}
--- a/tests/components/claims/test_replica.py
+++ b/tests/components/claims/test_replica.py
@@ -9,6 +9,7 @@
 
 _STATE = messages.ClaimState
 MAX_CLAIM_BYTES = 1024
+RETENTION_S = 100.0
 
 
 def _small_segments(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -41,15 +42,15 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     _small_segments(monkeypatch)
-    fleet = fleet_lib.Fleet()
+    fleet = fleet_lib.Fleet(retention_s=RETENTION_S)
     for n in range(40):
         fleet.pay("r1", f"k{n}")
-    fleet.pass_s(fleet_lib.RETENTION_S * 0.95)
+    fleet.pass_s(RETENTION_S * 0.95)
     kept = fleet.pay("r2", "k1")
     fleet.pass_s(5)
     assert fleet.answer(kept) == "replay"
 
-    fleet.pass_s(fleet_lib.RETENTION_S * 1.5)
+    fleet.pass_s(RETENTION_S * 1.5)
 
     assert not [key for key in fleet.store.objects if "tail" not in key]
     assert sum(kpr.claims_held for kpr in fleet.keepers.values()) == 0
@@ -58,6 +59,24 @@
     assert fleet.answer(late) == "run"
 
 
+def test_claim_of_work_that_outlasts_retention_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(const, "UNSETTLED_KEEP_S", 2 * RETENTION_S)
+    fleet = fleet_lib.Fleet(retention_s=RETENTION_S)
+    fleet.run_s = 2 * RETENTION_S
+    fleet.pay("r1", "k")
+    fleet.pass_s(RETENTION_S * 1.5)
+    during = fleet.pay("r2", "k", wait_s=1.0)
+    fleet.pass_s(RETENTION_S)
+    after = fleet.pay("r2", "k")
+    fleet.pass_s(5)
+
+    assert fleet.answer(during) == "in_progress"
+    assert fleet.answer(after) == "replay"
+    assert len(fleet.runs["k"]) == 1
+
+
 def test_too_large_outcome_is_told_as_run_and_not_kept() -> None:
     fleet = fleet_lib.Fleet()
     key = "k" * fleet_lib.MAX_OUTCOME_BYTES
