--- a/bench/fairness_network.py
+++ b/bench/fairness_network.py
@@ -4,7 +4,8 @@
 import time
 
 from bench import harness
-from tamarackbridge import const, core, messages
+from tamarackbridge import core, messages
+from tamarackbridge.components.transport import const as transport_const
 
 BOOT = 2**31 - 1
 
@@ -38,7 +39,9 @@
         queue = self._queued.setdefault(link, [])
         queue.append(env)
         if len(queue) == 1:
-            earliest = self._sent_at.get(link, float("-inf")) + const.TICK_S
+            earliest = (
+                self._sent_at.get(link, float("-inf")) + transport_const.BATCH_S
+            )
             self.at(max(self.now, earliest), lambda: self._flush(link))
 
     def _flush(self, link: tuple[str, str]) -> None:
--- a/tamarackbridge/components/dispatch/permits.py
+++ b/tamarackbridge/components/dispatch/permits.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterator
 import dataclasses
 
+from tamarackbridge import const
+from tamarackbridge.components.dispatch import messages
+
 PermitKey = tuple[int, int]
 """Epoch and number of a permit."""
 
@@ -91,6 +94,31 @@
         """Returns how many permits one workspace holds."""
         return self._workspaces.get(workspace, 0)
 
+    def unnamed(
+        self, entry: str, msg: messages.Progress, sent_at: float
+    ) -> list[Permit]:
+        """Returns permits that a progress message shows to have ended.
+
+        Those are the entry's permits that it doesn't name, that it can no
+        longer begin to use, and that it would know of.
+
+        Args:
+            entry: The router that sent the message.
+            msg: The message; it names all permits that the entry holds.
+            sent_at: Monotonic time at which it was sent, at the earliest.
+        """
+        named = {number for number, _ in msg.used}
+        up_since = sent_at - msg.up_s
+        return [
+            permit
+            for permit in self
+            if permit.entry == entry
+            and permit.epoch == msg.epoch
+            and permit.number not in named
+            and permit.granted_at + const.GRANT_USE_S < sent_at
+            and up_since < permit.granted_at
+        ]
+
     def workspaces(self) -> set[str]:
         """Returns the workspaces that hold permits."""
         return set(self._workspaces)
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -10,10 +10,10 @@
     const,
     estimates,
     exchange,
-    limits,
     messages,
     occupancy,
     permits,
+    servers,
     takeover,
     waiting,
     wire,
@@ -50,9 +50,7 @@
         self._learned = learned
         self._service = service
         self._snapshot = models.empty_snapshot()
-        self._servers: dict[str, models.BackendServer] = {}
-        self._limits: dict[str, limits.ServerLimit] = {}
-        self._occupancy: dict[str, occupancy.Occupancy] = {}
+        self._servers = servers.ServerTable(self.permits)
         self._takeover = takeover.TakeOver(
             now, service.max_request_s + fleet_const.GRANT_USE_S, epoch <= 1
         )
@@ -67,16 +65,7 @@
         """Takes a newer snapshot in force."""
         self._snapshot = snapshot
         self._service = snapshot.services.get(self._service.name, self._service)
-        servers = snapshot.shard_servers(self.shard)
-        self._servers = {
-            srv.name: srv for srv in servers if snapshot.usable(srv)
-        }
-        for server in servers:
-            if server.name in self._limits:
-                self._limits[server.name].update(server)
-            else:
-                self._limits[server.name] = limits.ServerLimit(server)
-                self._occupancy[server.name] = occupancy.Occupancy()
+        self._servers.update(snapshot, self.shard)
 
     def set_members(self, members: Iterable[str]) -> None:
         """Sets which routers may hold permits of earlier epochs."""
@@ -117,8 +106,9 @@
             if used > permit.charged:
                 self._charge(permit, used)
         if math.isfinite(age_s):
-            named = {number for number, _ in msg.used}
-            self._reconcile(src, msg, named, now - age_s)
+            sent_at = now - age_s
+            for permit in self.permits.unnamed(src, msg, sent_at):
+                self._release(permit, sent_at)
 
     def finish(self, src: str, msg: messages.Finish, now: float) -> None:
         """Settles one permit."""
@@ -127,9 +117,7 @@
             return
         self._release(permit, now)
         self._charge(permit, msg.used)
-        limit = self._limits.get(permit.server)
-        if limit is not None:
-            limit.finished(msg.outcome, permit.granted_at, now)
+        self._servers.finished(permit, msg.outcome, now)
         if msg.outcome in (messages.Outcome.OK, messages.Outcome.SLOW):
             self._learned.learn(
                 permit.workspace, permit.route, permit.hint, msg.used
@@ -144,10 +132,7 @@
         self._free_ended(now)
         self._takeover.learn_counters(msg.counters)
         for seen in msg.limits:
-            if seen.server in self._limits:
-                self._limits[seen.server].trust(
-                    seen.limit, now - seen.age_s, self._takeover.fence
-                )
+            self._servers.trust(seen, self._takeover.fence, now)
         self._takeover.reported(src, msg.up_s, now)
         out: list[core.Envelope] = []
         for ask in msg.waiting:
@@ -157,15 +142,13 @@
     def load(self, report: messages.LoadReport, now: float) -> None:
         """Takes a backend server's own report in."""
         name = report.server
-        if name not in self._limits:
+        if name not in self._servers:
             return
-        self._limits[name].reported(report, now)
-        place = self._occupancy[name]
         measured_from = now - report.lag_s
         if self._takeover.measured(name, measured_from, now):
-            place.unknown = report.in_flight
-            place.unknown_until = self._takeover.fence + self._takeover.life_s
-        place.reported(report, self.permits.count_server(name), now)
+            until = self._takeover.fence + self._takeover.life_s
+            self._servers.begin_unknown(name, report.in_flight, until)
+        self._servers.reported(report, now)
 
     # Time.
 
@@ -240,7 +223,7 @@
 
     def limits(self, now: float) -> dict[str, int]:
         """Returns how many requests each server may run now."""
-        return {name: item.allowed(now) for name, item in self._limits.items()}
+        return self._servers.allowed(now)
 
     # Inner steps.
 
@@ -253,31 +236,16 @@
             if permit.ends_at <= now:
                 self._release(permit, now)
         self._free_ended(now)
-        self._pause_doubtful(now)
+        self._servers.pause_doubtful(now)
         self.order.prune(self.permits.workspaces())
         return out
 
     def _free_ended(self, now: float) -> None:
-        vouched = self._takeover.complete(now)
-        for name, place in self._occupancy.items():
-            if vouched:
-                place.unknown = 0
-            for permit in place.ended(self.permits.on_server(name), now):
-                self._release(permit, now)
-            held = self.permits.on_server(name)
-            place.resume(place.doubtful(held, now), now)
-
-    def _pause_doubtful(self, now: float) -> None:
-        if any(place.paused for place in self._occupancy.values()):
-            return
-        for name, place in self._occupancy.items():
-            if place.doubtful(self.permits.on_server(name), now):
-                place.pause(now)
-            if place.paused:
-                return
+        for permit in self._servers.ended(self._takeover.complete(now), now):
+            self._release(permit, now)
 
     def _refusal(self, ask: messages.Ask) -> Reason | None:
-        if all(name in ask.avoid for name in self._servers):
+        if self._servers.usable() <= set(ask.avoid):
             return Reason.NO_CAPACITY
         workspace = self._snapshot.workspaces.get(ask.workspace)
         limit = workspace.max_queued if workspace else const.DEFAULT_MAX_QUEUED
@@ -312,18 +280,10 @@
         return self.permits.count_workspace(workspace) < limit
 
     def _free(self, now: float) -> dict[str, int]:
-        free: dict[str, int] = {}
         complete = self._takeover.complete(now)
-        for name in self._servers:
-            known = complete or self._takeover.known(name, now)
-            if not known or self._occupancy[name].paused:
-                continue
-            held = self.permits.count_server(name)
-            in_use = self._occupancy[name].in_use(held, now)
-            room = self._limits[name].allowed(now) - in_use
-            if room > 0:
-                free[name] = room
-        return free
+        return self._servers.free(
+            lambda name: complete or self._takeover.known(name, now), now
+        )
 
     def _fits(
         self, item: waiting.Waiting, free: dict[str, int], now: float
@@ -376,7 +336,7 @@
             use_s=min(fleet_const.GRANT_USE_S, lease_left_s),
             life_s=wire.whole_down(self._service.max_request_s),
             counter=wire.whole(self.order.counters.value(ask.workspace)),
-            limit=self._limits[server].allowed(now),
+            limit=self._servers.limit(server, now),
         )
         return core.Envelope(item.entry, grant)
 
@@ -388,24 +348,7 @@
 
     def _release(self, permit: permits.Permit, now: float) -> None:
         self.permits.pop(permit.key)
-        if permit.server in self._occupancy:
-            self._occupancy[permit.server].finished(now)
-
-    def _reconcile(
-        self,
-        src: str,
-        msg: messages.Progress,
-        named: set[int],
-        sent_at: float,
-    ) -> None:
-        up_since = sent_at - msg.up_s
-        for permit in self.permits:
-            known = permit.entry == src and permit.epoch == msg.epoch
-            if not known or permit.number in named:
-                continue
-            usable_until = permit.granted_at + fleet_const.GRANT_USE_S
-            if usable_until < sent_at and up_since < permit.granted_at:
-                self._release(permit, sent_at)
+        self._servers.released(permit, now)
 
     def _adopt(
         self, src: str, held: messages.HeldPermit, age_s: float, now: float
