--- a/tamarackbridge/components/configuration/changes.py
+++ b/tamarackbridge/components/configuration/changes.py
@@ -17,6 +17,7 @@
     const,
     json_codec,
     messages,
+    old_data,
     stored,
 )
 from tamarackbridge.components.membership import const as membership_const
@@ -83,6 +84,7 @@
         self._node = node
         self._rng = rng
         self._codec = codec or json_codec.JsonCodec()
+        self._cleaner = old_data.Cleaner()
         self._pending: dict[str, _Pending] = {}
         self._calls = 0
 
@@ -124,7 +126,7 @@
         self._calls += 1
         pending.step = step
         pending.call = self._calls
-        wait = STEP_TIMEOUT_S * 2.0 ** min(pending.failures, 2)
+        wait = STEP_TIMEOUT_S * 2.0 ** min(max(pending.failures - 1, 0), 2)
         pending.retry_at = now + wait * self._rng.uniform(1.0, 1.5)
         pending.failures += step is _Step.READ_HEAD
         call = self._call(pending, f"{TAG}{pending.call}")
@@ -151,7 +153,7 @@
         for pending in self._pending.values():
             if reply.tag == f"{TAG}{pending.call}":
                 return self._on_reply(pending, reply, now)
-        return ()
+        return self._cleaner.take(reply)
 
     def _on_reply(
         self, pending: _Pending, reply: store.StoreReply, now: float
@@ -173,6 +175,7 @@
     def _on_head(
         self, pending: _Pending, reply: store.StoreReply, now: float
     ) -> Sequence[core.Envelope]:
+        before = pending.head_version
         pending.head = stored.NO_HEAD
         pending.head_version = store.CREATE
         if reply.objects:
@@ -191,6 +194,9 @@
             return self._confirm(
                 pending, pending.head.generation, pending.head_version
             )
+        if pending.head_version != before:
+            # A write that expected the head before can't take effect now.
+            pending.maybe_written = False
         if pending.head.data_key:
             return self._start(pending, _Step.READ_DATA, now)
         return self._edit(pending, {}, now)
@@ -253,6 +259,7 @@
                 continue
             if evidence.accepted >= pending.version:
                 state = messages.ChangeState.ACCEPTED
+                out.extend(self._cleaner.clean(pending.head))
                 out.extend(self._end(pending, state, "", evidence.lagging))
             elif now >= pending.deadline:
                 state = messages.ChangeState.WRITTEN
@@ -330,8 +337,7 @@
 
 
 def _data_key(pending: _Pending) -> str:
-    name = f"{pending.generation}.{pending.ask.change_id}"
-    return const.DATA_PREFIX + name
+    return stored.data_key(pending.generation, pending.ask.change_id)
 
 
 def _next_head(pending: _Pending) -> stored.Head:
--- a/tamarackbridge/components/configuration/const.py
+++ b/tamarackbridge/components/configuration/const.py
@@ -13,6 +13,9 @@
 KEPT_CHANGES: Final = 128
 """Changes that the head remembers, to recognise and to name them."""
 
+KEPT_GENERATIONS: Final = 8
+"""Generations whose records stay in the store besides the newest."""
+
 MAX_DATA_BYTES: Final = 900_000
 """Largest stored value of one generation; the platform takes a megabyte."""
 
--- a/tamarackbridge/components/configuration/stored.py
+++ b/tamarackbridge/components/configuration/stored.py
@@ -80,6 +80,11 @@
         ...
 
 
+def data_key(generation: int, change_id: str) -> str:
+    """Returns the key of the records that a change made."""
+    return f"{const.DATA_PREFIX}{generation}.{change_id}"
+
+
 def decode_head(value: bytes) -> Head:
     """Reads a head.
 
