--- a/tamarackbridge/components/client/show.py
+++ b/tamarackbridge/components/client/show.py
@@ -72,5 +72,7 @@
 
 def fail(code: const.Exit, detail: str) -> int:
     """Prints one line on stderr and returns the exit code."""
-    print(" ".join(detail.split()), file=sys.stderr)
+    line = " ".join(detail.split())
+    shown = "".join(char if char.isprintable() else "?" for char in line)
+    print(shown, file=sys.stderr)
     return code
--- a/tamarackbridge/components/records/schema_v1.py
+++ b/tamarackbridge/components/records/schema_v1.py
@@ -21,7 +21,11 @@
 Count = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Path = Annotated[
-    str, pydantic.Field(pattern="^/[^\\s?#*]*(/\\*)?$|^/\\*$", max_length=512)
+    str,
+    pydantic.Field(
+        pattern=r'^/[!"$-)+->@-~]*(/\*)?$|^/\*$',
+        max_length=512,
+    ),
 ]
 Address = Annotated[
     str,
--- a/tests/components/client/test_http.py
+++ b/tests/components/client/test_http.py
@@ -8,7 +8,7 @@
 import pytest
 import result
 
-from tamarackbridge.components.client import const, http
+from tamarackbridge.components.client import const, http, show
 from tamarackbridge.components.operator import messages
 
 REPLY = b'{"dry_run":false,"generation":4,"changes":[]}'
@@ -80,6 +80,13 @@
     assert "\n" not in found.err_value.detail
 
 
+def test_line_of_a_failure_holds_no_control_codes(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    assert show.fail(const.Exit.REFUSED, "a\x1b[2J\nb") == const.Exit.REFUSED
+    assert capsys.readouterr().err == "a?[2J b\n"
+
+
 def test_parts_of_a_path_are_quoted() -> None:
     assert http.path("/v1/zones", "a/../b?c", "drain") == (
         "/v1/zones/a%2F..%2Fb%3Fc/drain"
--- a/tests/components/records/test_files.py
+++ b/tests/components/records/test_files.py
@@ -72,6 +72,14 @@
         SERVICE | {"routes": [ROUTE | {"path": "r"}]},
         "routes.0.path: String should match",
     ),
+    (
+        SERVICE | {"routes": [ROUTE | {"path": "/\x1b[2J"}]},
+        "routes.0.path: String should match",
+    ),
+    (
+        SERVICE | {"routes": [ROUTE | {"path": "/a*b"}]},
+        "routes.0.path: String should match",
+    ),
     (
         SERVICE | {"routes": [ROUTE | {"retry": 1}]},
         "routes.0.retry: unknown key, allowed: name, method, path",
