--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -17,7 +17,8 @@
     def __init__(self, rate: float = 10.0, seed: int = 0) -> None:
         super().__init__(base.Faults(), seed)
         self.rate = rate
-        self._tokens = rate
+        self._most = max(rate, 1.0)
+        self._tokens = self._most
         self._filled_at = time.monotonic()
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
@@ -28,7 +29,7 @@
         self.count("get")
         now = time.monotonic()
         gained = (now - self._filled_at) * self.rate
-        self._tokens = min(self.rate, self._tokens + gained)
+        self._tokens = min(self._most, self._tokens + gained)
         self._filled_at = now
         if self._tokens < 1:
             wait_s = (1 - self._tokens) / self.rate
--- a/tests/standins/test_backends.py
+++ b/tests/standins/test_backends.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from standins import backend, engine, plain_service
+from standins import backend, engine, plain_service, weight_store
 from tamarackbridge.components.backend import client as backend_client
 from tamarackbridge.components.backend import exceptions
 
@@ -171,3 +171,15 @@
         async with session.post("/control/restart") as resp:
             assert (await resp.json())["boot"] == "2"
         assert server.faults.down
+
+
+async def test_weight_store_limits_its_rate() -> None:
+    async with (
+        weight_store.WeightStore(rate=0.001) as server,
+        aiohttp.ClientSession(server.url) as session,
+    ):
+        found = []
+        for _ in range(3):
+            async with session.get("/weights/lm-1") as resp:
+                found.append(resp.status)
+    assert found == [200, 429, 429]
