Hand permits from dispatcher to dispatcher

Cause: after a planned change of holder the new dispatcher knew nothing of what runs until every member had vouched, which routers younger than the longest request can't, or a load report had been measured: dispatch stood still for a second, and lookups with a deadline of a second were late. Change: a dispatcher that knows every permit of its epoch hands them, with the counters, to the next one; a permit that its entry no longer names is released unless the entry's process is younger.

--- a/tamarackbridge/components/dispatch/dispatcher.py
+++ b/tamarackbridge/components/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """The dispatcher decider: all shards whose lease this router holds."""
 
 from collections.abc import Callable, Sequence
+import dataclasses
 import random
 from typing import ClassVar
 
@@ -16,6 +17,18 @@
 from tamarackbridge.components.records import models
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Handed:
+    """A hand-over that waits for the lease.
+
+    Attributes:
+        sent_from: Monotonic time before which it was not sent.
+    """
+
+    msg: messages.HandOver
+    sent_from: float
+
+
 class Dispatcher:
     """Decides which waiting request runs next, and where.
 
@@ -35,6 +48,7 @@
         messages.Progress,
         messages.Finish,
         messages.ResyncReport,
+        messages.HandOver,
         messages.LoadReport,
         messages.ShardTotals,
     )
@@ -53,6 +67,8 @@
         self._members: set[str] = set()
         self._fresh: dict[str, int] = {}
         self._holders: dict[str, str] = {}
+        self._parting: dict[str, shard.ShardDispatcher] = {}
+        self._handed: dict[str, _Handed] = {}
         self._learned: dict[str, estimates.CostEstimates] = {}
 
     def handle(
@@ -71,6 +87,9 @@
                 self._lose(msg)
             case messages.ShardHolder():
                 self._holders[msg.shard] = msg.holder
+                return self._hand_over(msg, now)
+            case messages.HandOver():
+                self._take_over(_Handed(msg, now - delivery.age_s), now)
             case messages.LoadReport():
                 return self._load(msg, now)
             case messages.ShardTotals():
@@ -94,6 +113,7 @@
         msg = delivery.msg
         held = self.shards.get(getattr(msg, "shard", ""))
         if held is None:
+            self._after_parting(delivery, now)
             return ()
         out: list[core.Envelope] = []
         match msg:
@@ -164,12 +184,43 @@
         held.update(self._snapshot)
         held.set_members(self._members)
         self.shards[msg.shard] = held
+        self._parting.pop(msg.shard, None)
+        if msg.shard in self._handed:
+            self._take_over(self._handed[msg.shard], now)
         return held
 
     def _lose(self, msg: messages.LeaseLost) -> None:
         held = self.shards.get(msg.shard)
         if held is not None and held.epoch <= msg.epoch:
-            del self.shards[msg.shard]
+            self._parting[msg.shard] = self.shards.pop(msg.shard)
+
+    def _after_parting(self, delivery: core.Delivery, now: float) -> None:
+        """Settles what ends between this epoch and the hand-over."""
+        msg = delivery.msg
+        if isinstance(msg, messages.Finish) and msg.shard in self._parting:
+            self._parting[msg.shard].finish(delivery.src, msg, now)
+
+    def _hand_over(
+        self, news: messages.ShardHolder, now: float
+    ) -> Sequence[core.Envelope]:
+        """Hands permits to the dispatcher of the next epoch."""
+        parting = self._parting.get(news.shard)
+        if parting is None or news.epoch <= parting.epoch or not news.holder:
+            return ()
+        del self._parting[news.shard]
+        msg = parting.hand_over(now)
+        if msg is None or msg.epoch != news.epoch:
+            return ()
+        return [core.Envelope(news.holder, msg)]
+
+    def _take_over(self, handed: "_Handed", now: float) -> None:
+        """Takes over what was handed on, now or once the lease is held."""
+        msg = handed.msg
+        self._handed[msg.shard] = handed
+        held = self.shards.get(msg.shard)
+        if held is not None and held.epoch == msg.epoch:
+            del self._handed[msg.shard]
+            held.take_over(msg, now - handed.sent_from, now)
 
     def _siblings(self, name: str) -> dict[str, str]:
         service = name.rpartition("/")[0]
--- a/tamarackbridge/components/dispatch/messages.py
+++ b/tamarackbridge/components/dispatch/messages.py
@@ -218,6 +218,45 @@
     served: tuple[WorkspaceCounter, ...]
 
 
+class HandedPermit(msgspec.Struct, frozen=True, array_like=True):
+    """One permit that is out, as a dispatcher hands it to the next.
+
+    Attributes:
+        entry: The router that holds it.
+        used: Cost charged so far.
+        life_left_s: Seconds after which its work has ended for certain.
+        granted_ago_s: Seconds since it was issued.
+        heard_ago_s: Seconds since its entry named it last.
+    """
+
+    epoch: int
+    number: int
+    request_id: str
+    workspace: str
+    server: str
+    entry: str
+    used: float
+    life_left_s: float
+    granted_ago_s: float
+    heard_ago_s: float
+
+
+class HandOver(core.Message, frozen=True, tag=True):
+    """Hands all permits of the epochs before `epoch` to its dispatcher.
+
+    Sent by the dispatcher of the epoch just before, after it stopped issuing,
+    and only if it knows every permit that is out.
+
+    Attributes:
+        epoch: The receiver's epoch.
+    """
+
+    shard: str
+    epoch: int
+    permits: tuple[HandedPermit, ...]
+    counters: tuple[WorkspaceCounter, ...]
+
+
 class LoadReport(core.Message, frozen=True, tag=True):
     """A backend server's own view of its load, which lags.
 
--- a/tamarackbridge/components/dispatch/servers.py
+++ b/tamarackbridge/components/dispatch/servers.py
@@ -85,6 +85,10 @@
         if permit.server in self._occupancy:
             self._occupancy[permit.server].finished(now)
 
+    def unknown(self, now: float) -> bool:
+        """Tells whether permits may run that no entry has reported."""
+        return any(place.in_use(0, now) for place in self._occupancy.values())
+
     def begin_unknown(self, name: str, count: int, until: float) -> None:
         """Counts permits of earlier epochs that no entry has reported."""
         self._occupancy[name].unknown = count
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -10,6 +10,7 @@
     const,
     estimates,
     exchange,
+    handover,
     messages,
     occupancy,
     permits,
@@ -129,6 +130,7 @@
         """Takes over what one entry holds."""
         for held in msg.held:
             self._adopt(src, held, age_s, now)
+        self._drop_unnamed(src, msg, age_s, now)
         self._free_ended(now)
         self._takeover.learn_counters(msg.counters)
         for seen in msg.limits:
@@ -139,6 +141,38 @@
             out.extend(self.ask(src, ask, age_s, now))
         return out
 
+    def hand_over(self, now: float) -> messages.HandOver | None:
+        """Returns all that the next dispatcher must know.
+
+        Returns:
+            The message, or None if permits may be out that are not known.
+        """
+        if not self._takeover.complete(now) or self._servers.unknown(now):
+            return None
+        counters = self.order.counters.values()
+        return handover.message(
+            self.shard, self.epoch + 1, self.permits, counters, now
+        )
+
+    def take_over(
+        self, msg: messages.HandOver, age_s: float, now: float
+    ) -> None:
+        """Takes the permits over that the dispatcher before handed on."""
+        granted_from: dict[permits.PermitKey, float] = {}
+        sent_from = now - age_s
+        latest = self._takeover.fence - occupancy.START_WINDOW_S
+        for item in msg.permits:
+            key = (item.epoch, item.number)
+            granted_from[key] = sent_from - item.granted_ago_s
+            if self.permits.get(key) is None:
+                share = self._share(item.workspace)
+                permit = handover.of_dispatcher(
+                    item, share, latest, sent_from, now
+                )
+                self.permits.add(permit)
+        self._takeover.learn_counters(msg.counters)
+        self._takeover.handed(granted_from)
+
     def load(self, report: messages.LoadReport, now: float) -> None:
         """Takes a backend server's own report in."""
         name = report.server
@@ -350,6 +384,26 @@
         self.permits.pop(permit.key)
         self._servers.released(permit, now)
 
+    def _drop_unnamed(
+        self, src: str, msg: messages.ResyncReport, age_s: float, now: float
+    ) -> None:
+        """Releases permits of earlier epochs that their entry has ended.
+
+        Nothing starts under them any more, so what the entry doesn't name has
+        ended, unless the entry's process is younger than the permit.
+        """
+        if not math.isfinite(age_s):
+            return
+        named = {(held.epoch, held.number) for held in msg.held}
+        sent_at = now - age_s
+        up_since = now - msg.up_s
+        for permit in self.permits:
+            old = permit.entry == src and permit.epoch < self.epoch
+            if not old or permit.key in named:
+                continue
+            if self._takeover.granted_after(permit.key, up_since):
+                self._release(permit, sent_at)
+
     def _adopt(
         self, src: str, held: messages.HeldPermit, age_s: float, now: float
     ) -> None:
@@ -357,23 +411,11 @@
         if known is not None:
             known.heard_at = max(known.heard_at, now - age_s)
             return
-        permit = permits.Permit(
-            epoch=held.epoch,
-            number=held.number,
-            request_id=held.request_id,
-            workspace=held.workspace,
-            end_user="",
-            route="",
-            server=held.server,
-            entry=src,
-            share=self._share(held.workspace),
-            hint=0.0,
-            charged=held.used,
-            granted_at=self._takeover.fence - occupancy.START_WINDOW_S,
-            heard_at=now - age_s,
-            ends_at=now + held.life_left_s,
+        latest = self._takeover.fence - occupancy.START_WINDOW_S
+        share = self._share(held.workspace)
+        self.permits.add(
+            handover.of_entry(src, held, share, latest, now - age_s, now)
         )
-        self.permits.add(permit)
 
     def _restore_counters(self) -> None:
         """Rebuilds the counters once, close to the virtual time."""
--- a/tamarackbridge/components/dispatch/takeover.py
+++ b/tamarackbridge/components/dispatch/takeover.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from tamarackbridge.components.dispatch import const, messages
+from tamarackbridge.components.dispatch import const, messages, permits
 
 
 class TakeOver:
@@ -26,6 +26,8 @@
         self._vouched: set[str] = set()
         self._known: set[str] = set()
         self._asked_at = float("-inf")
+        self._handed = False
+        self._granted_from: dict[permits.PermitKey, float] = {}
         self.counters: dict[str, float] = {}
 
     def set_members(self, members: Iterable[str]) -> None:
@@ -59,6 +61,19 @@
         if up_s >= now - self.fence + self.life_s:
             self._vouched.add(node)
 
+    def handed(self, granted_from: dict[permits.PermitKey, float]) -> None:
+        """Notes that the dispatcher before handed over all permits.
+
+        Args:
+            granted_from: The earliest that each can have been issued.
+        """
+        self._handed = True
+        self._granted_from.update(granted_from)
+
+    def granted_after(self, key: permits.PermitKey, moment: float) -> bool:
+        """Tells whether a handed permit was surely issued after `moment`."""
+        return self._granted_from.get(key, float("-inf")) > moment
+
     def learn_counters(
         self, counters: Iterable[messages.WorkspaceCounter]
     ) -> None:
@@ -69,7 +84,7 @@
 
     def complete(self, now: float) -> bool:
         """Tells whether nothing of an earlier epoch is unknown."""
-        if self._first or now >= self.fence + self.life_s:
+        if self._first or self._handed or now >= self.fence + self.life_s:
             return True
         return bool(self._members) and self._members <= self._vouched
 
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -25,6 +25,7 @@
     dispatch.Finish,
     dispatch.ResyncAsk,
     dispatch.ResyncReport,
+    dispatch.HandOver,
     dispatch.Move,
     dispatch.ShardTotals,
     claims.ClaimAsk,
