Measure progress reports at their present interval

Cause: entries now report every 0.4 s with smaller messages, and the slope bench still let 0.2 s pass, which gave no report at all.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,6 +12,8 @@
 import pathlib
 from typing import Any
 
+from tamarackbridge.components.dispatch import const as dispatch_const
+
 SLOPES = pathlib.Path("build/measure/slopes.json")
 PATH = pathlib.Path("build/measure/path.json")
 OUT = pathlib.Path("build/measure/capacity.json")
@@ -32,7 +34,7 @@
 HEARTBEAT_S = 0.38
 """Mean interval between heartbeats: 0.4 s with jitter down by a tenth."""
 
-PROGRESS_PER_S = 5.0
+PROGRESS_PER_S = 1 / dispatch_const.PROGRESS_S
 KEYED_PART = 0.05
 """Part of the requests that carries an idempotency key; our assumption."""
 
--- a/bench/slopes_dispatch.py
+++ b/bench/slopes_dispatch.py
@@ -6,7 +6,11 @@
 from bench import slopes_fit, slopes_fleet
 from tamarackbridge import core, messages
 from tamarackbridge.components.configuration import messages as configuration
-from tamarackbridge.components.dispatch import dispatcher, permit_client
+from tamarackbridge.components.dispatch import (
+    const,
+    dispatcher,
+    permit_client,
+)
 from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.membership import messages as membership
 from tamarackbridge.components.records import models
@@ -194,7 +198,7 @@
 
     def report(self) -> list[core.Envelope]:
         """The time of the next progress report has come."""
-        self.now += 0.2
+        self.now += const.PROGRESS_S * 1.001
         return list(self.decider.tick(self.now))
 
     def costs(self) -> dict[str, float]:
