Split the backend servers from the answers scene

Change: kinds of requests and the failing backend servers are a module of their own; no behaviour changes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     "__init__",
     "__main__",
     "answers_scene",
+    "answers_servers",
     "fake_store",
     "faults",
     "harness",
--- a/bench/answers.py
+++ b/bench/answers.py
@@ -16,7 +16,7 @@
 import tracemalloc
 from typing import Any
 
-from bench import answers_scene, rolling
+from bench import answers_scene, answers_servers, rolling
 from tamarackbridge import core
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.claims import replica, segment
@@ -143,7 +143,7 @@
         if call.status != "whole":
             continue
         right = {
-            answers_scene.whole_body(request_id, call.kind)
+            answers_servers.whole_body(request_id, call.kind)
             for request_id in call.requests
         }
         empty += call.kind.name == "order-status" and not call.body
@@ -174,7 +174,7 @@
                 ),
                 5,
             )
-            for kind in answers_scene.MIX
+            for kind in answers_servers.MIX
         },
     }
 
@@ -185,7 +185,7 @@
     end = MINUTES * 60.0
     faults = Faults(scene, end - LAST_FAULT_S)
     scene.bus.run_until(1.0)
-    for kind in answers_scene.MIX:
+    for kind in answers_servers.MIX:
         scene.arrivals(kind, end)
     scene.bus.run_until(end + LAST_FAULT_S)
     return {"seed": seed, **judge(scene), "faults": dict(faults.counts)}
@@ -196,7 +196,7 @@
     scene = answers_scene.Scene(seed, ROUTERS, 0.0)
     scene.bus.run_until(1.0)
     before = scene.store.calls.get(store.StorePut.__name__, 0)
-    kind = answers_scene.Kind("payment", rate, 0.05, 15.0, keyed=True)
+    kind = answers_servers.Kind("payment", rate, 0.05, 15.0, keyed=True)
     scene.arrivals(kind, 1.0 + PAYMENT_RUN_S)
     sizes: list[int] = []
 
--- a/bench/answers_scene.py
+++ b/bench/answers_scene.py
@@ -6,11 +6,10 @@
 
 from collections.abc import Callable, Sequence
 import dataclasses
-import json
 import random
 from typing import ClassVar
 
-from bench import fake_store, harness
+from bench import answers_servers, fake_store, harness
 from tamarackbridge import const, core
 from tamarackbridge.components.claims import client, keeper
 from tamarackbridge.components.claims import messages as claims
@@ -29,40 +28,11 @@
 SEEN_S = 2.5
 """Time after which the fleet notices that a router has gone."""
 
-TOKENS = 24
 CALLER_RETRIES = 3
 _END = attempts.End
 _STATE = claims.ClaimState
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
-    """One kind of request of the mix.
-
-    Attributes:
-        rate: Requests a second in the whole fleet.
-        work_s: Mean time on a backend server.
-        deadline_s: Time within which it must be whole.
-        keyed: Whether it is non-idempotent.
-    """
-
-    name: str
-    rate: float
-    work_s: float
-    deadline_s: float
-    stream: bool = False
-    keyed: bool = False
-
-
-MIX = (
-    Kind("order-file", 0.5, 3.0, 60.0, stream=True),
-    Kind("wording-check", 3.0, 0.02, 1.0),
-    Kind("press-check", 2.0, 0.02, 1.0),
-    Kind("order-status", 3.0, 0.02, 2.0),
-    Kind("payment", 1.5, 0.05, 15.0, keyed=True),
-)
-
-
 @dataclasses.dataclass(slots=True)
 class Call:
     """What one caller wants, over all its retries.
@@ -78,7 +48,7 @@
     """
 
     name: str
-    kind: Kind
+    kind: answers_servers.Kind
     begun: float
     status: str = ""
     ended: float = 0.0
@@ -108,101 +78,6 @@
     start_by: float = float("inf")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """What a backend server sends for one attempt."""
-
-    end: attempts.End | None
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-def whole_body(request_id: str, kind: Kind) -> bytes:
-    """Returns the one right answer to a request."""
-    if not kind.stream:
-        return json.dumps({"of": request_id}).encode()
-    events = [
-        f'data: {{"id": "{request_id}", "index": {n}}}\n\n'.encode()
-        for n in range(TOKENS)
-    ]
-    return b"".join(events) + b"data: [DONE]\n\n"
-
-
-class Servers:
-    """Backend servers that fail in every way at random.
-
-    Attributes:
-        runs: How often work was started, by idempotency key, or by request
-            where there is none.
-    """
-
-    def __init__(self, rng: random.Random, fault: float) -> None:
-        self.runs: dict[str, int] = {}
-        self._rng = rng
-        self._fault = fault
-
-    def answer(self, req: Request) -> tuple[float, Answer]:
-        """Runs one attempt; returns when it answers, and what."""
-        kind, rid = req.call.kind, req.request_id
-        took_s = kind.work_s * self._rng.uniform(0.5, 1.5)
-        own = {entry_const.HEADER_REQUEST_ID: rid}
-        fault = "none"
-        if self._rng.random() < self._fault:
-            fault = self._rng.choice(_FAULTS)
-        if fault == "not_sent":
-            return 0.01, Answer(_END.NOT_SENT, 0, {}, b"")
-        if fault == "not_started":
-            proof = {**own, entry_const.HEADER_NOT_STARTED: "true"}
-            return 0.01, Answer(None, 503, proof, b"")
-        if not req.check.offset:
-            work = req.call.name if kind.keyed else rid
-            self.runs[work] = self.runs.get(work, 0) + 1
-        body = self._body(req, fault)
-        if fault == "late":
-            took_s += kind.deadline_s * 2
-        if fault == "failed":
-            return took_s, Answer(None, 500, own, b"")
-        if fault == "dies":
-            return took_s, Answer(_END.TRUNCATED, 0, {}, b"")
-        if fault == "crossed":
-            other = {entry_const.HEADER_REQUEST_ID: "another"}
-            return took_s, Answer(None, 200, other, whole_body("another", kind))
-        headers = {**own, "Content-Length": str(len(body))}
-        if fault == "truncated":
-            body = body[: self._rng.randrange(len(body))]
-        if fault == "empty" and not kind.stream:
-            return took_s, Answer(None, 200, own, b"")
-        return took_s, Answer(None, 200, headers, body)
-
-    def _body(self, req: Request, fault: str) -> bytes:
-        body = whole_body(req.request_id, req.call.kind)
-        if not req.call.kind.stream:
-            return body
-        start = req.check.offset if self._rng.random() < 0.5 else 0
-        events = body.split(b"\n\n")[start:]
-        if fault == "crossed_event":
-            events.insert(len(events) // 2, b'data: {"id": "x", "index": 0}')
-        if fault == "skipped" and len(events) > 3:
-            del events[len(events) // 2]
-        return b"\n\n".join(events)
-
-
-_FAULTS = (
-    "not_sent",
-    "not_started",
-    "failed",
-    "dies",
-    "crossed",
-    "crossed_event",
-    "skipped",
-    "truncated",
-    "truncated",
-    "empty",
-    "late",
-)
-
-
 class Entry:
     """The entry of one router, with virtual input and output."""
 
@@ -251,7 +126,9 @@
         want = claims.ClaimWant(req.request_id, req.call.name, "body", wait_s)
         self._scene.bus.inject(self.node, want)
 
-    def ended(self, req: Request, server: str, answer: Answer) -> None:
+    def ended(
+        self, req: Request, server: str, answer: answers_servers.Answer
+    ) -> None:
         """Takes the end of an attempt."""
         now = self._scene.bus.now
         if self.requests.get(req.request_id) is not req:
@@ -275,7 +152,9 @@
         now = self._scene.bus.now
         self._finish(req, told.reason.value, now, told.not_run)
 
-    def _end_of(self, req: Request, answer: Answer) -> attempts.End:
+    def _end_of(
+        self, req: Request, answer: answers_servers.Answer
+    ) -> attempts.End:
         if answer.end is not None:
             return answer.end
         rid, kind = req.request_id, req.call.kind
@@ -327,7 +206,7 @@
         self.store = fake_store.FakeStore(self.bus, const.STORE_NODE)
         self.store.slow_s = STORE_S
         self.bus.add_fake(const.STORE_NODE, self.store)
-        self.servers = Servers(random.Random(seed + 1), fault)
+        self.servers = answers_servers.Servers(random.Random(seed + 1), fault)
         self.nodes = [f"r{n}" for n in range(1, routers + 1)]
         self.entries: dict[str, Entry] = {}
         self.keepers: dict[str, keeper.Keeper] = {}
@@ -383,7 +262,7 @@
 
         self.bus.at(self.bus.now + SEEN_S, notice)
 
-    def arrivals(self, kind: Kind, end: float) -> None:
+    def arrivals(self, kind: answers_servers.Kind, end: float) -> None:
         """Has callers arrive at random until virtual time `end`."""
 
         def arrive() -> None:
@@ -426,9 +305,14 @@
             req.entry.refuse(req, req.tried.give_up(reason, part))
             return
         left_s = req.deadline - now
-        took_s, answer = self.servers.answer(req)
+        took_s, answer = self.servers.answer(
+            req.call.kind, req.call.name, req.request_id, req.check.offset
+        )
         if took_s > left_s:
-            took_s, answer = left_s, Answer(_END.TIMED_OUT, 0, {}, b"")
+            took_s, answer = (
+                left_s,
+                answers_servers.Answer(_END.TIMED_OUT, 0, {}, b""),
+            )
         self.bus.at(
             now + took_s,
             lambda: self._when_running(
