--- a/bench/fairness_scene.py
+++ b/bench/fairness_scene.py
@@ -134,13 +134,9 @@
         self.bus.start(core.DeciderGroup(node, deciders))
         records = self._records_of(node)
         self.bus.inject(node, configuration.SnapshotInForce(records))
-        members = tuple(
-            membership.Member(name, "", "", 1)
-            for name in fairness_records.NODES
-        )
-        roster = membership.RosterChanged(
-            members, tuple(fairness_records.NODES)
-        )
+        nodes = fairness_records.NODES if self.policy.shared else [node]
+        members = tuple(membership.Member(name, "", "", 1) for name in nodes)
+        roster = membership.RosterChanged(members, tuple(nodes))
         self.bus.inject(node, roster)
         if not self.policy.shared:
             self._hold_alone(node)
--- a/tamarackbridge/components/dispatch/dispatcher.py
+++ b/tamarackbridge/components/dispatch/dispatcher.py
@@ -102,7 +102,7 @@
             case messages.Withdraw():
                 held.withdraw(msg.request_id)
             case messages.Progress():
-                held.progress(delivery.src, msg, delivery.age_s, now)
+                out = held.progress(delivery.src, msg, delivery.age_s, now)
             case messages.Finish():
                 held.finish(delivery.src, msg, now)
             case messages.ResyncReport() if msg.epoch == held.epoch:
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -95,8 +95,12 @@
 
     def progress(
         self, src: str, msg: messages.Progress, age_s: float, now: float
-    ) -> None:
-        """Charges what running permits have used so far."""
+    ) -> list[core.Envelope]:
+        """Charges what running permits have used so far.
+
+        An entry that was silent may have lost asks; it is asked for all.
+        """
+        silent = now - self._heard.get(src, now) > const.SILENCE_S
         self._heard[src] = now
         for number, used in msg.used:
             permit = self.permits.get((msg.epoch, number))
@@ -109,6 +113,9 @@
             sent_at = now - age_s
             for permit in self.permits.unnamed(src, msg, sent_at):
                 self._release(permit, sent_at)
+        if not silent:
+            return []
+        return [core.Envelope(src, messages.ResyncAsk(self.shard, self.epoch))]
 
     def finish(self, src: str, msg: messages.Finish, now: float) -> None:
         """Settles one permit."""
@@ -131,7 +138,7 @@
             self._adopt(src, held, age_s, now)
         self._free_ended(now)
         self._takeover.learn_counters(msg.counters)
-        for seen in msg.limits:
+        for seen in msg.limits if self._counters_due else ():
             self._servers.trust(seen, self._takeover.fence, now)
         self._takeover.reported(src, msg.up_s, now)
         out: list[core.Envelope] = []
--- a/tests/components/dispatch/test_faults.py
+++ b/tests/components/dispatch/test_faults.py
@@ -189,6 +189,21 @@
     assert [len(item.runs) for item in fleet.servers.values()] == [2, 2]
 
 
+def test_asks_lost_in_a_partition_are_found_after_it() -> None:
+    fleet = _fleet(checks_fencing=False)
+    fleet.want("r1", "before", "a", cost=2000.0)
+    fleet.run(1.0)
+    fleet.bus.faults.isolate(["r1"], ["r0", "r2"])
+    fleet.run(1.0)
+    fleet.want("r1", "lost", "a")
+    fleet.run(7.0)
+    fleet.bus.faults.heal()
+
+    fleet.run(1.5)
+
+    assert "lost" in fleet.granted
+
+
 def test_entry_that_restarted_empty_does_not_free_what_it_held() -> None:
     fleet = _fleet(checks_fencing=False)
     fleet.flow("r1", "a", 8, 2000.0)
