Let chaos mute routers, and test that it sees a missing fence

Change: a fault in which a router hears all others and none hears it.

Conclusion: the run finds a broken fence.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -19,6 +19,7 @@
 KINDS = (
     "cut_both",
     "cut_one_way",
+    "mute",
     "split",
     "kill",
     "restart",
@@ -145,6 +146,12 @@
         a, b = rng.sample([*self.nodes, const.STORE_NODE], 2)
         return self._cut({(a, b)})
 
+    def _mute(self, rng: random.Random) -> Undo:
+        """Lets a router hear all others while none hears it."""
+        node = rng.choice(self.nodes)
+        others = [other for other in self.nodes if other != node]
+        return self._cut({(node, other) for other in others})
+
     def _split(self, rng: random.Random) -> Undo:
         inside = rng.sample(self.nodes, rng.randint(1, ROUTERS // 2))
         outside = [node for node in self.nodes if node not in inside]
--- /dev/null
+++ b/tests/bench/test_chaos.py
@@ -0,0 +1,41 @@
+"""Tests of the chaos run: breaks that were mended, and that it sees breaks."""
+
+from unittest import mock
+
+from bench import chaos, faults
+from tamarackbridge.components.membership import lease_state
+
+PAUSED_IN_A_RACE = (
+    faults.Fault(20.435532452537064, "pause", 10.148955546713404, 761068977),
+    faults.Fault(23.370588131863073, "race", 7.49385159312218, 1021419669),
+)
+"""After the pause a router started work under an old configuration."""
+
+PAUSED_HOLDER = (
+    faults.Fault(30.82299667216768, "zone_out", 17.90557943847339, 53246119),
+    faults.Fault(36.80556374016114, "pause", 0.9929788510947941, 677129422),
+)
+"""Two routers hold one shard when a take-over doesn't wait."""
+
+MUTES = tuple(
+    faults.Fault(at, "mute", 6.0, pick)
+    for at, pick in ((15.0, 1), (22.0, 2), (29.0, 3), (36.0, 4))
+)
+
+
+def test_router_that_was_paused_in_a_race_starts_nothing_old() -> None:
+    assert chaos.run_faults(9, PAUSED_IN_A_RACE).violations == ()
+
+
+def test_mute_routers_break_nothing() -> None:
+    found = chaos.run_faults(1, MUTES)
+
+    assert found.violations == ()
+    assert min(found.checks[name] for name in ("holder", "start")) > 100
+
+
+def test_a_missing_fence_is_seen() -> None:
+    with mock.patch.object(lease_state, "DRIFT_FACTOR", -3.0):
+        found = chaos.run_faults(7, PAUSED_HOLDER)
+
+    assert "held by" in found.violations[0]
