Leave load from before a take-over out of the excess

Cause: a load report that was measured before a dispatcher's take-over counts work whose end it never saw; since excess is left room for 3 s, a fresh dispatcher held back half of each server. Change: excess is noted only from measurements after the moment since which every end is known.

--- a/tamarackbridge/components/dispatch/occupancy.py
+++ b/tamarackbridge/components/dispatch/occupancy.py
@@ -64,15 +64,28 @@
         return held + self.unknown + excess
 
     def reported(
-        self, report: messages.LoadReport, held: int, now: float
+        self,
+        report: messages.LoadReport,
+        held: int,
+        known_since: float,
+        now: float,
     ) -> None:
-        """Takes the server's own report in, with `held` permits out."""
+        """Takes the server's own report in.
+
+        Args:
+            report: What the server measured.
+            held: Permits that are out.
+            known_since: Time since which every end of a permit was noted. A
+                measurement from before may count work that has ended.
+            now: Monotonic time in seconds.
+        """
         measured_from = now - report.lag_s
         while self._finishes and self._finishes[0] < measured_from:
             self._finishes.popleft()
         explained = held + self.unknown + len(self._finishes)
         excess = max(report.in_flight - explained, 0)
-        self._excesses.append((now, excess))
+        if measured_from >= known_since:
+            self._excesses.append((now, excess))
         if self._report is None or now >= self._report.until + SETTLE_S:
             self._report = _Measured(report.in_flight, measured_from, now)
 
--- a/tamarackbridge/components/dispatch/servers.py
+++ b/tamarackbridge/components/dispatch/servers.py
@@ -94,11 +94,14 @@
         self._occupancy[name].unknown = count
         self._occupancy[name].unknown_until = until
 
-    def reported(self, report: messages.LoadReport, now: float) -> None:
+    def reported(
+        self, report: messages.LoadReport, known_since: float, now: float
+    ) -> None:
         """Takes a server's own report in."""
         self._limits[report.server].reported(report, now)
         held = self._permits.count_server(report.server)
-        self._occupancy[report.server].reported(report, held, now)
+        place = self._occupancy[report.server]
+        place.reported(report, held, known_since, now)
 
     def ended(self, vouched: bool, now: float) -> list[permits.Permit]:
         """Returns permits that reports show to have ended unseen.
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -189,7 +189,7 @@
         if self._takeover.measured(name, measured_from, now):
             until = self._takeover.fence + self._takeover.life_s
             self._servers.begin_unknown(name, report.in_flight, until)
-        self._servers.reported(report, now)
+        self._servers.reported(report, self._takeover.fence, now)
 
     # Time.
 
--- a/tests/components/dispatch/test_handover.py
+++ b/tests/components/dispatch/test_handover.py
@@ -123,3 +123,16 @@
     old.tell(messages.LeaseLost(builders.SHARD, 2), 2.0)
     news = messages.ShardHolder(builders.SHARD, 3, "r1")
     assert old.tell(news, 2.0) == []
+
+
+def test_load_from_before_the_hand_over_blocks_nothing() -> None:
+    old, new = _node("r0"), _node("r1")
+    old.tell(_lease(1), 1.0)
+    handed = _handed(old, 2, 5.0)
+    assert handed is not None
+    new.tell(_lease(2), 5.0)
+    new.tell(handed, 5.0, "r0")
+
+    new.tell(messages.LoadReport("s0", 1, False, 0.4, "boot"), 5.1, "r1")
+
+    assert _granted(new.tell(_ask("q1"), 5.2)) == ["q1"]
