Ask again soon after a late grant; wait for a peer's return

Cause: after a router's restart the others' links to it were in back-off, a grant that waited for the link was too old on arrival, was given back, and its request was not asked for again before 5 s had passed; a batch taken by a failing call was lost. Change: a late grant's request is asked again after 0.1 s; calls wait for the connection, which gRPC retries every 0.1 to 0.5 s.

--- a/tamarackbridge/components/dispatch/admission.py
+++ b/tamarackbridge/components/dispatch/admission.py
@@ -94,6 +94,10 @@
         self._requests[request_id] = moved
         return moved
 
+    def ask_again(self, request_id: str, at: float) -> None:
+        """Lets a request's ask be sent again at a monotonic time."""
+        heapq.heappush(self._retries, (at, const.ASK_RETRY_S, request_id))
+
     def unanswered(self, now: float) -> list[Request]:
         """Returns the requests whose ask must be sent again.
 
--- a/tamarackbridge/components/dispatch/const.py
+++ b/tamarackbridge/components/dispatch/const.py
@@ -23,6 +23,9 @@
 MAX_ASK_RETRY_S: Final = 40.0
 """Longest interval between two sendings of an unanswered ask."""
 
+LATE_PAUSE_S: Final = 0.1
+"""How long after a grant that came too late its request is asked again."""
+
 FULL_PAUSE_S: Final = 0.2
 """How long an entry refuses by itself after `queue_full`, per workspace."""
 
--- a/tamarackbridge/components/dispatch/permit_client.py
+++ b/tamarackbridge/components/dispatch/permit_client.py
@@ -173,7 +173,10 @@
         use_s = min(use_s, self._evidence_until - now)
         request = self._waiting.get(grant.request_id)
         wanted = request is not None and request.shard == grant.shard
-        if request is None or not wanted or use_s <= 0:
+        if request is None or not wanted:
+            return [core.Envelope(src, self._holdings.unused(grant))]
+        if use_s <= 0:
+            self._waiting.ask_again(grant.request_id, now + const.LATE_PAUSE_S)
             return [core.Envelope(src, self._holdings.unused(grant))]
         self._waiting.pop(grant.request_id)
         self._holdings.add(grant, request.want, now)
--- a/tamarackbridge/components/transport/const.py
+++ b/tamarackbridge/components/transport/const.py
@@ -11,6 +11,8 @@
 MAX_QUEUED_MESSAGES: Final = 20_000
 """Messages that wait for one peer; the oldest are dropped beyond it."""
 
+RECONNECT_MIN_MS: Final = 100
+RECONNECT_MAX_MS: Final = 500
 RECONNECT_MIN_S: Final = 0.1
 RECONNECT_MAX_S: Final = 2.0
 
--- a/tamarackbridge/components/transport/link.py
+++ b/tamarackbridge/components/transport/link.py
@@ -78,7 +78,7 @@
         channel = self._open_channel()
         try:
             call = channel.stream_unary(const.METHOD)
-            await call(self._async_batches())
+            await call(self._async_batches(), wait_for_ready=True)
         finally:
             await channel.close()
 
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -13,6 +13,9 @@
 from tamarackbridge.components.transport import age, const, link
 
 _CHANNEL_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", const.RECONNECT_MIN_MS),
+    ("grpc.min_reconnect_backoff_ms", const.RECONNECT_MIN_MS),
+    ("grpc.max_reconnect_backoff_ms", const.RECONNECT_MAX_MS),
     ("grpc.max_receive_message_length", messages.MAX_BATCH_BYTES),
     ("grpc.keepalive_time_ms", const.KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", const.KEEPALIVE_TIMEOUT_MS),
