Notice vanished servers, bound plain answers, index permits by entry

Cause: a VM that vanishes sends no reset, so a request to it waited for its whole deadline and a stream for its permit's life; plain answers were held without a bound; a progress report went through all permits of the shard.

--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from tamarackbridge import core
-from tamarackbridge.components.backend import exceptions
+from tamarackbridge.components.backend import exceptions, sockets
 from tamarackbridge.helpers import send_once
 
 CONNECT_TIMEOUT_S = 1.0
@@ -26,7 +26,9 @@
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=30, socket_factory=sockets.open_tcp
+            ),
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/tamarackbridge/components/dispatch/permits.py
+++ b/tamarackbridge/components/dispatch/permits.py
@@ -45,12 +45,13 @@
 
 
 class PermitTable:
-    """Permits by key, request, backend server and workspace."""
+    """Permits by key, request, backend server, entry and workspace."""
 
     def __init__(self) -> None:
         self._permits: dict[PermitKey, Permit] = {}
         self._requests: dict[str, PermitKey] = {}
         self._servers: dict[str, dict[PermitKey, Permit]] = {}
+        self._entries: dict[str, dict[PermitKey, Permit]] = {}
         self._workspaces: dict[str, int] = {}
 
     def add(self, permit: Permit) -> None:
@@ -58,6 +59,7 @@
         self._permits[permit.key] = permit
         self._requests[permit.request_id] = permit.key
         self._servers.setdefault(permit.server, {})[permit.key] = permit
+        self._entries.setdefault(permit.entry, {})[permit.key] = permit
         count = self._workspaces.get(permit.workspace, 0)
         self._workspaces[permit.workspace] = count + 1
 
@@ -69,6 +71,9 @@
         if self._requests.get(permit.request_id) == key:
             del self._requests[permit.request_id]
         del self._servers[permit.server][key]
+        del self._entries[permit.entry][key]
+        if not self._entries[permit.entry]:
+            del self._entries[permit.entry]
         self._workspaces[permit.workspace] -= 1
         if not self._workspaces[permit.workspace]:
             del self._workspaces[permit.workspace]
@@ -94,6 +99,10 @@
         """Returns how many permits one workspace holds."""
         return self._workspaces.get(workspace, 0)
 
+    def of_entry(self, entry: str) -> list[Permit]:
+        """Returns the permits that one entry holds."""
+        return list(self._entries.get(entry, {}).values())
+
     def unnamed(
         self, entry: str, msg: messages.Progress, sent_at: float
     ) -> list[Permit]:
@@ -111,9 +120,8 @@
         up_since = sent_at - msg.up_s
         return [
             permit
-            for permit in self
-            if permit.entry == entry
-            and permit.epoch == msg.epoch
+            for permit in self.of_entry(entry)
+            if permit.epoch == msg.epoch
             and permit.number not in named
             and permit.granted_at + const.GRANT_USE_S < sent_at
             and up_since < permit.granted_at
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -404,9 +404,8 @@
         named = {(held.epoch, held.number) for held in msg.held}
         sent_at = now - age_s
         up_since = now - msg.up_s
-        for permit in self.permits:
-            old = permit.entry == src and permit.epoch < self.epoch
-            if not old or permit.key in named:
+        for permit in self.permits.of_entry(src):
+            if permit.epoch == self.epoch or permit.key in named:
                 continue
             if self._takeover.granted_after(permit.key, up_since):
                 self._release(permit, sent_at)
--- a/tamarackbridge/components/entry/const.py
+++ b/tamarackbridge/components/entry/const.py
@@ -13,6 +13,9 @@
 
 PROBLEM_CONTENT_TYPE: Final = "application/problem+json"
 
+MAX_PLAIN_BYTES: Final = 16 * 1024 * 1024
+"""Largest answer that is no stream, as it is held whole."""
+
 USED_REPORT_S: Final = 0.2
 """Interval at which the cost of a running stream is reported."""
 
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -144,7 +144,7 @@
                 timer.reschedule(now + job.permit.life_s)
                 await self._async_stream(job, attempt, resp)
             else:
-                attempt.body = await resp.read()
+                attempt.body = await _async_body(resp)
                 attempt.end = whole_answer.body_end(
                     attempt.body, resp.headers, request.route.empty_is_failure
                 )
@@ -175,6 +175,22 @@
             attempt.end = _END.CROSSED
 
 
+async def _async_body(resp: aiohttp.ClientResponse) -> bytes:
+    """Returns a whole body.
+
+    Raises:
+        BackendError: It is larger than `const.MAX_PLAIN_BYTES`.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in resp.content.iter_any():
+        size += len(chunk)
+        if size > const.MAX_PLAIN_BYTES:
+            raise exceptions.BackendError("the answer is too large")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _headers(job: Job) -> dict[str, str]:
     headers = dict(job.request.headers)
     if context := job.span.headers():
--- a/tests/components/entry/test_service.py
+++ b/tests/components/entry/test_service.py
@@ -10,6 +10,7 @@
 
 from standins import backend, engine, plain_service
 from tamarackbridge.components.claims import messages as claims
+from tamarackbridge.components.entry import const
 from tamarackbridge.components.records import models
 from tests.components.entry import rig as rig_lib
 
@@ -192,3 +193,14 @@
     async with asyncio.timeout(10):
         while not is_so():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
+
+
+async def test_answer_beyond_the_largest_size_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(const, "MAX_PLAIN_BYTES", 4)
+    async with rig_lib.Rig([_plain(), _plain()], LOOKUP) as rig:
+        reply = await rig.async_ask()
+
+    assert reply.status == 502
+    assert reply.problem["reason"] == const.Reason.BACKEND_FAILED.value
