--- a/bench/demo.py
+++ b/bench/demo.py
@@ -212,7 +212,9 @@
     say(fleet.apply_records().strip().splitlines()[-1])
     await fleet.async_wait("/readyz")
     await async_holders(fleet)
-    say(f"{ROUTERS} routers are ready, each shard has its dispatcher")
+    say(
+        f"{len(fleet.callers)} routers are ready, each shard has its dispatcher"
+    )
     load = real_load.Load(fleet, seed)
     sampler = Sampler(fleet)
     control = await async_control(fleet)
@@ -231,7 +233,7 @@
         if isinstance(end, Exception):
             raise end
     sent = await async_control(fleet) - control
-    return report(fleet, load, sampler, sent / took / ROUTERS)
+    return report(fleet, load, sampler, sent / took / len(fleet.callers))
 
 
 def report(
@@ -282,13 +284,16 @@
     parser = argparse.ArgumentParser(prog="script/demo", description=__doc__)
     parser.add_argument("--deployment", choices=sorted(ZONE), default="mela")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--routers", type=int, default=ROUTERS)
     args = parser.parse_args(argv)
-    fleet = real_fleet.RealFleet(args.deployment, ROUTERS, WORK_DIR)
+    fleet = real_fleet.RealFleet(args.deployment, args.routers, WORK_DIR)
     code = 1
     try:
         fleet.start_stand_ins()
         fleet.start_routers()
-        say(f"started {len(fleet.servers) + 2} stand-ins, {ROUTERS} routers")
+        say(
+            f"started {len(fleet.servers) + 2} stand-ins, {args.routers} routers"
+        )
         code = asyncio.run(async_demo(fleet, args.seed))
     finally:
         codes = fleet.stop()
--- a/standins/base.py
+++ b/standins/base.py
@@ -61,7 +61,7 @@
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Adds the routes of this kind of stand-in."""
-        raise NotImplementedError
+        ...
 
     def state(self) -> dict[str, Any]:
         """Returns what `/control` tells besides faults and counts."""
--- a/tamarackbridge/components/dispatch/handover.py
+++ b/tamarackbridge/components/dispatch/handover.py
@@ -1,8 +1,14 @@
 """Permits on their way from one dispatcher of a shard to the next."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+import math
 
-from tamarackbridge.components.dispatch import messages, permits
+from tamarackbridge.components.dispatch import (
+    messages,
+    occupancy,
+    permits,
+    takeover,
+)
 
 
 def message(
@@ -35,62 +41,82 @@
     return messages.HandOver(shard, epoch, handed, known)
 
 
-def of_dispatcher(
-    item: messages.HandedPermit,
-    share: float,
-    granted_at: float,
-    sent_from: float,
-    now: float,
-) -> permits.Permit:
-    """Returns a permit that the dispatcher before handed on.
+class Inheritance:
+    """Takes over the permits of earlier epochs."""
 
-    Args:
-        item: What it told.
-        share: The workspace's share now.
-        granted_at: The latest that it can have been issued.
-        sent_from: The earliest that the message can have been sent.
-        now: Monotonic time in seconds.
-    """
-    return permits.Permit(
-        epoch=item.epoch,
-        number=item.number,
-        request_id=item.request_id,
-        workspace=item.workspace,
-        end_user="",
-        route="",
-        server=item.server,
-        entry=item.entry,
-        share=share,
-        hint=0.0,
-        charged=item.used,
-        granted_at=granted_at,
-        heard_at=sent_from - item.heard_ago_s,
-        ends_at=now + item.life_left_s,
-    )
+    def __init__(
+        self,
+        table: permits.PermitTable,
+        progress: takeover.TakeOver,
+        share: Callable[[str], float],
+    ) -> None:
+        self._permits = table
+        self._takeover = progress
+        self._share = share
 
+    def take_over(
+        self, msg: messages.HandOver, age_s: float, now: float
+    ) -> None:
+        """Takes over what the dispatcher before handed on."""
+        granted_from: dict[permits.PermitKey, float] = {}
+        sent_from = now - age_s
+        for item in msg.permits:
+            key = (item.epoch, item.number)
+            granted_from[key] = sent_from - item.granted_ago_s
+            heard_at = sent_from - item.heard_ago_s
+            self._adopt(item, item.entry, heard_at, now)
+        self._takeover.learn_counters(msg.counters)
+        self._takeover.handed(granted_from)
 
-def of_entry(
-    src: str,
-    item: messages.HeldPermit,
-    share: float,
-    granted_at: float,
-    sent_from: float,
-    now: float,
-) -> permits.Permit:
-    """Returns a permit that its entry named; arguments as above."""
-    return permits.Permit(
-        epoch=item.epoch,
-        number=item.number,
-        request_id=item.request_id,
-        workspace=item.workspace,
-        end_user="",
-        route="",
-        server=item.server,
-        entry=src,
-        share=share,
-        hint=0.0,
-        charged=item.used,
-        granted_at=granted_at,
-        heard_at=sent_from,
-        ends_at=now + item.life_left_s,
-    )
+    def resync(
+        self, src: str, msg: messages.ResyncReport, age_s: float, now: float
+    ) -> list[permits.Permit]:
+        """Takes over what an entry holds.
+
+        Returns:
+            Handed permits that the entry has ended. Nothing starts under them
+            any more, so those are the ones that it doesn't name, unless its
+            process is younger than the permit.
+        """
+        for held in msg.held:
+            self._adopt(held, src, now - age_s, now)
+        if not math.isfinite(age_s):
+            return []
+        named = {(held.epoch, held.number) for held in msg.held}
+        up_since = now - msg.up_s
+        return [
+            permit
+            for permit in self._permits.of_entry(src)
+            if permit.epoch < msg.epoch
+            and permit.key not in named
+            and self._takeover.granted_after(permit.key, up_since)
+        ]
+
+    def _adopt(
+        self,
+        item: messages.HeldPermit | messages.HandedPermit,
+        entry: str,
+        heard_at: float,
+        now: float,
+    ) -> None:
+        known = self._permits.get((item.epoch, item.number))
+        if known is not None:
+            known.heard_at = max(known.heard_at, heard_at)
+            return
+        permit = permits.Permit(
+            epoch=item.epoch,
+            number=item.number,
+            request_id=item.request_id,
+            workspace=item.workspace,
+            end_user="",
+            route="",
+            server=item.server,
+            entry=entry,
+            share=self._share(item.workspace),
+            hint=0.0,
+            charged=item.used,
+            granted_at=self._takeover.fence - occupancy.START_WINDOW_S,
+            heard_at=heard_at,
+            ends_at=now + item.life_left_s,
+        )
+        self._permits.add(permit)
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -12,7 +12,6 @@
     exchange,
     handover,
     messages,
-    occupancy,
     permits,
     servers,
     takeover,
@@ -55,6 +54,9 @@
         self._takeover = takeover.TakeOver(
             now, service.max_request_s + fleet_const.GRANT_USE_S, epoch <= 1
         )
+        self._inheritance = handover.Inheritance(
+            self.permits, self._takeover, self._share
+        )
         self._heard: dict[str, float] = {}
         self._number = 0
         self._swept_at = now
@@ -135,9 +137,8 @@
         self, src: str, msg: messages.ResyncReport, age_s: float, now: float
     ) -> list[core.Envelope]:
         """Takes over what one entry holds."""
-        for held in msg.held:
-            self._adopt(src, held, age_s, now)
-        self._drop_unnamed(src, msg, age_s, now)
+        for permit in self._inheritance.resync(src, msg, age_s, now):
+            self._release(permit, now - age_s)
         self._free_ended(now)
         self._takeover.learn_counters(msg.counters)
         for seen in msg.limits if self._counters_due else ():
@@ -165,20 +166,7 @@
         self, msg: messages.HandOver, age_s: float, now: float
     ) -> None:
         """Takes the permits over that the dispatcher before handed on."""
-        granted_from: dict[permits.PermitKey, float] = {}
-        sent_from = now - age_s
-        latest = self._takeover.fence - occupancy.START_WINDOW_S
-        for item in msg.permits:
-            key = (item.epoch, item.number)
-            granted_from[key] = sent_from - item.granted_ago_s
-            if self.permits.get(key) is None:
-                share = self._share(item.workspace)
-                permit = handover.of_dispatcher(
-                    item, share, latest, sent_from, now
-                )
-                self.permits.add(permit)
-        self._takeover.learn_counters(msg.counters)
-        self._takeover.handed(granted_from)
+        self._inheritance.take_over(msg, age_s, now)
 
     def load(self, report: messages.LoadReport, now: float) -> None:
         """Takes a backend server's own report in."""
@@ -391,38 +379,6 @@
         self.permits.pop(permit.key)
         self._servers.released(permit, now)
 
-    def _drop_unnamed(
-        self, src: str, msg: messages.ResyncReport, age_s: float, now: float
-    ) -> None:
-        """Releases permits of earlier epochs that their entry has ended.
-
-        Nothing starts under them any more, so what the entry doesn't name has
-        ended, unless the entry's process is younger than the permit.
-        """
-        if not math.isfinite(age_s):
-            return
-        named = {(held.epoch, held.number) for held in msg.held}
-        sent_at = now - age_s
-        up_since = now - msg.up_s
-        for permit in self.permits.of_entry(src):
-            if permit.epoch == self.epoch or permit.key in named:
-                continue
-            if self._takeover.granted_after(permit.key, up_since):
-                self._release(permit, sent_at)
-
-    def _adopt(
-        self, src: str, held: messages.HeldPermit, age_s: float, now: float
-    ) -> None:
-        known = self.permits.get((held.epoch, held.number))
-        if known is not None:
-            known.heard_at = max(known.heard_at, now - age_s)
-            return
-        latest = self._takeover.fence - occupancy.START_WINDOW_S
-        share = self._share(held.workspace)
-        self.permits.add(
-            handover.of_entry(src, held, share, latest, now - age_s, now)
-        )
-
     def _restore_counters(self) -> None:
         """Rebuilds the counters once, close to the virtual time."""
         if not self._counters_due:
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -1,6 +1,7 @@
 """The composition root: wires the parts of one router process."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import random
 import secrets
@@ -11,7 +12,7 @@
 import mode
 
 from tamarackbridge import const as core_const
-from tamarackbridge import core, decider_loop, policy
+from tamarackbridge import core, crash_watch, decider_loop, policy
 from tamarackbridge.components.backend import client as backend_client
 from tamarackbridge.components.backend import load_poller
 from tamarackbridge.components.entry import forward
@@ -50,6 +51,7 @@
 
     def __init__(self, settings: settings_models.Settings) -> None:
         self.settings = settings
+        self._exit_code = 0
         self._boot = secrets.randbits(BOOT_BITS)
         clock = core.SystemClock()
         kernel = core.Kernel(clock, random.Random(self._boot))
@@ -175,6 +177,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, on_signal)
         services = self.kernel.mode_services()
+        watch = crash_watch.CrashWatch(services, self._note_crash(stop, force))
+        services = [*services, watch]
         for svc in services:
             await svc.start()
         logging.info("router started")
@@ -183,7 +187,17 @@
         await _async_stop(services)
         self._tracer.close()
         logging.info("router stopped")
-        return 0
+        return self._exit_code
+
+    def _note_crash(
+        self, stop: asyncio.Event, force: asyncio.Event
+    ) -> Callable[[], None]:
+        def on_crash() -> None:
+            self._exit_code = 1
+            force.set()
+            stop.set()
+
+        return on_crash
 
     def _receive(self, delivery: core.Delivery) -> None:
         self._loop.receive(delivery)
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -5,7 +5,7 @@
 import importlib.util
 import pathlib
 import sys
-from types import ModuleType
+import types
 
 import pytest
 
@@ -13,7 +13,7 @@
 
 
 @pytest.fixture(scope="module")
-def collect() -> ModuleType:
+def collect() -> types.ModuleType:
     path = ROOT / "script" / "collect_runtime.py"
     spec = importlib.util.spec_from_file_location("collect_runtime", path)
     assert spec is not None
@@ -35,7 +35,9 @@
     return found - set(sys.stdlib_module_names) - {"tamarackbridge"}
 
 
-def test_every_import_is_shipped_and_no_tool_is(collect: ModuleType) -> None:
+def test_every_import_is_shipped_and_no_tool_is(
+    collect: types.ModuleType,
+) -> None:
     shipped = {
         name.lower().replace("_", "-")
         for name in collect.needed(collect.PRODUCT, collect.EXTRAS)
