--- a/bench/demo.py
+++ b/bench/demo.py
@@ -212,9 +212,7 @@
     say(fleet.apply_records().strip().splitlines()[-1])
     await fleet.async_wait("/readyz")
     await async_holders(fleet)
-    say(
-        f"{len(fleet.callers)} routers are ready, each shard has its dispatcher"
-    )
+    say(f"{len(fleet.callers)} routers are ready, all shards are dispatched")
     load = real_load.Load(fleet, seed)
     sampler = Sampler(fleet)
     control = await async_control(fleet)
@@ -292,7 +290,8 @@
         fleet.start_stand_ins()
         fleet.start_routers()
         say(
-            f"started {len(fleet.servers) + 2} stand-ins, {args.routers} routers"
+            f"started {len(fleet.servers) + 2} stand-ins, "
+            f"{args.routers} routers"
         )
         code = asyncio.run(async_demo(fleet, args.seed))
     finally:
