Test that a leaving server and zone get no new work

Cause: draining of a backend server had no test of its own. Change: a test over dispatcher and permit clients for a server that drains and a zone that is out: nothing is granted there from the change on, and what runs ends well. Conclusion: no change of the product was needed.

--- /dev/null
+++ b/tests/components/dispatch/test_draining.py
@@ -0,0 +1,61 @@
+"""Test of a backend server, or its zone, that is leaving."""
+
+import dataclasses
+
+import pytest
+
+from tamarackbridge.components.configuration import messages as configuration
+from tamarackbridge.components.dispatch import messages
+from tamarackbridge.components.records import models
+from tests.components.dispatch import builders
+
+LIMIT = 2
+
+
+def _leaving(records: models.Snapshot, what: str) -> models.Snapshot:
+    servers = dict(records.servers)
+    zones = dict(records.zones)
+    if what == "server":
+        servers["s0"] = dataclasses.replace(servers["s0"], draining=True)
+    else:
+        zones["multan"] = models.Zone("multan", True)
+    return dataclasses.replace(
+        records, generation=2, servers=servers, zones=zones
+    )
+
+
+@pytest.mark.parametrize("what", ["server", "zone"])
+def test_no_new_work_goes_there_and_running_work_finishes(what: str) -> None:
+    base = builders.snapshot(
+        [builders.workspace("a")],
+        [
+            builders.server("s0", zone="multan", limit_cold=LIMIT),
+            builders.server("s1", limit_cold=LIMIT),
+        ],
+    )
+    zones = {**base.zones, "multan": models.Zone("multan", False)}
+    records = dataclasses.replace(base, zones=zones)
+    fleet = builders.Fleet(records)
+    placed: list[tuple[float, str]] = []
+    fleet.bus.taps.append(
+        lambda _, env, now: (
+            placed.append((now, env.msg.server))
+            if isinstance(env.msg, messages.Grant)
+            else None
+        )
+    )
+    for number in range(12):
+        fleet.want("r1", f"q{number}", "a", cost=100.0)
+    fleet.run(0.2)
+    assert "s0" in {server for _, server in placed}
+
+    left_at = fleet.bus.now
+    news = configuration.SnapshotInForce(_leaving(records, what))
+    for node in fleet.nodes:
+        fleet.bus.inject(node, news)
+    fleet.run(30.0)
+
+    late = {server for at, server in placed if at > left_at}
+    assert late == {"s1"}
+    assert set(fleet.ended.values()) == {"ok"}
+    assert len(fleet.ended) == 12
