Hold a server that changed its shard back until it is idle

Cause: after a change of shards a server could move to another shard while permits of the old one ran, and the new dispatcher knew nothing of them.

--- a/tamarackbridge/components/dispatch/const.py
+++ b/tamarackbridge/components/dispatch/const.py
@@ -23,6 +23,9 @@
 MAX_ASK_RETRY_S: Final = 40.0
 """Longest interval between two sendings of an unanswered ask."""
 
+MOVE_FENCE_S: Final = 5.0
+"""After a server's change of shard, nothing starts by the old one's permits."""
+
 LATE_PAUSE_S: Final = 0.1
 """How long after a grant that came too late its request is asked again."""
 
--- a/tamarackbridge/components/dispatch/dispatcher.py
+++ b/tamarackbridge/components/dispatch/dispatcher.py
@@ -64,6 +64,7 @@
         self._rng = rng
         self._order = order
         self._snapshot = models.empty_snapshot()
+        self._before = models.empty_snapshot()
         self._members: set[str] = set()
         self._fresh: dict[str, int] = {}
         self._holders: dict[str, str] = {}
@@ -78,7 +79,7 @@
         msg = delivery.msg
         match msg:
             case configuration.SnapshotInForce():
-                self._set_snapshot(msg.snapshot)
+                self._set_snapshot(msg.snapshot, now)
             case membership.RosterChanged():
                 self._set_members(msg)
             case messages.LeaseHeld():
@@ -150,10 +151,11 @@
             out.extend(held.issue(now))
         return out
 
-    def _set_snapshot(self, snapshot: models.Snapshot) -> None:
+    def _set_snapshot(self, snapshot: models.Snapshot, now: float) -> None:
+        self._before = self._snapshot
         self._snapshot = snapshot
         for held in self.shards.values():
-            held.update(snapshot)
+            held.update(snapshot, self._before, now)
 
     def _set_members(self, msg: membership.RosterChanged) -> None:
         self._members |= {member.node for member in msg.members}
@@ -181,7 +183,7 @@
         held = shard.ShardDispatcher(
             msg.shard, msg.epoch, self._order(), learned, now, service
         )
-        held.update(self._snapshot)
+        held.update(self._snapshot, self._before, now)
         held.set_members(self._members)
         self.shards[msg.shard] = held
         self._parting.pop(msg.shard, None)
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -64,8 +64,14 @@
 
     # Local news.
 
-    def update(self, snapshot: models.Snapshot) -> None:
-        """Takes a newer snapshot in force."""
+    def update(
+        self, snapshot: models.Snapshot, before: models.Snapshot, now: float
+    ) -> None:
+        """Takes a newer snapshot in force, in place of `before`."""
+        stayed = {srv.name for srv in before.shard_servers(self.shard)}
+        for server in snapshot.shard_servers(self.shard):
+            if server.name in before.servers and server.name not in stayed:
+                self._takeover.moved(server.name, now)
         self._snapshot = snapshot
         self._service = snapshot.services.get(self._service.name, self._service)
         self._servers.update(snapshot, self.shard)
@@ -157,6 +163,8 @@
         """
         if not self._takeover.complete(now) or self._servers.unknown(now):
             return None
+        if self._takeover.any_waits(now):
+            return None
         counters = self.order.counters.values()
         return handover.message(
             self.shard, self.epoch + 1, self.permits, counters, now
@@ -174,6 +182,8 @@
         if name not in self._servers:
             return
         measured_from = now - report.lag_s
+        if not report.in_flight:
+            self._takeover.idle(name, measured_from)
         if self._takeover.measured(name, measured_from, now):
             until = self._takeover.fence + self._takeover.life_s
             self._servers.begin_unknown(name, report.in_flight, until)
@@ -311,7 +321,11 @@
     def _free(self, now: float) -> dict[str, int]:
         complete = self._takeover.complete(now)
         return self._servers.free(
-            lambda name: complete or self._takeover.known(name, now), now
+            lambda name: (
+                not self._takeover.waits(name, now)
+                and (complete or self._takeover.known(name, now))
+            ),
+            now,
         )
 
     def _fits(
--- a/tamarackbridge/components/dispatch/takeover.py
+++ b/tamarackbridge/components/dispatch/takeover.py
@@ -1,6 +1,7 @@
 """What a new dispatcher must learn before it may issue permits."""
 
 from collections.abc import Iterable
+import math
 
 from tamarackbridge.components.dispatch import const, messages, permits
 
@@ -25,6 +26,7 @@
         self._answered: set[str] = set()
         self._vouched: set[str] = set()
         self._known: set[str] = set()
+        self._moved: dict[str, float] = {}
         self._asked_at = float("-inf")
         self._handed = False
         self._granted_from: dict[permits.PermitKey, float] = {}
@@ -101,6 +103,24 @@
         self._answered.clear()
         return True
 
+    def moved(self, server: str, now: float) -> None:
+        """Notes that a server came from another shard, whose work may run."""
+        self._moved[server] = now + const.MOVE_FENCE_S
+
+    def idle(self, server: str, measured_from: float) -> None:
+        """Notes that a server was measured to run nothing."""
+        if measured_from >= self._moved.get(server, math.inf):
+            del self._moved[server]
+
+    def waits(self, server: str, now: float) -> bool:
+        """Tells whether a moved server may still run the old shard's work."""
+        fence = self._moved.get(server)
+        return fence is not None and now < fence + self.life_s
+
+    def any_waits(self, now: float) -> bool:
+        """Tells whether some moved server may run the old shard's work."""
+        return any(self.waits(server, now) for server in self._moved)
+
     def known(self, server: str, now: float) -> bool:
         """Tells whether permits may be issued for a backend server."""
         return server in self._known or self.complete(now)
