--- a/tamarackbridge/components/dispatch/handover.py
+++ b/tamarackbridge/components/dispatch/handover.py
@@ -4,11 +4,14 @@
 import math
 
 from tamarackbridge.components.dispatch import (
+    bound,
     messages,
     occupancy,
     permits,
     takeover,
+    waiting,
 )
+from tamarackbridge.components.records import models
 
 
 def message(
@@ -92,6 +95,25 @@
             and self._takeover.granted_after(permit.key, up_since)
         ]
 
+    def restore_counters(
+        self,
+        order: waiting.Order,
+        snapshot: models.Snapshot,
+        service: models.Service,
+    ) -> None:
+        """Rebuilds the counters, close to the virtual time."""
+        learned = self._takeover.counters
+        backlogged = {item.ask.workspace for item in order}
+        known = [learned[name] for name in backlogged if name in learned]
+        if not known:
+            return
+        floor = min(known)
+        order.counters.virtual_time = floor
+        for name, value in learned.items():
+            burst = bound.burst(snapshot, service, name)
+            value = min(max(value, floor), floor + burst)
+            order.counters.restore(name, value)
+
     def _adopt(
         self,
         item: messages.HeldPermit | messages.HandedPermit,
--- a/tamarackbridge/components/dispatch/shard.py
+++ b/tamarackbridge/components/dispatch/shard.py
@@ -6,7 +6,6 @@
 from tamarackbridge import const as fleet_const
 from tamarackbridge import core
 from tamarackbridge.components.dispatch import (
-    bound,
     const,
     estimates,
     exchange,
@@ -398,14 +397,6 @@
         if not self._counters_due:
             return
         self._counters_due = False
-        learned = self._takeover.counters
-        backlogged = {item.ask.workspace for item in self.order}
-        known = [learned[name] for name in backlogged if name in learned]
-        if not known:
-            return
-        floor = min(known)
-        self.order.counters.virtual_time = floor
-        for name, value in learned.items():
-            burst = bound.burst(self._snapshot, self._service, name)
-            value = min(max(value, floor), floor + burst)
-            self.order.counters.restore(name, value)
+        self._inheritance.restore_counters(
+            self.order, self._snapshot, self._service
+        )
