--- /dev/null
+++ b/tamarackbridge/components/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which request goes next: order, waiting, refusing, budgets."""
--- /dev/null
+++ b/tamarackbridge/components/admission/desk.py
@@ -0,0 +1,291 @@
+"""Lets requests go in fair order, each to the server chosen for it."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+from absl import logging
+import result
+
+from tamarackbridge import core
+from tamarackbridge.components.admission import budget, shares, verdict
+from tamarackbridge.components.fleet import models as fleet
+from tamarackbridge.components.gateway import answers, jobs, models
+from tamarackbridge.components.knowledge import models as knowledge
+from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.placement import (
+    choose,
+    cold,
+    estimate,
+    health,
+    ledger,
+    parts,
+)
+
+TICK_S = 0.025
+"""Interval at which waiting requests are looked at without an occasion; a
+tenth of the shortest target that can wait."""
+
+LEVEL_S = 0.1
+"""Interval at which shares are worked out; routers tell each other their use
+no more often."""
+
+MAX_LOOKED_AT = 24
+"""Waiting requests that are weighed in one turn, so that a turn stays below a
+millisecond or two however many wait."""
+
+NO_SERVER_RETRY_S = 0.5
+"""Advice while no server is known; a new one registers within a second."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    job: jobs.Job
+    fut: asyncio.Future[jobs.Admitted]
+
+
+class Permit:
+    """A permit for one sending; see `jobs.Placement`."""
+
+    def __init__(
+        self, desk: "AdmissionDesk", ticket: ledger.Ticket, ahead: int
+    ) -> None:
+        self._desk = desk
+        self._ticket = ticket
+        self._ahead = ahead
+
+    @property
+    def server(self) -> knowledge.BackendServer:
+        """The server."""
+        return self._ticket.server
+
+    def heard(self) -> None:
+        """Notes the first sign of life of the server for this job."""
+        if self._ticket.began is None:
+            self._desk.began(self._ticket, self._ahead)
+
+    def progressed(self, events: int) -> None:
+        """Notes how many events were passed on."""
+
+    def load(self, load: models.Load) -> None:
+        """Takes what the server said of its load."""
+
+    def finish(self, outcome: jobs.Outcome) -> None:
+        """Gives the permit back."""
+        self._desk.ended(self._ticket, outcome)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a desk decides with."""
+
+    bounds: fleet.Bounds
+    known: state.Knowledge
+    work: ledger.Ledger
+    held: parts.HeldParts
+    breakers: health.Health
+    estimator: estimate.Estimator
+    limiter: cold.ColdLimiter
+    chooser: choose.Chooser
+
+
+class AdmissionDesk(core.Service):
+    """Owns the requests that wait in this router."""
+
+    def __init__(
+        self,
+        using: Parts,
+        clock: core.Clock,
+        rng: random.Random,
+        routers: Callable[[], int],
+        others_use: Callable[[], dict[str, shares.Use]],
+    ) -> None:
+        super().__init__()
+        self.use = shares.UseWindow(using.bounds.share_window_s)
+        self.fresh_parts: list[tuple[str, int]] = []
+        self._using = using
+        self._clock = clock
+        self._rng = rng
+        self._routers = routers
+        self._others_use = others_use
+        self._budget = budget.RepeatBudget(using.bounds)
+        self._waiting: list[_Waiter] = []
+        self._served: dict[str, float] = {}
+        self._level = float("inf")
+        self._level_at = -1.0
+        self._ticker: asyncio.Task[None] | None = None
+
+    async def on_start(self) -> None:
+        """Begins to look at waiting requests now and then."""
+        self._ticker = asyncio.create_task(self._async_tick())
+
+    async def on_stop(self) -> None:
+        """Ends looking."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    async def async_admit(self, job: jobs.Job) -> jobs.Admitted:
+        """Waits until a job may be sent, or refuses it."""
+        now = self._clock.monotonic()
+        if not self._using.chooser.exists(job, now):
+            refusal = answers.Refusal(
+                answers.Reason.NO_SERVER, NO_SERVER_RETRY_S
+            )
+            return result.Err(refusal)
+        if job.sendings == 0 and not job.avoid:
+            self._budget.note_request(job.service.name, now)
+            self.use.ask(job.workspace, cost(job.call), now)
+        fut: asyncio.Future[jobs.Admitted]
+        fut = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(job, fut)
+        self._waiting.append(waiter)
+        self.pump()
+        try:
+            return await fut
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+
+    def may_repeat(self, job: jobs.Job) -> bool:
+        """Whether the repeat budget of the job's service allows one more."""
+        now = self._clock.monotonic()
+        return self._budget.take(job.service.name, self._routers(), now)
+
+    def began(self, ticket: ledger.Ticket, ahead: int) -> None:
+        """Notes the first sign of life of a server for a sending."""
+        now = self._clock.monotonic()
+        ticket.began = now
+        if ticket.unread:
+            tokens = ahead + ticket.unread
+            took_s = now - ticket.sent
+            self._using.estimator.observe(ticket.server.name, tokens, took_s)
+        self.pump()
+
+    def ended(self, ticket: ledger.Ticket, outcome: jobs.Outcome) -> None:
+        """Notes the end of a sending."""
+        now = self._clock.monotonic()
+        self._using.work.end(ticket)
+        name = ticket.server.name
+        self._using.breakers.note(name, outcome, now)
+        self.pump()
+
+    def pump(self) -> None:
+        """Lets go what may go now, in fair order."""
+        if not self._waiting:
+            return
+        now = self._clock.monotonic()
+        self._refresh_level(now)
+        self._waiting.sort(key=lambda it: self._order(it.job, now))
+        looked_at = 0
+        for waiter in list(self._waiting):
+            if looked_at >= MAX_LOOKED_AT:
+                break
+            if waiter.fut.done():
+                continue
+            looked_at += 1
+            self._decide(waiter, now)
+        self._waiting = [it for it in self._waiting if not it.fut.done()]
+
+    def _decide(self, waiter: _Waiter, now: float) -> None:
+        job = waiter.job
+        options = self._using.chooser.options(job, self._routers(), now)
+        standing = self._standing(job.workspace)
+        found = verdict.decide(job, options, standing, now)
+        if found.option is not None:
+            waiter.fut.set_result(
+                result.Ok(self._permit(job, found.option, now))
+            )
+        elif found.refusal is not None:
+            logging.info(
+                "request %s of %s not admitted: served %.0f of share %.0f,"
+                " waited %.3f s, waiting %d, first events %s",
+                job.call.request_id,
+                job.workspace,
+                standing.served,
+                standing.level,
+                now - job.arrived,
+                len(self._waiting),
+                [round(it.first_s, 3) for it in options],
+            )
+            waiter.fut.set_result(result.Err(self._spread(found.refusal)))
+
+    def _permit(
+        self, job: jobs.Job, option: choose.Option, now: float
+    ) -> Permit:
+        call = job.call
+        server = option.known.server
+        ticket = ledger.Ticket(
+            server=server,
+            workspace=job.workspace,
+            unread=option.unread,
+            memory=call.prompt_tokens + expected_output(call),
+            sent=now,
+        )
+        self._using.work.begin(ticket)
+        self.use.serve(job.workspace, cost(call), now)
+        self._served[job.workspace] = self._served.get(
+            job.workspace, 0.0
+        ) + cost(call)
+        for chain, _ in parts.chains(call.parts):
+            self._using.held.note(server.name, chain, now)
+            self.fresh_parts.append((server.name, chain))
+        if now < option.known.cold_until and job.service.cold_per_s > 0:
+            self._using.limiter.take(
+                server.name, job.service.cold_per_s, self._routers(), now
+            )
+        return Permit(self, ticket, option.ahead)
+
+    def _order(self, job: jobs.Job, now: float) -> tuple[bool, bool, float]:
+        standing = self._standing(job.workspace)
+        late = now - job.arrived > job.route.target_s
+        return (standing.over, late, standing.ratio + job.arrived * 1e-6)
+
+    def _standing(self, workspace: str) -> verdict.Standing:
+        return verdict.Standing(
+            self._served.get(workspace, 0.0),
+            self._level,
+            self._using.bounds.share_window_s,
+        )
+
+    def _refresh_level(self, now: float) -> None:
+        if now - self._level_at < LEVEL_S:
+            return
+        self._level_at = now
+        total = dict(self._others_use())
+        for workspace, used in self.use.sums(now).items():
+            total[workspace] = total.get(workspace, shares.NOTHING).plus(used)
+        cfg = self._using.known.configuration
+        per_s = cfg.limits.tokens_per_s if cfg is not None else 0.0
+        asked = {name: it.asked for name, it in total.items() if name}
+        self._served = {name: it.served for name, it in total.items()}
+        self._level = float("inf")
+        if per_s > 0:
+            window_s = self._using.bounds.share_window_s
+            self._level = shares.even_level(asked, per_s * window_s)
+
+    def _spread(self, refusal: answers.Refusal) -> answers.Refusal:
+        retry_s = refusal.retry_after_s * self._rng.uniform(0.75, 1.25)
+        return dataclasses.replace(refusal, retry_after_s=retry_s)
+
+    async def _async_tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.pump()
+
+
+def expected_output(call: models.Call) -> int:
+    """Returns the tokens that a call probably generates."""
+    if call.output_hint:
+        return min(call.output_hint, call.output_tokens or call.output_hint)
+    return call.output_tokens
+
+
+def cost(call: models.Call) -> float:
+    """Returns the cost of a call; a generated token counts twice."""
+    return call.prompt_tokens + 2.0 * expected_output(call)
--- /dev/null
+++ b/tamarackbridge/components/admission/verdict.py
@@ -0,0 +1,139 @@
+"""Whether a request goes now, waits in the router, or is refused.
+
+Engines admit in order of arrival, so what has been sent can't be overtaken.
+Load patterns: a clump of long prompts, one workspace that floods, and lasting
+overload. A request is sent while its first event can still come in time; one
+that can't be in time yields to those that can and goes when an engine is
+nearly idle; one beyond its workspace's share is refused at once.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+
+from tamarackbridge.components.gateway import answers, jobs
+from tamarackbridge.components.placement import choose
+
+IN_TIME = 0.9
+"""Part of the target within which the first event of a request is planned."""
+
+IN_TIME_OVER = 0.6
+"""The same for a workspace beyond its share; the rest of the engines' backlog
+is kept for the others."""
+
+IDLE_AHEAD = 6_000
+"""Unread tokens below which an engine counts as nearly idle: half of the
+longest common prompt, 70 ms of reading."""
+
+SOON = 0.125
+"""Part of the target within which a refusal does not harm the caller, who
+then has time to come back."""
+
+PLAIN_WAITING = 2
+"""Requests that may wait at a plain server beside those in its slots; its
+own queue keeps the slots busy while an answer is on its way."""
+
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 2.0
+"""Bounds of the advice when to come back; callers take at most a third of
+the time that they have left, of 1 to 12 s."""
+
+
+class Step(enum.Enum):
+    """What happens to a request now."""
+
+    SEND = "send"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """How a workspace stands against its share.
+
+    Attributes:
+        served: Cost begun for it in the window, over all routers.
+        level: The most that one workspace gets now; infinite without
+            contention.
+        window_s: The window.
+    """
+
+    served: float
+    level: float
+    window_s: float
+
+    @property
+    def over(self) -> bool:
+        """Whether it has had its share."""
+        return self.served >= self.level
+
+    @property
+    def ratio(self) -> float:
+        """Returns the served part of the share."""
+        if self.level == float("inf"):
+            return 0.0
+        return self.served / max(self.level, 1.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """The decision, with what it rests on.
+
+    Attributes:
+        step: What happens.
+        option: The server, if it is sent.
+        refusal: The answer, if it is refused.
+    """
+
+    step: Step
+    option: choose.Option | None = None
+    refusal: answers.Refusal | None = None
+
+
+WAIT = Verdict(Step.WAIT)
+
+
+def decide(
+    job: jobs.Job,
+    options: Sequence[choose.Option],
+    standing: Standing,
+    now: float,
+) -> Verdict:
+    """Decides on one request, given its servers, best first."""
+    if now >= job.deadline:
+        return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
+    if not job.service.is_model:
+        return _decide_plain(job, options)
+    waited_s = now - job.arrived
+    target_s = job.route.target_s
+    part = IN_TIME_OVER if standing.over else IN_TIME
+    for option in options:
+        if option.full:
+            continue
+        in_time = waited_s + option.first_s <= target_s * part
+        if in_time or option.ahead <= IDLE_AHEAD:
+            return Verdict(Step.SEND, option)
+    if standing.over and waited_s >= target_s * SOON:
+        return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
+    if options and now + min(it.first_s for it in options) >= job.deadline:
+        return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
+    return WAIT
+
+
+def _decide_plain(job: jobs.Job, options: Sequence[choose.Option]) -> Verdict:
+    del job
+    for option in options:
+        if not option.full:
+            return Verdict(Step.SEND, option)
+    return WAIT
+
+
+def _retry_s(standing: Standing) -> float:
+    """Returns when the window has room again for the workspace."""
+    excess = 1.0 - standing.level / max(standing.served, 1.0)
+    return min(max(excess * standing.window_s, RETRY_MIN_S), RETRY_MAX_S)
+
+
+def _refuse(reason: answers.Reason, retry_after_s: float) -> Verdict:
+    refusal = answers.Refusal(reason, retry_after_s)
+    return Verdict(Step.REFUSE, refusal=refusal)
--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -45,14 +45,20 @@
         server: web.Server,
         cfg: settings.LimitSettings,
         counts: CallerCounts,
+        idle_timeout_s: float | None = None,
     ) -> None:
+        kept: dict[str, Any] = {}
+        if idle_timeout_s is not None:
+            kept["keepalive_timeout"] = idle_timeout_s
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
             access_log=cast(Any, None),
             max_line_size=cfg.max_header_bytes,
             max_field_size=cfg.max_header_bytes,
+            **kept,
         )
+        self._may_idle = idle_timeout_s is not None
         self._cfg = cfg
         self._counts = counts
         self._taken = False
@@ -73,7 +79,8 @@
             sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
             )
-        self._start(self._cfg.header_timeout_s, self._header_late)
+        if not self._may_idle:
+            self._start(self._cfg.header_timeout_s, self._header_late)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forgets the connection."""
--- /dev/null
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -0,0 +1,238 @@
+"""Tells the other routers this one's part of the shared view, and hears
+theirs.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import dataclasses
+import math
+from typing import Any
+
+from absl import logging
+
+from tamarackbridge import core
+from tamarackbridge.components.admission import shares
+from tamarackbridge.components.fleet import messages
+from tamarackbridge.components.placement import ledger, parts
+from tamarackbridge.components.transport import service as transport
+
+SHARE_S = 0.2
+"""Interval of messages to each router: a third of the shortest target, in
+which a server reads what one or two requests bring."""
+
+USE_EVERY = 2
+"""Use of workspaces goes with each second message: its window is 4 s."""
+
+SILENT_S = 1.0
+"""A router that said nothing for this long is taken to have no work; five
+messages in a row are not lost without a cause."""
+
+REMEMBERED_S = 60.0
+"""A router counts for budgets this long after it was last heard, so that one
+that is cut off does not take the others' part."""
+
+DIRECTORY_S = 10.0
+"""Interval at which the store's list of routers is read while a listed router
+is silent; otherwise it is read at the start only."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    heard_at: float = -math.inf
+    use: dict[str, shares.Use] = dataclasses.field(default_factory=dict)
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What sharing reads of this router."""
+
+    work: ledger.Ledger
+    held: parts.HeldParts
+    use: Callable[[], dict[str, shares.Use]]
+    fresh_parts: Callable[[], list[tuple[str, int]]]
+    waiting: Callable[[], int]
+    configuration: Callable[[], tuple[int, float]]
+
+
+class Directory:
+    """Where routers find each other at their start."""
+
+    async def async_enter(self, address: str) -> bool:
+        """Adds this router; says whether it is certainly in."""
+        raise NotImplementedError
+
+    async def async_leave(self, address: str) -> None:
+        """Removes this router."""
+        raise NotImplementedError
+
+    async def async_routers(self) -> tuple[str, ...] | None:
+        """Returns the routers' addresses; None if they can't be read."""
+        raise NotImplementedError
+
+
+class SharingService(core.Service):
+    """Exchanges the shared view with every other router."""
+
+    def __init__(
+        self,
+        address: str,
+        seeds: Iterable[str],
+        directory: Directory,
+        clock: core.Clock,
+    ) -> None:
+        super().__init__()
+        self.leaving = False
+        self._address = address
+        self._directory = directory
+        self._clock = clock
+        self._peers = {seed: _Peer() for seed in seeds if seed != address}
+        self._transport: transport.PeerService | None = None
+        self._view: View | None = None
+        self._changed: Callable[[], None] = _nothing
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._sent = 0
+
+    def use(
+        self,
+        peers: transport.PeerService,
+        view: View,
+        changed: Callable[[], None],
+    ) -> None:
+        """Names the parts that this service joins."""
+        self._transport = peers
+        self._view = view
+        self._changed = changed
+
+    async def on_start(self) -> None:
+        """Begins to share."""
+        self._publish_addresses()
+        self._tasks = [
+            asyncio.create_task(self._async_share()),
+            asyncio.create_task(self._async_enter()),
+        ]
+
+    async def on_stop(self) -> None:
+        """Ends sharing."""
+        for task in self._tasks:
+            task.cancel()
+
+    def routers(self) -> int:
+        """Returns how many routers may be sending, this one among them."""
+        now = self._clock.monotonic()
+        heard = sum(
+            now - it.heard_at < REMEMBERED_S for it in self._peers.values()
+        )
+        return 1 + heard
+
+    def others_use(self) -> dict[str, shares.Use]:
+        """Returns the use of workspaces at the other routers."""
+        now = self._clock.monotonic()
+        total: dict[str, shares.Use] = {}
+        for peer in self._peers.values():
+            if now - peer.heard_at > SILENT_S:
+                continue
+            for workspace, used in peer.use.items():
+                known = total.get(workspace, shares.NOTHING)
+                total[workspace] = known.plus(used)
+        return total
+
+    def receive(self, delivery: core.Delivery) -> None:
+        """Takes a message of another router."""
+        msg = delivery.msg
+        if not isinstance(msg, messages.Status) or self._view is None:
+            return
+        now = self._clock.monotonic()
+        peer = self._peers.get(delivery.src)
+        if peer is None:
+            peer = self._peers[delivery.src] = _Peer()
+            self._publish_addresses()
+        if now - peer.heard_at > SILENT_S:
+            logging.info("router %s heard", delivery.src)
+        age_s = delivery.age_s if math.isfinite(delivery.age_s) else 0.0
+        peer.heard_at = now
+        peer.leaving = msg.leaving
+        work = {
+            it.server: ledger.Work(it.requests, it.unread, it.memory)
+            for it in msg.work
+        }
+        self._view.work.hear(delivery.src, ledger.Told(work, now - age_s))
+        for held in msg.held:
+            self._view.held.note(held.server, held.chain, now - age_s)
+        if msg.use is not None:
+            peer.use = {
+                it.workspace: shares.Use(it.asked, it.served) for it in msg.use
+            }
+        self._changed()
+
+    async def _async_share(self) -> None:
+        while True:
+            await asyncio.sleep(SHARE_S)
+            self._drop_silent()
+            msg = self._status()
+            assert self._transport is not None
+            for address in self._peers:
+                self._transport.post(address, msg)
+
+    def _status(self) -> messages.Status:
+        view = self._view
+        assert view is not None
+        self._sent += 1
+        version, age_s = view.configuration()
+        use = None
+        if self._sent % USE_EVERY == 0:
+            use = tuple(
+                messages.WorkspaceUse(name, int(it.asked), int(it.served))
+                for name, it in view.use().items()
+            )
+        return messages.Status(
+            work=tuple(
+                messages.ServerWork(name, it.requests, it.unread, it.memory)
+                for name, it in view.work.own().items()
+            ),
+            held=tuple(
+                messages.Held(server, chain)
+                for server, chain in view.fresh_parts()
+            ),
+            use=use,
+            waiting=view.waiting(),
+            configuration=version,
+            configuration_age_ms=int(min(age_s, 3600.0) * 1000),
+            leaving=self.leaving,
+        )
+
+    def _drop_silent(self) -> None:
+        assert self._view is not None
+        now = self._clock.monotonic()
+        for address, peer in self._peers.items():
+            if peer.use and now - peer.heard_at > SILENT_S:
+                logging.info("router %s silent", address)
+                self._view.work.forget(address)
+                peer.use = {}
+
+    async def _async_enter(self) -> None:
+        entered = False
+        while True:
+            if not entered:
+                entered = await self._directory.async_enter(self._address)
+            found = await self._directory.async_routers()
+            if found is not None:
+                for address in found:
+                    if address != self._address:
+                        self._peers.setdefault(address, _Peer())
+                self._publish_addresses()
+                if entered:
+                    return
+            await asyncio.sleep(1.0)
+
+    async def async_leave(self) -> None:
+        """Removes this router from the directory."""
+        await self._directory.async_leave(self._address)
+
+    def _publish_addresses(self) -> None:
+        if self._transport is not None:
+            self._transport.set_addresses({it: it for it in self._peers})
+
+
+def _nothing() -> None:
+    """Stands for a listener that is not there yet."""
--- /dev/null
+++ b/tamarackbridge/components/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one caller's request: accept, wait, forward, answer."""
--- /dev/null
+++ b/tamarackbridge/components/gateway/caller.py
@@ -0,0 +1,73 @@
+"""The streamed answer to one caller."""
+
+from aiohttp import web
+
+from tamarackbridge.components.gateway import exceptions, forward, jobs, models
+
+
+class CallerStream(forward.Sink):
+    """Passes events to a caller, under the head of the first server.
+
+    Attributes:
+        response: The answer; None until its head is sent.
+    """
+
+    def __init__(self, req: web.BaseRequest, draining: bool) -> None:
+        self.response: web.StreamResponse | None = None
+        self._req = req
+        self._draining = draining
+        self._placement: jobs.Placement | None = None
+
+    def place(self, placement: jobs.Placement) -> None:
+        """Names the placement that the next signs of life belong to."""
+        self._placement = placement
+
+    def heard(self) -> None:
+        """Notes that the server sent something."""
+        if self._placement is not None:
+            self._placement.heard()
+
+    async def async_events(self, head: models.Head, data: bytes) -> None:
+        """Writes whole events to the caller.
+
+        Raises:
+            CallerGoneError: The caller closed its connection.
+        """
+        try:
+            if self.response is None:
+                await self._async_begin(head)
+            assert self.response is not None
+            await self.response.write(data)
+        except (ConnectionError, RuntimeError) as exc:
+            raise exceptions.CallerGoneError(str(exc)) from exc
+        if self._placement is not None:
+            self._placement.progressed(data.count(b"\n\n"))
+
+    async def async_end(self, head: models.Head) -> web.StreamResponse:
+        """Ends a whole answer.
+
+        Raises:
+            CallerGoneError: The caller closed its connection.
+        """
+        try:
+            if self.response is None:
+                await self._async_begin(head)
+            assert self.response is not None
+            await self.response.write_eof()
+        except (ConnectionError, RuntimeError) as exc:
+            raise exceptions.CallerGoneError(str(exc)) from exc
+        return self.response
+
+    def cut(self) -> None:
+        """Ends an answer so that it can't be taken for a whole one."""
+        if self._req.transport is not None:
+            self._req.transport.abort()
+
+    async def _async_begin(self, head: models.Head) -> None:
+        self.response = web.StreamResponse(status=head.status)
+        for name, value in head.headers:
+            self.response.headers.add(name, value)
+        self.response.enable_chunked_encoding()
+        if self._draining:
+            self.response.force_close()
+        await self.response.prepare(self._req)
--- /dev/null
+++ b/tamarackbridge/components/gateway/forward.py
@@ -0,0 +1,170 @@
+"""One sending of one call to one backend server."""
+
+import asyncio
+import dataclasses
+import enum
+
+import aiohttp
+
+from tamarackbridge.components.gateway import (
+    exceptions,
+    models,
+    relay,
+    servers,
+)
+
+MAX_PLAIN_BYTES = 16 * 1024 * 1024
+"""Largest answer that is held whole."""
+
+_STREAM_TYPE = "text/event-stream"
+
+
+class End(enum.Enum):
+    """How a sending ended."""
+
+    WHOLE = "whole"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    ELSEWHERE = "elsewhere"
+    LOST = "lost"
+    CROSSED = "crossed"
+    TIMED_OUT = "timed_out"
+
+
+PROVED_NOT_RUN = frozenset((End.NOT_SENT, End.NOT_RUN, End.ELSEWHERE))
+"""Ends after which the call certainly has not run."""
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """How far one sending has come.
+
+    Attributes:
+        end: How it ended.
+        detail: The error's text, for the log.
+        head: The answer's head; None while there is none.
+        body: The body of an answer that is not streamed.
+    """
+
+    end: End = End.LOST
+    detail: str = ""
+    head: models.Head | None = None
+    body: bytes = b""
+
+
+class Sink:
+    """What a forwarder tells about an answer under way."""
+
+    async def async_events(self, head: models.Head, data: bytes) -> None:
+        """Takes whole events to pass on."""
+        raise NotImplementedError
+
+    def heard(self) -> None:
+        """Notes that the server sent something."""
+        raise NotImplementedError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What one sending is to do.
+
+    Attributes:
+        call: The caller's request.
+        address: Where the server listens.
+        sending: What is added for the server.
+        events: Follows the answer's events; None on routes without streams.
+        sink: Told about the answer.
+    """
+
+    call: models.Call
+    address: str
+    sending: models.Sending
+    events: relay.EventRelay | None
+    sink: Sink
+
+
+class Forwarder:
+    """Sends calls to backend servers and passes answers on."""
+
+    def __init__(
+        self, client: servers.ServerClient, dialect: models.Dialect
+    ) -> None:
+        self._client = client
+        self._dialect = dialect
+
+    async def async_send(self, order: Order) -> Sent:
+        """Runs one sending to its end or its time limit."""
+        sent = Sent()
+        try:
+            async with asyncio.timeout(order.sending.left_s):
+                await self._async_exchange(order, sent)
+        except exceptions.NotSentError as exc:
+            sent.end, sent.detail = End.NOT_SENT, str(exc)
+        except exceptions.LostError as exc:
+            sent.end, sent.detail = End.LOST, str(exc)
+        except TimeoutError:
+            sent.end = End.TIMED_OUT
+        return sent
+
+    async def _async_exchange(self, order: Order, sent: Sent) -> None:
+        headers = self._dialect.write_call(order.call, order.sending)
+        opened = self._client.async_open(order.address, order.call, headers)
+        async with opened as resp:
+            head = self._dialect.read_head(
+                order.call, resp.status, resp.raw_headers
+            )
+            sent.head = head
+            order.sink.heard()
+            if head.told is models.Told.CROSSED:
+                sent.end = End.CROSSED
+                resp.close()
+                return
+            events = order.events
+            is_stream = resp.content_type == _STREAM_TYPE
+            if events is not None and resp.status == 200 and is_stream:
+                await _async_stream(order, sent, resp, events)
+                return
+            sent.body = await _async_body(resp)
+            sent.end = _plain_end(head, resp)
+
+
+def _plain_end(head: models.Head, resp: aiohttp.ClientResponse) -> End:
+    if head.told is models.Told.NOT_RUN:
+        return End.NOT_RUN
+    if head.told is models.Told.ELSEWHERE:
+        return End.ELSEWHERE
+    if servers.ended_by_reset(resp) or (resp.status < 300 and not head.sealed):
+        return End.LOST
+    return End.WHOLE
+
+
+async def _async_body(resp: aiohttp.ClientResponse) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in resp.content.iter_any():
+        size += len(chunk)
+        if size > MAX_PLAIN_BYTES:
+            raise exceptions.LostError("the answer is too large")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+async def _async_stream(
+    order: Order,
+    sent: Sent,
+    resp: aiohttp.ClientResponse,
+    events: relay.EventRelay,
+) -> None:
+    head = sent.head
+    assert head is not None
+    events.begin()
+    async for data in resp.content.iter_any():
+        order.sink.heard()
+        passed = events.feed(data)
+        if passed:
+            await order.sink.async_events(head, passed)
+        if events.broken:
+            resp.close()
+            return
+    whole = not events.partial and not servers.ended_by_reset(resp)
+    sent.end = End.WHOLE if whole else End.LOST
--- /dev/null
+++ b/tamarackbridge/components/gateway/relay.py
@@ -0,0 +1,72 @@
+"""Follows one stream of events, over all servers that it comes from.
+
+An event is passed on only when it is whole and numbered higher than the one
+before, so that the caller never gets an event twice or half of one.
+"""
+
+import re
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event that is taken from a backend server."""
+
+_BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_ID = re.compile(rb"(?:^|\n)id:[ ]?([0-9]+)[ ]*(?=\r?\n|$)")
+
+
+class EventRelay:
+    """The state of one request's stream.
+
+    Attributes:
+        last: Number of the last event that was passed on; -1 for none.
+        passed: Events that were passed on.
+        broken: Whether the current server's stream can't be used further.
+    """
+
+    def __init__(self, resume_after: str) -> None:
+        self.last = int(resume_after) if resume_after.isdigit() else -1
+        self.passed = 0
+        self.broken = False
+        self._rest = b""
+
+    def begin(self) -> None:
+        """Begins with another server; half an event is dropped."""
+        self._rest = b""
+        self.broken = False
+
+    @property
+    def partial(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._rest.strip())
+
+    @property
+    def resume_after(self) -> str:
+        """The last event that the caller has; empty if none."""
+        return str(self.last) if self.last >= 0 else ""
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes bytes of the current server; returns what to pass on."""
+        rest = self._rest + data
+        passed = []
+        begin = 0
+        for found in _BOUNDARY.finditer(rest):
+            if self.broken:
+                break
+            event = rest[begin : found.end()]
+            begin = found.end()
+            if self._accept(event):
+                passed.append(event)
+        self._rest = rest[begin:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            self.broken = True
+        return b"".join(passed)
+
+    def _accept(self, event: bytes) -> bool:
+        found = _ID.search(event)
+        if found is None:
+            return True
+        number = int(found.group(1))
+        if number <= self.last:
+            return False
+        self.last = number
+        self.passed += 1
+        return True
--- /dev/null
+++ b/tamarackbridge/components/gateway/runner.py
@@ -0,0 +1,254 @@
+"""Sends a job to servers until it is answered or must be given up."""
+
+from collections.abc import Callable
+import dataclasses
+
+from absl import logging
+from aiohttp import web
+import result
+
+from tamarackbridge import core
+from tamarackbridge.components.gateway import (
+    answers,
+    caller,
+    exceptions,
+    forward,
+    jobs,
+    models,
+    relay,
+)
+from tamarackbridge.components.knowledge import models as knowledge
+
+MAX_UNSENT = 3
+"""Servers that may fail to take a connection before a job is refused; two
+dark ones at once are the loss of a zone."""
+
+REFUSED_RETRY_S = 0.3
+"""Advice after a server refused; a step of its queue takes this long."""
+
+_End = forward.End
+_Outcome = jobs.Outcome
+_Reason = answers.Reason
+
+_OUTCOMES = {
+    _End.WHOLE: _Outcome.SERVED,
+    _End.NOT_SENT: _Outcome.UNREACHABLE,
+    _End.NOT_RUN: _Outcome.REFUSED,
+    _End.ELSEWHERE: _Outcome.MISDIRECTED,
+    _End.LOST: _Outcome.LOST,
+    _End.CROSSED: _Outcome.LOST,
+    _End.TIMED_OUT: _Outcome.TIMED_OUT,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a job has come, over all sendings.
+
+    Attributes:
+        may_have_run: Whether some server may have run it.
+        unsent: Servers that took no connection.
+        last: The last sending; None if there was none.
+    """
+
+    may_have_run: bool = False
+    unsent: int = 0
+    last: forward.Sent | None = None
+
+
+class Runner:
+    """Sends jobs on and answers their callers."""
+
+    def __init__(
+        self,
+        desk: jobs.Desk,
+        forwarder: forward.Forwarder,
+        dialect: models.Dialect,
+        clock: core.Clock,
+        draining: Callable[[], bool],
+    ) -> None:
+        self._desk = desk
+        self._forwarder = forwarder
+        self._dialect = dialect
+        self._clock = clock
+        self._draining = draining
+
+    async def async_run(
+        self, req: web.BaseRequest, job: jobs.Job
+    ) -> web.StreamResponse:
+        """Sees a job to its answer.
+
+        Raises:
+            CallerGoneError: The caller closed its connection.
+        """
+        stream = caller.CallerStream(req, self._draining())
+        events = None
+        if job.route.kind is knowledge.RouteKind.STREAM:
+            events = relay.EventRelay(job.call.resume_after)
+        progress = Progress()
+        while True:
+            admitted = await self._desk.async_admit(job)
+            if isinstance(admitted, result.Err):
+                return self._give_up(job, stream, progress, admitted.err_value)
+            sent = await self._async_send(
+                job, stream, events, admitted.ok_value
+            )
+            if sent.end is _End.WHOLE and not self._again(job, sent, progress):
+                return await self._async_answer(job, stream, sent)
+            self._note(job, sent, progress, admitted.ok_value.server.name)
+            if not self._may_go_on(job, events, progress, sent):
+                return self._give_up(job, stream, progress, None)
+
+    async def _async_send(
+        self,
+        job: jobs.Job,
+        stream: caller.CallerStream,
+        events: relay.EventRelay | None,
+        placement: jobs.Placement,
+    ) -> forward.Sent:
+        server = placement.server
+        stream.place(placement)
+        resume_after = events.resume_after if events else ""
+        order = forward.Order(
+            job.call,
+            server.address,
+            models.Sending(
+                server=server.name,
+                workspace=job.workspace,
+                left_s=job.deadline - self._clock.monotonic(),
+                resume_after=resume_after,
+            ),
+            events,
+            stream,
+        )
+        outcome = _Outcome.CANCELLED
+        try:
+            sent = await self._forwarder.async_send(order)
+            outcome = _outcome(sent)
+        finally:
+            placement.finish(outcome)
+        if sent.head is not None and sent.head.load is not None:
+            placement.load(sent.head.load)
+        return sent
+
+    def _again(
+        self, job: jobs.Job, sent: forward.Sent, progress: Progress
+    ) -> bool:
+        """Whether a whole answer is a failure that may be tried again."""
+        assert sent.head is not None
+        if sent.head.status < 500 or not job.route.repeatable:
+            return False
+        progress.may_have_run = True
+        return self._may_send(job)
+
+    def _note(
+        self,
+        job: jobs.Job,
+        sent: forward.Sent,
+        progress: Progress,
+        server: str,
+    ) -> None:
+        progress.last = sent
+        job.avoid.add(server)
+        if sent.end is _End.NOT_SENT:
+            progress.unsent += 1
+        else:
+            job.sendings += 1
+        if sent.end not in forward.PROVED_NOT_RUN:
+            progress.may_have_run = True
+        logging.info(
+            "request %s: sending to %s ended: %s %s",
+            job.call.request_id,
+            server,
+            sent.end.value,
+            sent.detail,
+        )
+
+    def _may_go_on(
+        self,
+        job: jobs.Job,
+        events: relay.EventRelay | None,
+        progress: Progress,
+        sent: forward.Sent,
+    ) -> bool:
+        del events
+        if sent.end is _End.TIMED_OUT:
+            return False
+        if progress.may_have_run and not job.route.repeatable:
+            return False
+        if sent.end is _End.NOT_SENT:
+            return progress.unsent < MAX_UNSENT
+        return self._may_send(job)
+
+    def _may_send(self, job: jobs.Job) -> bool:
+        if self._clock.monotonic() >= job.deadline:
+            return False
+        if job.sendings >= job.route.max_attempts:
+            return False
+        return self._desk.may_repeat(job)
+
+    async def _async_answer(
+        self, job: jobs.Job, stream: caller.CallerStream, sent: forward.Sent
+    ) -> web.StreamResponse:
+        head = sent.head
+        assert head is not None
+        del job
+        if stream.response is not None:
+            return await stream.async_end(head)
+        if not sent.body and head.status == 200 and _is_stream(head):
+            return await stream.async_end(head)
+        resp = web.Response(status=head.status, body=sent.body)
+        resp.headers.popall("Content-Type", None)
+        for name, value in head.headers:
+            resp.headers.add(name, value)
+        return resp
+
+    def _give_up(
+        self,
+        job: jobs.Job,
+        stream: caller.CallerStream,
+        progress: Progress,
+        refusal: answers.Refusal | None,
+    ) -> web.StreamResponse:
+        if stream.response is not None:
+            stream.cut()
+            raise exceptions.CallerGoneError("the stream was cut")
+        refusal = self._final(progress, refusal)
+        logging.info(
+            "request %s refused: %s retry after %.3f s, waited %.3f s",
+            job.call.request_id,
+            refusal.reason.value,
+            refusal.retry_after_s,
+            self._clock.monotonic() - job.arrived,
+        )
+        headers = dict(self._dialect.refusal(job.call.request_id))
+        return answers.response(refusal, headers)
+
+    def _final(
+        self, progress: Progress, refusal: answers.Refusal | None
+    ) -> answers.Refusal:
+        last = progress.last
+        if progress.may_have_run:
+            if last is not None and last.end is _End.TIMED_OUT:
+                return answers.Refusal(_Reason.TIMED_OUT)
+            return answers.Refusal(_Reason.LOST)
+        if refusal is not None:
+            return refusal
+        retry_s = REFUSED_RETRY_S
+        if last is not None and last.head is not None:
+            retry_s = last.head.retry_after_s or retry_s
+        return answers.Refusal(_Reason.SERVER_REFUSED, retry_s)
+
+
+def _outcome(sent: forward.Sent) -> jobs.Outcome:
+    failed = sent.head is not None and sent.head.status >= 500
+    if sent.end is _End.WHOLE and failed:
+        return _Outcome.FAILED
+    return _OUTCOMES[sent.end]
+
+
+def _is_stream(head: models.Head) -> bool:
+    return any(
+        name.lower() == "content-type" and "event-stream" in value
+        for name, value in head.headers
+    )
--- /dev/null
+++ b/tamarackbridge/components/gateway/service.py
@@ -0,0 +1,216 @@
+"""The callers' listener of a router on the users' platform."""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from absl import logging
+from aiohttp import web
+import result
+
+from tamarackbridge import core
+from tamarackbridge.components.entry import connection
+from tamarackbridge.components.gateway import (
+    accept,
+    answers,
+    exceptions,
+    models,
+    runner,
+)
+from tamarackbridge.components.knowledge import models as knowledge
+from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.settings import models as settings_models
+
+SPARE_DESCRIPTORS = 600
+"""Descriptors kept for servers, peers, the store and files."""
+
+BACKLOG = 1024
+"""Connections that wait to be taken, above any burst of one zone."""
+
+WRITE_STALL_S = 10.0
+"""A caller that reads nothing for this long has left; none waits for over
+12 s."""
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class GatewayService(core.Service):
+    """Accepts callers' requests and sees each to its end.
+
+    Attributes:
+        held: Requests under way.
+        draining: Whether the router is shutting down.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_descriptors: int,
+        known: state.Knowledge,
+        dialect: models.Dialect,
+        clock: core.Clock,
+    ) -> None:
+        super().__init__()
+        self.held = 0
+        self.draining = False
+        self.port = port
+        self.connections = connection.CallerCounts()
+        self._host = host
+        self._max_connections = max(max_descriptors - SPARE_DESCRIPTORS, 64)
+        self._known = known
+        self._dialect = dialect
+        self._acceptor = accept.Acceptor(known, dialect, clock)
+        self._run: Callable[..., object] | None = None
+        self._runner: runner.Runner | None = None
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+
+    def use(self, job_runner: runner.Runner) -> None:
+        """Names who runs the jobs."""
+        self._runner = job_runner
+
+    async def on_start(self) -> None:
+        """Starts the listener."""
+        self._server = web.Server(
+            self._async_handle,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._connect, self._host, self.port, backlog=BACKLOG
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def on_stop(self) -> None:
+        """Closes the listener and what is left of the connections."""
+        self.close_listener()
+        if self._server is not None:
+            await self._server.shutdown(0.0)
+
+    def close_listener(self) -> None:
+        """Takes no further connections."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def close_idle(self) -> None:
+        """Closes connections that wait for a request."""
+        if self._server is not None:
+            self._server.pre_shutdown()
+
+    def _limits(self) -> knowledge.Limits:
+        cfg = self._known.configuration
+        return knowledge.Limits() if cfg is None else cfg.limits
+
+    def _connect(self) -> connection.CallerConnection:
+        assert self._server is not None
+        limits = self._limits()
+        cfg = settings_models.LimitSettings(
+            max_header_bytes=max(limits.max_header_bytes, 1024),
+            max_connections=self._max_connections,
+            header_timeout_s=limits.header_timeout_s,
+            write_stall_s=WRITE_STALL_S,
+        )
+        return connection.CallerConnection(
+            self._server, cfg, self.connections, limits.idle_timeout_s
+        )
+
+    def _make_request(
+        self,
+        message,
+        payload,
+        protocol,
+        writer,
+        task,  # type: ignore
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._limits().max_body_bytes + 1,
+        )
+
+    async def _async_handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        conn = req.protocol
+        assert isinstance(conn, connection.CallerConnection)
+        conn.begin_request()
+        self.held += 1
+        try:
+            resp = await self._async_answer(req)
+        except exceptions.CallerGoneError as exc:
+            logging.info("caller gone: %s", exc)
+            conn.force_close()
+            raise asyncio.CancelledError from exc
+        finally:
+            self.held -= 1
+            conn.end_request()
+        if self.draining:
+            resp.force_close()
+        return resp
+
+    async def _async_answer(self, req: web.BaseRequest) -> web.StreamResponse:
+        assert self._runner is not None
+        call = self._acceptor.read_call(req)
+        if call is None:
+            return self._refuse("", answers.Refusal(answers.Reason.MALFORMED))
+        if req.headers.get("Expect", "").lower() == "100-continue":
+            if req.transport is not None:
+                req.transport.write(_CONTINUE)
+        accepted = await self._acceptor.async_accept(req, call)
+        if isinstance(accepted, result.Err):
+            refusal = accepted.err_value
+            logging.info(
+                "request %s refused: %s, configuration %.3f s old",
+                call.request_id,
+                refusal.reason.value,
+                self._known.configuration_age(
+                    time.clock_gettime(time.CLOCK_BOOTTIME)
+                ),
+            )
+            resp = self._refuse(call.request_id, refusal)
+            if not req.content.at_eof():
+                resp.force_close()
+            return resp
+        return await self._runner.async_run(req, accepted.ok_value)
+
+    def _refuse(
+        self, request_id: str, refusal: answers.Refusal
+    ) -> web.Response:
+        headers = dict(self._dialect.refusal(request_id))
+        return answers.response(refusal, headers)
+
+
+class ReadinessService(core.Service):
+    """Tells the balancer whether this router takes callers."""
+
+    def __init__(
+        self, host: str, port: int, path: str, ready: Callable[[], bool]
+    ) -> None:
+        super().__init__()
+        self.port = port
+        self._host = host
+        self._path = path
+        self._ready = ready
+        self._runner: web.ServerRunner | None = None
+
+    async def on_start(self) -> None:
+        """Starts the listener."""
+        server = web.Server(self._async_handle, access_log=None)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._host, self.port)
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Closes the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _async_handle(self, req: web.BaseRequest) -> web.Response:
+        if req.path != self._path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._ready() else 503)
--- /dev/null
+++ b/tamarackbridge/components/knowledge/state.py
@@ -0,0 +1,133 @@
+"""What one router knows, and since when.
+
+Knowledge has an age: the time since a moment at which the store certainly held
+nothing newer. Ages are taken on a clock that counts suspension, so that what
+was known before a freeze is old after it.
+"""
+
+import dataclasses
+import math
+
+from tamarackbridge.components.fleet import models as fleet
+from tamarackbridge.components.knowledge import const, models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registered:
+    """A backend server with what its registration means here.
+
+    Attributes:
+        server: Its registration.
+        cold_until: Time until which it said to be cold.
+        lapses_at: Time at which it counts as gone unless it is registered
+            again; infinite while it is registered.
+    """
+
+    server: models.BackendServer
+    cold_until: float
+    lapses_at: float = math.inf
+
+
+class Knowledge:
+    """Configuration, registered servers and zones taken out.
+
+    Attributes:
+        configuration: The newest configuration; None until one is known.
+        servers: Registered servers by name.
+        zones_out: Availability zones that get no new work.
+    """
+
+    def __init__(self, bounds: fleet.Bounds) -> None:
+        self._bounds = bounds
+        self.configuration: models.Configuration | None = None
+        self.servers: dict[str, Registered] = {}
+        self.zones_out: frozenset[str] = frozenset()
+        self._configuration_at = -math.inf
+        self._servers_at = -math.inf
+        self._zones_at = -math.inf
+
+    def take_configuration(self, found: models.Configuration) -> bool:
+        """Puts a configuration in force unless it is older; says if new."""
+        now = self.configuration
+        if now is not None and found.version <= now.version:
+            return False
+        self.configuration = found
+        return True
+
+    def confirm_configuration(self, at: float) -> None:
+        """Notes that nothing newer was there at time `at`."""
+        self._configuration_at = max(self._configuration_at, at)
+
+    def confirm_servers(self, at: float) -> None:
+        """Notes that no registration was newer at time `at`."""
+        self._servers_at = max(self._servers_at, at)
+
+    def confirm_zones(self, at: float) -> None:
+        """Notes that no zone changed after time `at`."""
+        self._zones_at = max(self._zones_at, at)
+
+    def configuration_age(self, now: float) -> float:
+        """Returns the age of the configuration, in seconds."""
+        return now - self._configuration_at
+
+    def servers_age(self, now: float) -> float:
+        """Returns the age of the registrations, in seconds."""
+        return now - self._servers_at
+
+    def zones_age(self, now: float) -> float:
+        """Returns the age of what is known of zones, in seconds."""
+        return now - self._zones_at
+
+    def may_honour_keys(self, now: float) -> bool:
+        """Whether no key can have been revoked longer ago than is allowed.
+
+        A request that arrives now was sent no later than now, so its key was
+        valid within the bound before its sending however long it waits here.
+        """
+        limit = self._bounds.revocation_s - const.REVOCATION_MARGIN_S
+        return self.configuration_age(now) < limit
+
+    def may_deny(self, now: float) -> bool:
+        """Whether a route or key that isn't known here isn't in force."""
+        limit = self._bounds.configuration_s - const.APPLY_MARGIN_S
+        return self.configuration_age(now) < limit
+
+    def complete(self) -> bool:
+        """Whether every kind was read at least once."""
+        read = min(self._servers_at, self._zones_at, self._configuration_at)
+        return read > -math.inf and self.configuration is not None
+
+    def register(self, server: models.BackendServer, now: float) -> None:
+        """Takes a registration, new or changed."""
+        self.servers[server.name] = Registered(server, now + server.cold_s)
+
+    def unregister(self, name: str, now: float, grace_s: float) -> None:
+        """Takes the end of a registration; it counts after `grace_s`."""
+        known = self.servers.get(name)
+        if known is None:
+            return
+        if grace_s <= 0:
+            del self.servers[name]
+            return
+        lapses_at = min(known.lapses_at, now + grace_s)
+        self.servers[name] = dataclasses.replace(known, lapses_at=lapses_at)
+
+    def drop_lapsed(self, now: float) -> tuple[str, ...]:
+        """Drops servers that were not registered again in time."""
+        gone = tuple(
+            name for name, it in self.servers.items() if it.lapses_at <= now
+        )
+        for name in gone:
+            del self.servers[name]
+        return gone
+
+    def usable(self, service: str, now: float) -> list[Registered]:
+        """Returns the servers of a service that may get new work."""
+        return [
+            it
+            for it in self.servers.values()
+            if it.server.service == service
+            and not it.server.draining
+            and it.lapses_at > now
+            and it.server.zone not in self.zones_out
+        ]
--- /dev/null
+++ b/tamarackbridge/components/placement/choose.py
@@ -0,0 +1,196 @@
+"""Chooses the server for a request.
+
+Costs are compared in prompt tokens. Load patterns: prompts that share long
+parts, of which each is best read on one engine; and arrivals in clumps, which
+must spread before the engines' first events come late.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+
+from tamarackbridge.components.gateway import jobs
+from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.placement import (
+    cold,
+    estimate,
+    health,
+    ledger,
+    parts,
+)
+from tamarackbridge.helpers import rendezvous
+
+IN_TIME = 0.85
+"""Part of the target within which a first event is planned; the rest is for
+what the estimate does not know."""
+
+LATE_TOKENS = 40_000.0
+"""Cost of a first event that is late by one whole target: several times the
+longest shared prompt part, so that a hot part spreads to a second engine."""
+
+CROWD_TOKENS = 1_500.0
+"""Cost of a full engine against an empty one; keeps even engines even."""
+
+AHEAD_WEIGHT = 0.1
+"""Cost of each token that is read before; a wait within the target costs
+callers nothing, but leaves less room for the next."""
+
+BYTES_PER_TOKEN = 25.0
+"""Bytes between zones that cost as much as one token read again."""
+
+EVENT_BYTES = 65
+"""Size of one event of a stream, for what an answer carries."""
+
+PLAIN_FULL_TOKENS = 10_000.0
+"""Cost of a plain server whose slots are all taken."""
+
+AVOIDED_TOKENS = 1_000_000.0
+"""Cost of a server that fails; it is used only if all others do too."""
+
+MEMORY_SHARE = 0.92
+"""Part of an engine's memory that is planned; beyond it, engines begin to
+interrupt requests that they run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Option:
+    """A server for one request.
+
+    Attributes:
+        known: The server.
+        cost: Lower is better.
+        first_s: Predicted time to the first event; 0 for plain services.
+        ahead: Prompt tokens read before it.
+        unread: Prompt tokens of the request that it has to read.
+        full: Whether its slots or its memory are taken.
+    """
+
+    known: state.Registered
+    cost: float
+    first_s: float
+    ahead: int
+    unread: int
+    full: bool
+
+
+class Chooser:
+    """Ranks the servers of a service for a request."""
+
+    def __init__(
+        self,
+        zone: str,
+        known: state.Knowledge,
+        work: ledger.Ledger,
+        held: parts.HeldParts,
+        breakers: health.Health,
+        estimator: estimate.Estimator,
+        limiter: cold.ColdLimiter,
+    ) -> None:
+        self._zone = zone
+        self._known = known
+        self._work = work
+        self._held = held
+        self._breakers = breakers
+        self._estimator = estimator
+        self._limiter = limiter
+
+    def options(self, job: jobs.Job, routers: int, now: float) -> list[Option]:
+        """Returns the servers that may take a request now, best first."""
+        usable = [
+            it
+            for it in self._known.usable(job.service.name, now)
+            if it.server.name not in job.avoid
+            and self._bears(it, job, routers, now)
+        ]
+        if job.service.is_model:
+            found = self._model_options(job, usable, now)
+        else:
+            found = [self._plain_option(job, it, now) for it in usable]
+        return sorted(found, key=_cost)
+
+    def exists(self, job: jobs.Job, now: float) -> bool:
+        """Whether any server could take a request, now or later."""
+        return any(
+            it.server.name not in job.avoid
+            for it in self._known.usable(job.service.name, now)
+        )
+
+    def _bears(
+        self, it: state.Registered, job: jobs.Job, routers: int, now: float
+    ) -> bool:
+        per_s = job.service.cold_per_s
+        if now >= it.cold_until or per_s <= 0:
+            return True
+        name = it.server.name
+        return self._limiter.may_send(name, per_s, routers, now)
+
+    def _model_options(
+        self, job: jobs.Job, usable: Sequence[state.Registered], now: float
+    ) -> list[Option]:
+        key = parts.affinity(job.call.parts)
+        names = [it.server.name for it in usable]
+        order = rendezvous.rank(key, names) if key else names
+        rank = {name: place for place, name in enumerate(order)}
+        return [
+            self._model_option(job, it, rank[it.server.name], now)
+            for it in usable
+        ]
+
+    def _model_option(
+        self, job: jobs.Job, it: state.Registered, rank: int, now: float
+    ) -> Option:
+        name = it.server.name
+        speed = self._estimator.read_per_s(name)
+        work = self._work.at(name, now, speed)
+        call = job.call
+        if call.parts:
+            unread = self._held.unread(name, call.parts, now)
+            own = min(call.parts[-1].tokens, unread)
+        else:
+            unread = own = call.prompt_tokens
+        first_s = self._estimator.first_event_s(name, work.unread, unread)
+        slots = max(job.service.slots, 1)
+        waited_s = now - job.arrived
+        late = max((waited_s + first_s) / job.route.target_s - IN_TIME, 0.0)
+        needed = call.prompt_tokens + call.output_tokens
+        room = job.service.memory_tokens * MEMORY_SHARE
+        cost = (
+            (unread - own)
+            + late * LATE_TOKENS
+            + CROWD_TOKENS * work.requests / slots
+            + AHEAD_WEIGHT * work.unread
+            + self._crossing_tokens(job, it)
+            + self._avoided_tokens(name, now)
+            + rank
+        )
+        full = work.requests >= slots or (
+            work.requests > 0 and work.memory + needed > room
+        )
+        return Option(it, cost, first_s, work.unread, unread, full)
+
+    def _plain_option(
+        self, job: jobs.Job, it: state.Registered, now: float
+    ) -> Option:
+        name = it.server.name
+        work = self._work.at(name, now, 0.0)
+        slots = max(it.server.slots, 1)
+        cost = (
+            PLAIN_FULL_TOKENS * work.requests / slots
+            + self._crossing_tokens(job, it)
+            + self._avoided_tokens(name, now)
+        )
+        return Option(it, cost, 0.0, 0, 0, work.requests >= slots)
+
+    def _crossing_tokens(self, job: jobs.Job, it: state.Registered) -> float:
+        if it.server.zone == self._zone:
+            return 0.0
+        tokens = max(job.service.event_tokens, 1)
+        expected = job.call.output_hint or job.call.output_tokens
+        answer = expected / tokens * EVENT_BYTES
+        return (len(job.call.body) + answer) / BYTES_PER_TOKEN
+
+    def _avoided_tokens(self, name: str, now: float) -> float:
+        return AVOIDED_TOKENS if self._breakers.avoided(name, now) else 0.0
+
+
+def _cost(option: Option) -> float:
+    return option.cost
--- /dev/null
+++ b/tamarackbridge/components/placement/ledger.py
@@ -0,0 +1,141 @@
+"""What every backend server has under way, as far as this router knows.
+
+A router knows its own requests exactly, and those of the other routers as they
+were when they last told. Load pattern: many routers send to few servers, whose
+own reports are too old to decide by.
+"""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+
+from tamarackbridge.components.knowledge import models as knowledge
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Ticket:
+    """One request of this router at a server.
+
+    Attributes:
+        server: The server's registration when it was sent.
+        workspace: Who sent it.
+        unread: Prompt tokens that the server probably has to read.
+        memory: Tokens that it takes in the server's memory.
+        sent: Time of its sending.
+        began: Time of the server's first sign of life; None before it.
+    """
+
+    server: knowledge.BackendServer
+    workspace: str
+    unread: int
+    memory: int
+    sent: float
+    began: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """Work at one server.
+
+    Attributes:
+        requests: Requests that wait or run there.
+        unread: Prompt tokens not yet read.
+        memory: Tokens taken in its memory.
+    """
+
+    requests: int = 0
+    unread: int = 0
+    memory: int = 0
+
+    def plus(self, other: "Work") -> "Work":
+        """Returns the sum."""
+        return Work(
+            self.requests + other.requests,
+            self.unread + other.unread,
+            self.memory + other.memory,
+        )
+
+
+NOTHING = Work()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What another router said it has under way.
+
+    Attributes:
+        work: Work by server name.
+        at: Time for which it holds.
+    """
+
+    work: Mapping[str, Work]
+    at: float
+
+
+class Ledger:
+    """Work at all servers, of this router and of the others."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, set[Ticket]] = {}
+        self._told: dict[str, Told] = {}
+
+    def begin(self, ticket: Ticket) -> None:
+        """Notes a sending."""
+        self._own.setdefault(ticket.server.name, set()).add(ticket)
+
+    def end(self, ticket: Ticket) -> None:
+        """Notes the end of a sending."""
+        tickets = self._own.get(ticket.server.name)
+        if tickets is None:
+            return
+        tickets.discard(ticket)
+        if not tickets:
+            del self._own[ticket.server.name]
+
+    def hear(self, router: str, told: Told) -> None:
+        """Takes what another router has under way."""
+        self._told[router] = told
+
+    def forget(self, router: str) -> None:
+        """Drops what a router said that is gone."""
+        self._told.pop(router, None)
+
+    def own(self) -> dict[str, Work]:
+        """Returns this router's work by server."""
+        return {name: _sum(found) for name, found in self._own.items()}
+
+    def own_at(self, server: str) -> Work:
+        """Returns this router's work at one server."""
+        return _sum(self._own.get(server, ()))
+
+    def tickets(self, server: str) -> frozenset[Ticket]:
+        """Returns this router's sendings at one server."""
+        return frozenset(self._own.get(server, ()))
+
+    def at(self, server: str, now: float, read_per_s: float) -> Work:
+        """Returns the work at a server.
+
+        Args:
+            server: Name of the server.
+            now: The time.
+            read_per_s: Prompt tokens that the server reads in a second; the
+                others' unread tokens shrink by it since they told.
+        """
+        total = self.own_at(server)
+        for told in self._told.values():
+            work = told.work.get(server)
+            if work is None:
+                continue
+            read = int(max(now - told.at, 0.0) * read_per_s)
+            unread = max(work.unread - read, 0)
+            total = total.plus(dataclasses.replace(work, unread=unread))
+        return total
+
+
+def _sum(tickets: Iterable[Ticket]) -> Work:
+    requests = unread = memory = 0
+    for ticket in tickets:
+        requests += 1
+        memory += ticket.memory
+        if ticket.began is None:
+            unread += ticket.unread
+    return Work(requests, unread, memory)
--- /dev/null
+++ b/tamarackbridge/components/placement/parts.py
@@ -0,0 +1,75 @@
+"""Which prompt parts each model engine holds, as far as can be told.
+
+Load pattern: many requests share long prompt parts, and reading a part again
+on another engine costs more than a short wait for the one that holds it.
+"""
+
+import collections
+from collections.abc import Iterator
+import hashlib
+
+from tamarackbridge.components.gateway import models
+
+HELD_S = 30.0
+"""Parts are taken for held this long after their last use; an engine's
+memory is written over about once in this time at full load."""
+
+CHAIN_BYTES = 5
+"""Size of a part's number; two of a million parts share one by a chance of
+one in two."""
+
+MAX_PARTS = 20_000
+"""Parts remembered for each server, at a hundred bytes each."""
+
+
+class HeldParts:
+    """Prompt parts by server, each with its last use."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, collections.OrderedDict[int, float]] = {}
+
+    def note(self, server: str, chain: int, now: float) -> None:
+        """Notes that a server reads or uses a part."""
+        held = self._held.setdefault(server, collections.OrderedDict())
+        held[chain] = now
+        held.move_to_end(chain)
+        if len(held) > MAX_PARTS:
+            held.popitem(last=False)
+
+    def forget(self, server: str) -> None:
+        """Drops what a server held that has started again."""
+        self._held.pop(server, None)
+
+    def unread(
+        self, server: str, parts: tuple[models.PromptPart, ...], now: float
+    ) -> int:
+        """Returns how many tokens of a prompt a server has to read."""
+        held = self._held.get(server, {})
+        reading = False
+        unread = 0
+        for chain, part in chains(parts):
+            if not reading:
+                last = held.get(chain)
+                reading = last is None or now - last > HELD_S
+            if reading:
+                unread += part.tokens
+        return unread
+
+
+def chains(
+    parts: tuple[models.PromptPart, ...],
+) -> Iterator[tuple[int, models.PromptPart]]:
+    """Yields each part with a number that covers all parts before it.
+
+    A part is of use only if all parts before it are held too.
+    """
+    chain = b""
+    for part in parts:
+        data = chain + part.name.encode()
+        chain = hashlib.blake2b(data, digest_size=CHAIN_BYTES).digest()
+        yield int.from_bytes(chain, "big"), part
+
+
+def affinity(parts: tuple[models.PromptPart, ...]) -> str:
+    """Returns what requests that share all but their own part agree on."""
+    return "/".join(part.name for part in parts[:-1])
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -8,6 +8,7 @@
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.configuration import messages as configuration
 from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.components.fleet import messages as fleet
 from tamarackbridge.components.membership import messages as membership
 
 Raw = msgspec.Raw
@@ -37,6 +38,7 @@
     membership.Heartbeat,
     membership.StateAsk,
     membership.StateReply,
+    fleet.Status,
 )
 """The message types that may cross from one router to another."""
 
--- /dev/null
+++ b/tamarackbridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: translates its words, decides nothing."""
--- /dev/null
+++ b/tamarackbridge/platform/__main__.py
@@ -0,0 +1,22 @@
+"""Runs a router on the users' platform."""
+
+import sys
+
+from tamarackbridge import platform_router
+from tamarackbridge.platform import exceptions, settings
+
+USAGE_EXIT_CODE = 2
+
+
+def main() -> int:
+    """Reads the platform's settings and runs the router."""
+    try:
+        cfg = settings.load(settings.path())
+    except exceptions.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return USAGE_EXIT_CODE
+    return platform_router.run(cfg)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tamarackbridge/platform/dialect.py
@@ -0,0 +1,164 @@
+"""The headers that the platform's callers and backend servers use."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from tamarackbridge.components.gateway import models
+from tamarackbridge.platform import const
+
+_MAX_PARTS = 64
+"""Longest list of prompt parts that is read; prompts have a few."""
+
+_NOT_RUN_STATUSES = frozenset((400, 408, 429, 503))
+
+
+class PlatformDialect:
+    """Translates between the platform's headers and the gateway's records."""
+
+    def read_call(
+        self,
+        method: str,
+        target: str,
+        host: str,
+        raw_headers: Sequence[tuple[bytes, bytes]],
+    ) -> models.Call | None:
+        """Returns a call, or None if it names no identifier."""
+        headers = _decoded(raw_headers)
+        values = {name.lower(): value for name, value in headers}
+        request_id = values.get(const.HEADER_REQUEST_ID.lower(), "")
+        if not request_id:
+            return None
+        read, generated = _tokens(values.get(const.HEADER_TOKENS.lower(), ""))
+        patience_ms = _count(values.get(const.HEADER_DEADLINE.lower(), ""))
+        return models.Call(
+            request_id=request_id,
+            method=method,
+            host=host,
+            target=target,
+            headers=_passed_on(headers, const.HEADERS_OF_ROUTERS),
+            key=values.get(const.HEADER_KEY.lower(), ""),
+            patience_s=patience_ms / const.MS_PER_S if patience_ms else None,
+            prompt_tokens=read,
+            output_tokens=generated,
+            output_hint=_count(
+                values.get(const.HEADER_OUTPUT_HINT.lower(), "")
+            ),
+            parts=_parts(values.get(const.HEADER_PARTS.lower(), "")),
+            resume_after=values.get(const.HEADER_RESUME.lower(), ""),
+        )
+
+    def write_call(
+        self, call: models.Call, sending: models.Sending
+    ) -> models.HeaderList:
+        """Returns the headers of a call to a backend server."""
+        left_ms = max(int(sending.left_s * const.MS_PER_S), 1)
+        headers = list(call.headers)
+        headers.append((const.HEADER_DEADLINE, str(left_ms)))
+        headers.append((const.HEADER_TARGET, sending.server))
+        if sending.workspace:
+            headers.append((const.HEADER_WORKSPACE, sending.workspace))
+        if sending.resume_after != call.resume_after:
+            resume = const.HEADER_RESUME.lower()
+            headers = [it for it in headers if it[0].lower() != resume]
+            headers.append((const.HEADER_RESUME, sending.resume_after))
+        return tuple(headers)
+
+    def read_head(
+        self,
+        call: models.Call,
+        status: int,
+        raw_headers: Sequence[tuple[bytes, bytes]],
+    ) -> models.Head:
+        """Reads the head of an answer."""
+        headers = _decoded(raw_headers)
+        values = {name.lower(): value for name, value in headers}
+        return models.Head(
+            status=status,
+            told=_told(call, status, values),
+            sealed=const.HEADER_SEAL.lower() in values,
+            headers=_passed_on(headers, _KEPT_FROM_CALLERS),
+            load=_load(values.get(const.HEADER_LOAD.lower(), "")),
+            leaving="close" in values.get("connection", "").lower(),
+            retry_after_s=_seconds(values.get("retry-after", "")),
+        )
+
+    def refusal(self, request_id: str) -> Mapping[str, str]:
+        """Returns the headers of a refusal."""
+        return {const.HEADER_REQUEST_ID: request_id} if request_id else {}
+
+
+_KEPT_FROM_CALLERS = frozenset((const.HEADER_LOAD.lower(),))
+
+
+def _told(
+    call: models.Call, status: int, values: Mapping[str, str]
+) -> models.Told:
+    echoed = values.get(const.HEADER_REQUEST_ID.lower())
+    if echoed is not None and echoed != call.request_id:
+        return models.Told.CROSSED
+    if status == 421:
+        return models.Told.ELSEWHERE
+    if const.HEADER_NOT_RUN.lower() in values and status in _NOT_RUN_STATUSES:
+        return models.Told.NOT_RUN
+    if echoed is None and const.HEADER_SEAL.lower() in values:
+        return models.Told.CROSSED
+    return models.Told.ANSWERED
+
+
+def _decoded(
+    raw_headers: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+        for name, value in raw_headers
+    ]
+
+
+def _passed_on(
+    headers: Sequence[tuple[str, str]], dropped: frozenset[str]
+) -> models.HeaderList:
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    kept = named | dropped | const.HEADERS_OF_CONNECTION
+    return tuple(it for it in headers if it[0].lower() not in kept)
+
+
+def _tokens(text: str) -> tuple[int, int]:
+    read, _, generated = text.partition(",")
+    return _count(read), _count(generated)
+
+
+def _parts(text: str) -> tuple[models.PromptPart, ...]:
+    if not text:
+        return ()
+    found = []
+    for entry in text.split(",")[:_MAX_PARTS]:
+        name, _, tokens = entry.strip().partition(":")
+        found.append(models.PromptPart(name, _count(tokens)))
+    return tuple(found)
+
+
+def _load(text: str) -> models.Load | None:
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return models.Load(running, waiting, slots)
+
+
+def _count(text: str) -> int:
+    text = text.strip()
+    if not text.isdigit() or len(text) > 12:
+        return 0
+    return int(text)
+
+
+def _seconds(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if 0 <= value < 3600 else 0.0
--- /dev/null
+++ b/tamarackbridge/platform/directory.py
@@ -0,0 +1,41 @@
+"""The list of routers, kept as objects of the system's own kind."""
+
+import result
+
+from tamarackbridge.components.fleet import sharing
+from tamarackbridge.platform import const, store
+
+
+class StoreDirectory(sharing.Directory):
+    """One object for each router, named by its peer address."""
+
+    def __init__(self, client: store.Store) -> None:
+        self._client = client
+
+    async def async_enter(self, address: str) -> bool:
+        """Adds this router; says whether it is certainly in."""
+        answer = await self._client.async_put(
+            const.KIND_MEMBERS, _name(address), {"address": address}
+        )
+        return isinstance(answer, result.Ok)
+
+    async def async_leave(self, address: str) -> None:
+        """Removes this router."""
+        await self._client.async_delete(const.KIND_MEMBERS, _name(address))
+
+    async def async_routers(self) -> tuple[str, ...] | None:
+        """Returns the routers' addresses; None if they can't be read."""
+        page = await self._client.async_list(const.KIND_MEMBERS)
+        if isinstance(page, result.Err):
+            return None
+        found = (_address(item.name) for item in page.ok_value.objects)
+        return tuple(address for address in found if address)
+
+
+def _name(address: str) -> str:
+    return address.replace(":", "_")
+
+
+def _address(name: str) -> str:
+    host, _, port = name.rpartition("_")
+    return f"{host}:{port}" if host and port.isdigit() else ""
--- /dev/null
+++ b/tamarackbridge/platform/records.py
@@ -0,0 +1,180 @@
+"""Reads the store's objects into the product's records."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from tamarackbridge.components.knowledge import models
+from tamarackbridge.platform import const, exceptions
+
+_KINDS = {
+    "idempotent": models.RouteKind.IDEMPOTENT,
+    "non_idempotent": models.RouteKind.NON_IDEMPOTENT,
+    "streaming": models.RouteKind.STREAM,
+}
+
+
+class _Weight(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 0
+    service: str | None = None
+    traffic_split: tuple[_Weight, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    target_gap_ms: float = 0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity_tokens: int
+    stride: int = 1  # Tokens in one event of a stream.
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+    tokens_per_s: float = 0
+
+
+class _Workspace(msgspec.Struct):
+    name: str
+    api_keys: tuple[str, ...] = ()
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Workspace, ...] | None = None
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 0
+    cold_remaining_ms: float = 0
+    born: int = 0  # Unix milliseconds of the server's start.
+
+
+def configuration(spec: Any) -> models.Configuration:
+    """Reads one version of the configuration.
+
+    Raises:
+        RecordError: It lacks a field or has one of another type.
+    """
+    found = _convert(spec, _Configuration)
+    limits = found.limits
+    return models.Configuration(
+        version=found.version,
+        routes=tuple(_route(item) for item in found.routes),
+        services={item.name: _service(item) for item in found.services},
+        limits=models.Limits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / const.MS_PER_S,
+            idle_timeout_s=limits.idle_timeout_ms / const.MS_PER_S,
+            tokens_per_s=limits.tokens_per_s,
+        ),
+        workspaces=_workspaces(found.tenants),
+    )
+
+
+def server(name: str, spec: Any) -> models.BackendServer:
+    """Reads the registration of one backend server.
+
+    Raises:
+        RecordError: It names no server that can be used.
+    """
+    found = _convert(spec, _Server)
+    if found.state not in ("ready", "draining"):
+        raise exceptions.RecordError(f"{name}: state {found.state!r}")
+    host, _, port = found.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise exceptions.RecordError(f"{name}: address {found.address!r}")
+    return models.BackendServer(
+        name=name,
+        service=found.service,
+        address=found.address,
+        zone=found.zone,
+        slots=found.slots,
+        draining=found.state == "draining",
+        cold_s=found.cold_remaining_ms / const.MS_PER_S,
+        started_ms=found.born,
+    )
+
+
+def _convert(spec: Any, kind: type[Any]) -> Any:
+    try:
+        return msgspec.convert(spec, kind)
+    except (msgspec.ValidationError, RecursionError) as exc:
+        raise exceptions.RecordError(str(exc)) from exc
+
+
+def _route(item: _Route) -> models.Route:
+    if item.kind not in _KINDS:
+        raise exceptions.RecordError(f"{item.name}: kind {item.kind!r}")
+    split = tuple((part.service, part.weight) for part in item.traffic_split)
+    if item.service is not None:
+        split = ((item.service, 1.0),)
+    return models.Route(
+        name=item.name,
+        host=item.host,
+        path_prefix=item.path_prefix,
+        kind=_KINDS[item.kind],
+        timeout_s=item.timeout_ms / const.MS_PER_S,
+        target_s=item.target_latency_ms / const.MS_PER_S,
+        target_gap_s=item.target_gap_ms / const.MS_PER_S,
+        priority=item.priority,
+        split=split,
+        max_attempts=max(item.max_attempts, 1),
+        public=item.public,
+        sticky=item.sticky,
+        resumable=item.resumable,
+    )
+
+
+def _service(item: _Service) -> models.Service:
+    engine = item.engine
+    return models.Service(
+        name=item.name,
+        health_path=item.health_path,
+        max_connections=item.max_connections,
+        cold_per_s=item.cold_per_s,
+        slots=engine.slots if engine else 0,
+        memory_tokens=engine.kv_capacity_tokens if engine else 0,
+        event_tokens=engine.stride if engine else 1,
+    )
+
+
+def _workspaces(
+    found: tuple[_Workspace, ...] | None,
+) -> Mapping[str, str] | None:
+    if found is None:
+        return None
+    return {key: item.name for item in found for key in item.api_keys}
--- /dev/null
+++ b/tamarackbridge/platform/settings.py
@@ -0,0 +1,151 @@
+"""The platform's settings file: lines of `key=value`."""
+
+from collections.abc import Mapping
+import dataclasses
+import os
+import pathlib
+
+from tamarackbridge.components.fleet import models as fleet
+from tamarackbridge.platform import const, exceptions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What the platform tells one router process.
+
+    Attributes:
+        node: Name of the VM.
+        zone: Availability zone of the VM.
+        zones: All availability zones.
+        callers: Where callers connect.
+        readiness: Where the balancer asks whether this router is ready.
+        peers: Where the other routers connect.
+        metrics_host: Address of the metrics listener.
+        seeds: Peer addresses of some routers; may be stale.
+        store: Address of the platform's store.
+        bounds: Times and shares that the router must keep to.
+        max_descriptors: Descriptors that the process may open.
+    """
+
+    node: str
+    zone: str
+    zones: tuple[str, ...]
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics_host: str
+    seeds: tuple[str, ...]
+    store: Address
+    bounds: fleet.Bounds
+    max_descriptors: int
+
+
+def path() -> pathlib.Path:
+    """Returns where the platform put the settings file."""
+    return pathlib.Path(
+        os.environ.get(const.SETTINGS_VARIABLE, const.SETTINGS_PATH)
+    )
+
+
+def load(file: pathlib.Path) -> Settings:
+    """Reads the settings file.
+
+    Raises:
+        SettingsError: It can't be read, or a value is missing or wrong.
+    """
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as exc:
+        raise exceptions.SettingsError("", f"{file}: {exc}") from exc
+    return parse(text)
+
+
+def parse(text: str) -> Settings:
+    """Reads settings from the text of a file.
+
+    Raises:
+        SettingsError: A value is missing or wrong.
+    """
+    lines = (line.partition("=") for line in text.splitlines())
+    values = {key.strip(): value.strip() for key, _, value in lines}
+    ip = _text(values, "ip")
+    return Settings(
+        node=_text(values, "node"),
+        zone=_text(values, "zone"),
+        zones=_zones(values),
+        callers=_address(values, "listen.front"),
+        readiness=_address(values, "listen.readiness"),
+        peers=_address(values, "listen.control"),
+        metrics_host=ip,
+        seeds=tuple(
+            part for part in values.get("seeds", "").split(",") if part
+        ),
+        store=_address(values, "provider.address"),
+        bounds=_bounds(values),
+        max_descriptors=int(_number(values, "limits.max_fds", 4096)),
+    )
+
+
+def _bounds(values: Mapping[str, str]) -> fleet.Bounds:
+    def seconds(key: str, default_ms: float) -> float:
+        return _number(values, f"bounds.{key}", default_ms) / const.MS_PER_S
+
+    return fleet.Bounds(
+        server_leave_s=seconds("drain_ms", 2_000),
+        shutdown_s=_number(values, "bounds.grace_s", 8),
+        configuration_s=seconds("config_apply_ms", 2_000),
+        revocation_s=seconds("revoke_ms", 5_000),
+        retry_ratio=_number(values, "bounds.retry_budget_ratio", 0.2),
+        retry_window_s=_number(values, "bounds.budget_window_s", 10),
+        retry_slack=_number(values, "bounds.budget_slack", 10),
+        cold_overage=_number(values, "bounds.cold_overage", 1.5),
+        cold_slack=_number(values, "bounds.cold_slack", 5),
+        share_window_s=_number(values, "bounds.quota_window_s", 4),
+        reuse_window_s=_number(values, "bounds.reuse_window_s", 10),
+        heartbeat_s=_number(values, "heartbeat_ms", 1_200) / const.MS_PER_S,
+    )
+
+
+def _zones(values: Mapping[str, str]) -> tuple[str, ...]:
+    prefix = "zones."
+    found = [key[len(prefix) :] for key in values if key.startswith(prefix)]
+    return tuple(sorted(found))
+
+
+def _text(values: Mapping[str, str], key: str) -> str:
+    value = values.get(key, "")
+    if not value:
+        raise exceptions.SettingsError(key, "a value is required")
+    return value
+
+
+def _number(values: Mapping[str, str], key: str, default: float) -> float:
+    text = values.get(key, "")
+    if not text:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        raise exceptions.SettingsError(key, "a number is required") from None
+    if not 0 <= value < float("inf"):
+        raise exceptions.SettingsError(key, "a number from 0 is required")
+    return value
+
+
+def _address(values: Mapping[str, str], key: str) -> Address:
+    host, _, port = _text(values, key).rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65_536:
+        raise exceptions.SettingsError(key, "HOST:PORT is required")
+    return Address(host, int(port))
--- /dev/null
+++ b/tamarackbridge/platform/store.py
@@ -0,0 +1,231 @@
+"""The platform's store over HTTP."""
+
+import dataclasses
+import enum
+from typing import Any
+
+import aiohttp
+import msgspec
+import result
+
+from tamarackbridge import core
+from tamarackbridge.helpers import send_once
+from tamarackbridge.platform import const
+
+CONNECT_TIMEOUT_S = 0.5
+"""The store answers in 4 ms when it is well; a lost packet costs 0.2 s."""
+
+CALL_TIMEOUT_S = 0.8
+"""Longest wait for an answer beyond the time that a watch may wait; the
+store at its slowest takes 0.25 s."""
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Four times the largest page that the store sends."""
+
+
+class Failure(enum.Enum):
+    """Why a call gave nothing."""
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    HISTORY_LOST = "history_lost"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    UNREADABLE = "unreadable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object of a kind.
+
+    Attributes:
+        name: Its name.
+        revision: Revision of its last change.
+        spec: Its content.
+        deleted: Whether it was removed.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Objects of a kind, or what changed, up to a revision."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+
+
+class _List(msgspec.Struct):
+    as_of: int
+    items: tuple[_Object, ...] = ()
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Watch(msgspec.Struct):
+    as_of: int
+    events: tuple[_Event, ...] = ()
+
+
+_LIST = msgspec.json.Decoder(_List)
+_WATCH = msgspec.json.Decoder(_Watch)
+_OBJECT = msgspec.json.Decoder(_Object)
+
+Paged = result.Result[Page, Failure]
+
+
+class Store(core.Service):
+    """Owns the connections to the store.
+
+    Attributes:
+        calls: Calls made so far.
+    """
+
+    def __init__(self, address: str) -> None:
+        super().__init__()
+        self.calls = 0
+        self._base = f"http://{address}/objects"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def on_start(self) -> None:
+        """Opens the pool."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=5),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(send_once.async_send_once,),
+        )
+
+    async def on_stop(self) -> None:
+        """Closes the pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def async_list(self, kind: str) -> Paged:
+        """Returns all objects of a kind.
+
+        The revision is the first page's: what changed while later pages were
+        read is among the changes after it.
+        """
+        objects: list[StoredObject] = []
+        query: dict[str, str] = {}
+        revision = 0
+        while True:
+            answer = await self._async_read(kind, query, 0.0, _LIST)
+            if isinstance(answer, result.Err):
+                return answer
+            page: _List = answer.ok_value
+            revision = revision or page.as_of
+            objects.extend(_stored(item) for item in page.items)
+            if not page.has_more or not page.items:
+                return result.Ok(Page(tuple(objects), revision))
+            # The parameter takes the last name of the page before.
+            query = {"since_revision": page.items[-1].metadata.name}
+
+    async def async_watch(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Paged:
+        """Returns what changed after a revision, once there is something."""
+        wait_ms = int(wait_s * const.MS_PER_S)
+        query = {"watch": str(revision), "wait_ms": str(wait_ms)}
+        answer = await self._async_read(kind, query, wait_s, _WATCH)
+        if isinstance(answer, result.Err):
+            return answer
+        found: _Watch = answer.ok_value
+        objects = tuple(_stored(it.object, it.deleted) for it in found.events)
+        return result.Ok(Page(objects, found.as_of))
+
+    async def async_put(
+        self, kind: str, name: str, spec: Any
+    ) -> result.Result[None, Failure]:
+        """Creates an object, or replaces it if it is there."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        answer = await self._async_call("POST", kind, "", body)
+        if answer == result.Err(Failure.CONFLICT):
+            answer = await self._async_call("PUT", kind, f"/{name}", body)
+        return answer.map(_nothing)
+
+    async def async_delete(
+        self, kind: str, name: str
+    ) -> result.Result[None, Failure]:
+        """Removes an object."""
+        answer = await self._async_call("DELETE", kind, f"/{name}", None)
+        return answer.map(_nothing)
+
+    async def _async_read(
+        self,
+        kind: str,
+        query: dict[str, str],
+        wait_s: float,
+        decoder: msgspec.json.Decoder[Any],
+    ) -> result.Result[Any, Failure]:
+        data = await self._async_call("GET", kind, "", None, query, wait_s)
+        if isinstance(data, result.Err):
+            return data
+        try:
+            return result.Ok(decoder.decode(data.ok_value))
+        except (msgspec.MsgspecError, RecursionError):
+            return result.Err(Failure.UNREADABLE)
+
+    async def _async_call(
+        self,
+        method: str,
+        kind: str,
+        suffix: str,
+        body: Any,
+        query: dict[str, str] | None = None,
+        wait_s: float = 0.0,
+    ) -> result.Result[bytes, Failure]:
+        if self._session is None:
+            return result.Err(Failure.UNREACHABLE)
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(
+            total=wait_s + CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method,
+                f"{self._base}/{kind}{suffix}",
+                params=query,
+                json=body,
+                timeout=timeout,
+            ) as resp:
+                data = await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return result.Err(Failure.UNREACHABLE)
+        if resp.status in (200, 201, 204):
+            return result.Ok(data)
+        return result.Err(_FAILURES.get(resp.status, Failure.REFUSED))
+
+
+_FAILURES = {
+    404: Failure.NOT_FOUND,
+    409: Failure.CONFLICT,
+    410: Failure.HISTORY_LOST,
+}
+
+
+def _stored(item: _Object, deleted: bool = False) -> StoredObject:
+    meta = item.metadata
+    return StoredObject(meta.name, meta.revision, item.spec, deleted)
+
+
+def _nothing(data: bytes) -> None:
+    del data  # The object that the store echoes.
--- /dev/null
+++ b/tamarackbridge/platform_router.py
@@ -0,0 +1,224 @@
+"""Composition root of a router on the users' platform."""
+
+import asyncio
+import random
+import secrets
+import signal
+
+from absl import logging
+import mode
+
+from tamarackbridge import core, crash_watch
+from tamarackbridge.components.admission import desk, shares
+from tamarackbridge.components.fleet import sharing
+from tamarackbridge.components.gateway import forward, runner, servers
+from tamarackbridge.components.gateway import service as gateway
+from tamarackbridge.components.knowledge import follower, source, state
+from tamarackbridge.components.placement import (
+    choose,
+    cold,
+    estimate,
+    health,
+    ledger,
+    parts,
+)
+from tamarackbridge.components.settings import models as settings_models
+from tamarackbridge.components.telemetry import logs
+from tamarackbridge.components.transport import service as transport
+from tamarackbridge.platform import const as platform_const
+from tamarackbridge.platform import dialect, directory, store
+from tamarackbridge.platform import settings as platform_settings
+from tamarackbridge.platform import source as platform_source
+
+BOOT_BITS = 31
+"""Size of the identifier of one process life."""
+
+NOTICE_S = 2.6
+"""Time until the balancer sends no new connections: it asks once a second and
+needs two misses, and its question may wait for half a second."""
+
+CLOSE_MARGIN_S = 0.7
+"""Part of the time for a shutdown that is left for closing connections."""
+
+HELD_POLL_S = 0.05
+"""Interval at which a shutdown looks for what is still held."""
+
+
+class PlatformRouter:
+    """All services of one router process on the platform."""
+
+    def __init__(self, cfg: platform_settings.Settings) -> None:
+        self._cfg = cfg
+        self._exit_code = 0
+        boot = secrets.randbits(BOOT_BITS)
+        clock = core.SystemClock()
+        rng = random.Random(boot)
+        self._clock = clock
+        self._kernel = core.Kernel(clock, rng)
+        known = state.Knowledge(cfg.bounds)
+        self._known = known
+        words = dialect.PlatformDialect()
+        client = store.Store(str(cfg.store))
+        origin = platform_source.StoreSource(client)
+        work = ledger.Ledger()
+        held = parts.HeldParts()
+        breakers = health.Health()
+        estimator = estimate.Estimator()
+        limiter = cold.ColdLimiter()
+        chooser = choose.Chooser(
+            cfg.zone, known, work, held, breakers, estimator, limiter
+        )
+        address = str(cfg.peers)
+        self._sharing = sharing.SharingService(
+            address, cfg.seeds, directory.StoreDirectory(client), clock
+        )
+        self._desk = desk.AdmissionDesk(
+            desk.Parts(
+                bounds=cfg.bounds,
+                known=known,
+                work=work,
+                held=held,
+                breakers=breakers,
+                estimator=estimator,
+                limiter=limiter,
+                chooser=chooser,
+            ),
+            clock,
+            rng,
+            self._sharing.routers,
+            self._sharing.others_use,
+        )
+        peers = transport.PeerService(
+            address,
+            boot,
+            settings_models.ListenSettings(
+                host=cfg.peers.host, port=cfg.peers.port
+            ),
+            clock,
+            self._sharing.receive,
+        )
+        view = sharing.View(
+            work, held, self._use, self._fresh, self._waiting, self._version
+        )
+        self._sharing.use(peers, view, self._desk.pump)
+        server_client = servers.ServerClient()
+        self._gateway = gateway.GatewayService(
+            cfg.callers.host,
+            cfg.callers.port,
+            cfg.max_descriptors,
+            known,
+            words,
+            clock,
+        )
+        self._gateway.use(
+            runner.Runner(
+                self._desk,
+                forward.Forwarder(server_client, words),
+                words,
+                clock,
+                lambda: self._gateway.draining,
+            )
+        )
+        readiness = gateway.ReadinessService(
+            cfg.readiness.host,
+            cfg.readiness.port,
+            platform_const.READINESS_PATH,
+            self._ready,
+        )
+        kernel = self._kernel
+        kernel.register("store", client)
+        for kind in source.Kind:
+            kernel.register(
+                f"follower_{kind.value}",
+                follower.Follower(
+                    kind, origin, known, clock, rng, self._on_change
+                ),
+            )
+        kernel.register("peers", peers)
+        kernel.register("sharing", self._sharing)
+        kernel.register("servers", server_client)
+        kernel.register("desk", self._desk)
+        kernel.register("gateway", self._gateway)
+        kernel.register("readiness", readiness)
+
+    def _use(self) -> dict[str, shares.Use]:
+        return dict(self._desk.use.sums(self._clock.monotonic()))
+
+    def _fresh(self) -> list[tuple[str, int]]:
+        fresh, self._desk.fresh_parts = self._desk.fresh_parts, []
+        return fresh
+
+    def _waiting(self) -> int:
+        return self._desk.waiting
+
+    def _version(self) -> tuple[int, float]:
+        cfg = self._known.configuration
+        age_s = self._known.configuration_age(self._clock.monotonic())
+        return (cfg.version if cfg else 0, age_s)
+
+    def _on_change(self) -> None:
+        self._desk.pump()
+
+    def _ready(self) -> bool:
+        if self._gateway.draining or not self._known.complete():
+            return False
+        return self._known.may_honour_keys(self._clock.monotonic())
+
+    async def async_run(self) -> int:
+        """Runs until a signal asks for the end; returns the exit code."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, _on_reload)
+        services = self._kernel.mode_services()
+
+        def on_crash() -> None:
+            self._exit_code = 1
+            stop.set()
+
+        services = [*services, crash_watch.CrashWatch(services, on_crash)]
+        for svc in services:
+            await svc.start()
+        logging.info("router started: %s in %s", self._cfg.node, self._cfg.zone)
+        await stop.wait()
+        await self._async_drain()
+        await _async_stop(services)
+        logging.info("router stopped")
+        return self._exit_code
+
+    async def _async_drain(self) -> None:
+        """Lets go of callers, then waits for what is held."""
+        began = self._clock.monotonic()
+        end = began + self._cfg.bounds.shutdown_s - CLOSE_MARGIN_S
+        self._gateway.draining = True
+        self._sharing.leaving = True
+        logging.info("router draining: %d requests held", self._gateway.held)
+        await asyncio.sleep(min(NOTICE_S, end - began))
+        self._gateway.close_listener()
+        self._gateway.close_idle()
+        while self._gateway.held and self._clock.monotonic() < end:
+            await asyncio.sleep(HELD_POLL_S)
+        await self._sharing.async_leave()
+
+
+def _on_reload() -> None:
+    logging.info("reload asked for: settings are read at the start only")
+
+
+async def _async_stop(services: list[mode.Service]) -> None:
+    for svc in reversed(services):
+        try:
+            await svc.stop()
+        except asyncio.CancelledError:
+            logging.info("stop of %s was cut short", svc)
+
+
+def run(cfg: platform_settings.Settings) -> int:
+    """Runs a router; returns the exit code of the process."""
+    logs.set_up(settings_models.TelemetrySettings(), cfg.node)
+
+    async def async_main() -> int:
+        return await PlatformRouter(cfg).async_run()
+
+    return asyncio.run(async_main())
