--- a/tamarackbridge/components/admission/shares.py
+++ b/tamarackbridge/components/admission/shares.py
@@ -46,6 +46,7 @@
         self._window_s = window_s
         self._entries: collections.deque[_Entry] = collections.deque()
         self._sums: dict[str, Use] = {}
+        self._counts: dict[str, int] = {}
 
     def ask(self, workspace: str, cost: float, now: float) -> None:
         """Counts a request that arrived."""
@@ -59,14 +60,20 @@
         """Returns the use of each workspace over the window."""
         while self._entries and self._entries[0].at < now - self._window_s:
             old = self._entries.popleft()
+            left = self._counts[old.workspace] - 1
+            if left == 0:
+                del self._counts[old.workspace]
+                del self._sums[old.workspace]
+                continue
+            self._counts[old.workspace] = left
             kept = self._sums[old.workspace].plus(Use(-old.asked, -old.served))
             self._sums[old.workspace] = kept
-            if kept.asked < 1 and kept.served < 1:
-                del self._sums[old.workspace]
         return self._sums
 
     def _add(self, entry: _Entry) -> None:
         self._entries.append(entry)
+        count = self._counts.get(entry.workspace, 0)
+        self._counts[entry.workspace] = count + 1
         known = self._sums.get(entry.workspace, NOTHING)
         self._sums[entry.workspace] = known.plus(Use(entry.asked, entry.served))
 
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -93,11 +93,14 @@
             sent = await self._async_send(
                 job, stream, events, admitted.ok_value
             )
-            if sent.end is _End.WHOLE and not self._again(job, sent, progress):
-                return await self._async_answer(job, stream, sent)
+            if sent.end is _End.WHOLE and not _is_failure(sent):
+                return await self._async_answer(stream, sent)
             self._note(job, sent, progress, admitted.ok_value.server.name)
-            if not self._may_go_on(job, events, progress, sent):
-                return self._give_up(job, stream, progress, None)
+            if self._may_go_on(job, progress, sent):
+                continue
+            if sent.end is _End.WHOLE:
+                return await self._async_answer(stream, sent)
+            return self._give_up(job, stream, progress, None)
 
     async def _async_send(
         self,
@@ -131,16 +134,6 @@
             placement.load(sent.head.load)
         return sent
 
-    def _again(
-        self, job: jobs.Job, sent: forward.Sent, progress: Progress
-    ) -> bool:
-        """Whether a whole answer is a failure that may be tried again."""
-        assert sent.head is not None
-        if sent.head.status < 500 or not job.route.repeatable:
-            return False
-        progress.may_have_run = True
-        return self._may_send(job)
-
     def _note(
         self,
         job: jobs.Job,
@@ -165,34 +158,24 @@
         )
 
     def _may_go_on(
-        self,
-        job: jobs.Job,
-        events: relay.EventRelay | None,
-        progress: Progress,
-        sent: forward.Sent,
+        self, job: jobs.Job, progress: Progress, sent: forward.Sent
     ) -> bool:
-        del events
-        if sent.end is _End.TIMED_OUT:
+        """Whether a job may be sent to another server after a failure."""
+        if self._clock.monotonic() >= job.deadline:
             return False
         if progress.may_have_run and not job.route.repeatable:
             return False
         if sent.end is _End.NOT_SENT:
             return progress.unsent < MAX_UNSENT
-        return self._may_send(job)
-
-    def _may_send(self, job: jobs.Job) -> bool:
-        if self._clock.monotonic() >= job.deadline:
-            return False
         if job.sendings >= job.route.max_attempts:
             return False
         return self._desk.may_repeat(job)
 
     async def _async_answer(
-        self, job: jobs.Job, stream: caller.CallerStream, sent: forward.Sent
+        self, stream: caller.CallerStream, sent: forward.Sent
     ) -> web.StreamResponse:
         head = sent.head
         assert head is not None
-        del job
         if stream.response is not None:
             return await stream.async_end(head)
         if not sent.body and head.status == 200 and _is_stream(head):
@@ -240,9 +223,12 @@
         return answers.Refusal(_Reason.SERVER_REFUSED, retry_s)
 
 
+def _is_failure(sent: forward.Sent) -> bool:
+    return sent.head is not None and sent.head.status >= 500
+
+
 def _outcome(sent: forward.Sent) -> jobs.Outcome:
-    failed = sent.head is not None and sent.head.status >= 500
-    if sent.end is _End.WHOLE and failed:
+    if sent.end is _End.WHOLE and _is_failure(sent):
         return _Outcome.FAILED
     return _OUTCOMES[sent.end]
 
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -145,7 +145,12 @@
         match fact:
             case source.ConfigurationIs(configuration=found):
                 if known.take_configuration(found):
-                    logging.info("configuration %d in force", found.version)
+                    logging.info(
+                        "configuration %d in force: %d routes, %s tokens/s",
+                        found.version,
+                        len(found.routes),
+                        found.limits.tokens_per_s,
+                    )
             case source.ServerIs(server=server):
                 known.register(server, now)
                 logging.info(
--- a/tamarackbridge/components/transport/const.py
+++ b/tamarackbridge/components/transport/const.py
@@ -16,5 +16,8 @@
 RECONNECT_MIN_S: Final = 0.1
 RECONNECT_MAX_S: Final = 2.0
 
-KEEPALIVE_MS: Final = 5_000
-KEEPALIVE_TIMEOUT_MS: Final = 2_000
+KEEPALIVE_MS: Final = 1_500
+"""A connection that has gone silent is found out within this time and the
+next, half of the time for which budgets remember a router."""
+
+KEEPALIVE_TIMEOUT_MS: Final = 1_000
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -20,6 +20,7 @@
     ("grpc.keepalive_time_ms", const.KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", const.KEEPALIVE_TIMEOUT_MS),
     ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.max_ping_strikes", 0),
     ("grpc.enable_http_proxy", 0),
     ("grpc.so_reuseport", 0),
 )
