Drain with an open listener; close idle connections; saturating lateness

Ruled out: the grace time being too short. Change: idle connections are closed at once; the listener stays open until the process ends; late requests are taken only if they can be finished.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -105,6 +105,17 @@
         """The answer to the request is given."""
         self._in_request = False
 
+    def end_soon(self) -> None:
+        """Closes the connection at once if it is idle, else when it is.
+
+        `close` of the base class ends the handler of an idle connection and
+        leaves the connection open, so that what comes later is never answered.
+        """
+        if self._in_request or self._messages or self._timer is not None:
+            self._close = True
+            return
+        self.force_close()
+
     def pause_writing(self) -> None:
         """The caller has not read what was written."""
         super().pause_writing()
@@ -158,6 +169,13 @@
             self.transport.abort()
 
 
+def end_soon(server: web.Server) -> None:
+    """Closes the idle connections of a server, and the others once idle."""
+    for conn in server.connections:
+        if isinstance(conn, CallerConnection):
+            conn.end_soon()
+
+
 def _problem(reason: const.Reason, detail: str) -> problem.Problem:
     request_id = uuid.uuid4().hex
     return problem.Problem(reason, problem.NotRun.TRUE, request_id, detail)
--- a/tamarackbridge/components/gateway/answers.py
+++ b/tamarackbridge/components/gateway/answers.py
@@ -22,6 +22,7 @@
     OVERLOADED = "overloaded"
     SERVER_REFUSED = "server_refused"
     DEADLINE = "deadline"
+    SHUTTING_DOWN = "shutting_down"
     LOST = "lost"
     TIMED_OUT = "timed_out"
 
@@ -37,6 +38,7 @@
     Reason.OVERLOADED: 503,
     Reason.SERVER_REFUSED: 503,
     Reason.DEADLINE: 503,
+    Reason.SHUTTING_DOWN: 503,
     Reason.LOST: 502,
     Reason.TIMED_OUT: 504,
 }
--- a/tamarackbridge/components/gateway/caller.py
+++ b/tamarackbridge/components/gateway/caller.py
@@ -14,6 +14,7 @@
 
     def __init__(self, req: web.BaseRequest, draining: bool) -> None:
         self.response: web.StreamResponse | None = None
+        self.events = 0
         self._req = req
         self._draining = draining
         self._placement: jobs.Placement | None = None
@@ -40,8 +41,7 @@
             await self.response.write(data)
         except (ConnectionError, RuntimeError) as exc:
             raise exceptions.CallerGoneError(str(exc)) from exc
-        if self._placement is not None:
-            self._placement.progressed(data.count(b"\n\n"))
+        self.events += data.count(b"\n\n")
 
     async def async_end(self, head: models.Head) -> web.StreamResponse:
         """Ends a whole answer.
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import time
 
 from absl import logging
 from aiohttp import web
@@ -16,6 +15,7 @@
     exceptions,
     models,
     runner,
+    shutdown,
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
@@ -33,13 +33,15 @@
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+_SHUTTING_DOWN = answers.Refusal(answers.Reason.SHUTTING_DOWN, shutdown.RETRY_S)
+
 
 class GatewayService(core.Service):
     """Accepts callers' requests and sees each to its end.
 
     Attributes:
         held: Requests under way.
-        draining: Whether the router is shutting down.
+        shutdown: The times of the shutdown; None while there is none.
     """
 
     def __init__(
@@ -53,15 +55,15 @@
     ) -> None:
         super().__init__()
         self.held = 0
-        self.draining = False
+        self.shutdown: shutdown.Shutdown | None = None
         self.port = port
         self.connections = connection.CallerCounts()
         self._host = host
         self._max_connections = max(max_descriptors - SPARE_DESCRIPTORS, 64)
         self._known = known
         self._dialect = dialect
+        self._clock = clock
         self._acceptor = accept.Acceptor(known, dialect, clock)
-        self._run: Callable[..., object] | None = None
         self._runner: runner.Runner | None = None
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
@@ -97,7 +99,7 @@
     def close_idle(self) -> None:
         """Closes connections that wait for a request."""
         if self._server is not None:
-            self._server.pre_shutdown()
+            connection.end_soon(self._server)
 
     def _limits(self) -> knowledge.Limits:
         cfg = self._known.configuration
@@ -152,34 +154,41 @@
             resp.force_close()
         return resp
 
+    @property
+    def draining(self) -> bool:
+        """Whether the router is shutting down."""
+        return self.shutdown is not None
+
     async def _async_answer(self, req: web.BaseRequest) -> web.StreamResponse:
         assert self._runner is not None
         call = self._acceptor.read_call(req)
         if call is None:
             return self._refuse("", answers.Refusal(answers.Reason.MALFORMED))
-        if req.headers.get("Expect", "").lower() == "100-continue":
-            if req.transport is not None:
-                req.transport.write(_CONTINUE)
+        expects = req.headers.get("Expect", "").lower() == "100-continue"
+        if expects and req.transport is not None:
+            req.transport.write(_CONTINUE)
         accepted = await self._acceptor.async_accept(req, call)
         if isinstance(accepted, result.Err):
-            refusal = accepted.err_value
-            logging.info(
-                "request %s refused: %s, configuration %.3f s old",
-                call.request_id,
-                refusal.reason.value,
-                self._known.configuration_age(
-                    time.clock_gettime(time.CLOCK_BOOTTIME)
-                ),
-            )
-            resp = self._refuse(call.request_id, refusal)
+            resp = self._refuse(call.request_id, accepted.err_value)
             if not req.content.at_eof():
                 resp.force_close()
             return resp
-        return await self._runner.async_run(req, accepted.ok_value)
+        job = accepted.ok_value
+        now = self._clock.monotonic()
+        if self.shutdown is not None and not self.shutdown.takes(job, now):
+            return self._refuse(call.request_id, _SHUTTING_DOWN)
+        return await self._runner.async_run(req, job)
 
     def _refuse(
         self, request_id: str, refusal: answers.Refusal
     ) -> web.Response:
+        now = self._clock.monotonic()
+        logging.info(
+            "request %s refused: %s, configuration %.3f s old",
+            request_id,
+            refusal.reason.value,
+            self._known.configuration_age(now),
+        )
         headers = dict(self._dialect.refusal(request_id))
         return answers.response(refusal, headers)
 
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -23,9 +23,21 @@
 """Part of the target within which a first event is planned; the rest is for
 what the estimate does not know."""
 
-LATE_TOKENS = 40_000.0
-"""Cost of a first event that is late by one whole target: several times the
-longest shared prompt part, so that a hot part spreads to a second engine."""
+LATE_SPREAD = 0.3
+"""Part of the target over which the cost of being late grows to the whole:
+the error of an estimate under load."""
+
+OUTPUT_WEIGHT = 10.0
+"""A generated token counts this many prompt tokens in a request's size, as
+the users weigh it."""
+
+LATE_WEIGHT = 0.6
+"""Part of a request's size that is lost when it is late; callers lose half to
+nine tenths."""
+
+RANK_WEIGHT = 0.2
+"""Part of the shared parts that each place in the order of engines costs:
+routers that do not know yet where a part is read still agree on an engine."""
 
 CROWD_TOKENS = 1_500.0
 """Cost of a full engine against an empty one; keeps even engines even."""
@@ -150,17 +162,19 @@
         first_s = self._estimator.first_event_s(name, work.unread, unread)
         slots = max(job.service.slots, 1)
         waited_s = now - job.arrived
-        late = max((waited_s + first_s) / job.route.target_s - IN_TIME, 0.0)
+        late = (waited_s + first_s) / job.route.target_s - IN_TIME
+        late = min(max(late / LATE_SPREAD, 0.0), 1.0)
+        size = call.prompt_tokens + OUTPUT_WEIGHT * call.output_tokens
         needed = call.prompt_tokens + call.output_tokens
         room = job.service.memory_tokens * MEMORY_SHARE
         cost = (
             (unread - own)
-            + late * LATE_TOKENS
+            + late * LATE_WEIGHT * size
             + CROWD_TOKENS * work.requests / slots
             + AHEAD_WEIGHT * work.unread
             + self._crossing_tokens(job, it)
             + self._avoided_tokens(name, now)
-            + rank
+            + rank * (1.0 + RANK_WEIGHT * parts.shared_tokens(call.parts))
         )
         full = work.requests >= slots or (
             work.requests > 0 and work.memory + needed > room
--- a/tamarackbridge/components/placement/parts.py
+++ b/tamarackbridge/components/placement/parts.py
@@ -70,6 +70,11 @@
         yield int.from_bytes(chain, "big"), part
 
 
+def shared_tokens(parts: tuple[models.PromptPart, ...]) -> int:
+    """Returns the tokens of all parts but a prompt's own."""
+    return sum(part.tokens for part in parts[:-1])
+
+
 def affinity(parts: tuple[models.PromptPart, ...]) -> str:
     """Returns what requests that share all but their own part agree on."""
     return "/".join(part.name for part in parts[:-1])
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -1,6 +1,7 @@
 """Composition root of a router on the users' platform."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 import signal
@@ -11,7 +12,12 @@
 from tamarackbridge import core, crash_watch
 from tamarackbridge.components.admission import desk, shares
 from tamarackbridge.components.fleet import sharing
-from tamarackbridge.components.gateway import forward, runner, servers
+from tamarackbridge.components.gateway import (
+    forward,
+    runner,
+    servers,
+    shutdown,
+)
 from tamarackbridge.components.gateway import service as gateway
 from tamarackbridge.components.knowledge import follower, source, state
 from tamarackbridge.components.placement import (
@@ -37,8 +43,12 @@
 """Time until the balancer sends no new connections: it asks once a second and
 needs two misses, and its question may wait for half a second."""
 
-CLOSE_MARGIN_S = 0.7
-"""Part of the time for a shutdown that is left for closing connections."""
+QUIET_S = 0.3
+"""A shutdown ends when nothing was held for this long: a connection that the
+balancer has just made needs a few round trips for its request."""
+
+STOP_S = 0.4
+"""Longest time for closing connections, inside the margin of a shutdown."""
 
 HELD_POLL_S = 0.05
 """Interval at which a shutdown looks for what is still held."""
@@ -183,23 +193,37 @@
         logging.info("router started: %s in %s", self._cfg.node, self._cfg.zone)
         await stop.wait()
         await self._async_drain()
-        await _async_stop(services)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(_async_stop(services), STOP_S)
         logging.info("router stopped")
         return self._exit_code
 
     async def _async_drain(self) -> None:
         """Lets go of callers, then waits for what is held."""
-        began = self._clock.monotonic()
-        end = began + self._cfg.bounds.shutdown_s - CLOSE_MARGIN_S
-        self._gateway.draining = True
+        times = shutdown.begin(
+            self._clock.monotonic(), self._cfg.bounds.shutdown_s
+        )
+        self._gateway.shutdown = times
         self._sharing.leaving = True
         logging.info("router draining: %d requests held", self._gateway.held)
-        await asyncio.sleep(min(NOTICE_S, end - began))
-        self._gateway.close_listener()
-        self._gateway.close_idle()
-        while self._gateway.held and self._clock.monotonic() < end:
+        leaving = asyncio.create_task(self._sharing.async_leave())
+        quiet_since = await self._async_notice(times)
+        while self._clock.monotonic() < times.end:
             await asyncio.sleep(HELD_POLL_S)
-        await self._sharing.async_leave()
+            now = self._clock.monotonic()
+            if self._gateway.held:
+                quiet_since = now
+            elif now - quiet_since >= QUIET_S:
+                break
+        leaving.cancel()
+        logging.info("router drained: %d requests held", self._gateway.held)
+
+    async def _async_notice(self, times: shutdown.Shutdown) -> float:
+        """Waits until the balancer has been told; returns the time."""
+        now = self._clock.monotonic()
+        await asyncio.sleep(min(NOTICE_S, max(times.end - now, 0.0)))
+        self._gateway.close_idle()
+        return self._clock.monotonic()
 
 
 def _on_reload() -> None:
