Place only at the cheapest sound server; wait for it under load

Ruled out: eviction by the engines; what placement believed unread matches what was read. A lower weight of lateness alone changed nothing.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -198,9 +198,23 @@
         standing = self._standing(job.workspace)
         found = verdict.decide(job, options, standing, now)
         if found.option is not None:
-            waiter.fut.set_result(
-                result.Ok(self._permit(job, found.option, now))
+            option = found.option
+            logging.info(
+                "request %s of %s placed at %s: waited %.3f s, first event in"
+                " %.3f s, ahead %d, unread %d of %d, %d servers %s",
+                job.call.request_id,
+                job.workspace,
+                option.known.server.name,
+                now - job.arrived,
+                option.first_s,
+                option.ahead,
+                option.unread,
+                job.call.prompt_tokens,
+                len(options),
+                [(o.unread, round(o.first_s,2), o.full, round(o.cost)) for o in options],
             )
+            permit = self._permit(job, option, now)
+            waiter.fut.set_result(result.Ok(permit))
         elif found.refusal is not None:
             logging.info(
                 "request %s of %s not admitted: served %.0f of share %.0f,"
--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -107,12 +107,11 @@
     waited_s = now - job.arrived
     target_s = job.route.target_s
     part = IN_TIME_OVER if standing.over else IN_TIME
-    for option in options:
-        if option.full:
-            continue
-        in_time = waited_s + option.first_s <= target_s * part
-        if in_time or option.ahead <= IDLE_AHEAD:
-            return Verdict(Step.SEND, option)
+    best = next((it for it in options if not it.full), None)
+    if best is not None:
+        in_time = waited_s + best.first_s <= target_s * part
+        if in_time or best.ahead <= IDLE_AHEAD:
+            return Verdict(Step.SEND, best)
     if standing.over and waited_s >= target_s * SOON:
         return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
     if options and now + min(it.first_s for it in options) >= job.deadline:
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -31,7 +31,7 @@
 """A generated token counts this many prompt tokens in a request's size, as
 the users weigh it."""
 
-LATE_WEIGHT = 0.6
+LATE_WEIGHT = 0.5
 """Part of a request's size that is lost when it is late; callers lose half to
 nine tenths."""
 
@@ -55,9 +55,6 @@
 PLAIN_FULL_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
-AVOIDED_TOKENS = 1_000_000.0
-"""Cost of a server that fails; it is used only if all others do too."""
-
 MEMORY_SHARE = 0.92
 """Part of an engine's memory that is planned; beyond it, engines begin to
 interrupt requests that they run."""
@@ -106,13 +103,22 @@
         self._limiter = limiter
 
     def options(self, job: jobs.Job, routers: int, now: float) -> list[Option]:
-        """Returns the servers that may take a request now, best first."""
+        """Returns the servers that may take a request now, best first.
+
+        Servers that fail are left out unless all do.
+        """
         usable = [
             it
             for it in self._known.usable(job.service.name, now)
             if it.server.name not in job.avoid
             and self._bears(it, job, routers, now)
         ]
+        sound = [
+            it
+            for it in usable
+            if not self._breakers.avoided(it.server.name, now)
+        ]
+        usable = sound or usable
         if job.service.is_model:
             found = self._model_options(job, usable, now)
         else:
@@ -173,7 +179,6 @@
             + CROWD_TOKENS * work.requests / slots
             + AHEAD_WEIGHT * work.unread
             + self._crossing_tokens(job, it)
-            + self._avoided_tokens(name, now)
             + rank * (1.0 + RANK_WEIGHT * parts.shared_tokens(call.parts))
         )
         full = work.requests >= slots or (
@@ -190,7 +195,6 @@
         cost = (
             PLAIN_FULL_TOKENS * work.requests / slots
             + self._crossing_tokens(job, it)
-            + self._avoided_tokens(name, now)
         )
         return Option(it, cost, 0.0, 0, 0, work.requests >= slots)
 
@@ -202,9 +206,6 @@
         answer = expected / tokens * EVENT_BYTES
         return (len(job.call.body) + answer) / BYTES_PER_TOKEN
 
-    def _avoided_tokens(self, name: str, now: float) -> float:
-        return AVOIDED_TOKENS if self._breakers.avoided(name, now) else 0.0
-
 
 def _cost(option: Option) -> float:
     return option.cost
