--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -23,6 +23,9 @@
 """Part of the target within which a first event is planned; the rest is for
 what the estimate does not know."""
 
+REREAD_WEIGHT = 2.0
+"""A shared part that is read again is paid for and delays others as well."""
+
 LATE_SPREAD = 0.3
 """Part of the target over which the cost of being late grows to the whole:
 the error of an estimate under load."""
@@ -35,7 +38,7 @@
 """Part of a request's size that is lost when it is late; callers lose half to
 nine tenths."""
 
-RANK_WEIGHT = 0.2
+RANK_WEIGHT = 0.5
 """Part of the shared parts that each place in the order of engines costs:
 routers that do not know yet where a part is read still agree on an engine."""
 
@@ -174,7 +177,7 @@
         needed = call.prompt_tokens + call.output_tokens
         room = job.service.memory_tokens * MEMORY_SHARE
         cost = (
-            (unread - own)
+            REREAD_WEIGHT * (unread - own)
             + late * LATE_WEIGHT * size
             + CROWD_TOKENS * work.requests / slots
             + AHEAD_WEIGHT * work.unread
