--- a/tamarackbridge/components/gateway/caller.py
+++ b/tamarackbridge/components/gateway/caller.py
@@ -1,5 +1,7 @@
 """The streamed answer to one caller."""
 
+import time
+
 from aiohttp import web
 
 from tamarackbridge.components.gateway import exceptions, forward, jobs, models
@@ -10,11 +12,17 @@
 
     Attributes:
         response: The answer; None until its head is sent.
+        events: Events that were passed on.
+        first_at: Time of the first event; None before it.
+        longest_pause_s: Longest time between two writes of events.
     """
 
     def __init__(self, req: web.BaseRequest, draining: bool) -> None:
         self.response: web.StreamResponse | None = None
         self.events = 0
+        self.first_at: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_at = 0.0
         self._req = req
         self._draining = draining
         self._placement: jobs.Placement | None = None
@@ -41,7 +49,17 @@
             await self.response.write(data)
         except (ConnectionError, RuntimeError) as exc:
             raise exceptions.CallerGoneError(str(exc)) from exc
-        self.events += data.count(b"\n\n")
+        self._count(data.count(b"\n\n"))
+
+    def _count(self, events: int) -> None:
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            pause_s = now - self._last_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_at = now
+        self.events += events
 
     async def async_end(self, head: models.Head) -> web.StreamResponse:
         """Ends a whole answer.
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -94,6 +94,7 @@
                 job, stream, events, admitted.ok_value
             )
             if sent.end is _End.WHOLE and not _is_failure(sent):
+                self._log_answer(job, stream, sent)
                 return await self._async_answer(stream, sent)
             self._note(job, sent, progress, admitted.ok_value.server.name)
             if self._may_go_on(job, progress, sent):
@@ -186,6 +187,25 @@
             resp.headers.add(name, value)
         return resp
 
+    def _log_answer(
+        self, job: jobs.Job, stream: caller.CallerStream, sent: forward.Sent
+    ) -> None:
+        now = self._clock.monotonic()
+        first_at = stream.first_at if stream.first_at is not None else now
+        logging.info(
+            "request %s answered %d on %s: first after %.3f of %.3f s,"
+            " longest pause %.3f of %.3f s, %d events in %.3f s",
+            job.call.request_id,
+            sent.head.status if sent.head is not None else 0,
+            job.route.name,
+            first_at - job.arrived,
+            job.route.target_s,
+            stream.longest_pause_s,
+            job.route.target_gap_s,
+            stream.events,
+            now - job.arrived,
+        )
+
     def _give_up(
         self,
         job: jobs.Job,
