Tell the other routers of large requests within 40 ms

Cause: of the answers whose first event came late, 9 in 10 had been predicted in time; routers heard of each other's requests 200 ms later, in which an engine gets 15,000 tokens (0.17 s of reading).

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -31,6 +31,10 @@
 """Interval at which shares are worked out; routers tell each other their use
 no more often."""
 
+TELL_TOKENS = 500
+"""Unread prompt tokens of which the other routers are told soon: 6 ms of an
+engine's reading."""
+
 MAX_LOOKED_AT = 24
 """Waiting requests that are weighed in one turn, so that a turn stays below a
 millisecond or two however many wait."""
@@ -100,6 +104,7 @@
         rng: random.Random,
         routers: Callable[[], int],
         others_use: Callable[[], dict[str, shares.Use]],
+        changed: Callable[[], None],
     ) -> None:
         super().__init__()
         self.use = shares.UseWindow(using.bounds.share_window_s)
@@ -109,6 +114,7 @@
         self._rng = rng
         self._routers = routers
         self._others_use = others_use
+        self._changed = changed
         self._budget = budget.RepeatBudget(using.bounds)
         self._waiting: list[_Waiter] = []
         self._served: dict[str, float] = {}
@@ -165,6 +171,8 @@
             tokens = ahead + ticket.unread
             took_s = now - ticket.sent
             self._using.estimator.observe(ticket.server.name, tokens, took_s)
+            if ticket.unread >= TELL_TOKENS:
+                self._changed()
         self.pump()
 
     def ended(self, ticket: ledger.Ticket, outcome: jobs.Outcome) -> None:
@@ -242,6 +250,8 @@
             sent=now,
         )
         self._using.work.begin(ticket)
+        if ticket.unread >= TELL_TOKENS:
+            self._changed()
         self.use.serve(job.workspace, cost(call), now)
         self._served[job.workspace] = self._served.get(
             job.workspace, 0.0
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 import dataclasses
 import math
@@ -16,12 +17,19 @@
 from tamarackbridge.components.placement import ledger, parts
 from tamarackbridge.components.transport import service as transport
 
-SHARE_S = 0.2
-"""Interval of messages to each router: a third of the shortest target, in
-which a server reads what one or two requests bring."""
+SOON_S = 0.04
+"""Least time between two messages to each router: while nothing is heard of
+the others' requests, an engine gets a tenth of what it reads in a target."""
 
-USE_EVERY = 2
-"""Use of workspaces goes with each second message: its window is 4 s."""
+SOON_FOR_EACH_S = 0.006
+"""The same for each router of the fleet, so that a large fleet spends no more
+of a processor on it than a small one."""
+
+REST_S = 0.25
+"""Longest time between two messages, also if nothing has changed."""
+
+USE_S = 0.4
+"""Interval at which the use of workspaces goes along: a tenth of its window."""
 
 SILENT_S = 1.0
 """A router that said nothing for this long is taken to have no work; five
@@ -91,7 +99,8 @@
         self._view: View | None = None
         self._changed: Callable[[], None] = _nothing
         self._tasks: list[asyncio.Task[Any]] = []
-        self._sent = 0
+        self._use_at = -math.inf
+        self._dirty = asyncio.Event()
 
     def use(
         self,
@@ -165,9 +174,18 @@
             }
         self._changed()
 
+    def note_change(self) -> None:
+        """Notes that the others should soon hear of this router's work."""
+        self._dirty.set()
+
     async def _async_share(self) -> None:
         while True:
-            await asyncio.sleep(SHARE_S)
+            least_s = max(SOON_S, SOON_FOR_EACH_S * len(self._peers))
+            await asyncio.sleep(least_s)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(REST_S - least_s, 0.0)):
+                    await self._dirty.wait()
+            self._dirty.clear()
             self._drop_silent()
             msg = self._status()
             assert self._transport is not None
@@ -177,10 +195,11 @@
     def _status(self) -> messages.Status:
         view = self._view
         assert view is not None
-        self._sent += 1
+        now = self._clock.monotonic()
         version, age_s = view.configuration()
         use = None
-        if self._sent % USE_EVERY == 0:
+        if now - self._use_at >= USE_S:
+            self._use_at = now
             use = tuple(
                 messages.WorkspaceUse(name, int(it.asked), int(it.served))
                 for name, it in view.use().items()
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -97,6 +97,7 @@
             rng,
             self._sharing.routers,
             self._sharing.others_use,
+            self._sharing.note_change,
         )
         peers = transport.PeerService(
             address,
