--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -58,6 +58,7 @@
         self._desk = desk
         self._ticket = ticket
         self._ahead = ahead
+        self._progressed_at: float | None = None
 
     @property
     def server(self) -> knowledge.BackendServer:
@@ -69,8 +70,13 @@
         if self._ticket.began is None:
             self._desk.began(self._ticket, self._ahead)
 
-    def progressed(self, events: int) -> None:
-        """Notes how many events were passed on."""
+    def progressed(self) -> None:
+        """Notes that events were passed on."""
+        now = self._desk.now()
+        if self._progressed_at is not None:
+            pause_s = now - self._progressed_at
+            self._desk.paused(self._ticket, pause_s, now)
+        self._progressed_at = now
 
     def load(self, load: models.Load) -> None:
         """Takes what the server said of its load."""
@@ -163,6 +169,17 @@
         now = self._clock.monotonic()
         return self._budget.take(job.service.name, self._routers(), now)
 
+    def now(self) -> float:
+        """Returns the time."""
+        return self._clock.monotonic()
+
+    def paused(
+        self, ticket: ledger.Ticket, pause_s: float, now: float
+    ) -> None:
+        """Notes a pause between two events of a stream."""
+        name = ticket.server.name
+        self._using.estimator.observe_pause(name, pause_s, now)
+
     def began(self, ticket: ledger.Ticket, ahead: int) -> None:
         """Notes the first sign of life of a server for a sending."""
         now = self._clock.monotonic()
--- a/tamarackbridge/components/gateway/caller.py
+++ b/tamarackbridge/components/gateway/caller.py
@@ -50,6 +50,8 @@
         except (ConnectionError, RuntimeError) as exc:
             raise exceptions.CallerGoneError(str(exc)) from exc
         self._count(data.count(b"\n\n"))
+        if self._placement is not None:
+            self._placement.progressed()
 
     def _count(self, events: int) -> None:
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -60,8 +60,8 @@
         """Notes the first sign of life of the server for this job."""
         ...
 
-    def progressed(self, events: int) -> None:
-        """Notes how many events were passed on."""
+    def progressed(self) -> None:
+        """Notes that events were passed on."""
         ...
 
     def load(self, load: models.Load) -> None:
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -30,6 +30,11 @@
 """Part of the target over which the cost of being late grows to the whole:
 the error of an estimate under load."""
 
+PAUSE_SAFE = 0.7
+PAUSE_SPREAD = 0.4
+"""Usual pauses of this part of the allowed one are safe; at the sum of both
+nearly every stream has one that is too long."""
+
 OUTPUT_WEIGHT = 10.0
 """A generated token counts this many prompt tokens in a request's size, as
 the users weigh it."""
@@ -173,6 +178,7 @@
         waited_s = now - job.arrived
         late = (waited_s + first_s) / job.route.target_s - IN_TIME
         late = min(max(late / LATE_SPREAD, 0.0), 1.0)
+        late = max(late, self._jerky(job, name, now))
         size = call.prompt_tokens + OUTPUT_WEIGHT * call.output_tokens
         needed = call.prompt_tokens + call.output_tokens
         room = job.service.memory_tokens * MEMORY_SHARE
@@ -189,6 +195,14 @@
         )
         return Option(it, cost, first_s, work.unread, unread, full)
 
+    def _jerky(self, job: jobs.Job, name: str, now: float) -> float:
+        """Returns how likely a pause between events is too long, 0 to 1."""
+        allowed_s = job.route.target_gap_s
+        if allowed_s <= 0:
+            return 0.0
+        part = self._estimator.pause_s(name, now) / allowed_s
+        return min(max((part - PAUSE_SAFE) / PAUSE_SPREAD, 0.0), 1.0)
+
     def _plain_option(
         self, job: jobs.Job, it: state.Registered, now: float
     ) -> Option:
--- a/tamarackbridge/components/placement/estimate.py
+++ b/tamarackbridge/components/placement/estimate.py
@@ -15,6 +15,14 @@
 """Time from an engine's start on a short request to its first event, until
 it is learned."""
 
+PACE_LEARNING = 0.05
+"""Weight of one pause between events; an engine sends some hundred a
+second."""
+
+PACE_HALF_LIFE_S = 2.0
+"""A pace that is not observed any more loses half of its weight in this time,
+so that an engine is tried again after it was slow."""
+
 LEARNING = 0.1
 """Weight of one observation of an engine's speed."""
 
@@ -26,6 +34,8 @@
 @dataclasses.dataclass(slots=True)
 class _Speed:
     slowness: float = 1.0
+    pause_s: float = 0.0
+    paused_at: float = 0.0
 
 
 class Estimator:
@@ -59,6 +69,21 @@
         seen = min(max(took_s / _ideal_s(tokens), 1 / SLOWEST), SLOWEST)
         speed.slowness += LEARNING * (seen - speed.slowness)
 
+    def observe_pause(self, server: str, pause_s: float, now: float) -> None:
+        """Learns from the time between two events of one stream."""
+        speed = self._speeds.setdefault(server, _Speed())
+        known_s = self.pause_s(server, now)
+        speed.pause_s = known_s + PACE_LEARNING * (pause_s - known_s)
+        speed.paused_at = now
+
+    def pause_s(self, server: str, now: float) -> float:
+        """Returns the usual time between two events of a stream."""
+        speed = self._speeds.get(server)
+        if speed is None:
+            return 0.0
+        silent_s = max(now - speed.paused_at, 0.0)
+        return float(speed.pause_s * 0.5 ** (silent_s / PACE_HALF_LIFE_S))
+
     def forget(self, server: str) -> None:
         """Drops what was learned of an engine that is gone."""
         self._speeds.pop(server, None)
