--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -17,7 +17,7 @@
 IN_TIME = 0.9
 """Part of the target within which the first event of a request is planned."""
 
-IN_TIME_OVER = 0.6
+IN_TIME_OVER = 0.4
 """The same for a workspace beyond its share; the rest of the engines' backlog
 is kept for the others."""
 
@@ -110,7 +110,8 @@
     best = next((it for it in options if not it.full), None)
     if best is not None:
         in_time = waited_s + best.first_s <= target_s * part
-        if in_time or best.ahead <= IDLE_AHEAD:
+        idle = best.ahead <= (0 if standing.over else IDLE_AHEAD)
+        if in_time or idle:
             return Verdict(Step.SEND, best)
     if standing.over and waited_s >= target_s * SOON:
         return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
