Share what is left evenly between workspaces over their share

Change: room for what is over a share shrinks with the excess, and counts what is read before more than the request's own length.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -173,9 +173,7 @@
         """Returns the time."""
         return self._clock.monotonic()
 
-    def paused(
-        self, ticket: ledger.Ticket, pause_s: float, now: float
-    ) -> None:
+    def paused(self, ticket: ledger.Ticket, pause_s: float, now: float) -> None:
         """Notes a pause between two events of a stream."""
         name = ticket.server.name
         self._using.estimator.observe_pause(name, pause_s, now)
@@ -236,7 +234,10 @@
                 option.unread,
                 job.call.prompt_tokens,
                 len(options),
-                [(o.unread, round(o.first_s,2), o.full, round(o.cost)) for o in options],
+                [
+                    (o.unread, round(o.first_s, 2), o.full, round(o.cost))
+                    for o in options
+                ],
             )
             permit = self._permit(job, option, now)
             waiter.fut.set_result(result.Ok(permit))
--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -17,9 +17,12 @@
 IN_TIME = 0.9
 """Part of the target within which the first event of a request is planned."""
 
-IN_TIME_OVER = 0.4
-"""The same for a workspace beyond its share; the rest of the engines' backlog
-is kept for the others."""
+AHEAD_OVER = 0.4
+"""Part of the target that may pass before an engine begins to read a request
+beyond its workspace's share; the rest of the engines' backlog is kept for the
+others. It shrinks the further the workspace is beyond, so that two of them
+get the same, and does not count the request's own length, so that long ones
+get through too."""
 
 IDLE_AHEAD = 6_000
 """Unread tokens below which an engine counts as nearly idle: half of the
@@ -106,13 +109,9 @@
         return _decide_plain(job, options)
     waited_s = now - job.arrived
     target_s = job.route.target_s
-    part = IN_TIME_OVER if standing.over else IN_TIME
     best = next((it for it in options if not it.full), None)
-    if best is not None:
-        in_time = waited_s + best.first_s <= target_s * part
-        idle = best.ahead <= (0 if standing.over else IDLE_AHEAD)
-        if in_time or idle:
-            return Verdict(Step.SEND, best)
+    if best is not None and _goes(best, standing, waited_s, target_s):
+        return Verdict(Step.SEND, best)
     if standing.over and waited_s >= target_s * SOON:
         return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
     if options and now + min(it.first_s for it in options) >= job.deadline:
@@ -120,6 +119,20 @@
     return WAIT
 
 
+def _goes(
+    option: choose.Option, standing: Standing, waited_s: float, target_s: float
+) -> bool:
+    """Whether a request goes to the server that is best for it."""
+    if standing.over:
+        allowed_s = target_s * AHEAD_OVER / standing.ratio**0.5
+        own_s = 0.5 * (option.first_s - option.ahead_s)
+        return (
+            option.ahead == 0 or waited_s + option.ahead_s + own_s <= allowed_s
+        )
+    in_time = waited_s + option.first_s <= target_s * IN_TIME
+    return in_time or option.ahead <= IDLE_AHEAD
+
+
 def _decide_plain(job: jobs.Job, options: Sequence[choose.Option]) -> Verdict:
     del job
     for option in options:
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -77,6 +77,7 @@
         cost: Lower is better.
         first_s: Predicted time to the first event; 0 for plain services.
         ahead: Prompt tokens read before it.
+        ahead_s: Time that reading them takes.
         unread: Prompt tokens of the request that it has to read.
         full: Whether its slots or its memory are taken.
     """
@@ -85,6 +86,7 @@
     cost: float
     first_s: float
     ahead: int
+    ahead_s: float
     unread: int
     full: bool
 
@@ -193,7 +195,8 @@
         full = work.requests >= slots or (
             work.requests > 0 and work.memory + needed > room
         )
-        return Option(it, cost, first_s, work.unread, unread, full)
+        ahead_s = work.unread / speed
+        return Option(it, cost, first_s, work.unread, ahead_s, unread, full)
 
     def _jerky(self, job: jobs.Job, name: str, now: float) -> float:
         """Returns how likely a pause between events is too long, 0 to 1."""
@@ -213,7 +216,7 @@
             PLAIN_FULL_TOKENS * work.requests / slots
             + self._crossing_tokens(job, it)
         )
-        return Option(it, cost, 0.0, 0, 0, work.requests >= slots)
+        return Option(it, cost, 0.0, 0, 0.0, 0, work.requests >= slots)
 
     def _crossing_tokens(self, job: jobs.Job, it: state.Registered) -> float:
         if it.server.zone == self._zone:
