--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -1,10 +1,8 @@
-"""Tells the other routers this one's part of the shared view, and hears
-theirs.
-"""
+"""Exchanges the shared view of work and use with the other routers."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable
+import contextlib
 import dataclasses
 import math
 from typing import Any
@@ -98,7 +96,7 @@
         self._transport: transport.PeerService | None = None
         self._view: View | None = None
         self._changed: Callable[[], None] = _nothing
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._running: list[asyncio.Task[Any]] = []
         self._use_at = -math.inf
         self._dirty = asyncio.Event()
 
@@ -116,14 +114,14 @@
     async def on_start(self) -> None:
         """Begins to share."""
         self._publish_addresses()
-        self._tasks = [
+        self._running = [
             asyncio.create_task(self._async_share()),
             asyncio.create_task(self._async_enter()),
         ]
 
     async def on_stop(self) -> None:
         """Ends sharing."""
-        for task in self._tasks:
+        for task in self._running:
             task.cancel()
 
     def routers(self) -> int:
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -66,7 +66,8 @@
     def __init__(self) -> None:
         super().__init__(limit=0, socket_factory=sockets.open_tcp)
         loop = asyncio.get_running_loop()
-        self._factory = functools.partial(ServerProtocol, loop=loop)
+        factory: Any = functools.partial(ServerProtocol, loop=loop)
+        self._factory = factory
 
     async def _get(self, key: Any, traces: Any) -> Any:
         idle = self._conns.get(key)
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from absl import logging
-from aiohttp import web
+from aiohttp import abc, http_parser, streams, web
 import result
 
 from tamarackbridge import core
@@ -120,11 +120,11 @@
 
     def _make_request(
         self,
-        message,
-        payload,
-        protocol,
-        writer,
-        task,  # type: ignore
+        message: http_parser.RawRequestMessage,
+        payload: streams.StreamReader,
+        protocol: web.RequestHandler,
+        writer: abc.AbstractStreamWriter,
+        task: "asyncio.Task[None]",
     ) -> web.BaseRequest:
         return web.BaseRequest(
             message,
--- a/tamarackbridge/components/knowledge/__init__.py
+++ b/tamarackbridge/components/knowledge/__init__.py
@@ -1,3 +1,1 @@
-"""What a router knows of configuration, backend servers and zones, and since
-when.
-"""
+"""What a router knows of the fleet's surroundings, and since when."""
--- a/tamarackbridge/components/knowledge/source.py
+++ b/tamarackbridge/components/knowledge/source.py
@@ -40,9 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerGone:
-    """A backend server is no longer registered, or not so that it can be
-    used.
-    """
+    """A backend server is not registered so that it can be used."""
 
     name: str
 
--- a/tamarackbridge/components/placement/parts.py
+++ b/tamarackbridge/components/placement/parts.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 import hashlib
 
 from tamarackbridge.components.gateway import models
@@ -22,6 +22,9 @@
 """Parts remembered for each server, at a hundred bytes each."""
 
 
+_NOTHING: Mapping[int, float] = {}
+
+
 class HeldParts:
     """Prompt parts by server, each with its last use."""
 
@@ -44,7 +47,7 @@
         self, server: str, parts: tuple[models.PromptPart, ...], now: float
     ) -> int:
         """Returns how many tokens of a prompt a server has to read."""
-        held = self._held.get(server, {})
+        held = self._held.get(server, _NOTHING)
         reading = False
         unread = 0
         for chain, part in chains(parts):
