--- a/tamarackbridge/platform/const.py
+++ b/tamarackbridge/platform/const.py
@@ -45,6 +45,21 @@
 )
 """Headers that only routers may set towards a backend server."""
 
+HEADERS_OF_REQUESTS: Final = frozenset(
+    name.lower()
+    for name in (
+        "Host",
+        HEADER_REQUEST_ID,
+        "X-Model",
+        HEADER_TOKENS,
+        HEADER_PARTS,
+        HEADER_OUTPUT_HINT,
+        HEADER_RESUME,
+        HEADER_SEAL,
+    )
+)
+"""Headers that are passed on even if a peer names them as its connection's."""
+
 HEADERS_OF_CONNECTION: Final = frozenset(
     (
         "connection",
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -122,8 +122,9 @@
         if name.lower() == "connection"
         for part in value.split(",")
     }
-    kept = named | dropped | const.HEADERS_OF_CONNECTION
-    return tuple(it for it in headers if it[0].lower() not in kept)
+    named -= const.HEADERS_OF_REQUESTS
+    left_out = named | dropped | const.HEADERS_OF_CONNECTION
+    return tuple(it for it in headers if it[0].lower() not in left_out)
 
 
 def _tokens(text: str) -> tuple[int, int]:
--- /dev/null
+++ b/tests/components/knowledge/test_follower.py
@@ -0,0 +1,151 @@
+"""The follower against a source that plays an outage or a lost history."""
+
+import asyncio
+import collections
+import random
+
+import result
+
+from tamarackbridge.components.knowledge import follower, source, state
+from tests.components.knowledge import builders
+
+AWAY: source.Answer = result.Err(source.Trouble.AWAY)
+LOST: source.Answer = result.Err(source.Trouble.HISTORY_LOST)
+
+
+class VirtualClock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return 0.0
+
+
+class ScriptedSource:
+    """Answers as told, each after some virtual time; then never again."""
+
+    def __init__(
+        self, clock: VirtualClock, script: list[tuple[float, source.Answer]]
+    ) -> None:
+        self.calls: list[str] = []
+        self.done = asyncio.Event()
+        self._clock = clock
+        self._script = collections.deque(script)
+
+    async def async_all(self, kind: source.Kind) -> source.Answer:
+        self.calls.append(f"all {kind.value}")
+        return await self._async_next()
+
+    async def async_changes(
+        self, kind: source.Kind, revision: int, wait_s: float
+    ) -> source.Answer:
+        self.calls.append(f"after {revision}")
+        return await self._async_next()
+
+    async def _async_next(self) -> source.Answer:
+        if not self._script:
+            self.done.set()
+            await asyncio.Event().wait()
+        took_s, answer = self._script.popleft()
+        self._clock.now += took_s
+        return answer
+
+
+def facts(revision: int, *found: source.Fact) -> source.Answer:
+    return result.Ok(source.Facts(found, revision))
+
+
+async def _async_play(
+    kind: source.Kind, script: list[tuple[float, source.Answer]]
+) -> tuple[state.Knowledge, ScriptedSource, VirtualClock]:
+    clock = VirtualClock()
+    known = state.Knowledge(builders.BOUNDS)
+    origin = ScriptedSource(clock, script)
+    svc = follower.Follower(
+        kind, origin, known, clock, random.Random(1), lambda: None
+    )
+    await svc.on_start()
+    await origin.done.wait()
+    await svc.on_stop()
+    return known, origin, clock
+
+
+async def test_silence_for_the_whole_wait_confirms_its_end() -> None:
+    cfg = source.ConfigurationIs(builders.configuration(3))
+    known, _, clock = await _async_play(
+        source.Kind.CONFIGURATION, [(0.1, facts(5, cfg)), (1.05, facts(5))]
+    )
+    assert abs(known.configuration_age(clock.now) - 0.05) < 1e-6
+
+
+async def test_early_silence_confirms_only_the_call() -> None:
+    cfg = source.ConfigurationIs(builders.configuration(3))
+    known, _, clock = await _async_play(
+        source.Kind.CONFIGURATION, [(0.1, facts(5, cfg)), (0.4, facts(5))]
+    )
+    assert abs(known.configuration_age(clock.now) - 0.4) < 1e-6
+
+
+async def test_unanswered_calls_confirm_nothing() -> None:
+    cfg = source.ConfigurationIs(builders.configuration(3))
+    script = [(0.1, facts(5, cfg)), (1.8, AWAY), (1.8, AWAY)]
+    known, _, clock = await _async_play(source.Kind.CONFIGURATION, script)
+    assert known.configuration_age(clock.now) >= 3.6
+    assert not known.may_deny(clock.now)
+
+
+async def test_lost_history_is_read_anew_at_once() -> None:
+    s1 = source.ServerIs(builders.server("s1"))
+    s2 = source.ServerIs(builders.server("s2"))
+    known, origin, _ = await _async_play(
+        source.Kind.SERVERS,
+        [(0.1, facts(5, s1)), (0.1, LOST), (0.1, facts(9, s2))],
+    )
+    assert origin.calls == ["all servers", "after 5", "all servers", "after 9"]
+    assert list(known.servers) == ["s2"]
+
+
+async def test_registrations_that_lapsed_in_an_outage_get_a_grace() -> None:
+    s1 = source.ServerIs(builders.server("s1"))
+    gone = source.ServerGone("s1")
+    known, _, clock = await _async_play(
+        source.Kind.SERVERS,
+        [(0.1, facts(5, s1)), (1.8, AWAY), (1.8, AWAY), (0.1, facts(9, gone))],
+    )
+    assert known.usable("lm", clock.now + 1.0)
+    assert not known.usable("lm", clock.now + 2.3)
+
+
+async def test_registration_that_ends_in_calm_is_gone_at_once() -> None:
+    s1 = source.ServerIs(builders.server("s1"))
+    known, _, _ = await _async_play(
+        source.Kind.SERVERS,
+        [(0.1, facts(5, s1)), (0.1, facts(6, source.ServerGone("s1")))],
+    )
+    assert not known.servers
+
+
+async def test_zones_out_are_forgotten_when_all_is_read_anew() -> None:
+    known, _, _ = await _async_play(
+        source.Kind.ZONES,
+        [
+            (0.1, facts(5, source.ZoneOut("z1"))),
+            (0.1, LOST),
+            (0.1, facts(8, source.ZoneOut("z2"))),
+        ],
+    )
+    assert known.zones_out == frozenset(("z2",))
+
+
+async def test_older_configuration_after_a_reconnect_changes_nothing() -> None:
+    new = source.ConfigurationIs(builders.configuration(9))
+    old = source.ConfigurationIs(builders.configuration(4))
+    known, _, _ = await _async_play(
+        source.Kind.CONFIGURATION,
+        [(0.1, facts(5, new)), (0.1, LOST), (0.1, facts(3, old))],
+    )
+    assert known.configuration is not None
+    assert known.configuration.version == 9
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,102 @@
+import pytest
+
+from tamarackbridge.components.gateway import models
+from tamarackbridge.platform import dialect
+
+WORDS = dialect.PlatformDialect()
+RAW = (
+    (b"Host", b"a.example"),
+    (b"X-Request-Id", b"q1"),
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"1460,80"),
+    (b"X-Prompt-Prefix", b"5c:800,91:410,e4:250"),
+    (b"X-Length-Hint", b"33"),
+    (b"X-Deadline-Ms", b"12000"),
+    (b"X-Api-Key", b"secret"),
+    (b"X-Tenant", b"forged"),
+    (b"X-Hold", b"h"),
+    (b"X-Pin-Ms", b"100"),
+    (b"X-Kv-Backup", b"10.0.0.1:1"),
+    (b"Kv-From", b"10.0.0.1:1/h"),
+    (b"X-Target-Instance", b"i-9"),
+    (b"Connection", b"keep-alive, X-Hop"),
+    (b"X-Hop", b"1"),
+    (b"Accept", b"*/*"),
+)
+
+
+def _call() -> models.Call:
+    call = WORDS.read_call("POST", "/x/1?a=b", "a.example", RAW)
+    assert call is not None
+    return call
+
+
+def test_reads_a_call() -> None:
+    call = _call()
+    assert call.request_id == "q1"
+    assert call.key == "secret"
+    assert call.patience_s == 12.0
+    assert (call.prompt_tokens, call.output_tokens) == (1460, 80)
+    assert call.output_hint == 33
+    assert call.parts[1] == models.PromptPart("91", 410)
+
+
+def test_call_without_identifier_is_none() -> None:
+    assert WORDS.read_call("GET", "/", "a", ((b"Host", b"a"),)) is None
+
+
+def test_passes_on_only_what_callers_may_set() -> None:
+    sending = models.Sending("i-1", "w", 1.5, "")
+    sent = WORDS.write_call(_call(), sending)
+    assert dict(sent) == {
+        "Host": "a.example",
+        "X-Request-Id": "q1",
+        "X-Model": "m",
+        "X-Token-Usage": "1460,80",
+        "X-Prompt-Prefix": "5c:800,91:410,e4:250",
+        "X-Length-Hint": "33",
+        "Accept": "*/*",
+        "X-Deadline-Ms": "1500",
+        "X-Target-Instance": "i-1",
+        "X-Tenant": "w",
+    }
+    assert len(sent) == len(dict(sent))
+
+
+def test_connection_header_drops_nothing_that_servers_need() -> None:
+    raw = (*RAW, (b"Connection", b"X-Request-Id, X-Model, X-Prompt-Prefix"))
+    call = WORDS.read_call("POST", "/x/1", "a.example", raw)
+    assert call is not None
+    names = {name for name, _ in call.headers}
+    assert {"X-Request-Id", "X-Model", "X-Prompt-Prefix"} <= names
+
+
+def test_resumes_after_the_last_event() -> None:
+    sending = models.Sending("i-1", "w", 1.5, "41")
+    assert ("Last-Event-Id", "41") in WORDS.write_call(_call(), sending)
+
+
+@pytest.mark.parametrize(
+    ("status", "raw", "told"),
+    [
+        (200, ((b"X-Request-Id", b"q1"), (b"X-Response-Seal", b"s")), "answered"),
+        (200, ((b"X-Request-Id", b"q2"), (b"X-Response-Seal", b"s")), "crossed"),
+        (200, ((b"X-Response-Seal", b"s"),), "crossed"),
+        (503, ((b"X-Not-Executed", b"1"),), "not_run"),
+        (503, (), "answered"),
+        (500, ((b"X-Not-Executed", b"1"),), "answered"),
+        (421, ((b"X-Instance-Id", b"i-2"),), "elsewhere"),
+    ],
+)
+def test_what_an_answer_says(
+    status: int, raw: tuple[tuple[bytes, bytes], ...], told: str
+) -> None:
+    head = WORDS.read_head(_call(), status, raw)
+    assert head.told is models.Told(told)
+
+
+def test_load_of_a_server() -> None:
+    raw = ((b"X-Server-Load", b"3,1,8"),)
+    assert WORDS.read_head(_call(), 200, raw).load == models.Load(3, 1, 8)
+    bad = ((b"X-Server-Load", b"3,one"),)
+    assert WORDS.read_head(_call(), 200, bad).load is None
