Test each kind of request and each fault of a server through a whole router

Found by the tests: a body one byte over the limit was taken. An answer without a length that is reset is found out; one that is closed can't be.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,6 +7,8 @@
 import contextlib
 import dataclasses
 import enum
+import socket
+import struct
 
 
 class Fault(enum.Enum):
@@ -123,7 +125,7 @@
         if fault is Fault.LOSE:
             return False
         if fault is Fault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return False
         if fault is Fault.NOT_HTTP:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
@@ -153,7 +155,7 @@
             await writer.drain()
             if fault is Fault.UNFRAMED_RESET:
                 await asyncio.sleep(0.01)
-                writer.transport.abort()
+                _reset(writer)
             return False
         self._write(writer, 200, request_id, body, seal)
         if fault is Fault.EXTRA:
@@ -179,7 +181,7 @@
                     writer.write(_chunk(event[:9]))
                     await writer.drain()
                     await asyncio.sleep(0.01)
-                    writer.transport.abort()
+                    _reset(writer)
                     return False
                 writer.write(_chunk(event))
                 await writer.drain()
@@ -212,3 +214,11 @@
 
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection so that its other end sees an error."""
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -133,7 +133,7 @@
             writer,
             task,
             asyncio.get_running_loop(),
-            client_max_size=self._limits().max_body_bytes + 1,
+            client_max_size=self._limits().max_body_bytes,
         )
 
     async def _async_handle(self, req: web.BaseRequest) -> web.StreamResponse:
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -73,6 +73,7 @@
         self._replace(answer.ok_value.facts)
         self._revision = answer.ok_value.revision
         self._confirm(began)
+        self._changed()
 
     async def _async_follow(self) -> None:
         wait_s = _WAITS[self._kind]
@@ -137,7 +138,6 @@
             }
             for name in [it for it in self._known.servers if it not in named]:
                 self._apply(source.ServerGone(name))
-        self._changed()
 
     def _apply(self, fact: source.Fact) -> None:
         now = self._clock.monotonic()
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -60,6 +60,8 @@
     def __init__(self, cfg: platform_settings.Settings) -> None:
         self._cfg = cfg
         self._exit_code = 0
+        self._stop = asyncio.Event()
+        self._news = asyncio.Event()
         boot = secrets.randbits(BOOT_BITS)
         clock = core.SystemClock()
         rng = random.Random(boot)
@@ -151,6 +153,9 @@
         kernel.register("desk", self._desk)
         kernel.register("gateway", self._gateway)
         kernel.register("readiness", readiness)
+        services = kernel.mode_services()
+        watch = crash_watch.CrashWatch(services, self._on_crash)
+        self._services = [*services, watch]
 
     def _use(self) -> dict[str, shares.Use]:
         return dict(self._desk.use.sums(self._clock.monotonic()))
@@ -168,6 +173,7 @@
         return (cfg.version if cfg else 0, age_s)
 
     def _on_change(self) -> None:
+        self._news.set()
         self._desk.pump()
 
     def _ready(self) -> bool:
@@ -175,30 +181,44 @@
             return False
         return self._known.may_honour_keys(self._clock.monotonic())
 
+    async def async_start(self) -> None:
+        """Starts all services."""
+        for svc in self._services:
+            await svc.start()
+        logging.info("router started: %s in %s", self._cfg.node, self._cfg.zone)
+
+    async def async_stop(self) -> None:
+        """Stops all services, for as long as a shutdown leaves for it."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(_async_stop(self._services), STOP_S)
+        logging.info("router stopped")
+
+    async def async_wait_ready(self) -> None:
+        """Waits until this router knows enough to serve."""
+        while not self._ready():
+            self._news.clear()
+            await self._news.wait()
+
+    def close_idle(self) -> None:
+        """Closes callers' connections that wait for a request."""
+        self._gateway.close_idle()
+
     async def async_run(self) -> int:
         """Runs until a signal asks for the end; returns the exit code."""
-        stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+            loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, _on_reload)
-        services = self._kernel.mode_services()
-
-        def on_crash() -> None:
-            self._exit_code = 1
-            stop.set()
-
-        services = [*services, crash_watch.CrashWatch(services, on_crash)]
-        for svc in services:
-            await svc.start()
-        logging.info("router started: %s in %s", self._cfg.node, self._cfg.zone)
-        await stop.wait()
+        await self.async_start()
+        await self._stop.wait()
         await self._async_drain()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(_async_stop(services), STOP_S)
-        logging.info("router stopped")
+        await self.async_stop()
         return self._exit_code
 
+    def _on_crash(self) -> None:
+        self._exit_code = 1
+        self._stop.set()
+
     async def _async_drain(self) -> None:
         """Lets go of callers, then waits for what is held."""
         times = shutdown.begin(
