--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -17,12 +17,15 @@
 IN_TIME = 0.9
 """Part of the target within which the first event of a request is planned."""
 
-AHEAD_OVER = 0.4
+AHEAD_OVER = 0.33
 """Part of the target that may pass before an engine begins to read a request
 beyond its workspace's share; the rest of the engines' backlog is kept for the
-others. It shrinks the further the workspace is beyond, so that two of them
-get the same, and does not count the request's own length, so that long ones
-get through too."""
+others. It shrinks with the root of the excess, so that two floods get about
+the same."""
+
+OWN_OVER = 0.25
+"""Weight of the request's own reading in that time: short ones go first, but
+long ones find room often enough to get half as much in any mix."""
 
 IDLE_AHEAD = 6_000
 """Unread tokens below which an engine counts as nearly idle: half of the
@@ -125,7 +128,7 @@
     """Whether a request goes to the server that is best for it."""
     if standing.over:
         allowed_s = target_s * AHEAD_OVER / standing.ratio**0.5
-        own_s = 0.5 * (option.first_s - option.ahead_s)
+        own_s = OWN_OVER * (option.first_s - option.ahead_s)
         return (
             option.ahead == 0 or waited_s + option.ahead_s + own_s <= allowed_s
         )
