--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -31,7 +31,7 @@
 """Unread tokens below which an engine counts as nearly idle: half of the
 longest common prompt, 70 ms of reading."""
 
-SOON = 0.125
+SOON = 0.06
 """Part of the target within which a refusal does not harm the caller, who
 then has time to come back."""
 
