--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -1,8 +1,9 @@
 """Lets requests go in fair order, each to the server chosen for it."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 import dataclasses
+import math
 import random
 
 from absl import logging
@@ -35,6 +36,15 @@
 """Unread prompt tokens of which the other routers are told soon: 6 ms of an
 engine's reading."""
 
+CALM_S = 0.06
+"""Usual wait for an engine's reading below which engines have capacity to
+spare, and no workspace is held to its share: a tenth of the longest target
+and the time to read one common prompt."""
+
+PRESSURE_S = 1.0
+"""Time over which that wait is averaged: longer than a clump of arrivals,
+shorter than the window of shares."""
+
 MAX_LOOKED_AT = 24
 """Waiting requests that are weighed in one turn, so that a turn stays below a
 millisecond or two however many wait."""
@@ -86,6 +96,27 @@
         self._desk.ended(self._ticket, outcome)
 
 
+class Pressure:
+    """How long engines usually read before they begin with a new request.
+
+    Attributes:
+        wait_s: The average over `PRESSURE_S`, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.wait_s = 0.0
+        self._at = 0.0
+
+    def note(self, options: Sequence[choose.Option], now: float) -> None:
+        """Takes the state of the engines that a request could go to."""
+        if not options:
+            return
+        seen_s = sum(it.ahead_s for it in options) / len(options)
+        weight = 1.0 - math.exp(-max(now - self._at, 0.0) / PRESSURE_S)
+        self.wait_s += weight * (seen_s - self.wait_s)
+        self._at = now
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """What a desk decides with."""
@@ -124,6 +155,7 @@
         self._budget = budget.RepeatBudget(using.bounds)
         self._waiting: list[_Waiter] = []
         self._served: dict[str, float] = {}
+        self._pressure = Pressure()
         self._level = float("inf")
         self._level_at = -1.0
         self._ticker: asyncio.Task[None] | None = None
@@ -219,6 +251,8 @@
     def _decide(self, waiter: _Waiter, now: float) -> None:
         job = waiter.job
         options = self._using.chooser.options(job, self._routers(), now)
+        if job.service.is_model:
+            self._pressure.note(options, now)
         standing = self._standing(job.workspace)
         found = verdict.decide(job, options, standing, now)
         if found.option is not None:
@@ -290,9 +324,10 @@
         return (standing.over, late, standing.ratio + job.arrived * 1e-6)
 
     def _standing(self, workspace: str) -> verdict.Standing:
+        calm = self._pressure.wait_s < CALM_S
         return verdict.Standing(
             self._served.get(workspace, 0.0),
-            self._level,
+            float("inf") if calm else self._level,
             self._using.bounds.share_window_s,
         )
 
