Log typed events through a bounded queue; metrics; reload of settings

Cause: lines were free text, written by the event loop itself. Change: one module names all events; a thread writes them, what finds no room is dropped and counted; metrics on their own port; SIGHUP reads bounds.

--- a/tamarackbridge/components/admission/budget.py
+++ b/tamarackbridge/components/admission/budget.py
@@ -28,6 +28,10 @@
         self._bounds = bounds
         self._services: dict[str, _Spent] = {}
 
+    def use_bounds(self, bounds: fleet.Bounds) -> None:
+        """Takes changed bounds."""
+        self._bounds = bounds
+
     def note_request(self, service: str, now: float) -> None:
         """Counts a request for a service."""
         spent = self._at(service, now)
--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -6,7 +6,6 @@
 import math
 import random
 
-from absl import logging
 import result
 
 from tamarackbridge import core
@@ -23,6 +22,7 @@
     ledger,
     parts,
 )
+from tamarackbridge.components.telemetry import events
 
 TICK_S = 0.025
 """Interval at which waiting requests are looked at without an occasion; a
@@ -142,6 +142,7 @@
         routers: Callable[[], Collection[str]],
         others_use: Callable[[], dict[str, shares.Use]],
         changed: Callable[[], None],
+        waited: Callable[[float], None],
     ) -> None:
         super().__init__()
         self.use = shares.UseWindow(using.bounds.share_window_s)
@@ -152,6 +153,7 @@
         self._routers = routers
         self._others_use = others_use
         self._changed = changed
+        self._waited = waited
         self._budget = budget.RepeatBudget(using.bounds)
         self._waiting: list[_Waiter] = []
         self._served: dict[str, float] = {}
@@ -169,6 +171,11 @@
         if self._ticker is not None:
             self._ticker.cancel()
 
+    def use_bounds(self, bounds: fleet.Bounds) -> None:
+        """Takes changed bounds."""
+        self._using = dataclasses.replace(self._using, bounds=bounds)
+        self._budget.use_bounds(bounds)
+
     @property
     def waiting(self) -> int:
         """Requests that wait."""
@@ -228,7 +235,9 @@
         now = self._clock.monotonic()
         self._using.work.end(ticket)
         name = ticket.server.name
-        self._using.breakers.note(name, outcome, now)
+        open_s = self._using.breakers.note(name, outcome, now)
+        if open_s > 0:
+            events.write(events.BreakerOpened(name, outcome.value, open_s))
         self.pump()
 
     def pump(self) -> None:
@@ -256,40 +265,63 @@
         standing = self._standing(job.workspace)
         found = verdict.decide(job, options, standing, now)
         if found.option is not None:
-            option = found.option
-            logging.info(
-                "request %s of %s placed at %s: waited %.3f s, first event in"
-                " %.3f s, ahead %d, unread %d of %d, %d servers %s",
-                job.call.request_id,
-                job.workspace,
-                option.known.server.name,
-                now - job.arrived,
-                option.first_s,
-                option.ahead,
-                option.unread,
-                job.call.prompt_tokens,
-                len(options),
-                [
-                    (o.unread, round(o.first_s, 2), o.full, round(o.cost))
-                    for o in options
-                ],
-            )
-            permit = self._permit(job, option, now)
+            self._log_placed(job, found.option, standing, len(options), now)
+            permit = self._permit(job, found.option, now)
             waiter.fut.set_result(result.Ok(permit))
         elif found.refusal is not None:
-            logging.info(
-                "request %s of %s not admitted: served %.0f of share %.0f,"
-                " waited %.3f s, waiting %d, first events %s",
-                job.call.request_id,
-                job.workspace,
-                standing.served,
-                standing.level,
-                now - job.arrived,
-                len(self._waiting),
-                [round(it.first_s, 3) for it in options],
-            )
+            self._log_refused(job, found.refusal, standing, len(options), now)
             waiter.fut.set_result(result.Err(self._spread(found.refusal)))
 
+    def _log_placed(
+        self,
+        job: jobs.Job,
+        option: choose.Option,
+        standing: verdict.Standing,
+        servers: int,
+        now: float,
+    ) -> None:
+        known = self._using.known
+        cfg = known.configuration
+        self._waited(now - job.arrived)
+        events.write(
+            events.Placed(
+                request=job.call.request_id,
+                workspace=job.workspace,
+                server=option.known.server.name,
+                waited_s=round(now - job.arrived, 4),
+                first_event_s=round(option.first_s, 4),
+                ahead=option.ahead,
+                unread=option.unread,
+                prompt=job.call.prompt_tokens,
+                servers=servers,
+                share=round(standing.ratio, 3),
+                pressure_s=round(self._pressure.wait_s, 4),
+                configuration=cfg.version if cfg is not None else 0,
+                servers_age_s=round(known.servers_age(now), 3),
+            )
+        )
+
+    def _log_refused(
+        self,
+        job: jobs.Job,
+        refusal: answers.Refusal,
+        standing: verdict.Standing,
+        servers: int,
+        now: float,
+    ) -> None:
+        events.write(
+            events.NotAdmitted(
+                request=job.call.request_id,
+                workspace=job.workspace,
+                reason=refusal.reason.value,
+                waited_s=round(now - job.arrived, 4),
+                waiting=len(self._waiting),
+                share=round(standing.ratio, 3),
+                pressure_s=round(self._pressure.wait_s, 4),
+                servers=servers,
+            )
+        )
+
     def _permit(
         self, job: jobs.Job, option: choose.Option, now: float
     ) -> Permit:
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -7,12 +7,11 @@
 import math
 from typing import Any
 
-from absl import logging
-
 from tamarackbridge import core
 from tamarackbridge.components.admission import shares
 from tamarackbridge.components.fleet import messages
 from tamarackbridge.components.placement import ledger, parts
+from tamarackbridge.components.telemetry import events
 from tamarackbridge.components.transport import service as transport
 
 SOON_S = 0.04
@@ -157,7 +156,7 @@
             peer = self._peers[delivery.src] = _Peer()
             self._publish_addresses()
         if now - peer.heard_at > SILENT_S:
-            logging.info("router %s heard", delivery.src)
+            events.write(events.RouterHeard(delivery.src))
         age_s = delivery.age_s if math.isfinite(delivery.age_s) else 0.0
         peer.heard_at = now
         peer.leaving = msg.leaving
@@ -225,7 +224,8 @@
         now = self._clock.monotonic()
         for address, peer in self._peers.items():
             if peer.use and now - peer.heard_at > SILENT_S:
-                logging.info("router %s silent", address)
+                silent_s = round(now - peer.heard_at, 3)
+                events.write(events.RouterSilent(address, silent_s))
                 self._view.work.forget(address)
                 peer.use = {}
 
--- a/tamarackbridge/components/gateway/exceptions.py
+++ b/tamarackbridge/components/gateway/exceptions.py
@@ -17,3 +17,7 @@
 
 class CallerGoneError(GatewayError):
     """The caller closed its connection."""
+
+
+class AnswerCutError(GatewayError):
+    """An answer under way was ended so that it does not look whole."""
--- /dev/null
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -0,0 +1,120 @@
+"""What a router says of requests: one event and one count for each decision."""
+
+from tamarackbridge import core
+from tamarackbridge.components.gateway import (
+    answers,
+    caller,
+    forward,
+    jobs,
+    metrics,
+)
+from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.telemetry import events
+
+
+class RequestLog:
+    """Writes events of requests, with the age of what they rest on."""
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        known: state.Knowledge,
+        counted: metrics.GatewayMetrics,
+    ) -> None:
+        self._clock = clock
+        self._known = known
+        self._counted = counted
+
+    def sending_ended(
+        self, job: jobs.Job, sent: forward.Sent, server: str, again: bool
+    ) -> None:
+        """A sending failed, and is or is not followed by another."""
+        self._counted.sent(sent.end.value)
+        events.write(
+            events.SendingEnded(
+                request=job.call.request_id,
+                server=server,
+                end=sent.end.value,
+                detail=sent.detail,
+                again=again,
+            )
+        )
+
+    def answered(
+        self,
+        job: jobs.Job,
+        stream: caller.CallerStream,
+        sent: forward.Sent,
+        server: str,
+    ) -> None:
+        """A server's answer is passed on."""
+        now = self._clock.monotonic()
+        first_at = stream.first_at if stream.first_at is not None else now
+        status = sent.head.status if sent.head is not None else 0
+        route = job.route
+        self._counted.sent(sent.end.value)
+        self._counted.answered(
+            route.name, status, first_at - job.arrived, now - job.arrived
+        )
+        events.write(
+            events.Answered(
+                request=job.call.request_id,
+                route=route.name,
+                server=server,
+                status=status,
+                first_event_s=round(first_at - job.arrived, 4),
+                target_s=route.target_s,
+                longest_pause_s=round(stream.longest_pause_s, 4),
+                allowed_pause_s=route.target_gap_s,
+                events=stream.events,
+                seconds=round(now - job.arrived, 4),
+            )
+        )
+
+    def refused(
+        self,
+        request_id: str,
+        refusal: answers.Refusal,
+        arrived: float,
+        may_have_run: bool = False,
+    ) -> None:
+        """The router answers on its own."""
+        now = self._clock.monotonic()
+        cfg = self._known.configuration
+        self._counted.refused(refusal.reason.value)
+        events.write(
+            events.Refused(
+                request=request_id,
+                reason=refusal.reason.value,
+                status=refusal.status,
+                retry_after_s=round(refusal.retry_after_s, 3),
+                may_have_run=may_have_run,
+                configuration=cfg.version if cfg is not None else 0,
+                configuration_age_s=_age(self._known.configuration_age(now)),
+                seconds=round(now - arrived, 4),
+            )
+        )
+
+    def cut(self, job: jobs.Job, stream: caller.CallerStream, by: str) -> None:
+        """An answer under way is ended early."""
+        self._counted.cut(by)
+        seconds = self._clock.monotonic() - job.arrived
+        events.write(
+            events.Cut(
+                request=job.call.request_id,
+                by=by,
+                events=stream.events,
+                seconds=round(seconds, 4),
+            )
+        )
+
+    def caller_left(self, request_id: str, arrived: float) -> None:
+        """A caller closed its connection."""
+        self._counted.cut("caller")
+        seconds = self._clock.monotonic() - arrived
+        events.write(events.CallerLeft(request_id, round(seconds, 4)))
+
+
+def _age(age_s: float) -> float:
+    """Returns an age for the log; -1 before anything was known."""
+    return round(age_s, 3) if age_s < 1e9 else -1.0
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 
-from absl import logging
 from aiohttp import web
 import result
 
@@ -16,6 +15,7 @@
     jobs,
     models,
     relay,
+    request_log,
 )
 from tamarackbridge.components.knowledge import models as knowledge
 
@@ -66,7 +66,9 @@
         dialect: models.Dialect,
         clock: core.Clock,
         draining: Callable[[], bool],
+        log: request_log.RequestLog,
     ) -> None:
+        self._log = log
         self._desk = desk
         self._forwarder = forwarder
         self._dialect = dialect
@@ -80,6 +82,7 @@
 
         Raises:
             CallerGoneError: The caller closed its connection.
+            AnswerCutError: An answer under way could not be finished.
         """
         stream = caller.CallerStream(req, self._draining())
         events = None
@@ -93,11 +96,14 @@
             sent = await self._async_send(
                 job, stream, events, admitted.ok_value
             )
+            server = admitted.ok_value.server.name
             if sent.end is _End.WHOLE and not _is_failure(sent):
-                self._log_answer(job, stream, sent)
+                self._log.answered(job, stream, sent, server)
                 return await self._async_answer(stream, sent)
-            self._note(job, sent, progress, admitted.ok_value.server.name)
-            if self._may_go_on(job, progress, sent):
+            _note(job, sent, progress, server)
+            again = self._may_go_on(job, progress, sent)
+            self._log.sending_ended(job, sent, server, again)
+            if again:
                 continue
             if sent.end is _End.WHOLE:
                 return await self._async_answer(stream, sent)
@@ -135,29 +141,6 @@
             placement.load(sent.head.load)
         return sent
 
-    def _note(
-        self,
-        job: jobs.Job,
-        sent: forward.Sent,
-        progress: Progress,
-        server: str,
-    ) -> None:
-        progress.last = sent
-        job.avoid.add(server)
-        if sent.end is _End.NOT_SENT:
-            progress.unsent += 1
-        else:
-            job.sendings += 1
-        if sent.end not in forward.PROVED_NOT_RUN:
-            progress.may_have_run = True
-        logging.info(
-            "request %s: sending to %s ended: %s %s",
-            job.call.request_id,
-            server,
-            sent.end.value,
-            sent.detail,
-        )
-
     def _may_go_on(
         self, job: jobs.Job, progress: Progress, sent: forward.Sent
     ) -> bool:
@@ -187,25 +170,6 @@
             resp.headers.add(name, value)
         return resp
 
-    def _log_answer(
-        self, job: jobs.Job, stream: caller.CallerStream, sent: forward.Sent
-    ) -> None:
-        now = self._clock.monotonic()
-        first_at = stream.first_at if stream.first_at is not None else now
-        logging.info(
-            "request %s answered %d on %s: first after %.3f of %.3f s,"
-            " longest pause %.3f of %.3f s, %d events in %.3f s",
-            job.call.request_id,
-            sent.head.status if sent.head is not None else 0,
-            job.route.name,
-            first_at - job.arrived,
-            job.route.target_s,
-            stream.longest_pause_s,
-            job.route.target_gap_s,
-            stream.events,
-            now - job.arrived,
-        )
-
     def _give_up(
         self,
         job: jobs.Job,
@@ -214,15 +178,14 @@
         refusal: answers.Refusal | None,
     ) -> web.StreamResponse:
         if stream.response is not None:
+            last = progress.last
+            by = last.end.value if last is not None else "router"
+            self._log.cut(job, stream, by)
             stream.cut()
-            raise exceptions.CallerGoneError("the stream was cut")
+            raise exceptions.AnswerCutError(by)
         refusal = self._final(progress, refusal)
-        logging.info(
-            "request %s refused: %s retry after %.3f s, waited %.3f s",
-            job.call.request_id,
-            refusal.reason.value,
-            refusal.retry_after_s,
-            self._clock.monotonic() - job.arrived,
+        self._log.refused(
+            job.call.request_id, refusal, job.arrived, progress.may_have_run
         )
         headers = dict(self._dialect.refusal(job.call.request_id))
         return answers.response(refusal, headers)
@@ -243,6 +206,20 @@
         return answers.Refusal(_Reason.SERVER_REFUSED, retry_s)
 
 
+def _note(
+    job: jobs.Job, sent: forward.Sent, progress: Progress, server: str
+) -> None:
+    """Notes a sending that did not give the answer."""
+    progress.last = sent
+    job.avoid.add(server)
+    if sent.end is _End.NOT_SENT:
+        progress.unsent += 1
+    else:
+        job.sendings += 1
+    if sent.end not in forward.PROVED_NOT_RUN:
+        progress.may_have_run = True
+
+
 def _is_failure(sent: forward.Sent) -> bool:
     return sent.head is not None and sent.head.status >= 500
 
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from absl import logging
 from aiohttp import abc, http_parser, streams, web
 import result
 
@@ -14,6 +13,7 @@
     answers,
     exceptions,
     models,
+    request_log,
     runner,
     shutdown,
 )
@@ -52,8 +52,10 @@
         known: state.Knowledge,
         dialect: models.Dialect,
         clock: core.Clock,
+        log: request_log.RequestLog,
     ) -> None:
         super().__init__()
+        self._log = log
         self.held = 0
         self.shutdown: shutdown.Shutdown | None = None
         self.port = port
@@ -141,10 +143,10 @@
         assert isinstance(conn, connection.CallerConnection)
         conn.begin_request()
         self.held += 1
+        arrived = self._clock.monotonic()
         try:
-            resp = await self._async_answer(req)
-        except exceptions.CallerGoneError as exc:
-            logging.info("caller gone: %s", exc)
+            resp = await self._async_answer(req, arrived)
+        except exceptions.GatewayError as exc:
             conn.force_close()
             raise asyncio.CancelledError from exc
         finally:
@@ -159,36 +161,43 @@
         """Whether the router is shutting down."""
         return self.shutdown is not None
 
-    async def _async_answer(self, req: web.BaseRequest) -> web.StreamResponse:
+    async def _async_answer(
+        self, req: web.BaseRequest, arrived: float
+    ) -> web.StreamResponse:
         assert self._runner is not None
         call = self._acceptor.read_call(req)
         if call is None:
-            return self._refuse("", answers.Refusal(answers.Reason.MALFORMED))
+            refusal = answers.Refusal(answers.Reason.MALFORMED)
+            return self._refuse("", refusal, arrived)
         expects = req.headers.get("Expect", "").lower() == "100-continue"
         if expects and req.transport is not None:
             req.transport.write(_CONTINUE)
+        try:
+            return await self._async_accepted(req, call, arrived)
+        except (asyncio.CancelledError, exceptions.CallerGoneError):
+            self._log.caller_left(call.request_id, arrived)
+            raise
+
+    async def _async_accepted(
+        self, req: web.BaseRequest, call: models.Call, arrived: float
+    ) -> web.StreamResponse:
+        assert self._runner is not None
         accepted = await self._acceptor.async_accept(req, call)
         if isinstance(accepted, result.Err):
-            resp = self._refuse(call.request_id, accepted.err_value)
+            resp = self._refuse(call.request_id, accepted.err_value, arrived)
             if not req.content.at_eof():
                 resp.force_close()
             return resp
         job = accepted.ok_value
         now = self._clock.monotonic()
         if self.shutdown is not None and not self.shutdown.takes(job, now):
-            return self._refuse(call.request_id, _SHUTTING_DOWN)
+            return self._refuse(call.request_id, _SHUTTING_DOWN, arrived)
         return await self._runner.async_run(req, job)
 
     def _refuse(
-        self, request_id: str, refusal: answers.Refusal
+        self, request_id: str, refusal: answers.Refusal, arrived: float
     ) -> web.Response:
-        now = self._clock.monotonic()
-        logging.info(
-            "request %s refused: %s, configuration %.3f s old",
-            request_id,
-            refusal.reason.value,
-            self._known.configuration_age(now),
-        )
+        self._log.refused(request_id, refusal, arrived)
         headers = dict(self._dialect.refusal(request_id))
         return answers.response(refusal, headers)
 
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 
-from absl import logging
 import result
 
 from tamarackbridge import core
-from tamarackbridge.components.knowledge import const, source, state
+from tamarackbridge.components.knowledge import const, models, source, state
+from tamarackbridge.components.telemetry import events
 
 _WAITS = {
     source.Kind.CONFIGURATION: const.CONFIGURATION_WAIT_S,
@@ -82,7 +83,7 @@
             self._kind, self._revision, wait_s
         )
         if answer == result.Err(source.Trouble.HISTORY_LOST):
-            logging.info("history of %s lost; reading all", self._kind.value)
+            events.write(events.HistoryLost(self._kind.value))
             self._revision = 0
             return
         if isinstance(answer, result.Err):
@@ -102,7 +103,7 @@
     async def _async_pause(self) -> None:
         if self._away_since is None:
             self._away_since = self._clock.monotonic()
-            logging.warning("store away: %s", self._kind.value)
+            events.write(events.StoreAway(self._kind.value, self._age()))
         await asyncio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
         self._pause_s = min(self._pause_s * 2, const.RETRY_MAX_S)
 
@@ -115,7 +116,7 @@
         self._away_since = None
         if away_s > const.OUTAGE_S:
             self._grace_until = now + const.LAPSE_GRACE_S
-        logging.info("store back: %s after %.2f s", self._kind.value, away_s)
+        events.write(events.StoreBack(self._kind.value, round(away_s, 3)))
 
     def _confirm(self, at: float) -> None:
         if self._kind is source.Kind.CONFIGURATION:
@@ -145,27 +146,50 @@
         match fact:
             case source.ConfigurationIs(configuration=found):
                 if known.take_configuration(found):
-                    logging.info(
-                        "configuration %d in force: %d routes, %s tokens/s",
-                        found.version,
-                        len(found.routes),
-                        found.limits.tokens_per_s,
-                    )
+                    _log_configuration(found)
             case source.ServerIs(server=server):
                 known.register(server, now)
-                logging.info(
-                    "server %s of %s registered: zone %s draining %s",
-                    server.name,
-                    server.service,
-                    server.zone,
-                    server.draining,
-                )
+                _log_server(server)
             case source.ServerGone(name=name):
-                known.unregister(name, now, self._grace_until - now)
-                logging.info("server %s no longer registered", name)
+                grace_s = max(self._grace_until - now, 0.0)
+                known.unregister(name, now, grace_s)
+                events.write(events.ServerGone(name, round(grace_s, 3)))
             case source.ZoneOut(zone=zone):
                 known.zones_out |= {zone}
-                logging.info("zone %s taken out", zone)
+                events.write(events.ZoneChanged(zone, out=True))
             case source.ZoneBack(zone=zone):
                 known.zones_out -= {zone}
-                logging.info("zone %s back", zone)
+                events.write(events.ZoneChanged(zone, out=False))
+
+    def _age(self) -> float:
+        """Returns the age of what is known of this kind; -1 for nothing."""
+        now = self._clock.monotonic()
+        ages = {
+            source.Kind.CONFIGURATION: self._known.configuration_age,
+            source.Kind.SERVERS: self._known.servers_age,
+            source.Kind.ZONES: self._known.zones_age,
+        }
+        age_s = ages[self._kind](now)
+        return round(age_s, 3) if math.isfinite(age_s) else -1.0
+
+
+def _log_configuration(found: models.Configuration) -> None:
+    workspaces = len(set((found.workspaces or {}).values()))
+    events.write(
+        events.ConfigurationInForce(
+            found.version, len(found.routes), workspaces
+        )
+    )
+
+
+def _log_server(server: models.BackendServer) -> None:
+    events.write(
+        events.ServerRegistered(
+            server=server.name,
+            service=server.service,
+            zone=server.zone,
+            address=server.address,
+            draining=server.draining,
+            cold_s=server.cold_s,
+        )
+    )
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -46,6 +46,10 @@
         self._servers_at = -math.inf
         self._zones_at = -math.inf
 
+    def use_bounds(self, bounds: fleet.Bounds) -> None:
+        """Takes changed bounds."""
+        self._bounds = bounds
+
     def take_configuration(self, found: models.Configuration) -> bool:
         """Puts a configuration in force unless it is older; says if new."""
         now = self.configuration
--- a/tamarackbridge/components/placement/health.py
+++ b/tamarackbridge/components/placement/health.py
@@ -46,21 +46,29 @@
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
 
-    def note(self, server: str, outcome: jobs.Outcome, now: float) -> None:
-        """Takes the outcome of one sending."""
+    def note(self, server: str, outcome: jobs.Outcome, now: float) -> float:
+        """Takes the outcome of one sending.
+
+        Returns:
+            For how long the server is avoided from now on, in seconds; 0 if
+            this changes nothing.
+        """
         if outcome in (jobs.Outcome.CANCELLED, jobs.Outcome.REFUSED):
-            return
+            return 0.0
         state = self._states.setdefault(server, _State())
         failed = outcome in _FAILURES
         state.failing += OUTCOME_WEIGHT * (float(failed) - state.failing)
         if not failed:
             state.open_s = OPEN_MIN_S
-            return
+            return 0.0
         if outcome in _CERTAIN:
             state.failing = max(state.failing, OPEN_ABOVE)
-        if state.failing >= OPEN_ABOVE and now >= state.open_until:
-            state.open_until = now + state.open_s
-            state.open_s = min(state.open_s * 2, OPEN_MAX_S)
+        if state.failing < OPEN_ABOVE or now < state.open_until:
+            return 0.0
+        opened_s = state.open_s
+        state.open_until = now + opened_s
+        state.open_s = min(opened_s * 2, OPEN_MAX_S)
+        return opened_s
 
     def avoided(self, server: str, now: float) -> bool:
         """Whether a server should get no request now."""
--- a/tamarackbridge/platform/settings.py
+++ b/tamarackbridge/platform/settings.py
@@ -6,6 +6,7 @@
 import pathlib
 
 from tamarackbridge.components.fleet import models as fleet
+from tamarackbridge.components.gateway import metrics as gateway_metrics
 from tamarackbridge.platform import const, exceptions
 
 
@@ -33,6 +34,7 @@
         readiness: Where the balancer asks whether this router is ready.
         peers: Where the other routers connect.
         metrics_host: Address of the metrics listener.
+        metrics_port: Its port.
         seeds: Peer addresses of some routers; may be stale.
         store: Address of the platform's store.
         bounds: Times and shares that the router must keep to.
@@ -46,6 +48,7 @@
     readiness: Address
     peers: Address
     metrics_host: str
+    metrics_port: int
     seeds: tuple[str, ...]
     store: Address
     bounds: fleet.Bounds
@@ -89,6 +92,7 @@
         readiness=_address(values, "listen.readiness"),
         peers=_address(values, "listen.control"),
         metrics_host=ip,
+        metrics_port=int(_number(values, "metrics.port", gateway_metrics.PORT)),
         seeds=tuple(
             part for part in values.get("seeds", "").split(",") if part
         ),
--- a/tamarackbridge/platform/source.py
+++ b/tamarackbridge/platform/source.py
@@ -1,9 +1,9 @@
 """Knowledge from the platform's store."""
 
-from absl import logging
 import result
 
 from tamarackbridge.components.knowledge import source
+from tamarackbridge.components.telemetry import events
 from tamarackbridge.platform import const, exceptions, records, store
 
 _KINDS = {
@@ -50,7 +50,7 @@
         self, kind: source.Kind, item: store.StoredObject
     ) -> source.Fact | None:
         if kind is source.Kind.SERVERS:
-            return self._server(item)
+            return self._server(kind, item)
         if kind is source.Kind.ZONES:
             if item.deleted:
                 return source.ZoneBack(item.name)
@@ -60,18 +60,22 @@
         try:
             return source.ConfigurationIs(records.configuration(item.spec))
         except exceptions.RecordError as exc:
-            self._note(item.name, exc)
+            self._note(kind, item.name, exc)
             return None
 
-    def _server(self, item: store.StoredObject) -> source.Fact:
+    def _server(
+        self, kind: source.Kind, item: store.StoredObject
+    ) -> source.Fact:
         if item.deleted:
             return source.ServerGone(item.name)
         try:
             return source.ServerIs(records.server(item.name, item.spec))
         except exceptions.RecordError as exc:
-            self._note(item.name, exc)
+            self._note(kind, item.name, exc)
             return source.ServerGone(item.name)
 
-    def _note(self, name: str, exc: exceptions.RecordError) -> None:
+    def _note(
+        self, kind: source.Kind, name: str, exc: exceptions.RecordError
+    ) -> None:
         self.unreadable += 1
-        logging.warning("stored object %s is unreadable: %s", name, exc)
+        events.write(events.RecordUnreadable(kind.value, name, str(exc)))
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import secrets
 import signal
@@ -14,10 +15,12 @@
 from tamarackbridge.components.fleet import sharing
 from tamarackbridge.components.gateway import (
     forward,
+    request_log,
     runner,
     servers,
     shutdown,
 )
+from tamarackbridge.components.gateway import metrics as gateway_metrics
 from tamarackbridge.components.gateway import service as gateway
 from tamarackbridge.components.knowledge import follower, source, state
 from tamarackbridge.components.placement import (
@@ -29,10 +32,10 @@
     parts,
 )
 from tamarackbridge.components.settings import models as settings_models
-from tamarackbridge.components.telemetry import logs
+from tamarackbridge.components.telemetry import events, metrics, queue_log
 from tamarackbridge.components.transport import service as transport
 from tamarackbridge.platform import const as platform_const
-from tamarackbridge.platform import dialect, directory, store
+from tamarackbridge.platform import dialect, directory, exceptions, store
 from tamarackbridge.platform import settings as platform_settings
 from tamarackbridge.platform import source as platform_source
 
@@ -63,11 +66,15 @@
         self._stop = asyncio.Event()
         self._news = asyncio.Event()
         boot = secrets.randbits(BOOT_BITS)
+        self._boot = boot
         clock = core.SystemClock()
         rng = random.Random(boot)
         self._clock = clock
         self._kernel = core.Kernel(clock, rng)
         known = state.Knowledge(cfg.bounds)
+        registry = metrics.Metrics(clock.monotonic)
+        counted = gateway_metrics.GatewayMetrics(registry)
+        log = request_log.RequestLog(clock, known, counted)
         self._known = known
         words = dialect.PlatformDialect()
         client = store.Store(str(cfg.store))
@@ -100,6 +107,7 @@
             self._sharing.routers,
             self._sharing.others_use,
             self._sharing.note_change,
+            counted.waited,
         )
         peers = transport.PeerService(
             address,
@@ -122,6 +130,7 @@
             known,
             words,
             clock,
+            log,
         )
         self._gateway.use(
             runner.Runner(
@@ -130,6 +139,7 @@
                 words,
                 clock,
                 lambda: self._gateway.draining,
+                log,
             )
         )
         readiness = gateway.ReadinessService(
@@ -153,10 +163,45 @@
         kernel.register("desk", self._desk)
         kernel.register("gateway", self._gateway)
         kernel.register("readiness", readiness)
+        self._add_gauges(registry, client)
+        exposed = gateway_metrics.MetricsService(
+            cfg.metrics_host, cfg.metrics_port, registry.render
+        )
+        kernel.register("metrics", exposed)
         services = kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
         self._services = [*services, watch]
 
+    def _add_gauges(
+        self, registry: metrics.Metrics, client: store.Store
+    ) -> None:
+        now = self._clock.monotonic
+        known = self._known
+        for name, help_text, read in (
+            ("held", "Requests under way.", lambda: self._gateway.held),
+            ("waiting", "Requests that wait.", lambda: self._desk.waiting),
+            ("routers", "Routers heard.", lambda: len(self._sharing.routers())),
+            (
+                "configuration_version",
+                "Version of the configuration in force.",
+                lambda: self._version()[0],
+            ),
+            (
+                "configuration_age_seconds",
+                "Age of the configuration.",
+                lambda: known.configuration_age(now()),
+            ),
+            (
+                "servers_age_seconds",
+                "Age of the registrations.",
+                lambda: known.servers_age(now()),
+            ),
+        ):
+            registry.gauge(name, help_text, read)
+        registry.counter_of(
+            "store_calls", "Calls to the store.", lambda: client.calls
+        )
+
     def _use(self) -> dict[str, shares.Use]:
         return dict(self._desk.use.sums(self._clock.monotonic()))
 
@@ -185,13 +230,13 @@
         """Starts all services."""
         for svc in self._services:
             await svc.start()
-        logging.info("router started: %s in %s", self._cfg.node, self._cfg.zone)
+        events.write(events.Started(self._cfg.zone, self._boot))
 
     async def async_stop(self) -> None:
         """Stops all services, for as long as a shutdown leaves for it."""
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(_async_stop(self._services), STOP_S)
-        logging.info("router stopped")
+        events.write(events.Stopped(self._gateway.held))
 
     async def async_wait_ready(self) -> None:
         """Waits until this router knows enough to serve."""
@@ -208,13 +253,34 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, _on_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.async_start()
         await self._stop.wait()
         await self._async_drain()
         await self.async_stop()
         return self._exit_code
 
+    def _reload(self) -> None:
+        """Reads the settings file again; callers notice nothing.
+
+        Addresses are taken at the start only: they belong to the VM.
+        """
+        try:
+            cfg = platform_settings.load(platform_settings.path())
+        except exceptions.SettingsError as exc:
+            events.write(events.Reloaded((), str(exc)))
+            return
+        names = [it.name for it in dataclasses.fields(cfg)]
+        changed = [
+            name
+            for name in names
+            if getattr(cfg, name) != getattr(self._cfg, name)
+        ]
+        self._cfg = cfg
+        self._known.use_bounds(cfg.bounds)
+        self._desk.use_bounds(cfg.bounds)
+        events.write(events.Reloaded(tuple(changed)))
+
     def _on_crash(self) -> None:
         self._exit_code = 1
         self._stop.set()
@@ -226,7 +292,7 @@
         )
         self._gateway.shutdown = times
         self._sharing.leaving = True
-        logging.info("router draining: %d requests held", self._gateway.held)
+        events.write(events.Draining(self._gateway.held))
         leaving = asyncio.create_task(self._sharing.async_leave())
         quiet_since = await self._async_notice(times)
         while self._clock.monotonic() < times.end:
@@ -237,7 +303,6 @@
             elif now - quiet_since >= QUIET_S:
                 break
         leaving.cancel()
-        logging.info("router drained: %d requests held", self._gateway.held)
 
     async def _async_notice(self, times: shutdown.Shutdown) -> float:
         """Waits until the balancer has been told; returns the time."""
@@ -247,23 +312,22 @@
         return self._clock.monotonic()
 
 
-def _on_reload() -> None:
-    logging.info("reload asked for: settings are read at the start only")
-
-
 async def _async_stop(services: list[mode.Service]) -> None:
     for svc in reversed(services):
         try:
             await svc.stop()
         except asyncio.CancelledError:
-            logging.info("stop of %s was cut short", svc)
+            logging.info({"event": "StopCutShort", "service": str(svc)})
 
 
 def run(cfg: platform_settings.Settings) -> int:
     """Runs a router; returns the exit code of the process."""
-    logs.set_up(settings_models.TelemetrySettings(), cfg.node)
+    log = queue_log.QueuedLog(cfg.node)
+    log.start()
 
     async def async_main() -> int:
         return await PlatformRouter(cfg).async_run()
 
-    return asyncio.run(async_main())
+    code = asyncio.run(async_main())
+    log.stop()
+    return code
--- a/tests/components/admission/load_replay.py
+++ b/tests/components/admission/load_replay.py
@@ -147,6 +147,7 @@
             lambda: ("r1",),
             dict[str, shares.Use],
             lambda: None,
+            lambda seconds: None,
         )
 
     async def async_play(self, arrivals: Sequence[Arrival]) -> list[Fate]:
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -101,6 +101,7 @@
             f"listen.control=127.0.0.1:{ports[2]}",
             f"provider.address={store}",
             "bounds.grace_s=3",
+            "metrics.port=0",
         )
     )
 
