--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -17,6 +17,7 @@
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.records import codec, files
 from tamarackbridge.components.settings import loader
+from tamarackbridge.components.telemetry import trace as request_trace
 from tamarackbridge.components.tls import exceptions as tls
 
 Options = client_options.Options
@@ -52,6 +53,19 @@
     return code
 
 
+@app.command
+def platform_router(*, settings: pathlib.Path | None = None) -> int:
+    """Runs a router on the users' platform until a signal ends it.
+
+    Args:
+        settings: The platform's settings file; by default the one that the
+            platform names.
+    """
+    entry = importlib.import_module("tamarackbridge.platform.__main__")
+    code: int = entry.main(settings)
+    return code
+
+
 @app.command
 def check(*, settings: pathlib.Path) -> int:
     """Checks a settings file and starts nothing.
@@ -66,6 +80,25 @@
     return const.Exit.OK
 
 
+@app.command
+def trace(request: str, *logs: pathlib.Path) -> int:
+    """Prints one request's story from the log files of several routers.
+
+    Args:
+        request: Identifier of the request.
+        logs: Log files, in any order.
+    """
+    try:
+        lines = request_trace.find(logs, request)
+    except OSError as exc:
+        return show.fail(const.Exit.USAGE, str(exc))
+    if not lines:
+        return show.fail(const.Exit.REFUSED, f"{request}: in no log file")
+    for line in request_trace.story(lines):
+        print(line)
+    return const.Exit.OK
+
+
 @app.command
 def apply(
     *,
--- a/tamarackbridge/platform/__main__.py
+++ b/tamarackbridge/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs a router on the users' platform."""
 
+import pathlib
 import sys
 
 from tamarackbridge import platform_router
@@ -8,10 +9,10 @@
 USAGE_EXIT_CODE = 2
 
 
-def main() -> int:
+def main(file: pathlib.Path | None = None) -> int:
     """Reads the platform's settings and runs the router."""
     try:
-        cfg = settings.load(settings.path())
+        cfg = settings.load(file or settings.path())
     except exceptions.SettingsError as exc:
         print(exc, file=sys.stderr)
         return USAGE_EXIT_CODE
--- /dev/null
+++ b/tests/components/gateway/test_relay.py
@@ -0,0 +1,59 @@
+import hypothesis
+from hypothesis import strategies
+
+from tamarackbridge.components.gateway import relay
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: x\n\n".encode()
+
+
+def test_half_events_wait_for_their_rest() -> None:
+    events = relay.EventRelay("")
+    assert events.feed(b"id: 0\nda") == b""
+    assert events.partial
+    assert events.feed(b"ta: x\n\nid: 1") == event(0)
+    assert events.resume_after == "0"
+
+
+def test_half_event_of_a_lost_server_is_dropped() -> None:
+    events = relay.EventRelay("")
+    events.feed(event(0) + b"id: 1\nda")
+    events.begin()
+    assert events.feed(event(1)) == event(1)
+
+
+def test_event_that_was_passed_on_is_not_passed_on_again() -> None:
+    events = relay.EventRelay("")
+    events.feed(event(0) + event(1))
+    events.begin()
+    assert events.feed(event(0) + event(1) + event(2)) == event(2)
+
+
+def test_caller_that_resumes_gets_only_what_it_lacks() -> None:
+    events = relay.EventRelay("4")
+    assert events.feed(event(3) + event(4) + event(5)) == event(5)
+
+
+def test_event_without_a_number_is_passed_on() -> None:
+    events = relay.EventRelay("")
+    note = b": a comment\n\n"
+    assert events.feed(note + event(0)) == note + event(0)
+
+
+def test_event_that_never_ends_breaks_the_stream() -> None:
+    events = relay.EventRelay("")
+    events.feed(b"data: " + b"x" * (relay.MAX_EVENT_BYTES + 1))
+    assert events.broken
+
+
+@hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
+def test_any_split_gives_the_same_events(sizes: list[int]) -> None:
+    whole = b"".join(event(number) for number in range(12))
+    events = relay.EventRelay("")
+    passed = []
+    begin = 0
+    for size in [*sizes, len(whole)]:
+        passed.append(events.feed(whole[begin : begin + size]))
+        begin += size
+    assert b"".join(passed) == whole
--- /dev/null
+++ b/tests/components/telemetry/test_trace.py
@@ -0,0 +1,30 @@
+import json
+import pathlib
+
+from tamarackbridge.components.client import app
+from tamarackbridge.components.telemetry import trace
+
+LINES = (
+    {"time": "10:00:02", "node": "r2", "event": "Refused", "request": "q1"},
+    {"time": "10:00:01", "node": "r1", "event": "Placed", "request": "q1"},
+    {"time": "10:00:01", "node": "r1", "event": "Placed", "request": "q2"},
+)
+
+
+def _write(path: pathlib.Path) -> pathlib.Path:
+    text = "\n".join(f"  1.5 r1 {json.dumps(line)}" for line in LINES)
+    path.write_text(f"not a line of ours q1\n{{broken q1\n{text}\n")
+    return path
+
+
+def test_story_is_in_order_of_time(tmp_path: pathlib.Path) -> None:
+    lines = trace.find([_write(tmp_path / "log")], "q1")
+    assert [line["event"] for line in lines] == ["Placed", "Refused"]
+    assert next(trace.story(lines)).startswith("10:00:01 r1 Placed")
+
+
+def test_command_tells_when_nothing_is_found(tmp_path: pathlib.Path) -> None:
+    log = str(_write(tmp_path / "log"))
+    assert app.run(["trace", "q1", log]) == 0
+    assert app.run(["trace", "none", log]) == 1
+    assert app.run(["trace", "q1", str(tmp_path / "missing")]) == 2
