Refuse behind many that wait too; repeats keep their turn; forget gone routers

Causes, found in logs of the incidents and by reading: a request that a server had lost was refused for its workspace's share (502 after 118 ms of 12 s); requests behind the first 24 were not looked at; a silent router without use kept its work in the view; replaced routers stayed on the list. Each has a test.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -46,8 +46,8 @@
 shorter than the window of shares."""
 
 MAX_LOOKED_AT = 24
-"""Waiting requests that are weighed in one turn, so that a turn stays below a
-millisecond or two however many wait."""
+"""Waiting requests for which servers are weighed in one turn, so that a turn
+stays below a few milliseconds however many wait."""
 
 NO_SERVER_RETRY_S = 0.5
 """Advice while no server is known; a new one registers within a second."""
@@ -247,16 +247,21 @@
         now = self._clock.monotonic()
         self._refresh_level(now)
         self._waiting.sort(key=lambda it: self._order(it.job, now))
-        looked_at = 0
-        for waiter in list(self._waiting):
-            if looked_at >= MAX_LOOKED_AT:
-                break
-            if waiter.fut.done():
-                continue
-            looked_at += 1
+        pending = [it for it in self._waiting if not it.fut.done()]
+        for waiter in pending[:MAX_LOOKED_AT]:
             self._decide(waiter, now)
+        for waiter in pending[MAX_LOOKED_AT:]:
+            self._decide_unplaced(waiter, now)
         self._waiting = [it for it in self._waiting if not it.fut.done()]
 
+    def _decide_unplaced(self, waiter: _Waiter, now: float) -> None:
+        job = waiter.job
+        standing = self._standing(job.workspace)
+        found = verdict.decide_unplaced(job, standing, now)
+        if found.refusal is not None:
+            self._log_refused(job, found.refusal, standing, 0, now)
+            waiter.fut.set_result(result.Err(self._spread(found.refusal)))
+
     def _decide(self, waiter: _Waiter, now: float) -> None:
         job = waiter.job
         options = self._using.chooser.options(job, self._routers(), now)
--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -106,6 +106,7 @@
     now: float,
 ) -> Verdict:
     """Decides on one request, given its servers, best first."""
+    standing = _standing_of(job, standing)
     if now >= job.deadline:
         return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
     if not job.service.is_model:
@@ -115,13 +116,37 @@
     best = next((it for it in options if not it.full), None)
     if best is not None and _goes(best, standing, waited_s, target_s):
         return Verdict(Step.SEND, best)
-    if standing.over and waited_s >= target_s * SOON:
-        return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
+    given_up = decide_unplaced(job, standing, now)
+    if given_up.step is Step.REFUSE:
+        return given_up
     if options and now + min(it.first_s for it in options) >= job.deadline:
         return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
     return WAIT
 
 
+def decide_unplaced(job: jobs.Job, standing: Standing, now: float) -> Verdict:
+    """Decides on a request that can't be sent now, without its servers."""
+    standing = _standing_of(job, standing)
+    if now >= job.deadline:
+        return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
+    waited_s = now - job.arrived
+    soon_s = job.route.target_s * SOON
+    if job.service.is_model and standing.over and waited_s >= soon_s:
+        return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
+    return WAIT
+
+
+def _standing_of(job: jobs.Job, standing: Standing) -> Standing:
+    """Returns the standing that a request is held to.
+
+    A request that a server has failed has had its turn already: it is not
+    held to its workspace's share again.
+    """
+    if not job.avoid:
+        return standing
+    return dataclasses.replace(standing, level=float("inf"))
+
+
 def _goes(
     option: choose.Option, standing: Standing, waited_s: float, target_s: float
 ) -> bool:
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -36,14 +36,20 @@
 """A router counts for budgets this long after it was last heard, so that one
 that is cut off does not take the others' part."""
 
-DIRECTORY_S = 10.0
-"""Interval at which the store's list of routers is read while a listed router
-is silent; otherwise it is read at the start only."""
+GONE_S = 300.0
+"""A router that was not heard for this long has been replaced: outages of a
+zone last minutes."""
+
+ENTER_S = 1.0
+"""Interval at which a router tries to enter the list of routers; a call to
+the store takes that long when it fails."""
 
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
     heard_at: float = -math.inf
+    known_since: float = 0.0
+    live: bool = False
     use: dict[str, shares.Use] = dataclasses.field(default_factory=dict)
     leaving: bool = False
 
@@ -91,7 +97,10 @@
         self._address = address
         self._directory = directory
         self._clock = clock
-        self._peers = {seed: _Peer() for seed in seeds if seed != address}
+        now = clock.monotonic()
+        self._peers = {
+            seed: _Peer(known_since=now) for seed in seeds if seed != address
+        }
         self._transport: transport.PeerService | None = None
         self._view: View | None = None
         self._changed: Callable[[], None] = _nothing
@@ -153,9 +162,10 @@
         now = self._clock.monotonic()
         peer = self._peers.get(delivery.src)
         if peer is None:
-            peer = self._peers[delivery.src] = _Peer()
+            peer = self._peers[delivery.src] = _Peer(known_since=now)
             self._publish_addresses()
-        if now - peer.heard_at > SILENT_S:
+        if not peer.live:
+            peer.live = True
             events.write(events.RouterHeard(delivery.src))
         age_s = delivery.age_s if math.isfinite(delivery.age_s) else 0.0
         peer.heard_at = now
@@ -186,6 +196,8 @@
                     await self._dirty.wait()
             self._dirty.clear()
             self._drop_silent()
+            for address in self._drop_gone():
+                await self._directory.async_leave(address)
             msg = self._status()
             assert self._transport is not None
             for address in self._peers:
@@ -223,12 +235,32 @@
         assert self._view is not None
         now = self._clock.monotonic()
         for address, peer in self._peers.items():
-            if peer.use and now - peer.heard_at > SILENT_S:
+            if peer.live and now - peer.heard_at > SILENT_S:
+                peer.live = False
                 silent_s = round(now - peer.heard_at, 3)
                 events.write(events.RouterSilent(address, silent_s))
                 self._view.work.forget(address)
                 peer.use = {}
 
+    def _drop_gone(self) -> list[str]:
+        """Drops routers that are gone; returns those to take off the list.
+
+        The first of the live routers takes them off, so that each goes once.
+        """
+        now = self._clock.monotonic()
+        gone = [
+            address
+            for address, it in self._peers.items()
+            if now - max(it.heard_at, it.known_since) > GONE_S
+        ]
+        for address in gone:
+            del self._peers[address]
+        if not gone:
+            return []
+        self._publish_addresses()
+        live = [address for address, it in self._peers.items() if it.live]
+        return gone if self._address < min(live, default="~") else []
+
     async def _async_enter(self) -> None:
         entered = False
         while True:
@@ -238,11 +270,13 @@
             if found is not None:
                 for address in found:
                     if address != self._address:
-                        self._peers.setdefault(address, _Peer())
+                        now = self._clock.monotonic()
+                        new = _Peer(known_since=now)
+                        self._peers.setdefault(address, new)
                 self._publish_addresses()
                 if entered:
                     return
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(ENTER_S)
 
     async def async_leave(self) -> None:
         """Removes this router from the directory."""
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -95,18 +95,13 @@
             )
         )
 
-    def cut(self, job: jobs.Job, stream: caller.CallerStream, by: str) -> None:
-        """An answer under way is ended early."""
+    def cut(
+        self, request_id: str, arrived: float, by: str, passed: int
+    ) -> None:
+        """An answer under way is ended after some events."""
         self._counted.cut(by)
-        seconds = self._clock.monotonic() - job.arrived
-        events.write(
-            events.Cut(
-                request=job.call.request_id,
-                by=by,
-                events=stream.events,
-                seconds=round(seconds, 4),
-            )
-        )
+        seconds = self._clock.monotonic() - arrived
+        events.write(events.Cut(request_id, by, passed, round(seconds, 4)))
 
     def caller_left(self, request_id: str, arrived: float) -> None:
         """A caller closed its connection."""
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -180,7 +180,7 @@
         if stream.response is not None:
             last = progress.last
             by = last.end.value if last is not None else "router"
-            self._log.cut(job, stream, by)
+            self._log.cut(job.call.request_id, job.arrived, by, stream.events)
             stream.cut()
             raise exceptions.AnswerCutError(by)
         refusal = self._final(progress, refusal)
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -27,12 +27,17 @@
 BACKLOG = 1024
 """Connections that wait to be taken, above any burst of one zone."""
 
+MAX_HELD = 1_500
+"""Requests that one router holds: with bodies of 12 KB and buffers of a
+connection each, a quarter of the smallest VM's memory."""
+
 WRITE_STALL_S = 10.0
 """A caller that reads nothing for this long has left; none waits for over
 12 s."""
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+_TOO_MANY = answers.Refusal(answers.Reason.OVERLOADED, 0.5)
 _SHUTTING_DOWN = answers.Refusal(answers.Reason.SHUTTING_DOWN, shutdown.RETRY_S)
 
 
@@ -165,6 +170,8 @@
         self, req: web.BaseRequest, arrived: float
     ) -> web.StreamResponse:
         assert self._runner is not None
+        if self.held > MAX_HELD:
+            return self._refuse("", _TOO_MANY, arrived)
         call = self._acceptor.read_call(req)
         if call is None:
             refusal = answers.Refusal(answers.Reason.MALFORMED)
@@ -175,9 +182,17 @@
         try:
             return await self._async_accepted(req, call, arrived)
         except (asyncio.CancelledError, exceptions.CallerGoneError):
-            self._log.caller_left(call.request_id, arrived)
+            self._log_end(call, arrived)
             raise
 
+    def _log_end(self, call: models.Call, arrived: float) -> None:
+        """Notes who ended a request before its answer was whole."""
+        now = self._clock.monotonic()
+        if self.shutdown is not None and now >= self.shutdown.end:
+            self._log.cut(call.request_id, arrived, "shutdown", 0)
+        else:
+            self._log.caller_left(call.request_id, arrived)
+
     async def _async_accepted(
         self, req: web.BaseRequest, call: models.Call, arrived: float
     ) -> web.StreamResponse:
--- a/tests/components/admission/test_desk.py
+++ b/tests/components/admission/test_desk.py
@@ -1,4 +1,5 @@
-from tamarackbridge.components.admission import desk
+from tamarackbridge.components.admission import desk, verdict
+from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import choose
 from tests.components.knowledge import builders
@@ -6,7 +7,7 @@
 
 def _options(ahead_s: float) -> list[choose.Option]:
     known = state.Registered(builders.server("s1"), 0.0)
-    return [choose.Option(known, 0.0, 0.1, 1, ahead_s, 1, False)]
+    return [choose.Option(known, 0.0, 0.1 + ahead_s, 1, ahead_s, 1, False)]
 
 
 def test_pressure_of_one_clump_passes() -> None:
@@ -29,3 +30,23 @@
     seen_s = pressure.wait_s
     pressure.note([], 20.0)
     assert pressure.wait_s == seen_s
+
+
+def _job(avoid: set[str]) -> jobs.Job:
+    call = models.Call(
+        "q1", "POST", "a", "/x/1", (), "", 12.0, 1_000, 84, 0, (), ""
+    )
+    service = builders.model_service()
+    return jobs.Job(
+        call, builders.route(), service, "w", 0.0, 12.0, avoid=avoid
+    )
+
+
+def test_repeat_is_not_held_to_the_share_again() -> None:
+    """A server lost the request; its workspace is far over its share."""
+    over = verdict.Standing(served=500.0, level=100.0, window_s=4.0)
+    options = _options(0.2)
+    first = verdict.decide(_job(set()), options, over, 0.1)
+    again = verdict.decide(_job({"s9"}), options, over, 0.1)
+    assert first.step is verdict.Step.REFUSE
+    assert again.step is verdict.Step.SEND
--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -161,3 +161,20 @@
     await replay.async_play(arrivals)
     holders = [name for name, held in replay._held.items() if len(held) > 2]
     assert len(holders) == 1
+
+
+async def test_flood_behind_many_that_wait_is_refused_soon_too() -> None:
+    """More requests wait than a turn looks at, all within their shares."""
+    many = [Arrival(1.0, f"w{n}", 30_000, 50) for n in range(60)]
+    flood = steady("flood", 60.0, 4.0, 6_000)
+    replay = load_replay.Replay(engines=1, tokens_per_s=200_000)
+    fates = await replay.async_play(many + flood)
+    held = [
+        it.refused_at - it.arrival.at
+        for it in fates
+        if it.arrival.workspace == "flood"
+        and it.refused_at is not None
+        and it.arrival.at >= 2.0
+    ]
+    assert held
+    assert max(held) <= 0.6 / 4
--- a/tests/components/fleet/test_sharing.py
+++ b/tests/components/fleet/test_sharing.py
@@ -50,13 +50,16 @@
 
 class Router:
     def __init__(
-        self, listed: tuple[str, ...] | None, seeds: tuple[str, ...] = ()
+        self,
+        listed: tuple[str, ...] | None,
+        seeds: tuple[str, ...] = (),
+        address: str = "r1",
     ) -> None:
         self.clock = VirtualClock()
         self.work, self.held = ledger.Ledger(), parts.HeldParts()
         self.wire = Wire()
         self.sharing = sharing.SharingService(
-            "r1", seeds, ListedRouters(listed), self.clock
+            address, seeds, ListedRouters(listed), self.clock
         )
         self.sharing.use(
             cast(transport.PeerService, self.wire),
@@ -114,6 +117,25 @@
     assert router.sharing.routers() == ("r1",)
 
 
+def test_work_without_use_is_forgotten_too() -> None:
+    router = Router(())
+    router.hear("r2", messages.Status(work=STATUS.work))
+    router.clock.now += sharing.SILENT_S + 0.1
+    router.sharing._drop_silent()
+    assert router.work.at("s1", router.clock.now, 0.0) == ledger.NOTHING
+
+
+def test_first_live_router_takes_gone_ones_off_the_list() -> None:
+    first, second = Router(()), Router((), address="r3")
+    for router in (first, second):
+        router.hear("r2", STATUS)
+        router.clock.now += sharing.GONE_S + 1
+        router.hear("r1" if router is second else "r3", STATUS)
+    assert first.sharing._drop_gone() == ["r2"]
+    assert second.sharing._drop_gone() == []
+    assert "r2" not in first.wire.addresses
+
+
 def test_router_that_nobody_listed_is_told_from_then_on() -> None:
     router = Router(())
     router.hear("r9", STATUS)
