--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -1,18 +1,23 @@
 """Lets requests go in fair order, each to the server chosen for it."""
 
 import asyncio
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 import dataclasses
-import math
 import random
 
 import result
 
 from tamarackbridge import core
-from tamarackbridge.components.admission import budget, shares, verdict
+from tamarackbridge.components.admission import (
+    budget,
+    costs,
+    permit,
+    pressure,
+    shares,
+    verdict,
+)
 from tamarackbridge.components.fleet import models as fleet
-from tamarackbridge.components.gateway import answers, jobs, models
-from tamarackbridge.components.knowledge import models as knowledge
+from tamarackbridge.components.gateway import answers, jobs
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
     choose,
@@ -36,15 +41,6 @@
 """Unread prompt tokens of which the other routers are told soon: 6 ms of an
 engine's reading."""
 
-CALM_S = 0.06
-"""Usual wait for an engine's reading below which engines have capacity to
-spare, and no workspace is held to its share: a tenth of the longest target
-and the time to read one common prompt."""
-
-PRESSURE_S = 1.0
-"""Time over which that wait is averaged: longer than a clump of arrivals,
-shorter than the window of shares."""
-
 MAX_LOOKED_AT = 24
 """Waiting requests for which servers are weighed in one turn, so that a turn
 stays below a few milliseconds however many wait."""
@@ -59,64 +55,6 @@
     fut: asyncio.Future[jobs.Admitted]
 
 
-class Permit:
-    """A permit for one sending; see `jobs.Placement`."""
-
-    def __init__(
-        self, desk: "AdmissionDesk", ticket: ledger.Ticket, ahead: int
-    ) -> None:
-        self._desk = desk
-        self._ticket = ticket
-        self._ahead = ahead
-        self._progressed_at: float | None = None
-
-    @property
-    def server(self) -> knowledge.BackendServer:
-        """The server."""
-        return self._ticket.server
-
-    def heard(self) -> None:
-        """Notes the first sign of life of the server for this job."""
-        if self._ticket.began is None:
-            self._desk.began(self._ticket, self._ahead)
-
-    def progressed(self) -> None:
-        """Notes that events were passed on."""
-        now = self._desk.now()
-        if self._progressed_at is not None:
-            pause_s = now - self._progressed_at
-            self._desk.paused(self._ticket, pause_s, now)
-        self._progressed_at = now
-
-    def load(self, load: models.Load) -> None:
-        """Takes what the server said of its load."""
-
-    def finish(self, outcome: jobs.Outcome) -> None:
-        """Gives the permit back."""
-        self._desk.ended(self._ticket, outcome)
-
-
-class Pressure:
-    """How long engines usually read before they begin with a new request.
-
-    Attributes:
-        wait_s: The average over `PRESSURE_S`, in seconds.
-    """
-
-    def __init__(self) -> None:
-        self.wait_s = 0.0
-        self._at = 0.0
-
-    def note(self, options: Sequence[choose.Option], now: float) -> None:
-        """Takes the state of the engines that a request could go to."""
-        if not options:
-            return
-        seen_s = sum(it.ahead_s for it in options) / len(options)
-        weight = 1.0 - math.exp(-max(now - self._at, 0.0) / PRESSURE_S)
-        self.wait_s += weight * (seen_s - self.wait_s)
-        self._at = now
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """What a desk decides with."""
@@ -157,7 +95,7 @@
         self._budget = budget.RepeatBudget(using.bounds)
         self._waiting: list[_Waiter] = []
         self._served: dict[str, float] = {}
-        self._pressure = Pressure()
+        self._pressure = pressure.Pressure()
         self._level = float("inf")
         self._level_at = -1.0
         self._ticker: asyncio.Task[None] | None = None
@@ -191,7 +129,7 @@
             return result.Err(refusal)
         if job.sendings == 0 and not job.avoid:
             self._budget.note_request(job.service.name, now)
-            self.use.ask(job.workspace, cost(job.call), now)
+            self.use.ask(job.workspace, costs.cost(job.call), now)
         fut: asyncio.Future[jobs.Admitted]
         fut = asyncio.get_running_loop().create_future()
         waiter = _Waiter(job, fut)
@@ -271,8 +209,8 @@
         found = verdict.decide(job, options, standing, now)
         if found.option is not None:
             self._log_placed(job, found.option, standing, len(options), now)
-            permit = self._permit(job, found.option, now)
-            waiter.fut.set_result(result.Ok(permit))
+            granted = self._permit(job, found.option, now)
+            waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
             self._log_refused(job, found.refusal, standing, len(options), now)
             waiter.fut.set_result(result.Err(self._spread(found.refusal)))
@@ -329,23 +267,23 @@
 
     def _permit(
         self, job: jobs.Job, option: choose.Option, now: float
-    ) -> Permit:
+    ) -> permit.Permit:
         call = job.call
         server = option.known.server
         ticket = ledger.Ticket(
             server=server,
             workspace=job.workspace,
             unread=option.unread,
-            memory=call.prompt_tokens + expected_output(call),
+            memory=call.prompt_tokens + costs.expected_output(call),
             sent=now,
         )
         self._using.work.begin(ticket)
         if ticket.unread >= TELL_TOKENS:
             self._changed()
-        self.use.serve(job.workspace, cost(call), now)
+        self.use.serve(job.workspace, costs.cost(call), now)
         self._served[job.workspace] = self._served.get(
             job.workspace, 0.0
-        ) + cost(call)
+        ) + costs.cost(call)
         for chain, _ in parts.chains(call.parts):
             self._using.held.note(server.name, chain, now)
             self.fresh_parts.append((server.name, chain))
@@ -353,7 +291,7 @@
             self._using.limiter.take(
                 server.name, job.service.cold_per_s, self._routers(), now
             )
-        return Permit(self, ticket, option.ahead)
+        return permit.Permit(self, ticket, option.ahead)
 
     def _order(self, job: jobs.Job, now: float) -> tuple[bool, bool, float]:
         standing = self._standing(job.workspace)
@@ -361,7 +299,7 @@
         return (standing.over, late, standing.ratio + job.arrived * 1e-6)
 
     def _standing(self, workspace: str) -> verdict.Standing:
-        calm = self._pressure.wait_s < CALM_S
+        calm = self._pressure.calm
         return verdict.Standing(
             self._served.get(workspace, 0.0),
             float("inf") if calm else self._level,
@@ -392,15 +330,3 @@
         while True:
             await asyncio.sleep(TICK_S)
             self.pump()
-
-
-def expected_output(call: models.Call) -> int:
-    """Returns the tokens that a call probably generates."""
-    if call.output_hint:
-        return min(call.output_hint, call.output_tokens or call.output_hint)
-    return call.output_tokens
-
-
-def cost(call: models.Call) -> float:
-    """Returns the cost of a call; a generated token counts twice."""
-    return call.prompt_tokens + 2.0 * expected_output(call)
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -64,10 +64,6 @@
         """Notes that events were passed on."""
         ...
 
-    def load(self, load: models.Load) -> None:
-        """Takes what the server said of its load."""
-        ...
-
     def finish(self, outcome: Outcome) -> None:
         """Gives the permit back."""
         ...
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -73,15 +73,6 @@
     resume_after: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """What a backend server says of its load."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class Told(enum.Enum):
     """What a backend server's answer says of the request."""
 
@@ -100,8 +91,6 @@
         told: What it says of the request.
         sealed: Whether the server signed it.
         headers: Headers that are passed on.
-        load: The server's load; None if it did not say.
-        leaving: Whether the server closes this connection.
         retry_after_s: When the server suggests to come back; 0 if it does
             not.
     """
@@ -110,8 +99,6 @@
     told: Told
     sealed: bool
     headers: HeaderList
-    load: Load | None
-    leaving: bool
     retry_after_s: float = 0.0
 
 
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -137,8 +137,6 @@
             outcome = _outcome(sent)
         finally:
             placement.finish(outcome)
-        if sent.head is not None and sent.head.load is not None:
-            placement.load(sent.head.load)
         return sent
 
     def _may_go_on(
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -29,6 +29,7 @@
         clock: core.Clock,
         rng: random.Random,
         changed: Callable[[], None],
+        forget: Callable[[str], None],
     ) -> None:
         super().__init__()
         self._kind = kind
@@ -37,6 +38,7 @@
         self._clock = clock
         self._rng = rng
         self._changed = changed
+        self._forget = forget
         self._revision = 0
         self._pause_s = const.RETRY_MIN_S
         self._away_since: float | None = None
@@ -95,6 +97,8 @@
             self._apply(fact)
         self._revision = max(self._revision, answer.ok_value.revision)
         waited = self._clock.monotonic() - began >= wait_s
+        for name in self._known.drop_lapsed(self._clock.monotonic()):
+            self._forget(name)
         # An empty answer after the whole wait speaks for the wait's end.
         self._confirm(began + wait_s if waited and not facts else began)
         if facts:
@@ -148,11 +152,14 @@
                 if known.take_configuration(found):
                     _log_configuration(found)
             case source.ServerIs(server=server):
-                known.register(server, now)
+                if known.register(server, now):
+                    self._forget(server.name)
                 _log_server(server)
             case source.ServerGone(name=name):
                 grace_s = max(self._grace_until - now, 0.0)
                 known.unregister(name, now, grace_s)
+                if grace_s <= 0:
+                    self._forget(name)
                 events.write(events.ServerGone(name, round(grace_s, 3)))
             case source.ZoneOut(zone=zone):
                 known.zones_out |= {zone}
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -101,9 +101,11 @@
         read = min(self._servers_at, self._zones_at, self._configuration_at)
         return read > -math.inf and self.configuration is not None
 
-    def register(self, server: models.BackendServer, now: float) -> None:
-        """Takes a registration, new or changed."""
+    def register(self, server: models.BackendServer, now: float) -> bool:
+        """Takes a registration; says whether a new life of the server began."""
+        known = self.servers.get(server.name)
         self.servers[server.name] = Registered(server, now + server.cold_s)
+        return known is not None and known.server.life != server.life
 
     def unregister(self, name: str, now: float, grace_s: float) -> None:
         """Takes the end of a registration; it counts after `grace_s`."""
--- a/tamarackbridge/platform/const.py
+++ b/tamarackbridge/platform/const.py
@@ -26,8 +26,6 @@
 HEADER_PARTS: Final = "X-Prompt-Prefix"
 HEADER_OUTPUT_HINT: Final = "X-Length-Hint"
 HEADER_RESUME: Final = "Last-Event-Id"
-HEADER_INSTANCE: Final = "X-Instance-Id"
-HEADER_COLD: Final = "X-Cold-Ms"
 
 HEADERS_OF_ROUTERS: Final = frozenset(
     name.lower()
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -76,8 +76,6 @@
             told=_told(call, status, values),
             sealed=const.HEADER_SEAL.lower() in values,
             headers=_passed_on(headers, _KEPT_FROM_CALLERS),
-            load=_load(values.get(const.HEADER_LOAD.lower(), "")),
-            leaving="close" in values.get("connection", "").lower(),
             retry_after_s=_seconds(values.get("retry-after", "")),
         )
 
@@ -142,14 +140,6 @@
     return tuple(found)
 
 
-def _load(text: str) -> models.Load | None:
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
-        return None
-    running, waiting, slots = map(int, parts)
-    return models.Load(running, waiting, slots)
-
-
 def _count(text: str) -> int:
     text = text.strip()
     if not text.isdigit() or len(text) > 12:
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -65,116 +65,162 @@
         self._exit_code = 0
         self._stop = asyncio.Event()
         self._news = asyncio.Event()
-        boot = secrets.randbits(BOOT_BITS)
-        self._boot = boot
-        clock = core.SystemClock()
-        rng = random.Random(boot)
-        self._clock = clock
-        self._kernel = core.Kernel(clock, rng)
-        known = state.Knowledge(cfg.bounds)
-        registry = metrics.Metrics(clock.monotonic)
-        counted = gateway_metrics.GatewayMetrics(registry)
-        log = request_log.RequestLog(clock, known, counted)
-        self._known = known
-        words = dialect.PlatformDialect()
-        client = store.Store(str(cfg.store))
-        origin = platform_source.StoreSource(client)
+        self._boot = secrets.randbits(BOOT_BITS)
+        self._clock = core.SystemClock()
+        self._kernel = core.Kernel(self._clock, random.Random(self._boot))
+        self._known = state.Knowledge(cfg.bounds)
+        self._registry = metrics.Metrics(self._clock.monotonic)
+        self._counted = gateway_metrics.GatewayMetrics(self._registry)
+        self._store = store.Store(str(cfg.store))
+        self._sharing = sharing.SharingService(
+            str(cfg.peers),
+            cfg.seeds,
+            directory.StoreDirectory(self._store),
+            self._clock,
+        )
+        self._using = self._make_parts()
+        self._desk = self._make_desk()
+        self._servers = servers.ServerClient()
+        self._gateway = self._make_gateway()
+        self._register_services()
+        self._add_gauges()
+        services = self._kernel.mode_services()
+        watch = crash_watch.CrashWatch(services, self._on_crash)
+        self._services = [*services, watch]
+
+    def _make_parts(self) -> desk.Parts:
+        """Makes what placement and admission decide with."""
         work = ledger.Ledger()
         held = parts.HeldParts()
         breakers = health.Health()
         estimator = estimate.Estimator()
-        limiter = cold.ColdLimiter(str(cfg.peers))
+        limiter = cold.ColdLimiter(str(self._cfg.peers))
         chooser = choose.Chooser(
-            cfg.zone, known, work, held, breakers, estimator, limiter
+            self._cfg.zone,
+            self._known,
+            work,
+            held,
+            breakers,
+            estimator,
+            limiter,
         )
-        address = str(cfg.peers)
-        self._sharing = sharing.SharingService(
-            address, cfg.seeds, directory.StoreDirectory(client), clock
+        return desk.Parts(
+            bounds=self._cfg.bounds,
+            known=self._known,
+            work=work,
+            held=held,
+            breakers=breakers,
+            estimator=estimator,
+            limiter=limiter,
+            chooser=chooser,
         )
-        self._desk = desk.AdmissionDesk(
-            desk.Parts(
-                bounds=cfg.bounds,
-                known=known,
-                work=work,
-                held=held,
-                breakers=breakers,
-                estimator=estimator,
-                limiter=limiter,
-                chooser=chooser,
-            ),
-            clock,
-            rng,
+
+    def _make_desk(self) -> desk.AdmissionDesk:
+        return desk.AdmissionDesk(
+            self._using,
+            self._clock,
+            self._kernel.rng,
             self._sharing.routers,
             self._sharing.others_use,
             self._sharing.note_change,
-            counted.waited,
+            self._counted.waited,
         )
-        peers = transport.PeerService(
-            address,
-            boot,
-            settings_models.ListenSettings(
-                host=cfg.peers.host, port=cfg.peers.port
-            ),
-            clock,
-            self._sharing.receive,
-        )
-        view = sharing.View(
-            work, held, self._use, self._fresh, self._waiting, self._version
-        )
-        self._sharing.use(peers, view, self._desk.pump)
-        server_client = servers.ServerClient()
-        self._gateway = gateway.GatewayService(
-            cfg.callers.host,
-            cfg.callers.port,
-            cfg.max_descriptors,
-            known,
+
+    def _make_gateway(self) -> gateway.GatewayService:
+        """Makes the callers' listener and what runs their requests."""
+        words = dialect.PlatformDialect()
+        log = request_log.RequestLog(self._clock, self._known, self._counted)
+        made = gateway.GatewayService(
+            self._cfg.callers.host,
+            self._cfg.callers.port,
+            self._cfg.max_descriptors,
+            self._known,
             words,
-            clock,
+            self._clock,
             log,
         )
-        self._gateway.use(
+        made.use(
             runner.Runner(
                 self._desk,
-                forward.Forwarder(server_client, words),
+                forward.Forwarder(self._servers, words),
                 words,
-                clock,
-                lambda: self._gateway.draining,
+                self._clock,
+                lambda: made.draining,
                 log,
             )
         )
-        readiness = gateway.ReadinessService(
-            cfg.readiness.host,
-            cfg.readiness.port,
-            platform_const.READINESS_PATH,
-            self._ready,
+        return made
+
+    def _make_peers(self) -> transport.PeerService:
+        """Makes the links to the other routers, and joins the view to them."""
+        peers = transport.PeerService(
+            str(self._cfg.peers),
+            self._boot,
+            settings_models.ListenSettings(
+                host=self._cfg.peers.host, port=self._cfg.peers.port
+            ),
+            self._clock,
+            self._sharing.receive,
         )
-        kernel = self._kernel
-        kernel.register("store", client)
-        for kind in source.Kind:
-            kernel.register(
-                f"follower_{kind.value}",
-                follower.Follower(
-                    kind, origin, known, clock, rng, self._on_change
-                ),
-            )
-        kernel.register("peers", peers)
-        kernel.register("sharing", self._sharing)
-        kernel.register("servers", server_client)
-        kernel.register("desk", self._desk)
-        kernel.register("gateway", self._gateway)
-        kernel.register("readiness", readiness)
-        self._add_gauges(registry, client)
-        exposed = gateway_metrics.MetricsService(
-            cfg.metrics_host, cfg.metrics_port, registry.render
+        view = sharing.View(
+            self._using.work,
+            self._using.held,
+            self._use,
+            self._fresh,
+            self._waiting,
+            self._version,
         )
-        kernel.register("metrics", exposed)
-        services = kernel.mode_services()
-        watch = crash_watch.CrashWatch(services, self._on_crash)
-        self._services = [*services, watch]
-
-    def _add_gauges(
-        self, registry: metrics.Metrics, client: store.Store
-    ) -> None:
+        self._sharing.use(peers, view, self._desk.pump)
+        return peers
+
+    def _make_followers(self) -> dict[str, follower.Follower]:
+        origin = platform_source.StoreSource(self._store)
+        return {
+            f"follower_{kind.value}": follower.Follower(
+                kind,
+                origin,
+                self._known,
+                self._clock,
+                self._kernel.rng,
+                self._on_change,
+                self._forget_server,
+            )
+            for kind in source.Kind
+        }
+
+    def _register_services(self) -> None:
+        """Registers the services in the order in which they start."""
+        cfg = self._cfg
+        named = {
+            "store": self._store,
+            **self._make_followers(),
+            "peers": self._make_peers(),
+            "sharing": self._sharing,
+            "servers": self._servers,
+            "desk": self._desk,
+            "gateway": self._gateway,
+            "readiness": gateway.ReadinessService(
+                cfg.readiness.host,
+                cfg.readiness.port,
+                platform_const.READINESS_PATH,
+                self._ready,
+            ),
+            "metrics": gateway_metrics.MetricsService(
+                cfg.metrics_host, cfg.metrics_port, self._registry.render
+            ),
+        }
+        for name, svc in named.items():
+            self._kernel.register(name, svc)
+
+    def _forget_server(self, server: str) -> None:
+        """Drops what was learned of a server that is gone or started anew."""
+        self._using.held.forget(server)
+        self._using.breakers.forget(server)
+        self._using.estimator.forget(server)
+
+    def _add_gauges(self) -> None:
+        registry = self._registry
+        client = self._store
         now = self._clock.monotonic
         known = self._known
         for name, help_text, read in (
--- a/tests/components/admission/test_desk.py
+++ b/tests/components/admission/test_desk.py
@@ -1,4 +1,4 @@
-from tamarackbridge.components.admission import desk, verdict
+from tamarackbridge.components.admission import pressure, verdict
 from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import choose
@@ -11,25 +11,25 @@
 
 
 def test_pressure_of_one_clump_passes() -> None:
-    pressure = desk.Pressure()
+    found = pressure.Pressure()
     for step in range(100):
-        pressure.note(_options(0.4 if step == 50 else 0.0), step * 0.05)
-    assert pressure.wait_s < desk.CALM_S
+        found.note(_options(0.4 if step == 50 else 0.0), step * 0.05)
+    assert found.wait_s < pressure.CALM_S
 
 
 def test_pressure_of_lasting_load_is_seen_within_a_second() -> None:
-    pressure = desk.Pressure()
+    found = pressure.Pressure()
     for step in range(20):
-        pressure.note(_options(0.2), step * 0.05)
-    assert pressure.wait_s > desk.CALM_S
+        found.note(_options(0.2), step * 0.05)
+    assert found.wait_s > pressure.CALM_S
 
 
 def test_no_engine_is_no_sign_of_calm() -> None:
-    pressure = desk.Pressure()
-    pressure.note(_options(0.5), 10.0)
-    seen_s = pressure.wait_s
-    pressure.note([], 20.0)
-    assert pressure.wait_s == seen_s
+    found = pressure.Pressure()
+    found.note(_options(0.5), 10.0)
+    seen_s = found.wait_s
+    found.note([], 20.0)
+    assert found.wait_s == seen_s
 
 
 def _job(avoid: set[str]) -> jobs.Job:
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
 import result
@@ -31,6 +32,7 @@
         self, clock: VirtualClock, script: list[tuple[float, source.Answer]]
     ) -> None:
         self.calls: list[str] = []
+        self.forgotten: list[str] = []
         self.done = asyncio.Event()
         self._clock = clock
         self._script = collections.deque(script)
@@ -65,7 +67,13 @@
     known = state.Knowledge(builders.BOUNDS)
     origin = ScriptedSource(clock, script)
     svc = follower.Follower(
-        kind, origin, known, clock, random.Random(1), lambda: None
+        kind,
+        origin,
+        known,
+        clock,
+        random.Random(1),
+        lambda: None,
+        origin.forgotten.append,
     )
     await svc.on_start()
     await origin.done.wait()
@@ -149,3 +157,28 @@
     )
     assert known.configuration is not None
     assert known.configuration.version == 9
+
+
+async def test_server_that_starts_anew_under_its_name_is_forgotten() -> None:
+    """It holds nothing of what it held in the life before."""
+    old = builders.server("s1")
+    new = dataclasses.replace(old, started_ms=1_700_000_000_000)
+    draining = dataclasses.replace(old, draining=True)
+    _, origin, _ = await _async_play(
+        source.Kind.SERVERS,
+        [
+            (0.1, facts(5, source.ServerIs(old))),
+            (0.1, facts(6, source.ServerIs(draining))),
+            (0.1, facts(7, source.ServerIs(new))),
+        ],
+    )
+    assert origin.forgotten == ["s1"]
+
+
+async def test_gone_servers_are_forgotten() -> None:
+    s1 = source.ServerIs(builders.server("s1"))
+    _, origin, _ = await _async_play(
+        source.Kind.SERVERS,
+        [(0.1, facts(5, s1)), (0.1, facts(6, source.ServerGone("s1")))],
+    )
+    assert origin.forgotten == ["s1"]
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -103,8 +103,7 @@
     assert head.told is models.Told(told)
 
 
-def test_load_of_a_server() -> None:
-    raw = ((b"X-Server-Load", b"3,1,8"),)
-    assert WORDS.read_head(_call(), 200, raw).load == models.Load(3, 1, 8)
-    bad = ((b"X-Server-Load", b"3,one"),)
-    assert WORDS.read_head(_call(), 200, bad).load is None
+def test_servers_load_is_not_for_callers() -> None:
+    raw = ((b"X-Server-Load", b"3,1,8"), (b"X-Weight-Versions", b"1"))
+    head = WORDS.read_head(_call(), 200, raw)
+    assert head.headers == (("X-Weight-Versions", "1"),)
