Send callers elsewhere while the router's own processor is short

Ruled out: engines and store; all losses name this router. Change: the lag of the event loop is averaged; strained routers are not ready and close connections, overloaded ones refuse at once.

--- a/tamarackbridge/components/gateway/answers.py
+++ b/tamarackbridge/components/gateway/answers.py
@@ -20,6 +20,7 @@
     KNOWLEDGE_OLD = "knowledge_old"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
+    ROUTER_OVERLOADED = "router_overloaded"
     SERVER_REFUSED = "server_refused"
     DEADLINE = "deadline"
     SHUTTING_DOWN = "shutting_down"
@@ -36,6 +37,7 @@
     Reason.KNOWLEDGE_OLD: 503,
     Reason.NO_SERVER: 503,
     Reason.OVERLOADED: 503,
+    Reason.ROUTER_OVERLOADED: 503,
     Reason.SERVER_REFUSED: 503,
     Reason.DEADLINE: 503,
     Reason.SHUTTING_DOWN: 503,
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -16,6 +16,7 @@
     request_log,
     runner,
     shutdown,
+    strain,
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
@@ -37,7 +38,7 @@
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-_TOO_MANY = answers.Refusal(answers.Reason.OVERLOADED, 0.5)
+_TOO_MANY = answers.Refusal(answers.Reason.ROUTER_OVERLOADED, 0.2)
 _SHUTTING_DOWN = answers.Refusal(answers.Reason.SHUTTING_DOWN, shutdown.RETRY_S)
 
 
@@ -58,9 +59,11 @@
         dialect: models.Dialect,
         clock: core.Clock,
         log: request_log.RequestLog,
+        meter: strain.LagMeter,
     ) -> None:
         super().__init__()
         self._log = log
+        self._meter = meter
         self.held = 0
         self.shutdown: shutdown.Shutdown | None = None
         self.port = port
@@ -157,7 +160,7 @@
         finally:
             self.held -= 1
             conn.end_request()
-        if self.draining:
+        if self.draining or self._meter.strained:
             resp.force_close()
         return resp
 
@@ -170,12 +173,14 @@
         self, req: web.BaseRequest, arrived: float
     ) -> web.StreamResponse:
         assert self._runner is not None
-        if self.held > MAX_HELD:
-            return self._refuse("", _TOO_MANY, arrived)
         call = self._acceptor.read_call(req)
         if call is None:
             refusal = answers.Refusal(answers.Reason.MALFORMED)
             return self._refuse("", refusal, arrived)
+        if self.held > MAX_HELD or self._meter.overloaded:
+            resp = self._refuse(call.request_id, _TOO_MANY, arrived)
+            resp.force_close()
+            return resp
         expects = req.headers.get("Expect", "").lower() == "100-continue"
         if expects and req.transport is not None:
             req.transport.write(_CONTINUE)
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -19,6 +19,7 @@
     runner,
     servers,
     shutdown,
+    strain,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
 from tamarackbridge.components.gateway import service as gateway
@@ -58,7 +59,11 @@
 
 
 class PlatformRouter:
-    """All services of one router process on the platform."""
+    """All services of one router process on the platform.
+
+    Attributes:
+        meter: The lag of its event loop.
+    """
 
     def __init__(self, cfg: platform_settings.Settings) -> None:
         self._cfg = cfg
@@ -81,6 +86,7 @@
         self._using = self._make_parts()
         self._desk = self._make_desk()
         self._servers = servers.ServerClient()
+        self.meter = strain.LagMeter()
         self._gateway = self._make_gateway()
         self._register_services()
         self._add_gauges()
@@ -138,6 +144,7 @@
             words,
             self._clock,
             log,
+            self.meter,
         )
         made.use(
             runner.Runner(
@@ -198,6 +205,7 @@
             "sharing": self._sharing,
             "servers": self._servers,
             "desk": self._desk,
+            "lag": strain.LagService(self.meter, self._clock),
             "gateway": self._gateway,
             "readiness": gateway.ReadinessService(
                 cfg.readiness.host,
@@ -221,10 +229,12 @@
     def _add_gauges(self) -> None:
         registry = self._registry
         client = self._store
+        meter = self.meter
         now = self._clock.monotonic
         known = self._known
         for name, help_text, read in (
             ("held", "Requests under way.", lambda: self._gateway.held),
+            ("lag_seconds", "Lag of the event loop.", lambda: meter.lag_s),
             ("waiting", "Requests that wait.", lambda: self._desk.waiting),
             ("routers", "Routers heard.", lambda: len(self._sharing.routers())),
             (
@@ -270,6 +280,8 @@
     def _ready(self) -> bool:
         if self._gateway.draining or not self._known.complete():
             return False
+        if self.meter.strained:
+            return False
         return self._known.may_honour_keys(self._clock.monotonic())
 
     async def async_start(self) -> None:
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -48,6 +48,13 @@
         ) as resp:
             return Got(resp.status, resp.headers, await resp.read())
 
+    async def async_ready(self) -> int:
+        """Asks as the balancer does; returns the status."""
+        async with self.client.get(
+            f"http://{self.cfg.readiness}/readiness"
+        ) as resp:
+            return resp.status
+
     async def async_until_status(self, path: str, status: int) -> None:
         """Sends until the answer has a status; fails after many tries."""
         for _ in range(300):
