--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tamarackbridge.components.placement import ledger
 from tests.components.admission import load_replay
 
 Arrival = load_replay.Arrival
@@ -185,9 +186,15 @@
 async def test_caller_that_leaves_as_it_is_admitted_takes_no_slot() -> None:
     """The permit is given, and the task cancelled, in one turn."""
     replay = load_replay.Replay()
+    full = {name: ledger.Work(64, 0, 0) for name in replay.engines}
+    replay.work.hear("r2", ledger.Told(full, 0.0))
     fate = load_replay.Fate(Arrival(0.0, "w", 6_000, 100))
     task = asyncio.create_task(replay._async_admit(fate, 0))
     await asyncio.sleep(0)
+    assert replay.desk.waiting == 1
+    replay.work.forget("r2")
+    replay.desk.pump()
+    assert replay.work.own()
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await task
