Take no connection at the end of a shutdown that nobody will read

Ruled out: a kept connection (the router had closed its idle ones 3 s before). Change: the listener closes first, then what it took is still answered; a request whose header is on its way is answered too. Tests fail before. Also tests: each decision has its line, what callers may send, byte for byte.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -105,14 +105,14 @@
         """The answer to the request is given."""
         self._in_request = False
 
-    def end_soon(self) -> None:
-        """Closes the connection at once if it is idle, else when it is.
+    def end_if_idle(self) -> None:
+        """Closes the connection if it waits for a request.
 
         `close` of the base class ends the handler of an idle connection and
-        leaves the connection open, so that what comes later is never answered.
+        leaves the connection open, and ignores what still comes of a request
+        that is on its way; neither is ever answered.
         """
         if self._in_request or self._messages or self._timer is not None:
-            self._close = True
             return
         self.force_close()
 
@@ -169,11 +169,15 @@
             self.transport.abort()
 
 
-def end_soon(server: web.Server) -> None:
-    """Closes the idle connections of a server, and the others once idle."""
+def end_idle(server: web.Server) -> None:
+    """Closes the connections of a server that wait for a request.
+
+    The others end with their answers, which a server that shuts down marks as
+    the last ones.
+    """
     for conn in server.connections:
         if isinstance(conn, CallerConnection):
-            conn.end_soon()
+            conn.end_if_idle()
 
 
 def _problem(reason: const.Reason, detail: str) -> problem.Problem:
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -111,7 +111,7 @@
         if self._listener is not None:
             self._listener.close()
         if self._runner is not None and self._runner.server is not None:
-            connection.end_soon(self._runner.server)
+            connection.end_idle(self._runner.server)
         while self.held or self._once.running or self._port.claims_owed:
             await self.sleep(IDLE_POLL_S)
 
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -109,7 +109,7 @@
     def close_idle(self) -> None:
         """Closes connections that wait for a request."""
         if self._server is not None:
-            connection.end_soon(self._server)
+            connection.end_idle(self._server)
 
     def _limits(self) -> knowledge.Limits:
         cfg = self._known.configuration
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -352,22 +352,29 @@
         self._sharing.leaving = True
         events.write(events.Draining(self._gateway.held))
         leaving = asyncio.create_task(self._sharing.async_leave())
-        quiet_since = await self._async_notice(times)
-        while self._clock.monotonic() < times.end:
-            await asyncio.sleep(HELD_POLL_S)
-            now = self._clock.monotonic()
+        await self._async_notice(times)
+        await self._async_until_quiet(times)
+        # What the kernel has accepted and nobody reads would end unanswered.
+        self._gateway.close_listener()
+        await self._async_until_quiet(times)
+        self._gateway.close_idle()
+        leaving.cancel()
+
+    async def _async_until_quiet(self, times: shutdown.Shutdown) -> None:
+        """Waits until nothing was held for a while, or time is up."""
+        quiet_since = self._clock.monotonic()
+        while (now := self._clock.monotonic()) < times.end:
             if self._gateway.held:
                 quiet_since = now
             elif now - quiet_since >= QUIET_S:
-                break
-        leaving.cancel()
+                return
+            await asyncio.sleep(HELD_POLL_S)
 
-    async def _async_notice(self, times: shutdown.Shutdown) -> float:
-        """Waits until the balancer has been told; returns the time."""
+    async def _async_notice(self, times: shutdown.Shutdown) -> None:
+        """Waits until the balancer has been told."""
         now = self._clock.monotonic()
         await asyncio.sleep(min(NOTICE_S, max(times.end - now, 0.0)))
         self._gateway.close_idle()
-        return self._clock.monotonic()
 
 
 async def _async_stop(services: list[mode.Service]) -> None:
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -11,6 +11,7 @@
 
 from standins import platform_server, platform_store
 from tamarackbridge import platform_router
+from tamarackbridge.components.gateway import shutdown
 from tamarackbridge.platform import settings
 
 HOST = "a.example"
@@ -63,6 +64,22 @@
             await asyncio.sleep(0.01)
         raise AssertionError(f"{path} never gave {status}")
 
+    async def async_until_version(self, version: int) -> None:
+        """Waits until a configuration is in force."""
+        await async_until(lambda: self.router._version()[0] == version)
+
+    async def async_drain(self, name: str) -> None:
+        """Lets a server leave, and waits until the router knows."""
+        server = next(it for it in self.servers if it.name == name)
+        await _async_register(self.store, server, state="draining")
+        known = self.router._known.servers
+        await async_until(lambda: known[name].server.draining)
+
+    def begin_shutdown(self) -> None:
+        """Lets the router take the first step of a shutdown."""
+        now = self.router._clock.monotonic()
+        self.router._gateway.shutdown = shutdown.begin(now, 8.0)
+
     def set_fault(self, *faults: platform_server.Fault) -> None:
         """The next requests have these faults, wherever they go."""
         shared = list(faults)
@@ -127,6 +144,8 @@
     }
 
 
+LIMITS = {"max_body_bytes": 2000, "idle_timeout_ms": 15000}
+
 CONFIGURATION = {
     "version": 1,
     "routes": [
@@ -138,7 +157,7 @@
         route("short", "idempotent", timeout_ms=300),
     ],
     "services": [{"name": "app", "max_connections": 100}],
-    "limits": {"max_body_bytes": 2000, "idle_timeout_ms": 15000},
+    "limits": LIMITS,
     "tenants": [{"name": "w", "api_keys": [KEY]}],
 }
 
@@ -146,13 +165,14 @@
 async def _async_register(
     store: platform_store.PlatformStore,
     server: platform_server.PlatformServer,
+    state: str = "ready",
 ) -> None:
     spec = {
         "service": "app",
         "address": server.address,
         "zone": "z1",
         "slots": 6,
-        "state": "ready",
+        "state": state,
     }
     await store.async_put("servers", server.name, spec)
 
--- /dev/null
+++ b/tests/components/gateway/test_callers.py
@@ -0,0 +1,181 @@
+"""What callers may send on a connection, byte for byte."""
+
+import asyncio
+
+import pytest
+
+from tamarackbridge import platform_router
+from tests.components.gateway import place
+
+HEAD = f"Host: {place.HOST}\r\nX-Request-Id: q1\r\nX-Api-Key: {place.KEY}\r\n"
+
+
+class Caller:
+    """A bare connection to a router."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def async_answer(self) -> tuple[int, dict[str, str], bytes]:
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = head.rstrip().split("\r\n")
+        pairs = (line.partition(": ") for line in lines)
+        headers = {name.lower(): value for name, _, value in pairs}
+        length = int(headers.get("content-length", "0"))
+        body = await self.reader.readexactly(length)
+        return int(first.split(" ")[1]), headers, body
+
+
+async def _async_caller(here: place.Place) -> Caller:
+    cfg = here.cfg.callers
+    return Caller(*await asyncio.open_connection(cfg.host, cfg.port))
+
+
+async def test_body_in_chunks_arrives_whole() -> None:
+    async with place.async_place(servers=1) as here:
+        caller = await _async_caller(here)
+        caller.writer.write(
+            f"POST /pay/1 HTTP/1.1\r\n{HEAD}"
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "4\r\nques\r\n4\r\ntion\r\n0\r\n\r\n".encode()
+        )
+        status, _, body = await caller.async_answer()
+        assert (status, body) == (200, b"answer to q1")
+        assert here.servers[0].seen[0].body == b"question"
+        caller.writer.close()
+
+
+async def test_body_that_waits_for_leave_gets_it() -> None:
+    async with place.async_place(servers=1) as here:
+        caller = await _async_caller(here)
+        caller.writer.write(
+            f"POST /pay/1 HTTP/1.1\r\n{HEAD}"
+            "Content-Length: 8\r\nExpect: 100-continue\r\n\r\n".encode()
+        )
+        status, _, _ = await caller.async_answer()
+        assert status == 100
+        caller.writer.write(b"question")
+        status, _, body = await caller.async_answer()
+        assert (status, body) == (200, b"answer to q1")
+        assert "Expect" not in here.servers[0].seen[0].headers
+        caller.writer.close()
+
+
+async def test_requests_on_one_connection_are_answered_in_order() -> None:
+    async with place.async_place(servers=1) as here:
+        caller = await _async_caller(here)
+        for number in range(3):
+            head = HEAD.replace("q1", f"q{number}")
+            caller.writer.write(f"GET /read/1 HTTP/1.1\r\n{head}\r\n".encode())
+        bodies = [(await caller.async_answer())[2] for _ in range(3)]
+        assert bodies == [b"answer to q0", b"answer to q1", b"answer to q2"]
+        caller.writer.close()
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (f"GET /read/1 HTTP/1.1\r\nHost: {place.HOST}\r\n\r\n", 400),
+        ("this is no request\r\n\r\n", 400),
+        (f"GET /read/1 HTTP/1.1\r\n{HEAD}X: {'y' * 20_000}\r\n\r\n", 431),
+    ],
+)
+async def test_what_can_not_be_read_is_refused(sent: str, status: int) -> None:
+    async with place.async_place(servers=1) as here:
+        caller = await _async_caller(here)
+        caller.writer.write(sent.encode())
+        assert (await caller.async_answer())[0] == status
+        assert here.ran() == []
+        caller.writer.close()
+
+
+async def test_header_that_does_not_end_is_given_up() -> None:
+    async with place.async_place(servers=1) as here:
+        limits = {**place.LIMITS, "header_timeout_ms": 100}
+        cfg = {**place.CONFIGURATION, "version": 2, "limits": limits}
+        await here.store.async_put("config", "main", cfg)
+        await here.async_until_version(2)
+        caller = await _async_caller(here)
+        caller.writer.write(b"GET /read/1 HTTP/1.1\r\nHost:")
+        assert (await caller.async_answer())[0] == 408
+        assert await caller.reader.read() == b""
+        caller.writer.close()
+
+
+async def test_connection_may_wait_longer_than_a_header_may_take() -> None:
+    async with place.async_place(servers=1) as here:
+        limits = {**place.LIMITS, "header_timeout_ms": 50}
+        cfg = {**place.CONFIGURATION, "version": 2, "limits": limits}
+        await here.store.async_put("config", "main", cfg)
+        await here.async_until_version(2)
+        caller = await _async_caller(here)
+        await asyncio.sleep(0.2)
+        caller.writer.write(f"GET /read/1 HTTP/1.1\r\n{HEAD}\r\n".encode())
+        assert (await caller.async_answer())[0] == 200
+        caller.writer.close()
+
+
+async def test_answers_close_their_connections_in_a_shutdown() -> None:
+    async with place.async_place(servers=1) as here:
+        here.begin_shutdown()
+        caller = await _async_caller(here)
+        caller.writer.write(f"GET /read/1 HTTP/1.1\r\n{HEAD}\r\n".encode())
+        status, headers, _ = await caller.async_answer()
+        assert (status, headers["connection"]) == (200, "close")
+        assert (await here.async_ready()) == 503
+        caller.writer.close()
+
+
+async def test_zone_that_is_taken_out_gets_no_new_work() -> None:
+    async with place.async_place(servers=2) as here:
+        await here.store.async_put("evacuations", "z1", {})
+        await here.async_until_status("/read/1", 503)
+        ran = len(here.ran())
+        for number in range(5):
+            got = await here.async_send("/read/1", request_id=f"z{number}")
+            assert got.status == 503
+        assert len(here.ran()) == ran
+        await here.store.async_remove("evacuations", "z1")
+        await here.async_until_status("/read/1", 200)
+
+
+async def test_draining_server_gets_no_new_work() -> None:
+    async with place.async_place(servers=2) as here:
+        leaving = here.servers[0]
+        await here.async_drain(leaving.name)
+        before = len(leaving.seen)
+        for number in range(6):
+            got = await here.async_send("/read/1", request_id=f"d{number}")
+            assert got.status == 200
+        assert len(leaving.seen) == before
+
+
+async def test_no_connection_is_taken_that_nobody_will_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A caller that connects at the end is turned away, not left waiting."""
+    monkeypatch.setattr(platform_router, "NOTICE_S", 0.01)
+    monkeypatch.setattr(platform_router, "QUIET_S", 0.01)
+    async with place.async_place(servers=1) as here:
+        await here.router._async_drain()
+        with pytest.raises(ConnectionRefusedError):
+            await _async_caller(here)
+
+
+async def test_request_on_its_way_is_answered_in_a_shutdown() -> None:
+    async with place.async_place(servers=1) as here:
+        caller = await _async_caller(here)
+        request = f"GET /read/1 HTTP/1.1\r\n{HEAD}\r\n".encode()
+        caller.writer.write(request[:20])
+        counts = here.router._gateway.connections
+        await place.async_until(lambda: counts.open == 1)
+        await asyncio.sleep(0.05)
+        here.begin_shutdown()
+        here.router.close_idle()
+        caller.writer.write(request[20:])
+        status, headers, _ = await caller.async_answer()
+        assert (status, headers["connection"]) == (200, "close")
+        caller.writer.close()
