Gather the shared view in groups, and pass knowledge on

Cause: at 73 routers each told each other one, every 438 ms, and each kept three watches on the store (11,324 calls a minute). Ruled out: fewer or rarer messages (the view gets older), a dispatcher for each shard (weighed before), one hub for the fleet (its loss blinds all). Change: above 16 routers, hubs by rendezvous in each zone gather reports, exchange sums and pass them back; hubs watch the store, the rest are told how far their knowledge reaches and are sent what they lack. A small fleet is all hubs. A router that the store turns away, or that starts while it is down, is told by its peers within the same bounds of age.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -288,8 +288,8 @@
             job.workspace, 0.0
         ) + costs.cost(call)
         for chain, _ in parts.chains(call.parts):
-            self._using.held.note(server.name, chain, now)
-            self.fresh_parts.append((server.name, chain))
+            if self._using.held.note(server.name, chain, now):
+                self.fresh_parts.append((server.name, chain))
         if now < option.known.cold_until and job.service.cold_per_s > 0:
             self._using.limiter.take(
                 server.name, job.service.cold_per_s, self._routers(), now
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -1,10 +1,27 @@
 """What routers tell each other, several times a second."""
 
+import enum
+
 from tamarackbridge import core
+from tamarackbridge.components.knowledge import messages as knowledge
+
+
+class Way(enum.IntEnum):
+    """Where a report goes in the fleet.
+
+    Attributes:
+        UP: To the hub of the sender's group.
+        ACROSS: From hub to hub.
+        DOWN: From a hub to a router of its group.
+    """
+
+    UP = 0
+    ACROSS = 1
+    DOWN = 2
 
 
 class ServerWork(core.Message, frozen=True, array_like=True):
-    """Work that the sender has at one server."""
+    """Work at one server."""
 
     server: str
     requests: int
@@ -13,7 +30,7 @@
 
 
 class WorkspaceUse(core.Message, frozen=True, array_like=True):
-    """What one workspace asked and got at the sender, over the window."""
+    """What one workspace asked and got over the window."""
 
     workspace: str
     asked: int
@@ -21,29 +38,44 @@
 
 
 class Held(core.Message, frozen=True, array_like=True):
-    """A prompt part that the sender lets a server read or use."""
+    """Prompt parts that a server reads or uses."""
 
     server: str
-    chain: int
+    chains: tuple[int, ...]
 
 
-class Status(core.Message, frozen=True, array_like=True):
-    """The sender's part of the shared view.
+class ZoneRouters(core.Message, frozen=True, array_like=True):
+    """Peer addresses of the live routers of one availability zone."""
+
+    zone: str
+    addresses: tuple[str, ...]
+
+
+class Report(core.Message, frozen=True, array_like=True):
+    """The shared view of a part of the fleet.
 
     Attributes:
-        work: All its work; servers that are missing have none.
-        held: Prompt parts in use since the last message.
-        use: Use of workspaces; None where it has not changed much.
-        waiting: Requests that wait at the sender.
-        configuration: Version of the sender's configuration; 0 for none.
-        configuration_age_ms: Its age when this was sent.
-        leaving: Whether the sender is shutting down.
+        way: Tells which part. Up and across: the sender and those who report
+            to it. Down: all but the receiver and those who report to it.
+        work: All work of that part; servers that are missing have none.
+        held: Prompt parts in use since the last report.
+        use: Use of workspaces; None where it is not told this time.
+        routers: The live routers of that part; None where they are not told
+            this time.
+        editions: How far the sender's knowledge reaches.
+        ends: Whether the sender reports elsewhere from now on.
     """
 
+    way: Way
     work: tuple[ServerWork, ...] = ()
     held: tuple[Held, ...] = ()
     use: tuple[WorkspaceUse, ...] | None = None
-    waiting: int = 0
-    configuration: int = 0
-    configuration_age_ms: int = 0
-    leaving: bool = False
+    routers: tuple[ZoneRouters, ...] | None = None
+    editions: tuple[knowledge.Edition, ...] = ()
+    ends: bool = False
+
+
+class Introduction(core.Message, frozen=True, array_like=True):
+    """The routers of the fleet, for one that does not know them."""
+
+    routers: tuple[ZoneRouters, ...]
--- /dev/null
+++ b/tamarackbridge/components/fleet/summary.py
@@ -0,0 +1,106 @@
+"""Sums of what parts of the fleet do."""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+
+from tamarackbridge.components.admission import shares
+from tamarackbridge.components.fleet import messages
+from tamarackbridge.components.placement import ledger
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What some routers do.
+
+    Attributes:
+        work: Their work by server.
+        use: The use of workspaces at them.
+        routers: Who they are, each with its zone.
+    """
+
+    work: Mapping[str, ledger.Work]
+    use: Mapping[str, shares.Use]
+    routers: Mapping[str, str]
+
+
+def total(parts: Iterable[Summary]) -> Summary:
+    """Returns the sum of parts that have no router in common."""
+    work: dict[str, ledger.Work] = {}
+    use: dict[str, shares.Use] = {}
+    routers: dict[str, str] = {}
+    for part in parts:
+        for server, it in part.work.items():
+            work[server] = work.get(server, ledger.NOTHING).plus(it)
+        for workspace, used in part.use.items():
+            known = use.get(workspace, shares.NOTHING)
+            use[workspace] = known.plus(used)
+        routers.update(part.routers)
+    return Summary(work, use, routers)
+
+
+def work_told(
+    work: Mapping[str, ledger.Work],
+) -> tuple[messages.ServerWork, ...]:
+    """Returns work as it is told."""
+    return tuple(
+        messages.ServerWork(name, it.requests, it.unread, it.memory)
+        for name, it in work.items()
+        if it != ledger.NOTHING
+    )
+
+
+def work_heard(
+    told: Iterable[messages.ServerWork],
+) -> dict[str, ledger.Work]:
+    """Returns work that was told."""
+    return {
+        it.server: ledger.Work(it.requests, it.unread, it.memory) for it in told
+    }
+
+
+def use_told(
+    use: Mapping[str, shares.Use],
+) -> tuple[messages.WorkspaceUse, ...]:
+    """Returns the use of workspaces as it is told."""
+    return tuple(
+        messages.WorkspaceUse(name, int(it.asked), int(it.served))
+        for name, it in use.items()
+    )
+
+
+def use_heard(
+    told: Iterable[messages.WorkspaceUse],
+) -> dict[str, shares.Use]:
+    """Returns use of workspaces that was told."""
+    return {it.workspace: shares.Use(it.asked, it.served) for it in told}
+
+
+def routers_told(
+    routers: Mapping[str, str],
+) -> tuple[messages.ZoneRouters, ...]:
+    """Returns routers as they are told."""
+    zones: dict[str, list[str]] = {}
+    for address, zone in routers.items():
+        zones.setdefault(zone, []).append(address)
+    return tuple(
+        messages.ZoneRouters(zone, tuple(sorted(found)))
+        for zone, found in sorted(zones.items())
+    )
+
+
+def routers_heard(told: Iterable[messages.ZoneRouters]) -> dict[str, str]:
+    """Returns routers that were told, each with its zone."""
+    return {address: it.zone for it in told for address in it.addresses}
+
+
+def held_told(
+    held: Iterable[tuple[str, int]],
+) -> tuple[messages.Held, ...]:
+    """Returns held prompt parts as they are told."""
+    servers: dict[str, list[int]] = {}
+    for server, chain in held:
+        servers.setdefault(server, []).append(chain)
+    return tuple(
+        messages.Held(server, tuple(chains))
+        for server, chains in servers.items()
+    )
--- /dev/null
+++ b/tamarackbridge/components/fleet/view.py
@@ -0,0 +1,305 @@
+"""The shared view of the fleet's work, and what each other router is told."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+import math
+
+from tamarackbridge.components.admission import shares
+from tamarackbridge.components.fleet import groups, messages, peers, summary
+from tamarackbridge.components.knowledge import messages as knowledge
+from tamarackbridge.components.placement import ledger, parts
+from tamarackbridge.components.telemetry import events
+
+HUB_SILENT_S = 0.7
+"""A hub that tells nothing for this long is not relied on: two of its messages
+were lost, and 0.2 s of processor time went elsewhere."""
+
+LIST_S = 0.4
+"""Interval at which uses and lists of routers go along: a tenth of the window
+over which use is compared."""
+
+PROBE_S = 1.0
+"""Interval at which hubs that are not live are told all the same, so that two
+sides of a partition find each other again."""
+
+_Way = messages.Way
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Own:
+    """What sharing reads of this router.
+
+    Attributes:
+        work: Work at all servers.
+        held: Prompt parts that servers hold.
+        use: Returns the use of workspaces here.
+        fresh_parts: Takes the prompt parts that the others don't know of.
+        read_per_s: Returns the prompt tokens that a server reads in a second.
+        editions: Returns how far this router's knowledge reaches.
+    """
+
+    work: ledger.Ledger
+    held: parts.HeldParts
+    use: Callable[[], Mapping[str, shares.Use]]
+    fresh_parts: Callable[[], list[tuple[str, int]]]
+    read_per_s: Callable[[str], float]
+    editions: Callable[[], tuple[knowledge.Edition, ...]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Told:
+    """What one other router told last."""
+
+    way: messages.Way
+    at: float
+    use: Mapping[str, shares.Use] = dataclasses.field(default_factory=dict)
+    routers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A report and who gets it."""
+
+    to: str
+    report: messages.Report
+
+
+class SharedView:
+    """Merges what other routers tell, and words what they are told.
+
+    Attributes:
+        peers: The other routers.
+    """
+
+    def __init__(self, address: str, zone: str, own: Own) -> None:
+        self.peers = peers.Peers(address, zone)
+        self._address = address
+        self._zone = zone
+        self._own = own
+        self._told: dict[str, _Told] = {}
+        self._place = groups.Place(None, frozenset())
+        self._asked_since: dict[str, float] = {}
+        self._live: dict[str, str] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._held: list[tuple[str, str, int]] = []
+        self._listed_at = -math.inf
+        self._probed_at = -math.inf
+
+    @property
+    def hub(self) -> str | None:
+        """The hub that this router reports to; None if it is one itself."""
+        return self._place.hub
+
+    def hub_tells(self, now: float) -> bool:
+        """Whether this router has a hub that it hears."""
+        told = self._told.get(self._place.hub or "")
+        return told is not None and now - told.at < HUB_SILENT_S
+
+    def follows(self, router: str) -> bool:
+        """Whether another router reports to this one."""
+        told = self._told.get(router)
+        return told is not None and told.way is _Way.UP
+
+    def use_elsewhere(self) -> dict[str, shares.Use]:
+        """Returns the use of workspaces at the other routers."""
+        found = (summary.Summary({}, it.use, {}) for it in self._told.values())
+        return dict(summary.total(found).use)
+
+    def hear(
+        self, src: str, msg: messages.Report, age_s: float, now: float
+    ) -> bool:
+        """Takes a report; says whether its sender has to be introduced."""
+        if self.peers.heard(src, now):
+            events.write(events.RouterHeard(src))
+        if msg.ends:
+            self._forget(src)
+            return False
+        if not self._accepts(src, msg.way):
+            return msg.way is _Way.ACROSS
+        told = self._told.get(src)
+        if told is None or told.way is not msg.way:
+            told = self._told[src] = _Told(msg.way, now)
+        told.at = now
+        if msg.use is not None:
+            told.use = summary.use_heard(msg.use)
+        if msg.routers is not None:
+            self._take_list(told, msg.routers, now)
+        sent_at = now - age_s
+        work = summary.work_heard(msg.work)
+        self._own.work.hear(src, ledger.Told(work, sent_at))
+        self._take_held(src, msg.held, sent_at)
+        unknown = src not in self._place.hubs
+        return msg.way is _Way.ACROSS and unknown and src in self._live
+
+    def settle(self, now: float) -> list[Outgoing]:
+        """Drops silent routers and finds this one's place anew.
+
+        Returns:
+            What a router that this one no longer reports to is told.
+        """
+        for src, told in list(self._told.items()):
+            if now - told.at > peers.SILENT_S:
+                silent_s = round(now - told.at, 3)
+                events.write(events.RouterSilent(src, silent_s))
+                self._forget(src)
+        self._mute_silent_hubs(now)
+        live = self.peers.live(now)
+        silent = self.peers.muted(now)
+        if live == self._live and silent == self._silent:
+            return []
+        self._live = live
+        self._silent = silent
+        return self._move(groups.place(self._address, live, silent), now)
+
+    def outgoing(self, now: float) -> list[Outgoing]:
+        """Returns the reports that are due now."""
+        lists = now - self._listed_at >= LIST_S
+        if lists:
+            self._listed_at = now
+        for server, chain in self._own.fresh_parts():
+            self._held.append((self._address, server, chain))
+        below = {
+            src: self._summary(src, now)
+            for src, told in self._told.items()
+            if told.way is _Way.UP
+        }
+        below[self._address] = self._own_summary(lists)
+        found = self._reports_down(below, lists, now)
+        targets = set(self._place.hubs) - below.keys()
+        if now - self._probed_at >= PROBE_S and self._place.hub is None:
+            self._probed_at = now
+            targets |= self._lost_hubs() - below.keys()
+        if self._place.hub is not None:
+            up = self._report(_Way.UP, below, lists)
+            found.append(Outgoing(self._place.hub, up))
+        elif targets:
+            across = self._report(_Way.ACROSS, below, lists)
+            found.extend(Outgoing(to, across) for to in sorted(targets))
+        self._held.clear()
+        return found
+
+    def introduction(self, now: float) -> messages.Introduction:
+        """Returns the live routers, for one that does not know them."""
+        live = self.peers.live(now)
+        return messages.Introduction(summary.routers_told(live))
+
+    def meet(self, msg: messages.Introduction, now: float) -> None:
+        """Takes the routers that another one knows."""
+        for address, zone in summary.routers_heard(msg.routers).items():
+            self.peers.know(address, zone, now)
+
+    def _mute_silent_hubs(self, now: float) -> None:
+        """Finds other hubs for those that have not been heard in time."""
+        for hub, since in self._asked_since.items():
+            if now - since < HUB_SILENT_S:
+                continue
+            if not self.peers.heard_since(hub, now - HUB_SILENT_S):
+                self.peers.mute(hub, now)
+
+    def _accepts(self, src: str, way: messages.Way) -> bool:
+        if way is _Way.UP:
+            return True
+        if way is _Way.DOWN:
+            return src == self._place.hub
+        return self._place.hub is None
+
+    def _take_list(
+        self,
+        told: _Told,
+        routers: tuple[messages.ZoneRouters, ...],
+        now: float,
+    ) -> None:
+        told.routers = summary.routers_heard(routers)
+        for it in routers:
+            self.peers.listed(it.zone, it.addresses, now)
+
+    def _take_held(
+        self, src: str, held: tuple[messages.Held, ...], at: float
+    ) -> None:
+        for it in held:
+            for chain in it.chains:
+                if self._own.held.note(it.server, chain, at):
+                    self._held.append((src, it.server, chain))
+
+    def _forget(self, src: str) -> None:
+        self._told.pop(src, None)
+        self._own.work.forget(src)
+
+    def _move(self, new: groups.Place, now: float) -> list[Outgoing]:
+        old, self._place = self._place, new
+        if old == new:
+            return []
+        events.write(events.PlaceChanged(new.hub or "", len(new.hubs)))
+        for src, told in list(self._told.items()):
+            if not self._accepts(src, told.way):
+                self._forget(src)
+        asked = new.hubs if new.hub is None else {new.hub}
+        self._asked_since = {
+            hub: self._asked_since.get(hub, now) for hub in asked
+        }
+        if old.hub is None or old.hub == new.hub:
+            return []
+        return [Outgoing(old.hub, messages.Report(_Way.UP, ends=True))]
+
+    def _own_summary(self, lists: bool) -> summary.Summary:
+        own = self._own
+        use = own.use() if lists else {}
+        routers = {self._address: self._zone}
+        return summary.Summary(own.work.own(), use, routers)
+
+    def _summary(self, src: str, now: float) -> summary.Summary:
+        told = self._told[src]
+        work = self._own.work.told_by(src, now, self._own.read_per_s)
+        return summary.Summary(work, told.use, told.routers)
+
+    def _reports_down(
+        self,
+        below: Mapping[str, summary.Summary],
+        lists: bool,
+        now: float,
+    ) -> list[Outgoing]:
+        if len(below) == 1:
+            return []
+        beside = {
+            src: self._summary(src, now)
+            for src, told in self._told.items()
+            if told.way is not _Way.UP
+        }
+        found = []
+        for to in below:
+            if to == self._address:
+                continue
+            rest = {src: it for src, it in below.items() if src != to}
+            report = self._report(_Way.DOWN, {**rest, **beside}, lists, to)
+            found.append(Outgoing(to, report))
+        return found
+
+    def _report(
+        self,
+        way: messages.Way,
+        sources: Mapping[str, summary.Summary],
+        lists: bool,
+        to: str = "",
+    ) -> messages.Report:
+        whole = summary.total(sources.values())
+        held = [
+            (server, chain)
+            for src, server, chain in self._held
+            if src in sources and src != to
+        ]
+        return messages.Report(
+            way=way,
+            work=summary.work_told(whole.work),
+            held=summary.held_told(held),
+            use=summary.use_told(whole.use) if lists else None,
+            routers=summary.routers_told(whole.routers) if lists else None,
+            editions=self._own.editions(),
+        )
+
+    def _lost_hubs(self) -> set[str]:
+        """Returns the hubs that this router would tell if all were heard."""
+        known = self.peers.known()
+        if known.keys() == self._live.keys() and not self._silent:
+            return set()
+        wanted = groups.place(self._address, known)
+        return set(wanted.hubs) - self._place.hubs
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -8,28 +8,25 @@
 import result
 
 from tamarackbridge import core
-from tamarackbridge.components.knowledge import const, models, source, state
+from tamarackbridge.components.knowledge import applier, const, source, state
 from tamarackbridge.components.telemetry import events
 
-_WAITS = {
-    source.Kind.CONFIGURATION: const.CONFIGURATION_WAIT_S,
-    source.Kind.SERVERS: const.REGISTRATION_WAIT_S,
-    source.Kind.ZONES: const.REGISTRATION_WAIT_S,
-}
-
 
 class Follower(core.Service):
-    """Follows one kind: reads all of it, then each change."""
+    """Follows one kind: reads all of it, then each change.
+
+    It rests while another router tells what it would read.
+    """
 
     def __init__(
         self,
         kind: source.Kind,
         origin: source.Source,
         known: state.Knowledge,
+        taking: applier.Applier,
         clock: core.Clock,
         rng: random.Random,
-        changed: Callable[[], None],
-        forget: Callable[[str], None],
+        told: Callable[[], bool],
     ) -> None:
         super().__init__()
         self._kind = kind
@@ -37,9 +34,9 @@
         self._known = known
         self._clock = clock
         self._rng = rng
-        self._changed = changed
-        self._forget = forget
-        self._revision = 0
+        self._taking = taking
+        self._told = told
+        self._lost_history = False
         self._pause_s = const.RETRY_MIN_S
         self._away_since: float | None = None
         self._grace_until = 0.0
@@ -61,11 +58,25 @@
 
     async def _async_run(self) -> None:
         while True:
-            if self._revision == 0:
+            if self._rests():
+                self._taking.drop_lapsed()
+                await asyncio.sleep(const.REST_S)
+            elif self._lost_history or self._revision == 0:
                 await self._async_read()
             else:
                 await self._async_follow()
 
+    def _rests(self) -> bool:
+        """Whether another router tells in time what is to be known."""
+        if not self._told():
+            return False
+        age_s = self._known.age(self._kind, self._clock.monotonic())
+        return age_s < const.WAITS[self._kind] + const.TOLD_MARGIN_S
+
+    @property
+    def _revision(self) -> int:
+        return self._known.edition(self._kind).revision
+
     async def _async_read(self) -> None:
         began = self._clock.monotonic()
         answer = await self._origin.async_all(self._kind)
@@ -73,36 +84,45 @@
             await self._async_pause()
             return
         self._came_back()
-        self._replace(answer.ok_value.facts)
-        self._revision = answer.ok_value.revision
-        self._confirm(began)
-        self._changed()
+        self._lost_history = False
+        found = answer.ok_value
+        self._taking.replace(self._kind, found.facts, self._grace_s())
+        self._known.restart(self._kind, found.revision)
+        self._known.confirm(self._kind, began)
+        self._taking.changed()
 
     async def _async_follow(self) -> None:
-        wait_s = _WAITS[self._kind]
+        wait_s = const.WAITS[self._kind]
         began = self._clock.monotonic()
         answer = await self._origin.async_changes(
             self._kind, self._revision, wait_s
         )
         if answer == result.Err(source.Trouble.HISTORY_LOST):
             events.write(events.HistoryLost(self._kind.value))
-            self._revision = 0
+            self._lost_history = True
             return
         if isinstance(answer, result.Err):
             await self._async_pause()
             return
         self._came_back()
-        facts = answer.ok_value.facts
-        for fact in facts:
-            self._apply(fact)
-        self._revision = max(self._revision, answer.ok_value.revision)
+        self._take(answer.ok_value)
         waited = self._clock.monotonic() - began >= wait_s
-        for name in self._known.drop_lapsed(self._clock.monotonic()):
-            self._forget(name)
         # An empty answer after the whole wait speaks for the wait's end.
-        self._confirm(began + wait_s if waited and not facts else began)
-        if facts:
-            self._changed()
+        quiet = waited and not answer.ok_value.facts
+        self._known.confirm(self._kind, began + wait_s if quiet else began)
+
+    def _take(self, found: source.Facts) -> None:
+        for fact in found.facts:
+            self._taking.apply(fact, self._grace_s())
+        changed = bool(found.facts)
+        self._known.advance(self._kind, found.revision, changed)
+        self._taking.drop_lapsed()
+        if changed:
+            self._taking.changed()
+
+    def _grace_s(self) -> float:
+        """Returns for how long ended registrations are still used."""
+        return max(self._grace_until - self._clock.monotonic(), 0.0)
 
     async def _async_pause(self) -> None:
         if self._away_since is None:
@@ -122,81 +142,7 @@
             self._grace_until = now + const.LAPSE_GRACE_S
         events.write(events.StoreBack(self._kind.value, round(away_s, 3)))
 
-    def _confirm(self, at: float) -> None:
-        if self._kind is source.Kind.CONFIGURATION:
-            self._known.confirm_configuration(at)
-        elif self._kind is source.Kind.SERVERS:
-            self._known.confirm_servers(at)
-        else:
-            self._known.confirm_zones(at)
-
-    def _replace(self, facts: tuple[source.Fact, ...]) -> None:
-        if self._kind is source.Kind.ZONES:
-            self._known.zones_out = frozenset()
-        for fact in facts:
-            self._apply(fact)
-        if self._kind is source.Kind.SERVERS:
-            named = {
-                it.server.name
-                for it in facts
-                if isinstance(it, source.ServerIs)
-            }
-            for name in [it for it in self._known.servers if it not in named]:
-                self._apply(source.ServerGone(name))
-
-    def _apply(self, fact: source.Fact) -> None:
-        now = self._clock.monotonic()
-        known = self._known
-        match fact:
-            case source.ConfigurationIs(configuration=found):
-                if known.take_configuration(found):
-                    _log_configuration(found)
-            case source.ServerIs(server=server):
-                if known.register(server, now):
-                    self._forget(server.name)
-                _log_server(server)
-            case source.ServerGone(name=name):
-                grace_s = max(self._grace_until - now, 0.0)
-                known.unregister(name, now, grace_s)
-                if grace_s <= 0:
-                    self._forget(name)
-                events.write(events.ServerGone(name, round(grace_s, 3)))
-            case source.ZoneOut(zone=zone):
-                known.zones_out |= {zone}
-                events.write(events.ZoneChanged(zone, out=True))
-            case source.ZoneBack(zone=zone):
-                known.zones_out -= {zone}
-                events.write(events.ZoneChanged(zone, out=False))
-
     def _age(self) -> float:
         """Returns the age of what is known of this kind; -1 for nothing."""
-        now = self._clock.monotonic()
-        ages = {
-            source.Kind.CONFIGURATION: self._known.configuration_age,
-            source.Kind.SERVERS: self._known.servers_age,
-            source.Kind.ZONES: self._known.zones_age,
-        }
-        age_s = ages[self._kind](now)
+        age_s = self._known.age(self._kind, self._clock.monotonic())
         return round(age_s, 3) if math.isfinite(age_s) else -1.0
-
-
-def _log_configuration(found: models.Configuration) -> None:
-    workspaces = len(set((found.workspaces or {}).values()))
-    events.write(
-        events.ConfigurationInForce(
-            found.version, len(found.routes), workspaces
-        )
-    )
-
-
-def _log_server(server: models.BackendServer) -> None:
-    events.write(
-        events.ServerRegistered(
-            server=server.name,
-            service=server.service,
-            zone=server.zone,
-            address=server.address,
-            draining=server.draining,
-            cold_s=server.cold_s,
-        )
-    )
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -9,7 +9,7 @@
 import math
 
 from tamarackbridge.components.fleet import models as fleet
-from tamarackbridge.components.knowledge import const, models
+from tamarackbridge.components.knowledge import const, models, source
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +28,21 @@
     lapses_at: float = math.inf
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edition:
+    """How far the knowledge of one kind reaches.
+
+    Attributes:
+        revision: Revision of the store up to which all is known; 0 for none.
+        changed: Revision at which this kind last changed, as far as is known.
+        at: A time at which the store held nothing newer.
+    """
+
+    revision: int = 0
+    changed: int = 0
+    at: float = -math.inf
+
+
 class Knowledge:
     """Configuration, registered servers and zones taken out.
 
@@ -42,9 +57,7 @@
         self.configuration: models.Configuration | None = None
         self.servers: dict[str, Registered] = {}
         self.zones_out: frozenset[str] = frozenset()
-        self._configuration_at = -math.inf
-        self._servers_at = -math.inf
-        self._zones_at = -math.inf
+        self._editions = {kind: Edition() for kind in source.Kind}
 
     def use_bounds(self, bounds: fleet.Bounds) -> None:
         """Takes changed bounds."""
@@ -58,29 +71,39 @@
         self.configuration = found
         return True
 
-    def confirm_configuration(self, at: float) -> None:
-        """Notes that nothing newer was there at time `at`."""
-        self._configuration_at = max(self._configuration_at, at)
+    def edition(self, kind: source.Kind) -> Edition:
+        """Returns how far the knowledge of a kind reaches."""
+        return self._editions[kind]
+
+    def restart(self, kind: source.Kind, revision: int) -> None:
+        """Notes that all of a kind was read, up to a revision."""
+        at = self._editions[kind].at
+        self._editions[kind] = Edition(revision, revision, at)
+
+    def advance(self, kind: source.Kind, revision: int, changed: bool) -> None:
+        """Notes that changes up to a revision are known."""
+        known = self._editions[kind]
+        new = max(known.revision, revision)
+        self._editions[kind] = dataclasses.replace(
+            known, revision=new, changed=new if changed else known.changed
+        )
 
-    def confirm_servers(self, at: float) -> None:
-        """Notes that no registration was newer at time `at`."""
-        self._servers_at = max(self._servers_at, at)
+    def confirm(self, kind: source.Kind, at: float) -> None:
+        """Notes that the store held nothing newer of a kind at a time."""
+        known = self._editions[kind]
+        self._editions[kind] = dataclasses.replace(known, at=max(known.at, at))
 
-    def confirm_zones(self, at: float) -> None:
-        """Notes that no zone changed after time `at`."""
-        self._zones_at = max(self._zones_at, at)
+    def age(self, kind: source.Kind, now: float) -> float:
+        """Returns the age of what is known of a kind, in seconds."""
+        return now - self._editions[kind].at
 
     def configuration_age(self, now: float) -> float:
         """Returns the age of the configuration, in seconds."""
-        return now - self._configuration_at
+        return self.age(source.Kind.CONFIGURATION, now)
 
     def servers_age(self, now: float) -> float:
         """Returns the age of the registrations, in seconds."""
-        return now - self._servers_at
-
-    def zones_age(self, now: float) -> float:
-        """Returns the age of what is known of zones, in seconds."""
-        return now - self._zones_at
+        return self.age(source.Kind.SERVERS, now)
 
     def may_honour_keys(self, now: float) -> bool:
         """Whether no key can have been revoked longer ago than is allowed.
@@ -98,7 +121,7 @@
 
     def complete(self) -> bool:
         """Whether every kind was read at least once."""
-        read = min(self._servers_at, self._zones_at, self._configuration_at)
+        read = min(it.at for it in self._editions.values())
         return read > -math.inf and self.configuration is not None
 
     def register(self, server: models.BackendServer, now: float) -> bool:
--- a/tamarackbridge/components/placement/ledger.py
+++ b/tamarackbridge/components/placement/ledger.py
@@ -5,7 +5,7 @@
 own reports are too old to decide by.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import dataclasses
 
 from tamarackbridge.components.knowledge import models as knowledge
@@ -99,6 +99,18 @@
         """Drops what a router said that is gone."""
         self._told.pop(router, None)
 
+    def told_by(
+        self, router: str, now: float, read_per_s: Callable[[str], float]
+    ) -> dict[str, Work]:
+        """Returns what a router said, less what was read since then."""
+        told = self._told.get(router)
+        if told is None:
+            return {}
+        return {
+            name: _aged(work, now - told.at, read_per_s(name))
+            for name, work in told.work.items()
+        }
+
     def own(self) -> dict[str, Work]:
         """Returns this router's work by server."""
         return {name: _sum(found) for name, found in self._own.items()}
@@ -125,12 +137,16 @@
             work = told.work.get(server)
             if work is None:
                 continue
-            read = int(max(now - told.at, 0.0) * read_per_s)
-            unread = max(work.unread - read, 0)
-            total = total.plus(dataclasses.replace(work, unread=unread))
+            total = total.plus(_aged(work, now - told.at, read_per_s))
         return total
 
 
+def _aged(work: Work, age_s: float, read_per_s: float) -> Work:
+    read = int(max(age_s, 0.0) * read_per_s)
+    unread = max(work.unread - read, 0)
+    return Work(work.requests, unread, work.memory)
+
+
 def _sum(tickets: Iterable[Ticket]) -> Work:
     requests = unread = memory = 0
     for ticket in tickets:
--- a/tamarackbridge/components/placement/parts.py
+++ b/tamarackbridge/components/placement/parts.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterator, Mapping
 import hashlib
+import math
 
 from tamarackbridge.components.gateway import models
 
@@ -14,6 +15,10 @@
 """Parts are taken for held this long after their last use; an engine's
 memory is written over about once in this time at full load."""
 
+RETELL_S = 5.0
+"""A part in use is told again after this time, long before it is taken for
+dropped."""
+
 CHAIN_BYTES = 5
 """Size of a part's number; two of a million parts share one by a chance of
 one in two."""
@@ -31,13 +36,19 @@
     def __init__(self) -> None:
         self._held: dict[str, collections.OrderedDict[int, float]] = {}
 
-    def note(self, server: str, chain: int, now: float) -> None:
-        """Notes that a server reads or uses a part."""
+    def note(self, server: str, chain: int, now: float) -> bool:
+        """Notes that a server reads or uses a part.
+
+        Returns:
+            Whether that is news to the other routers.
+        """
         held = self._held.setdefault(server, collections.OrderedDict())
-        held[chain] = now
+        last = held.get(chain, -math.inf)
+        held[chain] = max(now, last)
         held.move_to_end(chain)
         if len(held) > MAX_PARTS:
             held.popitem(last=False)
+        return now - last > RETELL_S
 
     def forget(self, server: str) -> None:
         """Drops what a server held that has started again."""
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -113,6 +113,13 @@
     silent_s: float
 
 
+class PlaceChanged(Event, frozen=True):
+    """This router reports to another hub, or to other hubs as one itself."""
+
+    hub: str
+    hubs: int
+
+
 class BreakerOpened(Event, frozen=True):
     """A server is avoided after failures."""
 
--- a/tamarackbridge/messages.py
+++ b/tamarackbridge/messages.py
@@ -9,6 +9,7 @@
 from tamarackbridge.components.configuration import messages as configuration
 from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.fleet import messages as fleet
+from tamarackbridge.components.knowledge import messages as knowledge
 from tamarackbridge.components.membership import messages as membership
 
 Raw = msgspec.Raw
@@ -38,7 +39,9 @@
     membership.Heartbeat,
     membership.StateAsk,
     membership.StateReply,
-    fleet.Status,
+    fleet.Report,
+    fleet.Introduction,
+    knowledge.Snapshot,
 )
 """The message types that may cross from one router to another."""
 
--- a/tamarackbridge/platform/directory.py
+++ b/tamarackbridge/platform/directory.py
@@ -1,5 +1,7 @@
 """The list of routers, kept as objects of the system's own kind."""
 
+from typing import Any
+
 import result
 
 from tamarackbridge.platform import const, store
@@ -11,10 +13,10 @@
     def __init__(self, client: store.Store) -> None:
         self._client = client
 
-    async def async_enter(self, address: str) -> bool:
+    async def async_enter(self, address: str, zone: str) -> bool:
         """Adds this router; says whether it is certainly in."""
         answer = await self._client.async_put(
-            const.KIND_MEMBERS, _name(address), {"address": address}
+            const.KIND_MEMBERS, _name(address), {"zone": zone}
         )
         return isinstance(answer, result.Ok)
 
@@ -22,13 +24,17 @@
         """Removes this router."""
         await self._client.async_delete(const.KIND_MEMBERS, _name(address))
 
-    async def async_routers(self) -> tuple[str, ...] | None:
-        """Returns the routers' addresses; None if they can't be read."""
+    async def async_routers(self) -> dict[str, str] | None:
+        """Returns routers' addresses and zones; None if they can't be read."""
         page = await self._client.async_list(const.KIND_MEMBERS)
         if isinstance(page, result.Err):
             return None
-        found = (_address(item.name) for item in page.ok_value.objects)
-        return tuple(address for address in found if address)
+        found = {
+            _address(item.name): _zone(item.spec)
+            for item in page.ok_value.objects
+        }
+        found.pop("", None)
+        return found
 
 
 def _name(address: str) -> str:
@@ -38,3 +44,9 @@
 def _address(name: str) -> str:
     host, _, port = name.rpartition("_")
     return f"{host}:{port}" if host and port.isdigit() else ""
+
+
+def _zone(spec: Any) -> str:
+    """Returns the zone of an entry; empty where it is not told."""
+    zone = spec.get("zone") if isinstance(spec, dict) else None
+    return zone if isinstance(zone, str) else ""
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -12,7 +12,7 @@
 
 from tamarackbridge import core, crash_watch
 from tamarackbridge.components.admission import desk, shares
-from tamarackbridge.components.fleet import sharing
+from tamarackbridge.components.fleet import sharing, view
 from tamarackbridge.components.gateway import (
     forward,
     request_log,
@@ -23,7 +23,13 @@
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
 from tamarackbridge.components.gateway import service as gateway
-from tamarackbridge.components.knowledge import follower, source, state
+from tamarackbridge.components.knowledge import (
+    applier,
+    follower,
+    relay,
+    source,
+    state,
+)
 from tamarackbridge.components.placement import (
     choose,
     cold,
@@ -77,13 +83,11 @@
         self._registry = metrics.Metrics(self._clock.monotonic)
         self._counted = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
-        self._sharing = sharing.SharingService(
-            str(cfg.peers),
-            cfg.seeds,
-            directory.StoreDirectory(self._store),
-            self._clock,
-        )
         self._using = self._make_parts()
+        self._taking = applier.Applier(
+            self._known, self._clock, self._on_change, self._forget_server
+        )
+        self._sharing = self._make_sharing()
         self._desk = self._make_desk()
         self._servers = servers.ServerClient()
         self.meter = strain.LagMeter()
@@ -158,8 +162,30 @@
         )
         return made
 
+    def _make_sharing(self) -> sharing.SharingService:
+        """Makes what tells the other routers of this one's work."""
+        relaying = relay.Relay(self._known, self._taking, self._clock)
+        own = view.Own(
+            work=self._using.work,
+            held=self._using.held,
+            use=self._use,
+            fresh_parts=self._fresh,
+            read_per_s=self._using.estimator.read_per_s,
+            editions=relaying.editions,
+        )
+        return sharing.SharingService(
+            str(self._cfg.peers),
+            self._cfg.zone,
+            self._cfg.seeds,
+            directory.StoreDirectory(self._store),
+            self._clock,
+            own,
+            relaying,
+            self._pump,
+        )
+
     def _make_peers(self) -> transport.PeerService:
-        """Makes the links to the other routers, and joins the view to them."""
+        """Makes the links to the other routers."""
         peers = transport.PeerService(
             str(self._cfg.peers),
             self._boot,
@@ -169,15 +195,7 @@
             self._clock,
             self._sharing.receive,
         )
-        view = sharing.View(
-            self._using.work,
-            self._using.held,
-            self._use,
-            self._fresh,
-            self._waiting,
-            self._version,
-        )
-        self._sharing.use(peers, view, self._desk.pump)
+        self._sharing.use(peers)
         return peers
 
     def _make_followers(self) -> dict[str, follower.Follower]:
@@ -187,10 +205,10 @@
                 kind,
                 origin,
                 self._known,
+                self._taking,
                 self._clock,
                 self._kernel.rng,
-                self._on_change,
-                self._forget_server,
+                self._sharing.hub_tells,
             )
             for kind in source.Kind
         }
@@ -265,8 +283,8 @@
         fresh, self._desk.fresh_parts = self._desk.fresh_parts, []
         return fresh
 
-    def _waiting(self) -> int:
-        return self._desk.waiting
+    def _pump(self) -> None:
+        self._desk.pump()
 
     def _version(self) -> tuple[int, float]:
         cfg = self._known.configuration
@@ -349,7 +367,6 @@
             self._clock.monotonic(), self._cfg.bounds.shutdown_s
         )
         self._gateway.shutdown = times
-        self._sharing.leaving = True
         events.write(events.Draining(self._gateway.held))
         leaving = asyncio.create_task(self._sharing.async_leave())
         await self._async_notice(times)
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -7,7 +7,13 @@
 
 import result
 
-from tamarackbridge.components.knowledge import follower, source, state
+from tamarackbridge.components.knowledge import (
+    applier,
+    const,
+    follower,
+    source,
+    state,
+)
 from tests.components.knowledge import builders
 
 AWAY: source.Answer = result.Err(source.Trouble.AWAY)
@@ -66,14 +72,11 @@
     clock = VirtualClock()
     known = state.Knowledge(builders.BOUNDS)
     origin = ScriptedSource(clock, script)
+    taking = applier.Applier(
+        known, clock, lambda: None, origin.forgotten.append
+    )
     svc = follower.Follower(
-        kind,
-        origin,
-        known,
-        clock,
-        random.Random(1),
-        lambda: None,
-        origin.forgotten.append,
+        kind, origin, known, taking, clock, random.Random(1), lambda: False
     )
     await svc.on_start()
     await origin.done.wait()
@@ -182,3 +185,39 @@
         [(0.1, facts(5, s1)), (0.1, facts(6, source.ServerGone("s1")))],
     )
     assert origin.forgotten == ["s1"]
+
+
+async def test_follower_rests_while_it_is_told_and_reads_when_it_is_not() -> (
+    None
+):
+    cfg = source.ConfigurationIs(builders.configuration(3))
+    kind = source.Kind.CONFIGURATION
+    clock = VirtualClock()
+    known = state.Knowledge(builders.BOUNDS)
+    origin = ScriptedSource(clock, [(0.1, facts(5, cfg))])
+    read = asyncio.Event()
+    taking = applier.Applier(known, clock, read.set, origin.forgotten.append)
+    svc = follower.Follower(
+        kind, origin, known, taking, clock, random.Random(1), lambda: True
+    )
+    await svc.on_start()
+    await read.wait()
+    await asyncio.sleep(2 * const.REST_S)
+    assert origin.calls == ["all configuration"]
+    clock.now += const.WAITS[kind] + const.TOLD_MARGIN_S
+    await origin.done.wait()
+    await svc.on_stop()
+    assert origin.calls == ["all configuration", "after 5"]
+
+
+async def test_renewed_registration_tells_what_is_left_of_being_cold() -> None:
+    s1 = builders.server("s1", cold_s=5.0)
+    renewed = dataclasses.replace(s1, cold_s=4.0)
+    known, _, clock = await _async_play(
+        source.Kind.SERVERS,
+        [
+            (0.1, facts(5, source.ServerIs(s1))),
+            (0.1, facts(6, source.ServerIs(renewed))),
+        ],
+    )
+    assert abs(known.servers["s1"].cold_until - clock.now - 4.0) < 1e-6
--- a/tests/components/knowledge/test_state.py
+++ b/tests/components/knowledge/test_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.knowledge import source, state
 from tests.components.knowledge import builders
 
 
@@ -23,7 +23,7 @@
     known: state.Knowledge,
 ) -> None:
     assert not known.may_honour_keys(0.0)
-    known.confirm_configuration(10.0)
+    known.confirm(source.Kind.CONFIGURATION, 10.0)
     assert known.may_honour_keys(13.9)
     assert not known.may_honour_keys(14.1)
 
@@ -31,21 +31,21 @@
 def test_age_ends_before_the_bound_on_revoked_keys(
     known: state.Knowledge,
 ) -> None:
-    known.confirm_configuration(0.0)
+    known.confirm(source.Kind.CONFIGURATION, 0.0)
     ages = [step / 100 for step in range(1000)]
     honoured = [age for age in ages if known.may_honour_keys(age)]
     assert max(honoured) < builders.BOUNDS.revocation_s
 
 
 def test_nothing_is_denied_on_old_knowledge(known: state.Knowledge) -> None:
-    known.confirm_configuration(10.0)
+    known.confirm(source.Kind.CONFIGURATION, 10.0)
     assert known.may_deny(11.5)
     assert not known.may_deny(12.0)
 
 
 def test_confirmation_never_goes_back(known: state.Knowledge) -> None:
-    known.confirm_configuration(10.0)
-    known.confirm_configuration(8.0)
+    known.confirm(source.Kind.CONFIGURATION, 10.0)
+    known.confirm(source.Kind.CONFIGURATION, 8.0)
     assert known.configuration_age(11.0) == 1.0
 
 
