Add a fault soak of real router processes

Ruled out: faults inside the processes (they must come from outside), cuts between routers (a router's address is its name; cuts of links are played in tests/components/fleet). Change: `python -m soak` starts routers as processes behind loopback proxies, kills, stops, pauses and reloads them, troubles links, store and servers, drains, evacuates, revokes, and checks eleven promises from what callers and servers saw. A VM's memory bounds the requests that a router holds. Before, a wrong count of runs in the soak itself had every seed broken (two requests in one turn), and a caller that swallowed its own cancellation hung the first run; both mended.

--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,157 @@
+"""The promises that hold whatever happens, from what both sides saw."""
+
+import collections
+from collections.abc import Iterable, Iterator, Mapping
+
+from soak import callers, programs, world
+from standins import platform_server
+
+REVOKED_S = 5.0
+"""A revoked key is honoured nowhere after it."""
+
+LEAVE_S = 2.0
+"""A leaving server gets nothing after it."""
+
+EVACUATED_S = 5.0
+"""A zone that was taken out gets nothing after it."""
+
+SETTLE_S = 3.0
+"""A router counts as undisturbed this long after a disturbance."""
+
+SLACK_S = 0.5
+"""Time that a busy machine may take from a decision to what is seen of it."""
+
+NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses that promise that a request has not run."""
+
+WHOLE_STREAM = list(range(platform_server.EVENTS))
+
+Runs = Mapping[str, list[world.Run]]
+
+
+def all_of(
+    place: world.World, attempts: Iterable[callers.Attempt]
+) -> list[str]:
+    """Returns a line for each promise that was broken."""
+    runs: dict[str, list[world.Run]] = collections.defaultdict(list)
+    for run in place.runs:
+        runs[run.request_id].append(run)
+    ended = [it for it in attempts if it.ended_at]
+    found = [line for it in ended for line in _attempt(it, runs)]
+    found.extend(_revoked(place, ended, runs))
+    found.extend(_left(place))
+    found.extend(_shutdowns(place, ended))
+    for program in place.programs:
+        program.check_exit()
+        found.extend(program.failures)
+    return found
+
+
+def _attempt(attempt: callers.Attempt, runs: Runs) -> Iterator[str]:
+    ran = len(runs.get(attempt.request_id, ()))
+    once = attempt.route in ("pay", "stream")
+    if ran > (1 if once else 2):
+        yield f"{attempt.request_id} {attempt.route}: ran {ran} times"
+    if attempt.status in NOT_RUN and ran:
+        yield f"{attempt.request_id}: {attempt.status}, but it ran"
+    if attempt.status == 200:
+        yield from _answer(attempt)
+
+
+def _answer(attempt: callers.Attempt) -> Iterator[str]:
+    name = attempt.request_id
+    if attempt.answer_id != name:
+        yield f"{name}: got the answer of {attempt.answer_id!r}"
+    if attempt.streams:
+        events = attempt.events
+        if events != WHOLE_STREAM[: len(events)]:
+            yield f"{name}: events {events}"
+        if attempt.whole and events != WHOLE_STREAM:
+            yield f"{name}: a stream of {events} looked whole"
+    elif attempt.whole and attempt.body != f"answer to {name}".encode():
+        yield f"{name}: answer {attempt.body[:60]!r}"
+
+
+def _revoked(
+    place: world.World, attempts: Iterable[callers.Attempt], runs: Runs
+) -> Iterator[str]:
+    revoked = {it.name: it.at for it in place.changes if it.kind == "revoke"}
+    for attempt in attempts:
+        since = attempt.sent_at - revoked.get(attempt.key, float("inf"))
+        if since > REVOKED_S and runs.get(attempt.request_id):
+            yield (
+                f"{attempt.request_id}: ran with a key that was revoked"
+                f" {since:.2f} s before its sending"
+            )
+
+
+def _left(place: world.World) -> Iterator[str]:
+    """Checks that servers and zones that left get nothing."""
+    for change in place.changes:
+        limit_s = {"drain": LEAVE_S, "out": EVACUATED_S}.get(change.kind)
+        if limit_s is None:
+            continue
+        back = _back_at(place, change)
+        begin = change.at + limit_s + SLACK_S
+        for run in place.runs:
+            concerned = change.name in (run.server, run.zone)
+            if concerned and begin < run.at < back:
+                if _any_disturbed(place, change.at, run.at):
+                    continue
+                yield (
+                    f"{run.request_id}: ran in {change.name}"
+                    f" {run.at - change.at:.2f} s after {change.kind}"
+                )
+
+
+def _back_at(place: world.World, change: world.Change) -> float:
+    later = (
+        it.at
+        for it in place.changes
+        if it.name == change.name and it.at > change.at
+    )
+    return min(later, default=float("inf"))
+
+
+def _any_disturbed(place: world.World, begin: float, end: float) -> bool:
+    """Whether some router could not know what the store held."""
+    return any(
+        _overlap(it, begin, end)
+        for program in place.programs
+        for it in program.disturbed
+        if it.kind in ("store", "pause")
+    )
+
+
+def _shutdowns(
+    place: world.World, attempts: Iterable[callers.Attempt]
+) -> Iterator[str]:
+    """Checks that a shutdown cuts nothing on a router that is well."""
+    terms = {
+        program.name: [it for it in program.disturbed if it.kind == "term"]
+        for program in place.programs
+    }
+    rough = {
+        program.name: [it for it in program.disturbed if it.kind != "term"]
+        for program in place.programs
+    }
+    for attempt in attempts:
+        if attempt.whole or attempt.left or attempt.status:
+            continue
+        begin, end = attempt.sent_at, attempt.ended_at
+        if any(_overlap(it, begin, end) for it in rough[attempt.router]):
+            continue
+        for term in terms[attempt.router]:
+            # Later the balancer has been told, and the listener closes.
+            if term.begin <= begin < term.begin + SETTLE_S:
+                yield (
+                    f"{attempt.request_id}: no answer, sent"
+                    f" {begin - term.begin:.2f} s after SIGTERM of"
+                    f" {attempt.router}: {attempt.error}"
+                )
+
+
+def _overlap(
+    disturbance: programs.Disturbance, begin: float, end: float
+) -> bool:
+    return disturbance.begin <= end and disturbance.end + SETTLE_S >= begin
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,75 @@
+"""One run of the soak, from a seed."""
+
+import asyncio
+import dataclasses
+import itertools
+import pathlib
+import random
+
+from soak import callers, checks, faults, world
+
+CALLERS = 16
+ROUTERS = 4
+CALM_S = 12.0
+"""Time after the last fault within which all routers must be ready again: a
+start on a busy machine, and the longest pause before a call to the store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a run found.
+
+    Attributes:
+        seed: Its seed.
+        attempts: Requests sent.
+        served: Requests that were answered whole with 200.
+        broken: A line for each promise that was broken.
+    """
+
+    seed: int
+    attempts: int
+    served: int
+    broken: tuple[str, ...]
+
+
+async def async_run(
+    seed: int, seconds: float, folder: pathlib.Path, routers: int = ROUTERS
+) -> Result:
+    """Plays faults for a time and checks every promise."""
+    rng = random.Random(seed)
+    attempts: list[callers.Attempt] = []
+    numbers = itertools.count()
+    async with world.World(routers, folder, rng) as place:
+        balancer = callers.Balancer(place.programs)
+        tasks = [asyncio.create_task(balancer.async_run())]
+        ready = await _async_ready(balancer, world.START_S)
+        tasks += [
+            asyncio.create_task(
+                callers.Caller(
+                    place,
+                    balancer,
+                    attempts,
+                    numbers,
+                    random.Random(rng.random()),
+                ).async_run()
+            )
+            for _ in range(CALLERS)
+        ]
+        broken = [] if ready else ["not all routers became ready"]
+        await faults.async_inject(place, rng, seconds)
+        if not await _async_ready(balancer, CALM_S):
+            broken.append("not all routers are ready after the faults")
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        broken += checks.all_of(place, attempts)
+    served = sum(it.status == 200 and it.whole for it in attempts)
+    return Result(seed, len(attempts), served, tuple(broken))
+
+
+async def _async_ready(balancer: callers.Balancer, wait_s: float) -> bool:
+    for _ in range(int(wait_s / callers.POLL_S)):
+        if balancer.all_ready:
+            return True
+        await asyncio.sleep(callers.POLL_S)
+    return False
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -83,6 +83,10 @@
         if self._server is not None:
             self._server.close()
 
+    def note_run(self, request_id: str) -> None:
+        """Notes that a request begins to run."""
+        self.ran.append(request_id)
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -119,7 +123,7 @@
         if fault is Fault.ELSEWHERE:
             self._write(writer, 421, request_id, b"")
             return True
-        self.ran.append(request_id)
+        self.note_run(request_id)
         if fault is Fault.HANG:
             await asyncio.Event().wait()
         if fault is Fault.LOSE:
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -29,8 +29,16 @@
 """Connections that wait to be taken, above any burst of one zone."""
 
 MAX_HELD = 1_500
-"""Requests that one router holds: with bodies of 12 KB and buffers of a
-connection each, a quarter of the smallest VM's memory."""
+"""Most requests that one router holds: what one processor finishes within
+their shortest deadline of a second."""
+
+BASE_MB = 64.0
+"""Memory of a router without requests, and as much as it may grow by what it
+knows of a large fleet."""
+
+HELD_MB = 0.05
+"""Memory for one held request: its body three times, 12 KB in the mean, and
+the buffers of two connections."""
 
 WRITE_STALL_S = 10.0
 """A caller that reads nothing for this long has left; none waits for over
@@ -55,6 +63,7 @@
         host: str,
         port: int,
         max_descriptors: int,
+        memory_mb: float,
         known: state.Knowledge,
         dialect: models.Dialect,
         clock: core.Clock,
@@ -70,6 +79,7 @@
         self.connections = connection.CallerCounts()
         self._host = host
         self._max_connections = max(max_descriptors - SPARE_DESCRIPTORS, 64)
+        self._max_held = _max_held(memory_mb)
         self._known = known
         self._dialect = dialect
         self._clock = clock
@@ -177,7 +187,7 @@
         if call is None:
             refusal = answers.Refusal(answers.Reason.MALFORMED)
             return self._refuse("", refusal, arrived)
-        if self.held > MAX_HELD or self._meter.overloaded:
+        if self.held > self._max_held or self._meter.overloaded:
             resp = self._refuse(call.request_id, _TOO_MANY, arrived)
             resp.force_close()
             return resp
@@ -222,6 +232,12 @@
         return answers.response(refusal, headers)
 
 
+def _max_held(memory_mb: float) -> int:
+    """Returns how many requests fit into a VM's memory."""
+    fitting = int((memory_mb - BASE_MB) / HELD_MB)
+    return min(max(fitting, 1), MAX_HELD)
+
+
 class ReadinessService(core.Service):
     """Tells the balancer whether this router takes callers."""
 
--- a/tamarackbridge/platform/settings.py
+++ b/tamarackbridge/platform/settings.py
@@ -39,6 +39,7 @@
         store: Address of the platform's store.
         bounds: Times and shares that the router must keep to.
         max_descriptors: Descriptors that the process may open.
+        memory_mb: Memory that the process may use, in megabytes.
     """
 
     node: str
@@ -53,6 +54,7 @@
     store: Address
     bounds: fleet.Bounds
     max_descriptors: int
+    memory_mb: float
 
 
 def path() -> pathlib.Path:
@@ -99,6 +101,7 @@
         store=_address(values, "provider.address"),
         bounds=_bounds(values),
         max_descriptors=int(_number(values, "limits.max_fds", 4096)),
+        memory_mb=_number(values, "limits.memory_mb", 256),
     )
 
 
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -144,6 +144,7 @@
             self._cfg.callers.host,
             self._cfg.callers.port,
             self._cfg.max_descriptors,
+            self._cfg.memory_mb,
             self._known,
             words,
             self._clock,
