Reserve ports for programs under test, and import less

Cause: the soak's short run failed once in the whole test run: vm-0 could not listen (errno 98, its log says so): its port was chosen, given back, and taken by a proxy of the same test before the process started. Tests of the gateway chose ports in the same way. Ruled out: the router's own listeners (one each), a port left over by a stopped process (first start). Change: ports stay bound, never listening, as long as their program may need them; limits of a caller's connection and the address of the peers' listener are passed without the settings of the product's own file.

--- a/bench/slopes_transport.py
+++ b/bench/slopes_transport.py
@@ -6,7 +6,6 @@
 
 from tamarackbridge import const, core
 from tamarackbridge.components.dispatch import messages as dispatch
-from tamarackbridge.components.settings import models as settings
 from tamarackbridge.components.transport import service
 
 BATCHES = 100
@@ -21,9 +20,8 @@
 async def _async_batch(size: int) -> dict[str, float]:
     taken: list[core.Delivery] = []
     clock = core.SystemClock()
-    listen = settings.ListenSettings()
-    receiving = service.PeerService("a", 1, listen, clock, taken.append)
-    sending = service.PeerService("b", 2, listen, clock, taken.append)
+    receiving = service.PeerService("a", 1, "127.0.0.1", 0, clock, taken.append)
+    sending = service.PeerService("b", 2, "127.0.0.1", 0, clock, taken.append)
     async with receiving, sending:
         sending.set_addresses({"a": f"127.0.0.1:{receiving.port}"})
         sending.post("a", _FINISH)
@@ -47,12 +45,11 @@
 async def _async_links(size: int) -> dict[str, float]:
     taken: list[core.Delivery] = []
     clock = core.SystemClock()
-    listen = settings.ListenSettings()
     peers = [
-        service.PeerService(f"p{i}", i + 3, listen, clock, taken.append)
+        service.PeerService(f"p{i}", i + 3, "127.0.0.1", 0, clock, taken.append)
         for i in range(size)
     ]
-    sending = service.PeerService("b", 2, listen, clock, taken.append)
+    sending = service.PeerService("b", 2, "127.0.0.1", 0, clock, taken.append)
     async with contextlib.AsyncExitStack() as stack:
         for peer in [*peers, sending]:
             await stack.enter_async_context(peer)
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -5,10 +5,11 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 
+from standins import ports
+
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 
 GRACE_S = 8.0
@@ -18,18 +19,6 @@
 """Time beyond it until a busy machine has noticed the exit."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [int(sock.getsockname()[1]) for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
-
-
 @dataclasses.dataclass(slots=True)
 class Disturbance:
     """A time in which a router may fail callers through no fault of its own.
@@ -65,7 +54,8 @@
         self._store = store
         self._file = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
-        callers, ready, peers = free_ports(3)
+        self._reserved = ports.ReservedPorts(3)
+        callers, ready, peers = self._reserved.ports
         self.callers = f"127.0.0.1:{callers}"
         self.readiness = f"http://127.0.0.1:{ready}/readiness"
         self.peers = f"127.0.0.1:{peers}"
@@ -148,6 +138,11 @@
         if process.returncode not in (0, -signal.SIGKILL):
             self.failures.append(f"{self.name}: exit {process.returncode}")
 
+    async def async_close(self) -> None:
+        """Ends the process and gives its ports back."""
+        await self.async_kill()
+        self._reserved.close()
+
     def check_exit(self) -> None:
         """Notes an exit that nobody asked for."""
         if self._process is None or self.running or self._expected_exit:
--- a/soak/world.py
+++ b/soak/world.py
@@ -98,7 +98,6 @@
         for program in self.programs:
             program.write_settings(seeds)
             await program.async_start()
-            self._stack.push_async_callback(program.async_kill)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -156,6 +155,7 @@
         self.links[f"store-{name}"] = store
         self.links[f"callers-{name}"] = callers
         self.programs.append(program)
+        self._stack.push_async_callback(program.async_close)
 
 
 def _configuration(
--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -10,7 +10,6 @@
 from aiohttp import http_exceptions, web
 
 from tamarackbridge.components.entry import const, problem
-from tamarackbridge.components.settings import models as settings
 
 SEND_BUFFER_BYTES = 262_144
 """Kernel memory for bytes that one caller has not taken yet."""
@@ -33,6 +32,23 @@
     malformed: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits on what one caller can send or hold.
+
+    Attributes:
+        max_header_bytes: Largest header line and largest header field.
+        max_connections: Open connections of all callers.
+        header_timeout_s: Time to send the whole header.
+        write_stall_s: Time that a caller may leave its answer unread.
+    """
+
+    max_header_bytes: int
+    max_connections: int
+    header_timeout_s: float
+    write_stall_s: float
+
+
 class CallerConnection(web.RequestHandler):
     """Ends a connection whose caller sends or reads too slowly.
 
@@ -43,7 +59,7 @@
     def __init__(
         self,
         server: web.Server,
-        cfg: settings.LimitSettings,
+        cfg: CallerLimits,
         counts: CallerCounts,
         idle_timeout_s: float | None = None,
     ) -> None:
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -89,8 +89,16 @@
     def _accept(self) -> connection.CallerConnection:
         assert self._runner is not None
         assert self._runner.server is not None
+        limits = self._settings.limits
         return connection.CallerConnection(
-            self._runner.server, self._settings.limits, self.connections
+            self._runner.server,
+            connection.CallerLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_connections=limits.max_connections,
+                header_timeout_s=limits.header_timeout_s,
+                write_stall_s=limits.write_stall_s,
+            ),
+            self.connections,
         )
 
     async def on_stop(self) -> None:
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -20,7 +20,6 @@
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
-from tamarackbridge.components.settings import models as settings_models
 
 SPARE_DESCRIPTORS = 600
 """Descriptors kept for servers, peers, the store and files."""
@@ -128,7 +127,7 @@
     def _connect(self) -> connection.CallerConnection:
         assert self._server is not None
         limits = self._limits()
-        cfg = settings_models.LimitSettings(
+        cfg = connection.CallerLimits(
             max_header_bytes=max(limits.max_header_bytes, 1024),
             max_connections=self._max_connections,
             header_timeout_s=limits.header_timeout_s,
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 import contextlib
+import ssl
+from typing import Protocol
 
 from absl import logging
 import aiohttp
 from aiohttp import web
 
 from tamarackbridge import core, exceptions, messages
-from tamarackbridge.components.settings import models as settings_models
-from tamarackbridge.components.tls import peers as tls_peers
 from tamarackbridge.components.transport import age, const, link
 
 _Opened = contextlib.AbstractAsyncContextManager[
@@ -17,6 +17,18 @@
 ]
 
 
+class Credentials(Protocol):
+    """What a router shows the others, and accepts of them."""
+
+    def server(self) -> ssl.SSLContext:
+        """Returns the listener's context."""
+        ...
+
+    def client(self) -> ssl.SSLContext:
+        """Returns the context for a new connection."""
+        ...
+
+
 class PeerService(core.Service):
     """Exchanges message batches with the other routers.
 
@@ -28,19 +40,20 @@
         self,
         node: str,
         boot: int,
-        listen: settings_models.ListenSettings,
+        host: str,
+        port: int,
         clock: core.Clock,
         receive: Callable[[core.Delivery], None],
-        credentials: tls_peers.PeerCredentials | None = None,
+        credentials: Credentials | None = None,
     ) -> None:
         super().__init__()
         self._credentials = credentials
         self._sent_before = (0, 0)
-        self.port = 0
+        self.port = port
         self.received_batches = 0
         self.received_bytes = 0
         self.undecodable = 0
-        self._listen = listen
+        self._host = host
         self._clock = clock
         self._receive = receive
         self._ages = age.AgeTracker(node, boot)
@@ -64,10 +77,7 @@
         await self._runner.setup()
         context = self._credentials.server() if self._credentials else None
         site = web.TCPSite(
-            self._runner,
-            self._listen.host,
-            self._listen.port,
-            ssl_context=context,
+            self._runner, self._host, self.port, ssl_context=context
         )
         await site.start()
         self.port = self._runner.addresses[0][1]
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -38,7 +38,6 @@
     ledger,
     parts,
 )
-from tamarackbridge.components.settings import models as settings_models
 from tamarackbridge.components.telemetry import events, metrics, queue_log
 from tamarackbridge.components.transport import service as transport
 from tamarackbridge.platform import const as platform_const
@@ -190,9 +189,8 @@
         peers = transport.PeerService(
             str(self._cfg.peers),
             self._boot,
-            settings_models.ListenSettings(
-                host=self._cfg.peers.host, port=self._cfg.peers.port
-            ),
+            self._cfg.peers.host,
+            self._cfg.peers.port,
             self._clock,
             self._sharing.receive,
         )
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -128,7 +128,8 @@
         return transport.PeerService(
             self.settings.node,
             self._boot,
-            listen,
+            listen.host,
+            listen.port,
             self.kernel.clock,
             self._receive,
             credentials,
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -4,12 +4,12 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 import contextlib
 import dataclasses
-import socket
 
 import aiohttp
 import yarl
 
 from standins import platform_server, platform_store
+from standins import ports as standin_ports
 from tamarackbridge import platform_router
 from tamarackbridge.components.gateway import shutdown
 from tamarackbridge.platform import settings
@@ -106,14 +106,7 @@
     raise AssertionError("it never came true")
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
-def settings_text(store: str) -> str:
-    ports = [_free_port() for _ in range(3)]
+def settings_text(store: str, ports: list[int]) -> str:
     return "\n".join(
         (
             "node=vm-1",
@@ -189,7 +182,9 @@
             await stack.enter_async_context(server)
             await _async_register(store, server)
             found.append(server)
-        cfg = settings.parse(settings_text(store.address))
+        reserved = standin_ports.ReservedPorts(3)
+        stack.callback(reserved.close)
+        cfg = settings.parse(settings_text(store.address, reserved.ports))
         router = platform_router.PlatformRouter(cfg)
         await router.async_start()
         stack.push_async_callback(router.async_stop)
--- a/tests/components/transport/test_service.py
+++ b/tests/components/transport/test_service.py
@@ -4,7 +4,6 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.fleet import messages
-from tamarackbridge.components.settings import models as settings
 from tamarackbridge.components.transport import const, service
 
 LONG_S = 10.0
@@ -21,7 +20,8 @@
         self.service = service.PeerService(
             node,
             len(node),
-            settings.ListenSettings(port=port),
+            "127.0.0.1",
+            port,
             core.SystemClock(),
             self.heard.put_nowait,
         )
--- a/tests/components/transport/test_tls.py
+++ b/tests/components/transport/test_tls.py
@@ -25,7 +25,8 @@
     made = service.PeerService(
         node,
         len(node),
-        settings.ListenSettings(),
+        "127.0.0.1",
+        0,
         core.SystemClock(),
         queue.put_nowait,
         peers.PeerCredentials(tls) if tls.certificate else None,
