Take waiting connections before the listener closes; refuse who can't be reached

Change: what waits at the listener is accepted in the same turn in which it closes. A request that has waited 1.5 s is refused if, by how fast those before it went, its turn comes after its deadline. Figures: five connections that wait: reset before, served now.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -1,6 +1,7 @@
 """Lets requests go in fair order, each to the server chosen for it."""
 
 import asyncio
+import collections
 from collections.abc import Callable, Collection
 import dataclasses
 import random
@@ -11,6 +12,7 @@
 from tamarackbridge.components.admission import (
     budget,
     costs,
+    pace,
     permit,
     pressure,
     shares,
@@ -100,6 +102,8 @@
         self._waiting: list[_Waiter] = []
         self._served: dict[str, float] = {}
         self._pressure = pressure.Pressure()
+        self._paces: collections.defaultdict[str, pace.Pace]
+        self._paces = collections.defaultdict(pace.Pace)
         self._level = float("inf")
         self._level_at = -1.0
         self._ticker: asyncio.Task[None] | None = None
@@ -209,30 +213,38 @@
         self._refresh_level(now)
         self._waiting.sort(key=lambda it: self._order(it.job, now))
         pending = [it for it in self._waiting if not it.fut.done()]
-        for waiter in pending[:MAX_LOOKED_AT]:
-            self._decide(waiter, now)
-        for waiter in pending[MAX_LOOKED_AT:]:
-            self._decide_unplaced(waiter, now)
+        before: collections.Counter[str] = collections.Counter()
+        for place, waiter in enumerate(pending):
+            service = waiter.job.service.name
+            left_s = self._paces[service].left_s(before[service], now)
+            if place < MAX_LOOKED_AT:
+                self._decide(waiter, now, left_s)
+            else:
+                self._decide_unplaced(waiter, now, left_s)
+            before[service] += 1
         self._waiting = [it for it in self._waiting if not it.fut.done()]
 
-    def _decide_unplaced(self, waiter: _Waiter, now: float) -> None:
+    def _decide_unplaced(
+        self, waiter: _Waiter, now: float, left_s: float
+    ) -> None:
         job = waiter.job
         standing = self._standing(job.workspace)
-        found = verdict.decide_unplaced(job, standing, now)
+        found = verdict.decide_unplaced(job, standing, now, left_s)
         if found.refusal is not None:
             self._log_refused(job, found.refusal, standing, 0, now)
             waiter.fut.set_result(result.Err(self._spread(found.refusal)))
 
-    def _decide(self, waiter: _Waiter, now: float) -> None:
+    def _decide(self, waiter: _Waiter, now: float, left_s: float) -> None:
         job = waiter.job
         options = self._using.chooser.options(job, self._routers(), now)
         if job.service.is_model:
             reading_s = self._using.chooser.reading_s(job.service.name, now)
             self._pressure.note(reading_s, now)
         standing = self._standing(job.workspace)
-        found = verdict.decide(job, options, standing, now)
+        found = verdict.decide(job, options, standing, now, left_s)
         if found.option is not None:
             self._log_placed(job, found.option, standing, len(options), now)
+            self._paces[job.service.name].note(now)
             granted = self._permit(job, found.option, now)
             waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from tamarackbridge.components.admission import pace
 from tamarackbridge.components.gateway import answers, jobs
 from tamarackbridge.components.placement import choose
 
@@ -104,8 +105,17 @@
     options: Sequence[choose.Option],
     standing: Standing,
     now: float,
+    left_s: float = 0.0,
 ) -> Verdict:
-    """Decides on one request, given its servers, best first."""
+    """Decides on one request.
+
+    Args:
+        job: The request.
+        options: Its servers, best first.
+        standing: How its workspace stands against its share.
+        now: The time.
+        left_s: How long it will wait still, by those that went before it.
+    """
     standing = _standing_of(job, standing)
     if now >= job.deadline:
         return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
@@ -116,7 +126,7 @@
     best = next((it for it in options if not it.full), None)
     if best is not None and _goes(best, standing, waited_s, target_s):
         return Verdict(Step.SEND, best)
-    given_up = decide_unplaced(job, standing, now)
+    given_up = decide_unplaced(job, standing, now, left_s)
     if given_up.step is Step.REFUSE:
         return given_up
     if options and now + min(it.first_s for it in options) >= job.deadline:
@@ -124,7 +134,9 @@
     return WAIT
 
 
-def decide_unplaced(job: jobs.Job, standing: Standing, now: float) -> Verdict:
+def decide_unplaced(
+    job: jobs.Job, standing: Standing, now: float, left_s: float = 0.0
+) -> Verdict:
     """Decides on a request that can't be sent now, without its servers."""
     standing = _standing_of(job, standing)
     if now >= job.deadline:
@@ -133,6 +145,8 @@
     soon_s = job.route.target_s * SOON
     if job.service.is_model and standing.over and waited_s >= soon_s:
         return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
+    if waited_s >= pace.WINDOW_S and now + left_s >= job.deadline:
+        return _refuse(answers.Reason.OVERLOADED, RETRY_MAX_S)
     return WAIT
 
 
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 
 from aiohttp import abc, http_parser, streams, web
 import result
@@ -85,6 +86,7 @@
         self._acceptor = accept.Acceptor(known, dialect, clock)
         self._runner: runner.Runner | None = None
         self._server: web.Server | None = None
+        self._socket: socket.socket | None = None
         self._listener: asyncio.Server | None = None
 
     def use(self, job_runner: runner.Runner) -> None:
@@ -98,11 +100,14 @@
             request_factory=self._make_request,
             handler_cancellation=True,
         )
+        self._socket = socket.create_server(
+            (self._host, self.port), backlog=BACKLOG
+        )
+        self.port = self._socket.getsockname()[1]
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._connect, self._host, self.port, backlog=BACKLOG
+            self._connect, sock=self._socket, backlog=BACKLOG
         )
-        self.port = self._listener.sockets[0].getsockname()[1]
 
     async def on_stop(self) -> None:
         """Closes the listener and what is left of the connections."""
@@ -111,9 +116,15 @@
             await self._server.shutdown(0.0)
 
     def close_listener(self) -> None:
-        """Takes no further connections."""
-        if self._listener is not None:
-            self._listener.close()
+        """Takes the connections that wait for it, and no further ones."""
+        if self._listener is None or not self._listener.is_serving():
+            return
+        assert self._socket is not None
+        loop = asyncio.get_running_loop()
+        # The kernel resets what waits at a listener that is closed.
+        while (conn := _accepted(self._socket)) is not None:
+            self.add_future(loop.connect_accepted_socket(self._connect, conn))
+        self._listener.close()
 
     def close_idle(self) -> None:
         """Closes connections that wait for a request."""
@@ -231,6 +242,16 @@
         return answers.response(refusal, headers)
 
 
+def _accepted(listener: socket.socket) -> socket.socket | None:
+    """Returns a connection that waits at a listener; None if none does."""
+    try:
+        conn, _ = listener.accept()
+    except OSError:
+        return None  # None waits, or the one that did has gone.
+    conn.setblocking(False)
+    return conn
+
+
 def _max_held(memory_mb: float) -> int:
     """Returns how many requests fit into a VM's memory."""
     fitting = int((memory_mb - BASE_MB) / HELD_MB)
--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -199,3 +199,24 @@
     with contextlib.suppress(asyncio.CancelledError):
         await task
     assert replay.work.own() == {}
+
+
+async def test_who_can_not_be_reached_in_time_learns_it_soon() -> None:
+    """Four of five engines are gone, and nobody is over a share."""
+    arrivals = [
+        arrival
+        for number in range(10)
+        for arrival in steady(f"w{number}", 10.0, 6.0, 6_000)
+    ]
+    replay = load_replay.Replay(engines=1, tokens_per_s=1_000_000)
+    fates = await replay.async_play(arrivals)
+    held = [
+        it.refused_at - it.arrival.at
+        for it in fates
+        if it.refused_at is not None
+    ]
+    assert len(held) >= 0.4 * len(fates)
+    patience_s = 12.0
+    assert sum(held) / len(held) < patience_s / 3
+    begun = [it for it in fates if it.first_at is not None]
+    assert len(begun) >= 0.8 * patience_s * load_replay.READ_PER_S / 6_000
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -202,3 +202,24 @@
     assert gateway_caller.has_left(cast(web.BaseRequest, req))
     transport.close()
     server.close()
+
+
+async def test_connections_that_wait_when_the_listener_closes_are_served() -> (
+    None
+):
+    """At a shutdown the kernel has made some that nobody has taken yet."""
+    async with place.async_place(servers=1) as here:
+        cfg = here.cfg.callers
+        waiting = [
+            socket.create_connection((cfg.host, cfg.port)) for _ in range(5)
+        ]
+        here.router._gateway.close_listener()
+        for number, sock in enumerate(waiting):
+            reader, writer = await asyncio.open_connection(sock=sock)
+            head = HEAD.replace("q1", f"q{number}")
+            writer.write(f"GET /read/1 HTTP/1.1\r\n{head}\r\n".encode())
+            status, _, body = await Caller(reader, writer).async_answer()
+            assert (status, body) == (200, f"answer to q{number}".encode())
+            writer.close()
+        with pytest.raises(OSError, match="refused"):
+            socket.create_connection((cfg.host, cfg.port))
