--- a/bench/slopes_transport.py
+++ b/bench/slopes_transport.py
@@ -1,4 +1,4 @@
-"""Slopes of the gRPC streams between two routers."""
+"""Slopes of the links between two routers."""
 
 import asyncio
 import contextlib
--- a/tamarackbridge/components/tls/peers.py
+++ b/tamarackbridge/components/tls/peers.py
@@ -28,15 +28,20 @@
 
     def client(self) -> ssl.SSLContext:
         """Returns the context for a new connection, from the newest files."""
+        self.reload()
+        return self._client
+
+    def reload(self) -> None:
+        """Takes the files in if they have changed."""
         self._server.reload()
         now = reloader.fingerprint(self._cfg)
-        if now != self._seen:
-            self._seen = now
-            try:
-                self._client = _client_context(self._cfg)
-            except exceptions.TlsError as exc:
-                logging.warning("peer certificates not reloaded: %s", exc)
-        return self._client
+        if now == self._seen:
+            return
+        self._seen = now
+        try:
+            self._client = _client_context(self._cfg)
+        except exceptions.TlsError as exc:
+            logging.warning("peer certificates not reloaded: %s", exc)
 
 
 def _client_context(cfg: settings.TlsSettings) -> ssl.SSLContext:
--- a/tamarackbridge/components/tls/reloader.py
+++ b/tamarackbridge/components/tls/reloader.py
@@ -3,6 +3,7 @@
 import hashlib
 import pathlib
 import ssl
+from typing import Protocol
 
 from absl import logging
 import mode
@@ -57,12 +58,20 @@
         conn.context = self._current
 
 
+class Reloading(Protocol):
+    """What rests on certificates in files."""
+
+    def reload(self) -> None:
+        """Takes the files in if they have changed."""
+        ...
+
+
 class ReloadService(core.Service):
     """Looks for changed files now and then."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._reloading: list[ReloadingContext] = []
+        self._reloading: list[Reloading] = []
 
     def add(self, cfg: settings.TlsSettings) -> ssl.SSLContext:
         """Returns a context that follows its files.
@@ -71,9 +80,13 @@
             TlsError: The files can't be used now.
         """
         made = ReloadingContext(cfg)
-        self._reloading.append(made)
+        self.follow(made)
         return made.context
 
+    def follow(self, made: Reloading) -> None:
+        """Looks after something else that rests on files."""
+        self._reloading.append(made)
+
     def reload(self) -> None:
         """Looks for changed files at once."""
         for item in self._reloading:
--- a/tamarackbridge/components/transport/__init__.py
+++ b/tamarackbridge/components/transport/__init__.py
@@ -1,1 +1,1 @@
-"""gRPC streams between routers, batched per peer and tick."""
+"""WebSockets between routers, batched for each peer."""
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -61,13 +61,13 @@
         self._loads = load_poller.LoadPort()
         incarnation = int(clock.wall() * core_const.MS_PER_S)
         self._policy = policy.build(settings, incarnation, clock, kernel.rng)
+        self._tls = reloader.ReloadService()
         self._peers = self._make_peers()
         store = object_api_http.HttpObjectApi(settings.platform)
         self._loop = decider_loop.DeciderLoop(
             self._make_group(), clock, store, self._peers.post
         )
         backend = backend_client.BackendClient()
-        self._tls = reloader.ReloadService()
         registry = metrics.Metrics()
         self._tracer = traces.make_tracer(settings.telemetry, settings.node)
         self._entry = entry_service.EntryService(
@@ -125,6 +125,7 @@
         credentials = None
         if contexts.enabled(listen):
             credentials = tls_peers.PeerCredentials(listen.tls)
+            self._tls.follow(credentials)
         return transport.PeerService(
             self.settings.node,
             self._boot,
--- a/tests/components/tls/test_tls.py
+++ b/tests/components/tls/test_tls.py
@@ -125,6 +125,14 @@
             await async_serial(port, as_ours)
 
 
+async def async_certificate(port: int, context: ssl.SSLContext) -> str:
+    """Returns the serial number of a listener's certificate."""
+    _, writer = await asyncio.open_connection("127.0.0.1", port, ssl=context)
+    cert = writer.get_extra_info("peercert")
+    writer.close()
+    return str(cert["serialNumber"])
+
+
 async def async_call(port: int, context: ssl.SSLContext) -> int:
     connector = aiohttp.TCPConnector(ssl=context)
     async with aiohttp.ClientSession(connector=connector) as session:
@@ -148,6 +156,12 @@
             await async_call(port, strange.client())
         authority.issue("a", authority.path)
         assert await async_call(port, ours.client()) == 404
+        before = await async_certificate(port, ours.client())
+        authority.issue("a", authority.path)
+        following = reloader.ReloadService()
+        following.follow(ours)
+        following.reload()
+        assert await async_certificate(port, ours.client()) != before
     finally:
         await runner.cleanup()
 
