Log what decided an early refusal, and who told knowledge

Cause: the lines of the new decisions lacked their inputs: how long a request would still have waited, and which router told what this one lacked. Ruled out: a line for each report (25 a second for each router).

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable, Collection
 import dataclasses
+import math
 import random
 
 import result
@@ -231,7 +232,7 @@
         standing = self._standing(job.workspace)
         found = verdict.decide_unplaced(job, standing, now, left_s)
         if found.refusal is not None:
-            self._log_refused(job, found.refusal, standing, 0, now)
+            self._log_refused(job, found.refusal, standing, 0, left_s, now)
             waiter.fut.set_result(result.Err(self._spread(found.refusal)))
 
     def _decide(self, waiter: _Waiter, now: float, left_s: float) -> None:
@@ -248,7 +249,10 @@
             granted = self._permit(job, found.option, now)
             waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
-            self._log_refused(job, found.refusal, standing, len(options), now)
+            servers = len(options)
+            self._log_refused(
+                job, found.refusal, standing, servers, left_s, now
+            )
             waiter.fut.set_result(result.Err(self._spread(found.refusal)))
 
     def _log_placed(
@@ -286,6 +290,7 @@
         refusal: answers.Refusal,
         standing: verdict.Standing,
         servers: int,
+        left_s: float,
         now: float,
     ) -> None:
         events.write(
@@ -298,6 +303,7 @@
                 share=round(standing.ratio, 3),
                 pressure_s=round(self._pressure.wait_s, 4),
                 servers=servers,
+                left_s=round(left_s, 3) if math.isfinite(left_s) else -1.0,
             )
         )
 
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -128,7 +128,7 @@
         elif isinstance(msg, messages.Introduction):
             self.view.meet(msg, now)
         elif isinstance(msg, knowledge.Snapshot):
-            self._relay.take(msg, delivery.age_s)
+            self._relay.take(delivery.src, msg, delivery.age_s)
 
     def note_change(self) -> None:
         """Notes that the others should soon hear of this router's work."""
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -16,6 +16,7 @@
     source,
     state,
 )
+from tamarackbridge.components.telemetry import events
 
 MS_PER_S = 1000
 
@@ -70,7 +71,7 @@
             if self._lacks(told, follows) and self._is_due(router, told, now)
         ]
 
-    def take(self, told: messages.Snapshot, age_s: float) -> None:
+    def take(self, router: str, told: messages.Snapshot, age_s: float) -> None:
         """Takes what another router sent, unless more is known here."""
         kind = told.edition.kind
         known = self._known.edition(kind)
@@ -87,6 +88,7 @@
         self._known.advance(kind, told.edition.changed, changed=True)
         self._known.advance(kind, told.edition.revision, changed=False)
         self.hear((told.edition,), age_s)
+        self._log(router, told.edition)
         self._taking.changed()
 
     def forget(self, router: str) -> None:
@@ -106,6 +108,17 @@
                 gone = source.ServerGone(it.server.name)
                 self._taking.apply(gone, it.lapses_ms / MS_PER_S)
 
+    def _log(self, router: str, told: messages.Edition) -> None:
+        age_s = self._known.age(told.kind, self._clock.monotonic())
+        events.write(
+            events.KnowledgeTold(
+                kind=told.kind.value,
+                router=router,
+                revision=told.revision,
+                age_s=round(age_s, 3) if math.isfinite(age_s) else -1.0,
+            )
+        )
+
     def _lacks(self, told: messages.Edition, follows: bool) -> bool:
         known = self._known.edition(told.kind)
         if told.revision >= known.changed:
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -86,6 +86,15 @@
     away_s: float
 
 
+class KnowledgeTold(Event, frozen=True):
+    """Another router sent what this one lacked of a kind."""
+
+    kind: str
+    router: str
+    revision: int
+    age_s: float
+
+
 class HistoryLost(Event, frozen=True):
     """The store forgot what changed; everything is read anew."""
 
@@ -147,7 +156,11 @@
 
 
 class NotAdmitted(Event, frozen=True):
-    """A waiting request is given up before it was sent."""
+    """A waiting request is given up before it was sent.
+
+    `left_s` is how long it would still have waited, by those that went before
+    it; -1 if none went.
+    """
 
     request: str
     workspace: str
@@ -157,6 +170,7 @@
     share: float
     pressure_s: float
     servers: int
+    left_s: float
 
 
 class SendingEnded(Event, frozen=True):
