Give the steps of a shutdown a module of their own

Ruled out: moving the gauges, which read nearly every part. Change: components/gateway/drain.py, same steps in the same order.

--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -14,11 +14,11 @@
 from tamarackbridge.components.admission import desk, shares
 from tamarackbridge.components.fleet import sharing, view
 from tamarackbridge.components.gateway import (
+    drain,
     forward,
     request_log,
     runner,
     servers,
-    shutdown,
     strain,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
@@ -48,20 +48,9 @@
 BOOT_BITS = 31
 """Size of the identifier of one process life."""
 
-NOTICE_S = 2.6
-"""Time until the balancer sends no new connections: it asks once a second and
-needs two misses, and its question may wait for half a second."""
-
-QUIET_S = 0.3
-"""A shutdown ends when nothing was held for this long: a connection that the
-balancer has just made needs a few round trips for its request."""
-
 STOP_S = 0.4
 """Longest time for closing connections, inside the margin of a shutdown."""
 
-HELD_POLL_S = 0.05
-"""Interval at which a shutdown looks for what is still held."""
-
 
 class PlatformRouter:
     """All services of one router process on the platform.
@@ -331,7 +320,12 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.async_start()
         await self._stop.wait()
-        await self._async_drain()
+        await drain.async_drain(
+            self._gateway,
+            self._clock,
+            self._cfg.bounds.shutdown_s,
+            self._sharing.async_leave,
+        )
         await self.async_stop()
         return self._exit_code
 
@@ -360,38 +354,6 @@
         self._exit_code = 1
         self._stop.set()
 
-    async def _async_drain(self) -> None:
-        """Lets go of callers, then waits for what is held."""
-        times = shutdown.begin(
-            self._clock.monotonic(), self._cfg.bounds.shutdown_s
-        )
-        self._gateway.shutdown = times
-        events.write(events.Draining(self._gateway.held))
-        leaving = asyncio.create_task(self._sharing.async_leave())
-        await self._async_notice(times)
-        await self._async_until_quiet(times)
-        # What the kernel has accepted and nobody reads would end unanswered.
-        self._gateway.close_listener()
-        await self._async_until_quiet(times)
-        self._gateway.close_idle()
-        leaving.cancel()
-
-    async def _async_until_quiet(self, times: shutdown.Shutdown) -> None:
-        """Waits until nothing was held for a while, or time is up."""
-        quiet_since = self._clock.monotonic()
-        while (now := self._clock.monotonic()) < times.end:
-            if self._gateway.held:
-                quiet_since = now
-            elif now - quiet_since >= QUIET_S:
-                return
-            await asyncio.sleep(HELD_POLL_S)
-
-    async def _async_notice(self, times: shutdown.Shutdown) -> None:
-        """Waits until the balancer has been told."""
-        now = self._clock.monotonic()
-        await asyncio.sleep(min(NOTICE_S, max(times.end - now, 0.0)))
-        self._gateway.close_idle()
-
 
 async def _async_stop(services: list[mode.Service]) -> None:
     for svc in reversed(services):
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 import pytest
 
-from tamarackbridge import platform_router
 from tamarackbridge.components.gateway import caller as gateway_caller
+from tamarackbridge.components.gateway import drain
 from tests.components.gateway import place
 
 HEAD = f"Host: {place.HOST}\r\nX-Request-Id: q1\r\nX-Api-Key: {place.KEY}\r\n"
@@ -162,10 +162,15 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A caller that connects at the end is turned away, not left waiting."""
-    monkeypatch.setattr(platform_router, "NOTICE_S", 0.01)
-    monkeypatch.setattr(platform_router, "QUIET_S", 0.01)
+    monkeypatch.setattr(drain, "NOTICE_S", 0.01)
+    monkeypatch.setattr(drain, "QUIET_S", 0.01)
     async with place.async_place(servers=1) as here:
-        await here.router._async_drain()
+        await drain.async_drain(
+            here.router._gateway,
+            here.router._clock,
+            8.0,
+            here.router._sharing.async_leave,
+        )
         with pytest.raises(ConnectionRefusedError):
             await _async_caller(here)
 
