Close a caller's connection only after an answer that says so

A stream that had begun before the signal had told its caller nothing of the connection's end; when the stream ended, the connection was closed all the same, with the caller's next request on its way. The same held for a router under strain, at any time.

Change: whether an answer is the last one is asked when its head is sent, and never afterwards. Such a connection stays open for its next request, whose answer says so, and is closed idle by the shutdown.

Before: the new test fails both ways (connection closed; no closing answer).

--- a/tamarackbridge/components/gateway/caller.py
+++ b/tamarackbridge/components/gateway/caller.py
@@ -1,5 +1,6 @@
 """The streamed answer to one caller."""
 
+from collections.abc import Callable
 import select
 import time
 
@@ -34,14 +35,16 @@
         longest_pause_s: Longest time between two writes of events.
     """
 
-    def __init__(self, req: web.BaseRequest, draining: bool) -> None:
+    def __init__(
+        self, req: web.BaseRequest, is_last: Callable[[], bool]
+    ) -> None:
         self.response: web.StreamResponse | None = None
         self.events = 0
         self.first_at: float | None = None
         self.longest_pause_s = 0.0
         self._last_at = 0.0
         self._req = req
-        self._draining = draining
+        self._is_last = is_last
         self._placement: jobs.Placement | None = None
 
     def place(self, placement: jobs.Placement) -> None:
@@ -105,6 +108,6 @@
         for name, value in head.headers:
             self.response.headers.add(name, value)
         self.response.enable_chunked_encoding()
-        if self._draining:
+        if self._is_last():
             self.response.force_close()
         await self.response.prepare(self._req)
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -65,7 +65,7 @@
         forwarder: forward.Forwarder,
         dialect: models.Dialect,
         clock: core.Clock,
-        draining: Callable[[], bool],
+        is_last: Callable[[], bool],
         log: request_log.RequestLog,
     ) -> None:
         self._log = log
@@ -73,7 +73,7 @@
         self._forwarder = forwarder
         self._dialect = dialect
         self._clock = clock
-        self._draining = draining
+        self._is_last = is_last
 
     async def async_run(
         self, req: web.BaseRequest, job: jobs.Job
@@ -84,7 +84,7 @@
             CallerGoneError: The caller closed its connection.
             AnswerCutError: An answer under way could not be finished.
         """
-        stream = caller.CallerStream(req, self._draining())
+        stream = caller.CallerStream(req, self._is_last)
         events = None
         if job.route.kind is knowledge.RouteKind.STREAM:
             events = relay.EventRelay(job.call.resume_after)
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -180,10 +180,18 @@
         finally:
             self.held -= 1
             conn.end_request()
-        if self.draining or self._meter.strained:
+        if self.is_last() and not resp.prepared:
             resp.force_close()
         return resp
 
+    def is_last(self) -> bool:
+        """Whether an answer that begins now is the last of its connection.
+
+        A connection whose last answer began without saying so stays open: its
+        caller may send the next request at once.
+        """
+        return self.draining or self._meter.strained
+
     @property
     def draining(self) -> bool:
         """Whether the router is shutting down."""
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -145,7 +145,7 @@
                 forward.Forwarder(self._servers, words),
                 words,
                 self._clock,
-                lambda: made.draining,
+                made.is_last,
                 log,
             )
         )
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -1,6 +1,7 @@
 """What callers may send on a connection, byte for byte."""
 
 import asyncio
+from collections.abc import Callable
 import socket
 import types
 from typing import cast
@@ -9,7 +10,7 @@
 import pytest
 
 from tamarackbridge.components.gateway import caller as gateway_caller
-from tamarackbridge.components.gateway import drain
+from tamarackbridge.components.gateway import drain, strain
 from tests.components.gateway import place
 
 HEAD = f"Host: {place.HOST}\r\nX-Request-Id: q1\r\nX-Api-Key: {place.KEY}\r\n"
@@ -134,6 +135,34 @@
         caller.writer.close()
 
 
+def _begin_strain(here: place.Place) -> None:
+    meter = strain.LagMeter()
+    meter.strained = True
+    here.router._gateway._meter = meter
+
+
+@pytest.mark.parametrize(
+    "begin", [place.Place.begin_shutdown, _begin_strain]
+)
+async def test_connection_closes_only_after_an_answer_that_says_so(
+    begin: Callable[[place.Place], None],
+) -> None:
+    """A caller whose answer began before sends its next request at once."""
+    async with place.async_place(servers=1) as here:
+        here.servers[0].pace_s = 0.02
+        caller = await _async_caller(here)
+        caller.writer.write(f"GET /stream/1 HTTP/1.1\r\n{HEAD}\r\n".encode())
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert b"close" not in head.lower()
+        begin(here)
+        await caller.reader.readuntil(b"\r\n0\r\n\r\n")
+        caller.writer.write(f"GET /read/1 HTTP/1.1\r\n{HEAD}\r\n".encode())
+        status, headers, _ = await caller.async_answer()
+        assert (status, headers["connection"]) == (200, "close")
+        assert await caller.reader.read() == b""
+        caller.writer.close()
+
+
 async def test_zone_that_is_taken_out_gets_no_new_work() -> None:
     async with place.async_place(servers=2) as here:
         await here.store.async_put("evacuations", "z1", {})
