Test that an early answer never lets a request fill the rest of a body

Ruled out: nothing failed; three bodies of 8 MiB to a server that answers first. Change: a test on real connections. Product code is unchanged.

--- /dev/null
+++ b/tests/components/gateway/test_servers.py
@@ -0,0 +1,76 @@
+"""Connections to backend servers that do what the library does not expect."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import pytest
+
+from tamarackbridge.components.gateway import models, servers
+
+BODY = bytes(range(256)) * 32_768
+"""More than the kernel takes for a server that does not read."""
+
+READ_LATE_S = 0.05
+
+
+class EarlyServer:
+    """Answers before it has read a body, and reads on later."""
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+        self.first_lines: list[bytes] = []
+        self.address = ""
+
+    async def async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.first_lines.append(head.partition(b"\r\n")[0])
+                length = head.lower().partition(b"content-length: ")[2]
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+                )
+                await asyncio.sleep(READ_LATE_S)
+                size = int(length.partition(b"\r\n")[0])
+                self.bodies.append(await reader.readexactly(size))
+        writer.close()
+
+
+@pytest.fixture
+async def early() -> AsyncIterator[EarlyServer]:
+    server = EarlyServer()
+    listener = await asyncio.start_server(server.async_serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    server.address = f"127.0.0.1:{port}"
+    yield server
+    listener.close()
+
+
+@pytest.fixture
+async def client() -> AsyncIterator[servers.ServerClient]:
+    made = servers.ServerClient()
+    await made.on_start()
+    yield made
+    await made.on_stop()
+
+
+def _call(body: bytes) -> models.Call:
+    return models.Call(
+        "q1", "POST", "a", "/x/1", (), "", 12.0, 100, 10, 0, (), "", body
+    )
+
+
+async def test_next_request_never_fills_a_body_that_was_not_read(
+    early: EarlyServer, client: servers.ServerClient
+) -> None:
+    for _ in range(3):
+        opened = client.async_open(early.address, _call(BODY), [])
+        async with opened as resp:
+            assert await resp.read() == b"done"
+    await asyncio.sleep(2 * READ_LATE_S)
+    assert set(early.first_lines) == {b"POST /x/1 HTTP/1.1"}
+    assert len(early.first_lines) == 3
+    assert all(it == BODY for it in early.bodies)
