End a router also while nobody reads its log; spans for each hop

The new test of a real process found that it serves, and then does not end: the interpreter's exit waits for the thread that writes (12 s and more, until it would be killed). With few lines queued the stop itself waited without bound.

Change: the log's stop has a bound and says whether all was read; if not, the process ends without the interpreter's exit. The soak starts a router once where two faults overlap. Lag is taken every 0.1 s, half as often.

Ruled out: the serving (2,400 answers of 200 with nothing read). Conclusion: an operator whose log collector hangs can still restart routers.

--- a/soak/programs.py
+++ b/soak/programs.py
@@ -62,12 +62,18 @@
         self._ready_port = ready
         self._process: asyncio.subprocess.Process | None = None
         self._expected_exit = False
+        self._starting = asyncio.Lock()
 
     @property
     def running(self) -> bool:
         """Whether the process lives."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def environment(self) -> dict[str, str]:
+        """Variables that name the settings file."""
+        return {"TAMARACKBRIDGE_SETTINGS": str(self._file)}
+
     def write_settings(self, seeds: list[str], revoke_ms: int = 5_000) -> None:
         """Writes the settings file."""
         lines = (
@@ -89,9 +95,14 @@
         self._file.write_text("\n".join(lines), encoding="utf-8")
 
     async def async_start(self) -> None:
-        """Starts the process."""
+        """Starts the process, unless it runs."""
+        async with self._starting:
+            if not self.running:
+                await self._async_start()
+
+    async def _async_start(self) -> None:
         self._expected_exit = False
-        env = {**os.environ, "TAMARACKBRIDGE_SETTINGS": str(self._file)}
+        env = {**os.environ, **self.environment}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -3,6 +3,7 @@
 import dataclasses
 import importlib
 import pathlib
+import socket
 from typing import Annotated, Literal
 import uuid
 
@@ -17,8 +18,11 @@
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.records import codec, files
 from tamarackbridge.components.settings import loader
+from tamarackbridge.components.telemetry import spans
 from tamarackbridge.components.telemetry import trace as request_trace
 from tamarackbridge.components.tls import exceptions as tls
+from tamarackbridge.platform import exceptions as platform_exceptions
+from tamarackbridge.platform import settings as platform_settings
 
 Options = client_options.Options
 DEFAULT = client_options.DEFAULT
@@ -54,25 +58,38 @@
 
 
 @app.command
-def platform_router(*, settings: pathlib.Path | None = None) -> int:
+def platform_router(
+    *, settings: pathlib.Path | None = None, traces: str = spans.OFF
+) -> int:
     """Runs a router on the users' platform until a signal ends it.
 
     Args:
         settings: The platform's settings file; by default the one that the
             platform names.
+        traces: Where spans go: off, log, or the URL of an OTLP collector.
     """
+    exporters = importlib.import_module(
+        "tamarackbridge.components.telemetry.traces"
+    )
+    try:
+        tracer = exporters.make_tracer(traces, socket.gethostname())
+    except exporters.TracesError as exc:
+        return show.fail(const.Exit.USAGE, str(exc))
     entry = importlib.import_module("tamarackbridge.platform.__main__")
-    code: int = entry.main(settings)
+    code: int = entry.main(settings, tracer)
     return code
 
 
 @app.command
-def check(*, settings: pathlib.Path) -> int:
+def check(*, settings: pathlib.Path, platform: bool = False) -> int:
     """Checks a settings file and starts nothing.
 
     Args:
-        settings: TOML file with the settings of a router.
+        settings: File with the settings of a router.
+        platform: Whether it is a file of the users' platform, not TOML.
     """
+    if platform:
+        return _check_platform(settings)
     loaded = loader.load(settings)
     if isinstance(loaded, result.Err):
         return show.fail(const.Exit.USAGE, str(loaded.err_value))
@@ -80,6 +97,15 @@
     return const.Exit.OK
 
 
+def _check_platform(file: pathlib.Path) -> int:
+    try:
+        cfg = platform_settings.load(file)
+    except platform_exceptions.SettingsError as exc:
+        return show.fail(const.Exit.USAGE, str(exc))
+    print(f"{file}: ok, router {cfg.node}")
+    return const.Exit.OK
+
+
 @app.command
 def trace(request: str, *logs: pathlib.Path) -> int:
     """Prints one request's story from the log files of several routers.
--- a/tamarackbridge/components/entry/accept.py
+++ b/tamarackbridge/components/entry/accept.py
@@ -10,7 +10,7 @@
 from tamarackbridge.components.entry import const, problem
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
-from tamarackbridge.components.telemetry import traces
+from tamarackbridge.components.telemetry import spans
 
 _PASSED_HEADERS = frozenset(
     {"accept", "content-type", "idempotency-key", "traceparent", "tracestate"}
@@ -68,7 +68,7 @@
     snapshot: models.Snapshot,
     now: float,
     body_timeout_s: float,
-    span: traces.Span,
+    span: spans.Span,
 ) -> result.Result[entry_models.Request, problem.Problem]:
     """Turns an HTTP request into an accepted request or a refusal."""
     request_id = uuid.uuid4().hex
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -20,7 +20,7 @@
 )
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
-from tamarackbridge.components.telemetry import traces
+from tamarackbridge.components.telemetry import spans
 
 _END = attempts.End
 _STREAM_TYPE = "text/event-stream"
@@ -84,7 +84,7 @@
     stream: caller_stream.CallerStream | None
     limit_s: float
     report: Callable[[float], None]
-    span: traces.Span
+    span: spans.Span
 
 
 class Forwarder:
--- a/tamarackbridge/components/entry/models.py
+++ b/tamarackbridge/components/entry/models.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from tamarackbridge.components.records import models
-from tamarackbridge.components.telemetry import traces
+from tamarackbridge.components.telemetry import spans
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,4 +36,4 @@
     hint_cost: float
     idempotency_key: str
     deadline: float
-    span: traces.Span = dataclasses.field(default_factory=traces.NullSpan)
+    span: spans.Span = dataclasses.field(default_factory=spans.NullSpan)
--- a/tamarackbridge/components/entry/telemetry.py
+++ b/tamarackbridge/components/entry/telemetry.py
@@ -1,6 +1,6 @@
 """What the entry counts, times and traces of requests."""
 
-from tamarackbridge.components.telemetry import metrics, traces
+from tamarackbridge.components.telemetry import metrics, spans
 
 
 class RequestTelemetry:
@@ -10,9 +10,7 @@
         tracer: Starts the span of each accepted request.
     """
 
-    def __init__(
-        self, registry: metrics.Metrics, tracer: traces.Tracer
-    ) -> None:
+    def __init__(self, registry: metrics.Metrics, tracer: spans.Tracer) -> None:
         self.tracer = tracer
         self._answers = registry.counter(
             "answers", "Answers to callers, by status.", ("status",)
@@ -49,4 +47,4 @@
 
 def null() -> RequestTelemetry:
     """Returns telemetry whose registry nobody reads."""
-    return RequestTelemetry(metrics.Metrics(), traces.NullTracer())
+    return RequestTelemetry(metrics.Metrics(), spans.NullTracer())
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -1,6 +1,7 @@
 """One sending of one call to one backend server."""
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 import enum
 from typing import Protocol
@@ -108,7 +109,10 @@
         return sent
 
     async def _async_exchange(self, order: Order, sent: Sent) -> None:
-        headers = self._dialect.write_call(order.call, order.sending)
+        headers = _traced(
+            self._dialect.write_call(order.call, order.sending),
+            order.sending.trace,
+        )
         opened = self._client.async_open(order.address, order.call, headers)
         async with opened as resp:
             head = self._dialect.read_head(
@@ -129,6 +133,16 @@
             sent.end = _plain_end(head, resp)
 
 
+def _traced(
+    headers: models.HeaderList, trace: Mapping[str, str]
+) -> models.HeaderList:
+    """Returns headers that name this hop instead of the one before it."""
+    if not trace:
+        return headers
+    kept = (it for it in headers if it[0].lower() not in trace)
+    return (*kept, *trace.items())
+
+
 def _plain_end(head: models.Head, resp: aiohttp.ClientResponse) -> End:
     if head.told is models.Told.NOT_RUN:
         return End.NOT_RUN
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -65,12 +65,15 @@
         workspace: The workspace whose key the caller holds; empty if none.
         left_s: How long the caller still waits.
         resume_after: The last event that was passed on; empty if none.
+        trace: Headers that name this hop; the caller's are passed on without
+            them.
     """
 
     server: str
     workspace: str
     left_s: float
     resume_after: str
+    trace: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Told(enum.Enum):
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -18,6 +18,7 @@
     request_log,
 )
 from tamarackbridge.components.knowledge import models as knowledge
+from tamarackbridge.components.telemetry import spans
 
 MAX_UNSENT = 3
 """Servers that may fail to take a connection before a job is refused; two
@@ -76,10 +77,15 @@
         self._is_last = is_last
 
     async def async_run(
-        self, req: web.BaseRequest, job: jobs.Job
+        self, req: web.BaseRequest, job: jobs.Job, span: spans.Span
     ) -> web.StreamResponse:
         """Sees a job to its answer.
 
+        Args:
+            req: The caller's request.
+            job: What it asks for.
+            span: The hop that this is; each sending is one within it.
+
         Raises:
             CallerGoneError: The caller closed its connection.
             AnswerCutError: An answer under way could not be finished.
@@ -96,9 +102,10 @@
             if caller.has_left(req):
                 admitted.ok_value.finish(_Outcome.CANCELLED)
                 raise exceptions.CallerGoneError("closed before the sending")
-            sent = await self._async_send(
-                job, stream, events, admitted.ok_value
-            )
+            with span.child("send") as hop:
+                sent = await self._async_send(
+                    job, stream, events, admitted.ok_value, hop
+                )
             server = admitted.ok_value.server.name
             if sent.end is _End.WHOLE and not _is_failure(sent):
                 self._log.answered(job, stream, sent, server)
@@ -118,8 +125,10 @@
         stream: caller.CallerStream,
         events: relay.EventRelay | None,
         placement: jobs.Placement,
+        hop: spans.Span,
     ) -> forward.Sent:
         server = placement.server
+        hop.set("server", server.name)
         stream.place(placement)
         resume_after = events.resume_after if events else ""
         order = forward.Order(
@@ -130,6 +139,7 @@
                 workspace=job.workspace,
                 left_s=job.deadline - self._clock.monotonic(),
                 resume_after=resume_after,
+                trace=hop.headers(),
             ),
             events,
             stream,
@@ -138,6 +148,7 @@
         try:
             sent = await self._forwarder.async_send(order)
             outcome = _outcome(sent)
+            hop.set("end", sent.end.value)
         finally:
             placement.finish(outcome)
         return sent
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -21,6 +21,7 @@
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.telemetry import spans
 
 SPARE_DESCRIPTORS = 600
 """Descriptors kept for servers, peers, the store and files."""
@@ -69,10 +70,12 @@
         clock: core.Clock,
         log: request_log.RequestLog,
         meter: strain.LagMeter,
+        tracer: spans.Tracer,
     ) -> None:
         super().__init__()
         self._log = log
         self._meter = meter
+        self._tracer = tracer
         self.held = 0
         self.shutdown: shutdown.Shutdown | None = None
         self.port = port
@@ -213,7 +216,9 @@
         if expects and req.transport is not None:
             req.transport.write(_CONTINUE)
         try:
-            return await self._async_accepted(req, call, arrived)
+            with self._tracer.start("request", req.headers) as span:
+                span.set("request", call.request_id)
+                return await self._async_accepted(req, call, arrived, span)
         except (asyncio.CancelledError, exceptions.CallerGoneError):
             self._log_end(call, arrived)
             raise
@@ -227,7 +232,11 @@
             self._log.caller_left(call.request_id, arrived)
 
     async def _async_accepted(
-        self, req: web.BaseRequest, call: models.Call, arrived: float
+        self,
+        req: web.BaseRequest,
+        call: models.Call,
+        arrived: float,
+        span: spans.Span,
     ) -> web.StreamResponse:
         assert self._runner is not None
         accepted = await self._acceptor.async_accept(req, call)
@@ -240,7 +249,7 @@
         now = self._clock.monotonic()
         if self.shutdown is not None and not self.shutdown.takes(job, now):
             return self._refuse(call.request_id, _SHUTTING_DOWN, arrived)
-        return await self._runner.async_run(req, job)
+        return await self._runner.async_run(req, job, span)
 
     def _refuse(
         self, request_id: str, refusal: answers.Refusal, arrived: float
--- a/tamarackbridge/components/gateway/strain.py
+++ b/tamarackbridge/components/gateway/strain.py
@@ -9,7 +9,7 @@
 
 from tamarackbridge import core
 
-STEP_S = 0.05
+STEP_S = 0.1
 """Interval at which the event loop's lag is taken."""
 
 SMOOTHING = 0.3
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -121,6 +121,29 @@
     least: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Prompt:
+    """What of a request is the same for all engines.
+
+    Attributes:
+        chained: Its parts with their numbers.
+        tokens: Its prompt tokens.
+        own: Tokens of its own part.
+        shared: Tokens of all other parts.
+        size: Its size as the users weigh it.
+        memory: Tokens that it takes in an engine's memory.
+        crossing: Cost of its bytes between zones.
+    """
+
+    chained: parts.Chained
+    tokens: int
+    own: int
+    shared: int
+    size: float
+    memory: int
+    crossing: float
+
+
 class Chooser:
     """Ranks the servers of a service for a request."""
 
@@ -220,42 +243,46 @@
         if len(names) > 2 * FEW:
             weighed = self._loads_of(job.service.name, now).least | rank.keys()
             usable = [it for it in usable if it.server.name in weighed]
+        prompt = _prompt(job)
         return [
-            self._model_option(job, it, rank.get(it.server.name, FEW), now)
+            self._model_option(
+                job, prompt, it, rank.get(it.server.name, FEW), now
+            )
             for it in usable
         ]
 
     def _model_option(
-        self, job: jobs.Job, it: state.Registered, rank: int, now: float
+        self,
+        job: jobs.Job,
+        prompt: _Prompt,
+        it: state.Registered,
+        rank: int,
+        now: float,
     ) -> Option:
         name = it.server.name
         speed = self._estimator.read_per_s(name)
         work = self._work.at(name, now, speed)
-        call = job.call
-        if call.parts:
-            unread = self._held.unread(name, call.parts, now)
-            own = min(call.parts[-1].tokens, unread)
-        else:
-            unread = own = call.prompt_tokens
+        unread = own = prompt.tokens
+        if prompt.chained:
+            unread = self._held.unread(name, prompt.chained, now)
+            own = min(prompt.own, unread)
         first_s = self._estimator.first_event_s(name, work.unread, unread)
         slots = max(job.service.slots, 1)
         waited_s = now - job.arrived
         late = (waited_s + first_s) / job.route.target_s - IN_TIME
         late = min(max(late / LATE_SPREAD, 0.0), 1.0)
         late = max(late, self._jerky(job, name, now))
-        size = call.prompt_tokens + OUTPUT_WEIGHT * call.output_tokens
-        needed = call.prompt_tokens + call.output_tokens
         room = job.service.memory_tokens * MEMORY_SHARE
         cost = (
             REREAD_WEIGHT * (unread - own)
-            + late * LATE_WEIGHT * size
+            + late * LATE_WEIGHT * prompt.size
             + CROWD_TOKENS * work.requests / slots
             + AHEAD_WEIGHT * work.unread
-            + self._crossing_tokens(job, it)
-            + rank * (1.0 + RANK_WEIGHT * parts.shared_tokens(call.parts))
+            + (prompt.crossing if it.server.zone != self._zone else 0.0)
+            + rank * (1.0 + RANK_WEIGHT * prompt.shared)
         )
         full = work.requests >= slots or (
-            work.requests > 0 and work.memory + needed > room
+            work.requests > 0 and work.memory + prompt.memory > room
         )
         ahead_s = work.unread / speed
         return Option(it, cost, first_s, work.unread, ahead_s, unread, full)
@@ -274,19 +301,31 @@
         name = it.server.name
         work = self._work.at(name, now, 0.0)
         slots = max(it.server.slots, 1)
-        cost = (
-            PLAIN_FULL_TOKENS * work.requests / slots
-            + self._crossing_tokens(job, it)
+        cost = PLAIN_FULL_TOKENS * work.requests / slots + (
+            _crossing_tokens(job) if it.server.zone != self._zone else 0.0
         )
         return Option(it, cost, 0.0, 0, 0.0, 0, work.requests >= slots)
 
-    def _crossing_tokens(self, job: jobs.Job, it: state.Registered) -> float:
-        if it.server.zone == self._zone:
-            return 0.0
-        tokens = max(job.service.event_tokens, 1)
-        expected = job.call.output_hint or job.call.output_tokens
-        answer = expected / tokens * EVENT_BYTES
-        return (len(job.call.body) + answer) / BYTES_PER_TOKEN
+
+def _crossing_tokens(job: jobs.Job) -> float:
+    """Returns what the bytes of a request and its answer cost across zones."""
+    tokens = max(job.service.event_tokens, 1)
+    expected = job.call.output_hint or job.call.output_tokens
+    answer = expected / tokens * EVENT_BYTES
+    return (len(job.call.body) + answer) / BYTES_PER_TOKEN
+
+
+def _prompt(job: jobs.Job) -> _Prompt:
+    call = job.call
+    return _Prompt(
+        chained=parts.chains(call.parts),
+        tokens=call.prompt_tokens,
+        own=call.parts[-1].tokens if call.parts else call.prompt_tokens,
+        shared=parts.shared_tokens(call.parts),
+        size=call.prompt_tokens + OUTPUT_WEIGHT * call.output_tokens,
+        memory=call.prompt_tokens + call.output_tokens,
+        crossing=_crossing_tokens(job),
+    )
 
 
 @functools.lru_cache(maxsize=KNOWN_ORDERS)
--- a/tamarackbridge/components/placement/parts.py
+++ b/tamarackbridge/components/placement/parts.py
@@ -9,6 +9,7 @@
 import functools
 import hashlib
 import math
+from typing import TypeAlias
 
 from tamarackbridge.components.gateway import models
 
@@ -27,6 +28,8 @@
 MAX_PARTS = 20_000
 """Parts remembered for each server, at a hundred bytes each."""
 
+Chained: TypeAlias = tuple[tuple[int, models.PromptPart], ...]
+"""Parts of a prompt, each with a number that covers all parts before it."""
 
 _KNOWN_PROMPTS = 1_024
 """Prompts whose numbers are kept: all that wait or run at one router."""
@@ -58,14 +61,12 @@
         """Drops what a server held that has started again."""
         self._held.pop(server, None)
 
-    def unread(
-        self, server: str, parts: tuple[models.PromptPart, ...], now: float
-    ) -> int:
+    def unread(self, server: str, chained: Chained, now: float) -> int:
         """Returns how many tokens of a prompt a server has to read."""
         held = self._held.get(server, _NOTHING)
         reading = False
         unread = 0
-        for chain, part in chains(parts):
+        for chain, part in chained:
             if not reading:
                 last = held.get(chain)
                 reading = last is None or now - last > HELD_S
@@ -75,9 +76,7 @@
 
 
 @functools.lru_cache(maxsize=_KNOWN_PROMPTS)
-def chains(
-    parts: tuple[models.PromptPart, ...],
-) -> tuple[tuple[int, models.PromptPart], ...]:
+def chains(parts: tuple[models.PromptPart, ...]) -> Chained:
     """Returns each part with a number that covers all parts before it.
 
     A part is of use only if all parts before it are held too.
--- a/tamarackbridge/components/telemetry/queue_log.py
+++ b/tamarackbridge/components/telemetry/queue_log.py
@@ -19,6 +19,10 @@
 """Lines that wait to be written: some seconds of a router at full load, at
 about a kilobyte of memory each."""
 
+LAST_LINES_S = 0.2
+"""Time for the last lines at a shutdown: a full queue takes that long where
+somebody reads."""
+
 _FORMAT = "{asctime}{levelname}"
 _RENAMED = {"asctime": "time", "levelname": "level"}
 
@@ -73,6 +77,22 @@
         return record
 
 
+class _Listener(handlers.QueueListener):
+    """Writes queued records in a thread of its own."""
+
+    def stop_within(self, seconds: float) -> bool:
+        """Ends the thread; says whether it has written everything."""
+        thread = self._thread
+        if thread is None:
+            return True
+        try:
+            self.enqueue_sentinel()
+        except queue.Full:
+            return False
+        thread.join(seconds)
+        return not thread.is_alive()
+
+
 class QueuedLog:
     """The log of one process: a handler, and the thread that writes."""
 
@@ -87,7 +107,7 @@
                 static_fields={"node": node},
             )
         )
-        self._listener = handlers.QueueListener(self.handler.lines, writer)
+        self._listener = _Listener(self.handler.lines, writer)
 
     def start(self) -> None:
         """Sends all log lines of the process through the queue."""
@@ -100,7 +120,6 @@
         root.setLevel(absl_logger.level)
         self._listener.start()
 
-    def stop(self) -> None:
-        """Writes what is queued, unless nobody reads it."""
-        if self.handler.lines.qsize() < MAX_QUEUED // 2:
-            self._listener.stop()
+    def stop(self) -> bool:
+        """Writes what is queued; says whether somebody read all of it."""
+        return self._listener.stop_within(LAST_LINES_S)
--- a/tamarackbridge/components/telemetry/traces.py
+++ b/tamarackbridge/components/telemetry/traces.py
@@ -1,7 +1,7 @@
-"""Spans for each hop of a request, with W3C trace context."""
+"""Spans by OpenTelemetry, with W3C trace context."""
 
 from collections.abc import Mapping, Sequence
-from typing import Protocol, Self, TypeAlias
+from typing import Self
 
 from absl import logging
 from opentelemetry import context as otel_context
@@ -12,94 +12,17 @@
 from opentelemetry.trace.propagation import tracecontext
 
 from tamarackbridge import exceptions
-from tamarackbridge.components.settings import models as settings
+from tamarackbridge.components.telemetry import spans
 
-OFF = "off"
 LOG = "log"
 
-Attribute: TypeAlias = str | int | float | bool
-
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
-_NO_HEADERS: Mapping[str, str] = {}
 
 
 class TracesError(exceptions.TamarackbridgeError):
     """The setting for traces names no known exporter."""
 
 
-class Span(Protocol):
-    """One hop of a request; ends when its context is left."""
-
-    def child(self, name: str) -> "Span":
-        """Starts a span within this one."""
-        ...
-
-    def set(self, key: str, value: Attribute) -> None:
-        """Sets an attribute."""
-        ...
-
-    def headers(self) -> Mapping[str, str]:
-        """Returns the trace context to send to the next hop."""
-        ...
-
-    def __enter__(self) -> Self:
-        """Returns itself."""
-        ...
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Ends the span, failed when an exception passes."""
-        ...
-
-
-class Tracer(Protocol):
-    """Starts the first span of a request."""
-
-    def start(self, name: str, headers: Mapping[str, str]) -> Span:
-        """Starts a span; `headers` may carry the caller's trace context."""
-        ...
-
-    def close(self) -> None:
-        """Sends what is left and ends."""
-        ...
-
-
-class NullSpan:
-    """A span that records nothing."""
-
-    def child(self, name: str) -> "NullSpan":
-        """Returns itself."""
-        del name  # Nothing is recorded.
-        return self
-
-    def set(self, key: str, value: Attribute) -> None:
-        """Does nothing."""
-
-    def headers(self) -> Mapping[str, str]:
-        """Returns no header: what the caller sent is passed on as it is."""
-        return _NO_HEADERS
-
-    def __enter__(self) -> Self:
-        """Returns itself."""
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Does nothing."""
-
-
-class NullTracer:
-    """The tracer while traces are off."""
-
-    _SPAN = NullSpan()
-
-    def start(self, name: str, headers: Mapping[str, str]) -> Span:
-        """Returns the one span that records nothing."""
-        del name, headers  # Nothing is recorded.
-        return self._SPAN
-
-    def close(self) -> None:
-        """Does nothing."""
-
-
 class OtelSpan:
     """A span that is exported."""
 
@@ -113,7 +36,7 @@
         """Starts a span within this one."""
         return OtelSpan(self._tracer, name, self._context())
 
-    def set(self, key: str, value: Attribute) -> None:
+    def set(self, key: str, value: spans.Attribute) -> None:
         """Sets an attribute."""
         self._span.set_attribute(key, value)
 
@@ -153,7 +76,7 @@
         self._provider.add_span_processor(processor)
         self._tracer = self._provider.get_tracer("tamarackbridge")
 
-    def start(self, name: str, headers: Mapping[str, str]) -> Span:
+    def start(self, name: str, headers: Mapping[str, str]) -> spans.Span:
         """Starts a span under the caller's trace context, if any."""
         lower = {key.lower(): value for key, value in headers.items()}
         parent = _PROPAGATOR.extract(lower, otel_context.Context())
@@ -176,21 +99,25 @@
         return export.SpanExportResult.SUCCESS
 
 
-def make_tracer(cfg: settings.TelemetrySettings, node: str) -> Tracer:
-    """Returns the tracer that the settings name.
+def make_tracer(traces: str, node: str) -> spans.Tracer:
+    """Returns the tracer that a setting names.
+
+    Args:
+        traces: Where spans go: `off`, `log` or the URL of a collector.
+        node: Name of the VM.
 
     Raises:
-        TracesError: `traces` is neither `off`, `log` nor an URL.
+        TracesError: It is none of these.
     """
-    if cfg.traces == OFF:
-        return NullTracer()
-    if cfg.traces == LOG:
+    if traces == spans.OFF:
+        return spans.NullTracer()
+    if traces == LOG:
         processor = export.SimpleSpanProcessor(LogExporter())
         return OtelTracer(node, processor)
-    if cfg.traces.startswith(("http://", "https://")):
-        return OtelTracer(node, _otlp_processor(cfg.traces))
+    if traces.startswith(("http://", "https://")):
+        return OtelTracer(node, _otlp_processor(traces))
     allowed = "allowed are off, log or the URL of an OTLP collector"
-    raise TracesError(f"traces = {cfg.traces!r}: {allowed}")
+    raise TracesError(f"traces = {traces!r}: {allowed}")
 
 
 def _otlp_processor(endpoint: str) -> sdk.SpanProcessor:
--- a/tamarackbridge/platform/settings.py
+++ b/tamarackbridge/platform/settings.py
@@ -72,7 +72,10 @@
     """
     try:
         text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeError) as exc:
+    except OSError as exc:
+        detail = f"{file}: {exc.strerror}"
+        raise exceptions.SettingsError("", detail) from exc
+    except UnicodeError as exc:
         raise exceptions.SettingsError("", f"{file}: {exc}") from exc
     return parse(text)
 
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import random
 import secrets
 import signal
@@ -39,7 +40,12 @@
     ledger,
     parts,
 )
-from tamarackbridge.components.telemetry import events, metrics, queue_log
+from tamarackbridge.components.telemetry import (
+    events,
+    metrics,
+    queue_log,
+    spans,
+)
 from tamarackbridge.components.transport import service as transport
 from tamarackbridge.platform import const as platform_const
 from tamarackbridge.platform import dialect, directory, exceptions, store
@@ -60,8 +66,11 @@
         meter: The lag of its event loop.
     """
 
-    def __init__(self, cfg: platform_settings.Settings) -> None:
+    def __init__(
+        self, cfg: platform_settings.Settings, tracer: spans.Tracer
+    ) -> None:
         self._cfg = cfg
+        self._tracer = tracer
         self._exit_code = 0
         self._stop = asyncio.Event()
         self._news = asyncio.Event()
@@ -139,6 +148,7 @@
             self._clock,
             log,
             self.meter,
+            self._tracer,
         )
         made.use(
             runner.Runner(
@@ -365,14 +375,17 @@
             logging.info({"event": "StopCutShort", "service": str(svc)})
 
 
-def run(cfg: platform_settings.Settings) -> int:
+def run(cfg: platform_settings.Settings, tracer: spans.Tracer) -> int:
     """Runs a router; returns the exit code of the process."""
     log = queue_log.QueuedLog(cfg.node)
     log.start()
 
     async def async_main() -> int:
-        return await PlatformRouter(cfg).async_run()
+        return await PlatformRouter(cfg, tracer).async_run()
 
     code = asyncio.run(async_main())
-    log.stop()
+    tracer.close()
+    if not log.stop():
+        # A regular exit would wait for the thread that nobody reads from.
+        os._exit(code)
     return code
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -75,7 +75,9 @@
         )
         backend = backend_client.BackendClient()
         registry = metrics.Metrics()
-        self._tracer = traces.make_tracer(settings.telemetry, settings.node)
+        self._tracer = traces.make_tracer(
+            settings.telemetry.traces, settings.node
+        )
         self._entry = entry_service.EntryService(
             settings,
             clock,
--- a/tests/components/client/test_app.py
+++ b/tests/components/client/test_app.py
@@ -84,6 +84,16 @@
     [
         (["check", "--settings", "none.toml"], 2, "none.toml: No such file"),
         (["router", "--settings", "none.toml"], 2, "none.toml: No such file"),
+        (
+            ["check", "--platform", "--settings", "none.conf"],
+            2,
+            "none.conf: No such file",
+        ),
+        (
+            ["platform-router", "--traces", "paper"],
+            2,
+            "traces = 'paper': allowed are off, log or the URL",
+        ),
         (["apply", "-f", "x.yaml"], 2, "x.yaml: No such file"),
         (
             ["get", "zone", "--url", "http://127.0.0.1:1"],
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,97 @@
+"""A router process whose output nobody reads."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+
+import aiohttp
+import pytest
+
+from soak import programs, world
+from tamarackbridge.components.telemetry import queue_log
+
+CALLERS = 16
+
+
+async def _async_call(
+    session: aiohttp.ClientSession,
+    program: programs.Program,
+    numbers: Iterator[int],
+    statuses: collections.Counter[int],
+) -> None:
+    for number in numbers:
+        headers = {
+            "Host": world.HOST,
+            "X-Request-Id": f"q{number}",
+            "X-Api-Key": "key-0",
+            "X-Deadline-Ms": "30000",
+        }
+        url = f"http://{program.callers}/read/1"
+        async with session.get(url, headers=headers) as resp:
+            await resp.read()
+            statuses[resp.status] += 1
+
+
+async def _async_ready(program: programs.Program) -> None:
+    async with aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.get(program.readiness) as resp:
+                    if resp.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass  # It does not listen yet.
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    "requests",
+    [
+        300,  # Their lines fill a pipe.
+        2_400,  # Their lines fill the queue as well.
+    ],
+)
+async def test_router_serves_and_ends_while_nobody_reads_its_log(
+    requests: int, tmp_path: pathlib.Path
+) -> None:
+    statuses: collections.Counter[int] = collections.Counter()
+    unread, output = os.pipe()
+    async with world.World(0, tmp_path, random.Random(1)) as place:
+        program = programs.Program("vm-0", "z1", place.store.address, tmp_path)
+        program.write_settings([])
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tamarackbridge.platform",
+            cwd=programs.ROOT,
+            env={**os.environ, **program.environment},
+            stdout=output,
+        )
+        os.close(output)
+        try:
+            await _async_ready(program)
+            numbers = iter(range(requests))
+            async with aiohttp.ClientSession() as session:
+                await asyncio.gather(
+                    *(
+                        _async_call(session, program, numbers, statuses)
+                        for _ in range(CALLERS)
+                    )
+                )
+            assert statuses == {200: requests}
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await program.async_close()
+    with open(unread, "rb") as pipe:
+        whole_lines = pipe.read().splitlines()[:-1]
+    assert "Started" in {json.loads(it)["event"] for it in whole_lines}
+    assert 50 < len(whole_lines) < queue_log.MAX_QUEUED
