--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -17,7 +17,7 @@
 """Least time between two messages to each router: while nothing is heard of
 the others' requests, an engine gets a tenth of what it reads in a target."""
 
-SOON_FOR_EACH_S = 0.004
+SOON_FOR_EACH_S = 0.007
 """The same for each router that is told, so that a hub with the largest group
 spends a twentieth of a core on it."""
 
--- a/tamarackbridge/components/knowledge/models.py
+++ b/tamarackbridge/components/knowledge/models.py
@@ -21,7 +21,7 @@
     Attributes:
         name: Name of the route.
         host: Host that callers name.
-        path_prefix: Begins and ends with a slash.
+        prefix: Begins and ends with a slash.
         kind: What may be repeated.
         timeout_s: Longest time for which a caller is kept waiting.
         target_s: Time to the answer, or a stream's first event, that counts
@@ -38,7 +38,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     kind: RouteKind
     timeout_s: float
     target_s: float
@@ -142,13 +142,13 @@
         """Returns the route with the longest prefix that begins the path."""
         name = host.partition(":")[0].lower()
         for route in self._by_host.get(name, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.prefix):
                 return route
         return None
 
 
 def _longest_first(route: Route) -> int:
-    return -len(route.path_prefix)
+    return -len(route.prefix)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -145,7 +145,7 @@
     return models.Route(
         name=item.name,
         host=item.host,
-        path_prefix=item.path_prefix,
+        prefix=item.path_prefix,
         kind=_KINDS[item.kind],
         timeout_s=item.timeout_ms / const.MS_PER_S,
         target_s=item.target_latency_ms / const.MS_PER_S,
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -18,6 +18,7 @@
 HOST = "a.example"
 KEY = "key-1"
 NO_TRACES = spans.NullTracer()
+CUT = aiohttp.ClientPayloadError
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/components/knowledge/builders.py
+++ b/tests/components/knowledge/builders.py
@@ -46,7 +46,7 @@
     return models.Route(
         name="r",
         host="a.example",
-        path_prefix=prefix,
+        prefix=prefix,
         kind=kind,
         timeout_s=timeout_s,
         target_s=target_s,
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -91,7 +91,7 @@
             if process.returncode is None:
                 process.kill()
             await program.async_close()
-    with open(unread, "rb") as pipe:
+    with os.fdopen(unread, "rb") as pipe:
         whole_lines = pipe.read().splitlines()[:-1]
     assert "Started" in {json.loads(it)["event"] for it in whole_lines}
     assert 50 < len(whole_lines) < queue_log.MAX_QUEUED
