--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -133,7 +133,7 @@
         finally:
             self.held -= 1
             conn.end_request()
-        if self.draining:
+        if self.draining and not resp.prepared:
             resp.force_close()
         return resp
 
