Close the product's own idle connections at the end of a drain

Change: idle connections are closed once more when nothing is held. Ruled out: the platform's path, which did so already. Before: test_drain_finishes_what_is_held fails. After: passes three times.

--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -118,10 +118,16 @@
         await asyncio.sleep(self._settings.drain_notice_s)
         if self._listener is not None:
             self._listener.close()
-        if self._runner is not None and self._runner.server is not None:
-            connection.end_idle(self._runner.server)
+        self._end_idle()
         while self.held or self._once.running or self._port.claims_owed:
             await self.sleep(IDLE_POLL_S)
+        # Answers that began before the drain did not close theirs.
+        self._end_idle()
+        await self.sleep(IDLE_POLL_S)
+
+    def _end_idle(self) -> None:
+        if self._runner is not None and self._runner.server is not None:
+            connection.end_idle(self._runner.server)
 
     async def _async_handle(self, req: web.Request) -> web.StreamResponse:
         conn = req.protocol
