Ignore SIGHUP while a router starts

Change: the program ignores SIGHUP first of all, imports the router, and reads the settings after it; the router takes the signal once its loop runs.

Before: the new test sees the signal arrive. After: it passes; tests/platform passes.

--- a/tamarackbridge/platform/__main__.py
+++ b/tamarackbridge/platform/__main__.py
@@ -4,6 +4,7 @@
 import importlib
 import os
 import pathlib
+import signal
 import sys
 from typing import Any
 
@@ -17,6 +18,8 @@
     file: pathlib.Path | None = None, tracer: spans.Tracer | None = None
 ) -> int:
     """Reads the platform's settings and runs the router."""
+    # The settings are read after this; the router takes the signal later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     platform_router = _import_router()
     settings = importlib.import_module("tamarackbridge.platform.settings")
     try:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,12 +9,14 @@
 import random
 import signal
 import sys
+import types
 
 import aiohttp
 import pytest
 
 from soak import programs, world
 from tamarackbridge.components.telemetry import queue_log
+from tamarackbridge.platform import __main__ as entry
 
 CALLERS = 16
 
@@ -50,6 +52,27 @@
             await asyncio.sleep(0.05)
 
 
+def test_reload_during_a_start_is_ignored(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The settings are read after it."""
+    reached = []
+
+    def import_router() -> types.SimpleNamespace:
+        os.kill(os.getpid(), signal.SIGHUP)
+        return types.SimpleNamespace(run=lambda cfg, tracer: 0)
+
+    monkeypatch.setattr(entry, "_import_router", import_router)
+    program = programs.Program("vm-0", "z1", "127.0.0.1:1", tmp_path)
+    program.write_settings([])
+    before = signal.signal(signal.SIGHUP, lambda *_: reached.append(1))
+    try:
+        assert entry.main(tmp_path / "vm-0.conf") == 0
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert reached == []
+
+
 @pytest.mark.parametrize(
     "requests",
     [
