One virtual clock for all tests

Cause: the rigs of fleet, knowledge and admission each had a copy of the same clock. Change: tests/clocks.py; the copies are gone, no assertion is touched.

--- a/tests/components/admission/load_replay.py
+++ b/tests/components/admission/load_replay.py
@@ -22,6 +22,7 @@
     ledger,
     parts,
 )
+from tests import clocks
 from tests.components.knowledge import builders
 
 STEP_S = 0.005
@@ -29,17 +30,6 @@
 FIRST_S = 0.062
 
 
-class VirtualClock:
-    def __init__(self) -> None:
-        self.now = 0.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return 0.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     at: float
@@ -116,7 +106,7 @@
     """One router's desk before some engines."""
 
     def __init__(self, engines: int = 2, tokens_per_s: float = 60_000) -> None:
-        self.clock = VirtualClock()
+        self.clock = clocks.VirtualClock(0.0)
         self.engines = {f"s{n}": Engine() for n in range(engines)}
         known = state.Knowledge(builders.BOUNDS)
         known.take_configuration(
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -11,20 +11,10 @@
 from tamarackbridge.components.knowledge import applier, relay, state
 from tamarackbridge.components.placement import ledger, parts
 from tamarackbridge.components.transport import service as transport
+from tests import clocks
 from tests.components.knowledge import builders
 
 
-class VirtualClock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return 0.0
-
-
 class Wire:
     """Takes what a router posts."""
 
@@ -67,9 +57,9 @@
         seeds: tuple[str, ...] = (),
         address: str = "r1",
         zone: str = "z1",
-        clock: VirtualClock | None = None,
+        clock: clocks.VirtualClock | None = None,
     ) -> None:
-        self.clock = clock or VirtualClock()
+        self.clock = clock or clocks.VirtualClock()
         self.work, self.held = ledger.Ledger(), parts.HeldParts()
         self.known = state.Knowledge(builders.BOUNDS)
         self.fresh: list[tuple[str, int]] = []
@@ -120,7 +110,7 @@
     """Routers on one virtual clock, with links that can be cut."""
 
     def __init__(self, count: int) -> None:
-        self.clock = VirtualClock()
+        self.clock = clocks.VirtualClock()
         self.zones = {f"r{it:02}": f"z{it % 3}" for it in range(count)}
         self.routers = {
             address: Router(address=address, zone=zone, clock=self.clock)
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -14,28 +14,20 @@
     source,
     state,
 )
+from tests import clocks
 from tests.components.knowledge import builders
 
 AWAY: source.Answer = result.Err(source.Trouble.AWAY)
 LOST: source.Answer = result.Err(source.Trouble.HISTORY_LOST)
 
 
-class VirtualClock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return 0.0
-
-
 class ScriptedSource:
     """Answers as told, each after some virtual time; then never again."""
 
     def __init__(
-        self, clock: VirtualClock, script: list[tuple[float, source.Answer]]
+        self,
+        clock: clocks.VirtualClock,
+        script: list[tuple[float, source.Answer]],
     ) -> None:
         self.calls: list[str] = []
         self.forgotten: list[str] = []
@@ -68,8 +60,8 @@
 
 async def _async_play(
     kind: source.Kind, script: list[tuple[float, source.Answer]]
-) -> tuple[state.Knowledge, ScriptedSource, VirtualClock]:
-    clock = VirtualClock()
+) -> tuple[state.Knowledge, ScriptedSource, clocks.VirtualClock]:
+    clock = clocks.VirtualClock()
     known = state.Knowledge(builders.BOUNDS)
     origin = ScriptedSource(clock, script)
     taking = applier.Applier(
@@ -192,7 +184,7 @@
 ):
     cfg = source.ConfigurationIs(builders.configuration(3))
     kind = source.Kind.CONFIGURATION
-    clock = VirtualClock()
+    clock = clocks.VirtualClock()
     known = state.Knowledge(builders.BOUNDS)
     origin = ScriptedSource(clock, [(0.1, facts(5, cfg))])
     read = asyncio.Event()
