Obey servers that leave by their answers, and that ask to be spared

Cause: nothing read a server's notice in its answers, and its advice with a 503 was passed to the caller only, so that requests went on reaching it. Ruled out: keeping it with the registrations: those lapse, come back and are replaced whole while the notice holds for the server's life; a ban of peers by hearsay for advice, which was meant for one router. Change: placement keeps notices by life of a server. One that leaves gets nothing more, whatever the store says; peers are told with its age, and what a router has read itself since counts more. One that asks to be spared gets nothing until then, and after it the rate of a cold server for a second; peers take it for crowded. What waits is placed anew at once, and refused at once when no server is left (with the earliest end as advice). Odd values are counted and logged; a date counts from the server's own clock.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -20,7 +20,7 @@
     verdict,
 )
 from tamarackbridge.components.fleet import models as fleet
-from tamarackbridge.components.gateway import answers, jobs
+from tamarackbridge.components.gateway import answers, jobs, models
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
     choose,
@@ -28,6 +28,7 @@
     estimate,
     health,
     ledger,
+    notices,
     parts,
 )
 from tamarackbridge.components.telemetry import events
@@ -69,6 +70,7 @@
     breakers: health.Health
     estimator: estimate.Estimator
     limiter: cold.ColdLimiter
+    told: notices.Notices
     chooser: choose.Chooser
 
 
@@ -125,10 +127,8 @@
     async def async_admit(self, job: jobs.Job) -> jobs.Admitted:
         """Waits until a job may be sent, or refuses it."""
         now = self._clock.monotonic()
-        if not self._using.chooser.exists(job, now):
-            refusal = answers.Refusal(
-                answers.Reason.NO_SERVER, NO_SERVER_RETRY_S
-            )
+        refusal = self._unservable(job, now)
+        if refusal is not None:
             return result.Err(refusal)
         if job.sendings == 0 and not job.avoid:
             self._budget.note_request(job.service.name, now)
@@ -153,6 +153,25 @@
         routers = len(self._routers())
         return self._budget.take(job.service.name, routers, now)
 
+    def opens_in_s(self, job: jobs.Job) -> float:
+        """Returns when some server takes a new attempt; 0 for now."""
+        now = self._clock.monotonic()
+        seconds = self._using.chooser.opens_in_s(job.service.name, (), now)
+        return seconds if math.isfinite(seconds) else NO_SERVER_RETRY_S
+
+    def _unservable(self, job: jobs.Job, now: float) -> answers.Refusal | None:
+        """Returns the refusal of a request that no server takes now."""
+        opens_s = self._using.chooser.opens_in_s(
+            job.service.name, job.avoid, now
+        )
+        if not opens_s:
+            return None
+        if math.isinf(opens_s):
+            return answers.Refusal(answers.Reason.NO_SERVER, NO_SERVER_RETRY_S)
+        # Callers that come back before the server opens are refused again.
+        retry_s = opens_s + self._rng.uniform(0.0, LEVEL_S)
+        return answers.Refusal(answers.Reason.SERVER_REFUSED, retry_s)
+
     def now(self) -> float:
         """Returns the time."""
         return self._clock.monotonic()
@@ -174,6 +193,25 @@
                 self._changed()
         self.pump()
 
+    def told(self, ticket: ledger.Ticket, head: models.Head) -> None:
+        """Takes what a server's answer says of the server."""
+        now = self._clock.monotonic()
+        server = ticket.server
+        said = self._using.told
+        if not head.leaving:
+            said.note_staying(server, now)
+        elif said.note_leaving(server, now):
+            events.write(events.ServerLeaving(server.name, "", 0.0))
+            self._changed()
+        if head.closed_s > 0:
+            closed_s = said.close(server, head.closed_s, now)
+            events.write(
+                events.ServerClosed(
+                    server.name, head.closed_s, round(closed_s, 3)
+                )
+            )
+            self._changed()
+
     def ended(self, ticket: ledger.Ticket, outcome: jobs.Outcome) -> None:
         """Notes the end of a sending."""
         now = self._clock.monotonic()
@@ -241,6 +279,12 @@
 
     def _decide(self, waiter: _Waiter, now: float, left_s: float) -> None:
         job = waiter.job
+        unservable = self._unservable(job, now)
+        if unservable is not None:
+            standing = self._standing(job.workspace)
+            self._log_refused(job, unservable, standing, 0, left_s, now)
+            waiter.fut.set_result(result.Err(unservable))
+            return
         options = self._using.chooser.options(job, self._routers(), now)
         if job.service.is_model:
             reading_s = self._using.chooser.reading_s(job.service.name, now)
@@ -333,10 +377,7 @@
         for chain, _ in parts.chains(call.parts):
             if self._using.held.note(server.name, chain, now):
                 self.fresh_parts.append((server.name, chain))
-        if now < option.known.cold_until and job.service.cold_per_s > 0:
-            self._using.limiter.take(
-                server.name, job.service.cold_per_s, self._routers(), now
-            )
+        self._using.chooser.note_sent(job, option.known, self._routers(), now)
         return permit.Permit(self, ticket, option.ahead)
 
     def _order(self, job: jobs.Job, now: float) -> tuple[bool, bool, float]:
--- a/tamarackbridge/components/admission/permit.py
+++ b/tamarackbridge/components/admission/permit.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from tamarackbridge.components.gateway import jobs
+from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.placement import ledger
 
@@ -22,6 +22,10 @@
         """Notes a pause between two events of a stream."""
         ...
 
+    def told(self, ticket: ledger.Ticket, head: models.Head) -> None:
+        """Takes what a server's answer says of the server."""
+        ...
+
     def ended(self, ticket: ledger.Ticket, outcome: jobs.Outcome) -> None:
         """Notes the end of a sending."""
         ...
@@ -46,6 +50,10 @@
         if self._ticket.began is None:
             self._desk.began(self._ticket, self._ahead)
 
+    def told(self, head: models.Head) -> None:
+        """Takes what the head of the server's own answer says of it."""
+        self._desk.told(self._ticket, head)
+
     def progressed(self) -> None:
         """Notes that events were passed on."""
         now = self._desk.now()
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -44,6 +44,29 @@
     chains: tuple[int, ...]
 
 
+class LeavingServer(core.Message, frozen=True, array_like=True):
+    """A server said in an answer that it leaves.
+
+    Attributes:
+        server: Name of the server.
+        address: Where it listens.
+        started_ms: Unix milliseconds of its start; 0 where not stated.
+        age_ms: Time since it said so.
+    """
+
+    server: str
+    address: str
+    started_ms: int
+    age_ms: int
+
+
+class BusyServer(core.Message, frozen=True, array_like=True):
+    """A server turns requests of some router away for a time."""
+
+    server: str
+    left_ms: int
+
+
 class ZoneRouters(core.Message, frozen=True, array_like=True):
     """Peer addresses of the live routers of one availability zone."""
 
@@ -64,6 +87,8 @@
             this time.
         editions: How far the sender's knowledge reaches.
         ends: Whether the sender reports elsewhere from now on.
+        leaving: Servers that said that they leave, as far as the sender knows.
+        busy: Servers that turn the sender's requests away.
     """
 
     way: Way
@@ -73,6 +98,8 @@
     routers: tuple[ZoneRouters, ...] | None = None
     editions: tuple[knowledge.Edition, ...] = ()
     ends: bool = False
+    leaving: tuple[LeavingServer, ...] = ()
+    busy: tuple[BusyServer, ...] = ()
 
 
 class Introduction(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -7,7 +7,7 @@
 from tamarackbridge.components.admission import shares
 from tamarackbridge.components.fleet import groups, messages, peers, summary
 from tamarackbridge.components.knowledge import messages as knowledge
-from tamarackbridge.components.placement import ledger, parts
+from tamarackbridge.components.placement import ledger, notices, parts
 from tamarackbridge.components.telemetry import events
 
 HUB_SILENT_S = 0.7
@@ -36,6 +36,7 @@
         fresh_parts: Takes the prompt parts that the others don't know of.
         read_per_s: Returns the prompt tokens that a server reads in a second.
         editions: Returns how far this router's knowledge reaches.
+        notices: What servers said of taking more work.
     """
 
     work: ledger.Ledger
@@ -44,6 +45,7 @@
     fresh_parts: Callable[[], list[tuple[str, int]]]
     read_per_s: Callable[[str], float]
     editions: Callable[[], tuple[knowledge.Edition, ...]]
+    notices: notices.Notices
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +58,17 @@
     routers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Said:
+    """What servers said of taking more work, as it is told."""
+
+    leaving: tuple[messages.LeavingServer, ...] = ()
+    busy: tuple[messages.BusyServer, ...] = ()
+
+
+_NOTHING_SAID = _Said()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """A report and who gets it."""
@@ -140,11 +153,13 @@
         sent_at = now - age_s
         work = summary.work_heard(msg.work)
         is_news = self._own.work.hear(src, ledger.Told(work, sent_at))
+        is_news &= msg.way is _Way.UP
         self._take_held(src, msg.held, sent_at)
+        is_news |= self._take_notices(src, msg, sent_at)
         unknown = src not in self._place.hubs and src in self._live
         return Heard(
             is_lost=msg.way is _Way.ACROSS and unknown,
-            is_news=msg.way is _Way.UP and is_news,
+            is_news=is_news,
         )
 
     def settle(self, now: float) -> list[Outgoing]:
@@ -172,6 +187,8 @@
         lists = now - self._listed_at >= LIST_S
         if lists:
             self._listed_at = now
+        has_news = self._own.notices.take_news()
+        said = self._said(now) if lists or has_news else _NOTHING_SAID
         for server, chain in self._own.fresh_parts():
             self._held.append((self._address, server, chain))
         below = {
@@ -180,16 +197,16 @@
             if told.way is _Way.UP
         }
         below[self._address] = self._own_summary(lists)
-        found = self._reports_down(below, lists, now)
+        found = self._reports_down(below, lists, said, now)
         targets = set(self._place.hubs) - below.keys()
         if now - self._probed_at >= PROBE_S and self._place.hub is None:
             self._probed_at = now
             targets |= self._lost_hubs() - below.keys()
         if self._place.hub is not None:
-            up = self._report(_Way.UP, below, lists)
+            up = self._report(_Way.UP, below, lists, said)
             found.append(Outgoing(self._place.hub, up))
         elif targets:
-            across = self._report(_Way.ACROSS, below, lists)
+            across = self._report(_Way.ACROSS, below, lists, said)
             found.extend(Outgoing(to, across) for to in sorted(targets))
         self._held.clear()
         return found
@@ -237,6 +254,30 @@
                 if self._own.held.note(it.server, chain, at):
                     self._held.append((src, it.server, chain))
 
+    def _take_notices(
+        self, src: str, msg: messages.Report, sent_at: float
+    ) -> bool:
+        """Takes what servers said elsewhere; says if one leaves anew."""
+        said = self._own.notices
+        for busy in msg.busy:
+            until = sent_at + busy.left_ms / summary.MS_PER_S
+            said.hear_busy(busy.server, until)
+        is_news = False
+        for it in summary.leaving_heard(msg.leaving, sent_at):
+            if said.hear_leaving(it):
+                is_news = True
+                age_s = round(sent_at - it.at, 3)
+                events.write(events.ServerLeaving(it.server, src, age_s))
+        return is_news
+
+    def _said(self, now: float) -> _Said:
+        """Returns what servers said, as it is told now."""
+        said = self._own.notices
+        return _Said(
+            summary.leaving_told(said.leaving(now), now),
+            summary.busy_told(said.closed(now)),
+        )
+
     def _forget(self, src: str) -> None:
         self._told.pop(src, None)
         self._own.work.forget(src)
@@ -273,6 +314,7 @@
         self,
         below: Mapping[str, summary.Summary],
         lists: bool,
+        said: _Said,
         now: float,
     ) -> list[Outgoing]:
         if len(below) == 1:
@@ -296,6 +338,8 @@
                 use=_use_beside(whole, part) if lists else None,
                 routers=_routers_beside(whole, part) if lists else None,
                 editions=self._own.editions(),
+                leaving=said.leaving,
+                busy=said.busy,
             )
             found.append(Outgoing(to, report))
         return found
@@ -315,6 +359,7 @@
         way: messages.Way,
         below: Mapping[str, summary.Summary],
         lists: bool,
+        said: _Said,
     ) -> messages.Report:
         """Returns what this router and those that report to it do."""
         whole = summary.total(below.values())
@@ -328,6 +373,8 @@
             use=summary.use_told(whole.use) if lists else None,
             routers=summary.routers_told(whole.routers) if lists else None,
             editions=self._own.editions(),
+            leaving=said.leaving,
+            busy=said.busy,
         )
 
     def _lost_hubs(self) -> set[str]:
--- a/tamarackbridge/components/gateway/caller.py
+++ b/tamarackbridge/components/gateway/caller.py
@@ -56,6 +56,11 @@
         if self._placement is not None:
             self._placement.heard()
 
+    def told(self, head: models.Head) -> None:
+        """Passes on what the server's answer says of the server."""
+        if self._placement is not None:
+            self._placement.told(head)
+
     async def async_events(self, head: models.Head, data: bytes) -> None:
         """Writes whole events to the caller.
 
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -65,6 +65,10 @@
         """Notes that the server sent something."""
         ...
 
+    def told(self, head: models.Head) -> None:
+        """Takes what the head of the server's own answer says of it."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
@@ -124,6 +128,8 @@
                 sent.end = End.CROSSED
                 resp.close()
                 return
+            if head.told is not models.Told.ELSEWHERE:
+                order.sink.told(head)
             events = order.events
             is_stream = resp.content_type == _STREAM_TYPE
             if events is not None and resp.status == 200 and is_stream:
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -60,6 +60,10 @@
         """Notes the first sign of life of the server for this job."""
         ...
 
+    def told(self, head: models.Head) -> None:
+        """Takes what the head of the server's own answer says of it."""
+        ...
+
     def progressed(self) -> None:
         """Notes that events were passed on."""
         ...
@@ -82,3 +86,7 @@
     def may_repeat(self, job: Job) -> bool:
         """Whether the repeat budget of the job's service allows one more."""
         ...
+
+    def opens_in_s(self, job: Job) -> float:
+        """Returns when some server takes a new attempt; 0 for now."""
+        ...
--- a/tamarackbridge/components/gateway/metrics.py
+++ b/tamarackbridge/components/gateway/metrics.py
@@ -30,6 +30,11 @@
         self._cuts = registry.counter(
             "cuts", "Answers ended before they were whole, by whom.", ("by",)
         )
+        self._unreadable = registry.counter(
+            "unreadable_headers",
+            "Headers of servers' answers with a value that means nothing.",
+            ("header",),
+        )
         self._first = registry.latency(
             "first_event_seconds", "Time to the first event.", "route"
         )
@@ -60,6 +65,10 @@
         """Counts an answer that was ended before it was whole."""
         self._cuts.labels(by).inc()
 
+    def unreadable(self, header: str) -> None:
+        """Counts a header of a server's answer that means nothing."""
+        self._unreadable.labels(header).inc()
+
     def waited(self, seconds: float) -> None:
         """Counts how long a request waited before it was sent."""
         self._waits.observe(seconds)
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -96,6 +96,8 @@
         headers: Headers that are passed on.
         retry_after_s: When the server suggests to come back; 0 if it does
             not.
+        leaving: Whether the server says that it leaves.
+        unreadable: Headers about the server with a value that means nothing.
     """
 
     status: int
@@ -103,6 +105,13 @@
     sealed: bool
     headers: HeaderList
     retry_after_s: float = 0.0
+    leaving: bool = False
+    unreadable: tuple[str, ...] = ()
+
+    @property
+    def closed_s(self) -> float:
+        """For how long the server wants nothing more; 0 if it did not say."""
+        return self.retry_after_s if self.status == 503 else 0.0
 
 
 class Dialect(Protocol):
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -40,6 +40,12 @@
             )
         )
 
+    def unreadable(self, server: str, headers: tuple[str, ...]) -> None:
+        """A server's answer has headers with a value that means nothing."""
+        for header in headers:
+            self._counted.unreadable(header)
+            events.write(events.HeaderUnreadable(server, header))
+
     def answered(
         self,
         job: jobs.Job,
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -25,7 +25,7 @@
 dark ones at once are the loss of a zone."""
 
 REFUSED_RETRY_S = 0.3
-"""Advice after a server refused; a step of its queue takes this long."""
+"""Least advice after a server refused; a step of its queue takes this long."""
 
 _End = forward.End
 _Outcome = jobs.Outcome
@@ -107,6 +107,8 @@
                     job, stream, events, admitted.ok_value, hop
                 )
             server = admitted.ok_value.server.name
+            if sent.head is not None and sent.head.unreadable:
+                self._log.unreadable(server, sent.head.unreadable)
             if sent.end is _End.WHOLE and not _is_failure(sent):
                 self._log.answered(job, stream, sent, server)
                 return await self._async_answer(stream, sent)
@@ -195,7 +197,7 @@
             self._log.cut(job.call.request_id, job.arrived, by, stream.events)
             stream.cut()
             raise exceptions.AnswerCutError(by)
-        refusal = self._final(progress, refusal)
+        refusal = self._final(job, progress, refusal)
         self._log.refused(
             job.call.request_id, refusal, job.arrived, progress.may_have_run
         )
@@ -203,7 +205,10 @@
         return answers.response(refusal, headers)
 
     def _final(
-        self, progress: Progress, refusal: answers.Refusal | None
+        self,
+        job: jobs.Job,
+        progress: Progress,
+        refusal: answers.Refusal | None,
     ) -> answers.Refusal:
         last = progress.last
         if progress.may_have_run:
@@ -212,9 +217,7 @@
             return answers.Refusal(_Reason.LOST)
         if refusal is not None:
             return refusal
-        retry_s = REFUSED_RETRY_S
-        if last is not None and last.head is not None:
-            retry_s = last.head.retry_after_s or retry_s
+        retry_s = max(self._desk.opens_in_s(job), REFUSED_RETRY_S)
         return answers.Refusal(_Reason.SERVER_REFUSED, retry_s)
 
 
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -9,6 +9,7 @@
 import dataclasses
 import functools
 import heapq
+import math
 import statistics
 
 from tamarackbridge.components.gateway import jobs
@@ -18,6 +19,7 @@
     estimate,
     health,
     ledger,
+    notices,
     parts,
 )
 from tamarackbridge.helpers import rendezvous
@@ -63,6 +65,10 @@
 EVENT_BYTES = 65
 """Size of one event of a stream, for what an answer carries."""
 
+BUSY_CROWDS = 1.0
+"""A server that turns another router's requests away is taken for this many
+times as crowded as a full one."""
+
 PLAIN_FULL_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
@@ -149,6 +155,7 @@
 
     def __init__(
         self,
+        router: str,
         zone: str,
         known: state.Knowledge,
         work: ledger.Ledger,
@@ -156,7 +163,10 @@
         breakers: health.Health,
         estimator: estimate.Estimator,
         limiter: cold.ColdLimiter,
+        told: notices.Notices,
     ) -> None:
+        self._router = router
+        self._notices = told
         self._zone = zone
         self._known = known
         self._work = work
@@ -175,8 +185,9 @@
         """
         usable = [
             it
-            for it in self._known.usable(job.service.name, now)
+            for it in self._staying(job.service.name, now)
             if it.server.name not in job.avoid
+            and not self._notices.closed_s(it.server, now)
             and self._bears(it, job, routers, now)
         ]
         sound = [
@@ -191,12 +202,55 @@
             found = [self._plain_option(job, it, now) for it in usable]
         return sorted(found, key=_cost)
 
-    def exists(self, job: jobs.Job, now: float) -> bool:
-        """Whether any server could take a request, now or later."""
-        return any(
-            it.server.name not in job.avoid
-            for it in self._known.usable(job.service.name, now)
-        )
+    def opens_in_s(
+        self, service: str, avoid: Collection[str], now: float
+    ) -> float:
+        """Returns when some server may take a request of a service.
+
+        0 if one is open, whatever it has to do; infinite if there is none.
+        """
+        opens_s = math.inf
+        for it in self._known.usable(service, now):
+            if it.server.name in avoid or self._notices.is_leaving(it.server):
+                continue
+            opens_s = min(opens_s, self._notices.closed_s(it.server, now))
+            if not opens_s:
+                break
+        return opens_s
+
+    def note_sent(
+        self,
+        job: jobs.Job,
+        it: state.Registered,
+        routers: Collection[str],
+        now: float,
+    ) -> None:
+        """Counts a request against the rate that its server bears."""
+        per_s = job.service.cold_per_s
+        limited = self._limited_to(it, routers, now)
+        if per_s > 0 and limited is not None:
+            self._limiter.take(it.server.name, per_s, limited, now)
+
+    def _staying(self, service: str, now: float) -> list[state.Registered]:
+        """Returns the servers of a service that do not leave."""
+        return [
+            it
+            for it in self._known.usable(service, now)
+            if not self._notices.is_leaving(it.server)
+        ]
+
+    def _limited_to(
+        self, it: state.Registered, routers: Collection[str], now: float
+    ) -> Collection[str] | None:
+        """Returns the routers that share a server's cold rate; None if warm.
+
+        A server that was closed to this router alone opens for it alone.
+        """
+        if now < it.cold_until:
+            return routers
+        if self._notices.is_reopening(it.server, now):
+            return (self._router,)
+        return None
 
     def _bears(
         self,
@@ -206,10 +260,10 @@
         now: float,
     ) -> bool:
         per_s = job.service.cold_per_s
-        if now >= it.cold_until or per_s <= 0:
+        limited = self._limited_to(it, routers, now)
+        if limited is None or per_s <= 0:
             return True
-        name = it.server.name
-        return self._limiter.may_send(name, per_s, routers, now)
+        return self._limiter.may_send(it.server.name, per_s, limited, now)
 
     def reading_s(self, service: str, now: float) -> float | None:
         """Returns the mean time that engines need for what they have to read.
@@ -223,7 +277,7 @@
         if known is not None and now - known.at < LOADS_S:
             return known
         left_s = {}
-        for it in self._known.usable(service, now):
+        for it in self._staying(service, now):
             name = it.server.name
             speed = self._estimator.read_per_s(name)
             left_s[name] = self._work.at(name, now, speed).unread / speed
@@ -276,7 +330,7 @@
         cost = (
             REREAD_WEIGHT * (unread - own)
             + late * LATE_WEIGHT * prompt.size
-            + CROWD_TOKENS * work.requests / slots
+            + CROWD_TOKENS * self._crowding(name, work, slots, now)
             + AHEAD_WEIGHT * work.unread
             + (prompt.crossing if it.server.zone != self._zone else 0.0)
             + rank * (1.0 + RANK_WEIGHT * prompt.shared)
@@ -287,6 +341,13 @@
         ahead_s = work.unread / speed
         return Option(it, cost, first_s, work.unread, ahead_s, unread, full)
 
+    def _crowding(
+        self, name: str, work: ledger.Work, slots: int, now: float
+    ) -> float:
+        """Returns the part of a server's slots that counts as taken."""
+        busy = BUSY_CROWDS if self._notices.is_busy(name, now) else 0.0
+        return work.requests / slots + busy
+
     def _jerky(self, job: jobs.Job, name: str, now: float) -> float:
         """Returns how likely a pause between events is too long, 0 to 1."""
         allowed_s = job.route.target_gap_s
@@ -301,7 +362,8 @@
         name = it.server.name
         work = self._work.at(name, now, 0.0)
         slots = max(it.server.slots, 1)
-        cost = PLAIN_FULL_TOKENS * work.requests / slots + (
+        crowding = self._crowding(name, work, slots, now)
+        cost = PLAIN_FULL_TOKENS * crowding + (
             _crossing_tokens(job) if it.server.zone != self._zone else 0.0
         )
         return Option(it, cost, 0.0, 0, 0.0, 0, work.requests >= slots)
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -137,6 +137,29 @@
     seconds: float
 
 
+class ServerLeaving(Event, frozen=True):
+    """A server said that it leaves; `router` told it, empty for an answer."""
+
+    server: str
+    router: str
+    age_s: float
+
+
+class ServerClosed(Event, frozen=True):
+    """A server turned a request away and wants nothing for a time."""
+
+    server: str
+    asked_s: float
+    closed_s: float
+
+
+class HeaderUnreadable(Event, frozen=True):
+    """A header of a server's answer has a value that means nothing."""
+
+    server: str
+    header: str
+
+
 class Placed(Event, frozen=True):
     """A request may go to a server."""
 
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -1,6 +1,8 @@
 """The headers that the platform's callers and backend servers use."""
 
 from collections.abc import Iterable, Mapping, Sequence
+from email import utils
+import math
 
 from tamarackbridge.components.gateway import models
 from tamarackbridge.platform import const
@@ -71,12 +73,21 @@
         """Reads the head of an answer."""
         headers = _decoded(raw_headers)
         values = {name.lower(): value for name, value in headers}
+        leaving = values.get(const.HEADER_LEAVING.lower(), "").strip()
+        retry_s = _retry_after_s(values)
+        unreadable = []
+        if leaving not in ("", _LEAVES):
+            unreadable.append(const.HEADER_LEAVING)
+        if retry_s is None:
+            unreadable.append(const.HEADER_RETRY)
         return models.Head(
             status=status,
             told=_told(call, status, values),
             sealed=const.HEADER_SEAL.lower() in values,
             headers=_passed_on(headers, _KEPT_FROM_CALLERS),
-            retry_after_s=_seconds(values.get("retry-after", "")),
+            retry_after_s=retry_s or 0.0,
+            leaving=leaving == _LEAVES,
+            unreadable=tuple(unreadable),
         )
 
     def refusal(self, request_id: str) -> Mapping[str, str]:
@@ -86,6 +97,9 @@
 
 _KEPT_FROM_CALLERS = frozenset((const.HEADER_LOAD.lower(),))
 
+_LEAVES = "1"
+"""The only value with which a server says that it leaves."""
+
 
 def _told(
     call: models.Call, status: int, values: Mapping[str, str]
@@ -147,9 +161,27 @@
     return int(text)
 
 
-def _seconds(text: str) -> float:
+def _retry_after_s(values: Mapping[str, str]) -> float | None:
+    """Returns the seconds after which a server suggests to come back.
+
+    A date counts from the server's own, as clocks differ between VMs. 0 where
+    there is no advice; None where it is not readable.
+    """
+    text = values.get(const.HEADER_RETRY.lower(), "").strip()
+    if not text:
+        return 0.0
     try:
-        value = float(text)
+        seconds = float(text)
     except ValueError:
-        return 0.0
-    return value if 0 <= value < 3600 else 0.0
+        seconds = _seconds_between(values.get("date", ""), text)
+    return seconds if seconds >= 0 else None
+
+
+def _seconds_between(begin: str, end: str) -> float:
+    """Returns the seconds from one HTTP date to another; NaN if unreadable."""
+    try:
+        first = utils.parsedate_to_datetime(begin)
+        last = utils.parsedate_to_datetime(end)
+        return max((last - first).total_seconds(), 0.0)
+    except (TypeError, ValueError, OverflowError):
+        return math.nan
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -38,6 +38,7 @@
     estimate,
     health,
     ledger,
+    notices,
     parts,
 )
 from tamarackbridge.components.telemetry import (
@@ -103,7 +104,9 @@
         breakers = health.Health()
         estimator = estimate.Estimator()
         limiter = cold.ColdLimiter(str(self._cfg.peers))
+        told = notices.Notices()
         chooser = choose.Chooser(
+            str(self._cfg.peers),
             self._cfg.zone,
             self._known,
             work,
@@ -111,6 +114,7 @@
             breakers,
             estimator,
             limiter,
+            told,
         )
         return desk.Parts(
             bounds=self._cfg.bounds,
@@ -120,6 +124,7 @@
             breakers=breakers,
             estimator=estimator,
             limiter=limiter,
+            told=told,
             chooser=chooser,
         )
 
@@ -172,6 +177,7 @@
             fresh_parts=self._fresh,
             read_per_s=self._using.estimator.read_per_s,
             editions=relaying.editions,
+            notices=self._using.told,
         )
         return sharing.SharingService(
             str(self._cfg.peers),
@@ -243,6 +249,7 @@
         self._using.held.forget(server)
         self._using.breakers.forget(server)
         self._using.estimator.forget(server)
+        self._using.told.forget(server)
 
     def _add_gauges(self) -> None:
         registry = self._registry
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -9,7 +9,7 @@
 from tamarackbridge.components.fleet import messages, sharing
 from tamarackbridge.components.fleet import view as fleet_view
 from tamarackbridge.components.knowledge import applier, relay, state
-from tamarackbridge.components.placement import ledger, parts
+from tamarackbridge.components.placement import ledger, notices, parts
 from tamarackbridge.components.transport import service as transport
 from tests import clocks
 from tests.components.knowledge import builders
@@ -60,6 +60,7 @@
         clock: clocks.VirtualClock | None = None,
     ) -> None:
         self.clock = clock or clocks.VirtualClock()
+        self.notices = notices.Notices()
         self.work, self.held = ledger.Ledger(), parts.HeldParts()
         self.known = state.Knowledge(builders.BOUNDS)
         self.fresh: list[tuple[str, int]] = []
@@ -75,6 +76,7 @@
             fresh_parts=self._take_fresh,
             read_per_s=lambda server: 0.0,
             editions=relaying.editions,
+            notices=self.notices,
         )
         self.sharing = sharing.SharingService(
             address,
--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -169,3 +169,19 @@
     fleet = rig.Fleet(groups.MESH_ROUTERS)
     fleet.play(1.0)
     assert fleet.hubs() == fleet.routers.keys()
+
+
+def test_all_routers_learn_that_a_server_leaves() -> None:
+    """One router of a large fleet has read it; the store is away."""
+    fleet = rig.Fleet(48)
+    fleet.play(3.0)
+    server = builders.server("s1")
+    follower = next(it for it in fleet.routers if it not in fleet.hubs())
+    fleet.routers[follower].notices.note_leaving(server, fleet.clock.now)
+    fleet.play(0.6)
+    knowing = [
+        address
+        for address, it in fleet.routers.items()
+        if it.notices.is_leaving(server)
+    ]
+    assert len(knowing) == 48
--- a/tests/components/fleet/test_sharing.py
+++ b/tests/components/fleet/test_sharing.py
@@ -131,3 +131,27 @@
     dirty.clear()
     router.hear("r2", messages.Report(messages.Way.UP))
     assert dirty.is_set()
+
+
+def test_leaving_server_is_told_at_once_with_its_age() -> None:
+    router = rig.Router()
+    router.hear("r2", REPORT)
+    router.notices.note_leaving(builders.server("s1"), router.clock.now)
+    router.clock.now += 0.25
+    router.sharing._share()
+    told = router.wire.reports()["r2"].leaving
+    assert [(it.server, it.address) for it in told] == [("s1", "127.0.0.1:1")]
+    assert 250 <= told[0].age_ms <= 252
+
+
+def test_closed_server_is_told_as_busy_and_closes_nothing_elsewhere() -> None:
+    teller, listener = rig.Router(), rig.Router(address="r2")
+    server = builders.server("s1")
+    teller.hear("r2", REPORT)
+    teller.notices.close(server, 3.0, teller.clock.now)
+    teller.sharing._share()
+    listener.hear("r1", teller.wire.reports()["r2"])
+    now = listener.clock.now
+    assert listener.notices.is_busy("s1", now + 2.9)
+    assert not listener.notices.is_busy("s1", now + 3.1)
+    assert listener.notices.closed_s(server, now) == 0.0
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -71,6 +71,15 @@
         """Waits until a configuration is in force."""
         await async_until(lambda: self.router._version()[0] == version)
 
+    async def async_begin_life(self, name: str, born: int) -> None:
+        """Registers a life of a server, and waits until the router knows."""
+        server = next(it for it in self.servers if it.name == name)
+        await _async_register(self.store, server, born=born)
+        known = self.router._known.servers
+        await async_until(
+            lambda: name in known and known[name].server.started_ms == born
+        )
+
     async def async_drain(self, name: str) -> None:
         """Lets a server leave, and waits until the router knows."""
         server = next(it for it in self.servers if it.name == name)
@@ -162,8 +171,10 @@
     store: platform_store.PlatformStore,
     server: platform_server.PlatformServer,
     state: str = "ready",
+    born: int = 0,
 ) -> None:
     spec = {
+        "born": born,
         "service": "app",
         "address": server.address,
         "zone": "z1",
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -107,3 +107,82 @@
     raw = ((b"X-Server-Load", b"3,1,8"), (b"X-Weight-Versions", b"1"))
     head = WORDS.read_head(_call(), 200, raw)
     assert head.headers == (("X-Weight-Versions", "1"),)
+
+
+DATE = (b"Date", b"Fri, 04 Dec 2026 08:00:00 GMT")
+LONG = b"9" * 400
+
+
+@pytest.mark.parametrize(
+    ("raw", "seconds", "unreadable"),
+    [
+        ((), 0.0, ()),
+        (((b"Retry-After", b"2"),), 2.0, ()),
+        (((b"retry-after", b" 0.75 "),), 0.75, ()),
+        (((b"Retry-After", b"1e9"),), 1e9, ()),
+        (((b"Retry-After", LONG),), float("inf"), ()),
+        (((b"Retry-After", b"soon"),), 0.0, ("Retry-After",)),
+        (((b"Retry-After", b"-1"),), 0.0, ("Retry-After",)),
+        (((b"Retry-After", b"nan"),), 0.0, ("Retry-After",)),
+        (((b"Retry-After", b"\xff\xfe"),), 0.0, ("Retry-After",)),
+        (
+            (DATE, (b"Retry-After", b"Fri, 04 Dec 2026 08:00:03 GMT")),
+            3.0,
+            (),
+        ),
+        (
+            (DATE, (b"Retry-After", b"Fri, 04 Dec 2026 07:59:00 GMT")),
+            0.0,
+            (),
+        ),
+        (
+            ((b"Retry-After", b"Fri, 04 Dec 2026 08:00:03 GMT"),),
+            0.0,
+            ("Retry-After",),
+        ),
+        (
+            (DATE, (b"Retry-After", b"Fri, 99 Foo 2026 08:00:03 GMT")),
+            0.0,
+            ("Retry-After",),
+        ),
+        (
+            (DATE, (b"Retry-After", b"Fri, 04 Dec 2026 08:00:03")),
+            0.0,
+            ("Retry-After",),
+        ),
+    ],
+)
+def test_when_a_server_wants_callers_back(
+    raw: tuple[tuple[bytes, bytes], ...],
+    seconds: float,
+    unreadable: tuple[str, ...],
+) -> None:
+    head = WORDS.read_head(_call(), 503, raw)
+    assert head.retry_after_s == seconds
+    assert head.closed_s == seconds
+    assert head.unreadable == unreadable
+
+
+def test_only_a_503_closes_a_server() -> None:
+    raw = ((b"Retry-After", b"2"),)
+    assert WORDS.read_head(_call(), 429, raw).closed_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("raw", "leaving", "unreadable"),
+    [
+        ((), False, ()),
+        (((b"Server-Leaving", b"1"),), True, ()),
+        (((b"server-leaving", b" 1 "),), True, ()),
+        (((b"Server-Leaving", b"0"),), False, ("Server-Leaving",)),
+        (((b"Server-Leaving", b"yes"),), False, ("Server-Leaving",)),
+    ],
+)
+def test_whether_a_server_leaves(
+    raw: tuple[tuple[bytes, bytes], ...],
+    leaving: bool,
+    unreadable: tuple[str, ...],
+) -> None:
+    head = WORDS.read_head(_call(), 200, raw)
+    assert head.leaving is leaving
+    assert head.unreadable == unreadable
