End the grace of lapsed registrations before the bound on leaving servers

Cause: a registration that ends while the store was away counts for 2.2 s more, as live servers are back within 2 s. The store may have been away for this router alone: then the server left in calm, and 2.2 s is more than the 2 s within which a leaving server must be left alone. Router edge-yogya-1 was turned away from 3.3 to 12.51 s; its first watch after that brought the end of i-0f23197841 (acknowledged 12.511, ServerGone with grace_s 2.2 at 12.513), and it sent a request there at 14.535, 2,034 ms after the acknowledgement. Ruled out: a late watch (2 ms), a request that waited (10 ms). Change: the grace ends 0.4 s before the bound. The test of the grace time used the whole bound of 2 s as grace; it uses 1.5 s now, and a new one checks the bound itself (on the old code it fails for want of the constant that it names).

--- a/tamarackbridge/components/knowledge/const.py
+++ b/tamarackbridge/components/knowledge/const.py
@@ -43,6 +43,10 @@
 LAPSE_GRACE_S: Final = 2.2
 """Live servers are registered again about 2 s after the store's return."""
 
+LEAVE_MARGIN_S: Final = 0.4
+"""Part of the bound on leaving servers kept for the way of a request: a new
+connection takes up to 0.25 s, a busy router as much."""
+
 REVOCATION_MARGIN_S: Final = 1.0
 """Part of the bound on revoked keys kept for what the age can't tell: a
 watch may hear nothing for a second while changes are made."""
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -131,10 +131,16 @@
         return known is not None and known.server.life != server.life
 
     def unregister(self, name: str, now: float, grace_s: float) -> None:
-        """Takes the end of a registration; it counts after `grace_s`."""
+        """Takes the end of a registration; it counts after `grace_s`.
+
+        Not later than a leaving server has to be left alone: the store may
+        have been away for this router alone, and the server has left.
+        """
         known = self.servers.get(name)
         if known is None:
             return
+        most_s = self._bounds.server_leave_s - const.LEAVE_MARGIN_S
+        grace_s = min(grace_s, most_s)
         if grace_s <= 0:
             del self.servers[name]
             return
--- a/tests/components/knowledge/test_state.py
+++ b/tests/components/knowledge/test_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackbridge.components.knowledge import source, state
+from tamarackbridge.components.knowledge import const, source, state
 from tests.components.knowledge import builders
 
 
@@ -63,11 +63,22 @@
     known: state.Knowledge,
 ) -> None:
     known.register(builders.server("s1"), 0.0)
-    known.unregister("s1", 10.0, 2.0)
-    known.unregister("s1", 11.0, 2.0)
-    assert known.usable("lm", 11.9)
-    assert not known.usable("lm", 12.0)
-    assert known.drop_lapsed(12.0) == ("s1",)
+    known.unregister("s1", 10.0, 1.5)
+    known.unregister("s1", 11.0, 1.5)
+    assert known.usable("lm", 11.4)
+    assert not known.usable("lm", 11.5)
+    assert known.drop_lapsed(11.5) == ("s1",)
+
+
+def test_grace_never_reaches_the_bound_on_leaving_servers(
+    known: state.Knowledge,
+) -> None:
+    """The store was away for this router alone; the server has left."""
+    known.register(builders.server("s1"), 0.0)
+    known.unregister("s1", 10.0, const.LAPSE_GRACE_S)
+    latest_s = builders.BOUNDS.server_leave_s - const.LEAVE_MARGIN_S
+    assert known.usable("lm", 10.0 + latest_s - 0.1)
+    assert not known.usable("lm", 10.0 + latest_s + 0.1)
 
 
 def test_server_that_registers_again_does_not_lapse(
