Let three hubs read the store for a large fleet

Cause: each hub of a fleet with groups followed the store by itself. Ruled out: spurious reading by routers that are told (their watches end with the first seconds). Change: three hubs, of three zones where there are so many, read; each other hub names the one that it relies on, reads for itself when it hears none, when what it knows is too old, or when another tells of a change that it was not sent within 0.4 s. A watch on the configuration waits for half of the time in which one must be in force (1 s as before, 2 s where it is 4). A router that is told does not read the list of routers again. Fleets up to 16 routers are unchanged.

--- a/tamarackbridge/components/fleet/groups.py
+++ b/tamarackbridge/components/fleet/groups.py
@@ -7,8 +7,9 @@
 the sum back. All routers find the same hubs by rendezvous hashing.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 import dataclasses
+import itertools
 import math
 
 from tamarackbridge.helpers import rendezvous
@@ -21,6 +22,10 @@
 """Routers for each hub, so that a hub has no more links than a router of the
 largest fleet without groups."""
 
+READERS = 3
+"""Hubs that read the store for the whole fleet: one is left when a zone is lost
+and another router fails."""
+
 _HUB_ORDER = "hub"
 
 
@@ -31,10 +36,13 @@
     Attributes:
         hub: The hub that it reports to; None if it is one itself.
         hubs: The other hubs, if it is one.
+        readers: The hubs that read the store in its place; empty if it reads
+            for itself.
     """
 
     hub: str | None
     hubs: frozenset[str]
+    readers: frozenset[str] = frozenset()
 
 
 def place(
@@ -57,7 +65,17 @@
     if router not in near:
         return Place(rendezvous.rank(router, near)[0], frozenset())
     every = frozenset(hub for found in hubs.values() for hub in found)
-    return Place(None, every - {router})
+    readers = _readers(hubs)
+    if router in readers:
+        readers = frozenset()
+    return Place(None, every - {router}, readers)
+
+
+def _readers(hubs: Mapping[str, Sequence[str]]) -> frozenset[str]:
+    """Returns the hubs that read the store, of as many zones as possible."""
+    turns = itertools.zip_longest(*(hubs[zone] for zone in sorted(hubs)))
+    ordered = (hub for turn in turns for hub in turn if hub is not None)
+    return frozenset(itertools.islice(ordered, READERS))
 
 
 def _hubs(
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -89,6 +89,8 @@
         ends: Whether the sender reports elsewhere from now on.
         leaving: Servers that said that they leave, as far as the sender knows.
         busy: Servers that turn the sender's requests away.
+        reader: The hub that reads the store in the sender's place; empty if
+            it reads for itself, or reports up.
     """
 
     way: Way
@@ -100,6 +102,7 @@
     ends: bool = False
     leaving: tuple[LeavingServer, ...] = ()
     busy: tuple[BusyServer, ...] = ()
+    reader: str = ""
 
 
 class Introduction(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -10,7 +10,7 @@
 from tamarackbridge.components.admission import shares
 from tamarackbridge.components.fleet import messages, view
 from tamarackbridge.components.knowledge import messages as knowledge
-from tamarackbridge.components.knowledge import relay
+from tamarackbridge.components.knowledge import relay, source
 from tamarackbridge.components.transport import service as transport
 
 SOON_S = 0.04
@@ -115,9 +115,11 @@
         """Returns the use of workspaces at the other routers."""
         return self.view.use_elsewhere()
 
-    def hub_tells(self) -> bool:
-        """Whether another router tells this one what the store holds."""
-        return self.view.hub_tells(self._clock.monotonic())
+    def is_told(self, kind: source.Kind) -> bool:
+        """Whether another router tells this one all that the store holds."""
+        if self._relay.is_behind(kind):
+            return False
+        return bool(self.view.teller(self._clock.monotonic()))
 
     def receive(self, delivery: core.Delivery) -> None:
         """Takes a message of another router."""
@@ -213,7 +215,7 @@
             for address, zone in (found or {}).items():
                 self.view.peers.know(address, zone, now)
             if entered and found is not None:
-                if now >= settled_at:
+                if now >= settled_at or self.view.teller(now):
                     return
                 await asyncio.sleep(settled_at - now)
             else:
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -4,11 +4,14 @@
 import dataclasses
 import math
 
+import msgspec
+
 from tamarackbridge.components.admission import shares
 from tamarackbridge.components.fleet import groups, messages, peers, summary
 from tamarackbridge.components.knowledge import messages as knowledge
 from tamarackbridge.components.placement import ledger, notices, parts
 from tamarackbridge.components.telemetry import events
+from tamarackbridge.helpers import rendezvous
 
 HUB_SILENT_S = 0.7
 """A hub that tells nothing for this long is not relied on: two of its messages
@@ -54,6 +57,7 @@
 
     way: messages.Way
     at: float
+    reader: str = ""
     use: Mapping[str, shares.Use] = dataclasses.field(default_factory=dict)
     routers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
@@ -116,15 +120,26 @@
         """The hub that this router reports to; None if it is one itself."""
         return self._place.hub
 
-    def hub_tells(self, now: float) -> bool:
-        """Whether this router has a hub that it hears."""
-        told = self._told.get(self._place.hub or "")
-        return told is not None and now - told.at < HUB_SILENT_S
+    def teller(self, now: float) -> str:
+        """Returns who tells this router what the store holds; empty for none.
+
+        A hub that relies on this router for it tells nothing new.
+        """
+        asked = {self._place.hub} if self._place.hub else self._place.readers
+        for router in rendezvous.rank(self._address, asked):
+            told = self._told.get(router)
+            if told is None or now - told.at >= HUB_SILENT_S:
+                continue
+            if told.reader != self._address:
+                return router
+        return ""
 
     def follows(self, router: str) -> bool:
-        """Whether another router reports to this one."""
+        """Whether another router relies on this one for what it knows."""
         told = self._told.get(router)
-        return told is not None and told.way is _Way.UP
+        if told is None:
+            return False
+        return told.way is _Way.UP or told.reader == self._address
 
     def use_elsewhere(self) -> dict[str, shares.Use]:
         """Returns the use of workspaces at the other routers."""
@@ -146,6 +161,7 @@
         if told is None or told.way is not msg.way:
             told = self._told[src] = _Told(msg.way, now)
         told.at = now
+        told.reader = msg.reader
         if msg.use is not None:
             told.use = summary.use_heard(msg.use)
         if msg.routers is not None:
@@ -207,6 +223,7 @@
             found.append(Outgoing(self._place.hub, up))
         elif targets:
             across = self._report(_Way.ACROSS, below, lists, said)
+            across = msgspec.structs.replace(across, reader=self.teller(now))
             found.extend(Outgoing(to, across) for to in sorted(targets))
         self._held.clear()
         return found
--- a/tamarackbridge/components/knowledge/const.py
+++ b/tamarackbridge/components/knowledge/const.py
@@ -1,24 +1,15 @@
 """Constants of a router's knowledge."""
 
-from collections.abc import Mapping
 from typing import Final
 
-from tamarackbridge.components.knowledge import source
-
-CONFIGURATION_WAIT_S: Final = 1.0
-"""Longest wait of a watch on the configuration. Keys and routes rest on it,
-and must be known within `config_apply_ms`, 2 s, also when a call is lost."""
+CONFIGURATION_WAIT_PART: Final = 0.5
+"""Longest wait of a watch on the configuration, as a part of the time in which
+one must be in force: keys and routes rest on it, also when a call is lost."""
 
 REGISTRATION_WAIT_S: Final = 2.0
 """Longest wait of a watch on servers and zones; a silent connection is found
 out within the 3 s after which a router counts as undisturbed."""
 
-WAITS: Final[Mapping[source.Kind, float]] = {
-    source.Kind.CONFIGURATION: CONFIGURATION_WAIT_S,
-    source.Kind.SERVERS: REGISTRATION_WAIT_S,
-    source.Kind.ZONES: REGISTRATION_WAIT_S,
-}
-
 REST_S: Final = 0.25
 """Interval at which a follower that rests looks whether it has to read: that
 of the messages which tell it how old another router's knowledge is."""
@@ -27,6 +18,10 @@
 """Age beyond that of a watch's longest wait from which a router reads for
 itself: two messages and their way through two routers."""
 
+BEHIND_S: Final = 0.4
+"""A router that knows for so long that it lacks a change reads for itself:
+the one that it relies on had the time to send it twice."""
+
 PUSH_S: Final = 0.3
 """Knowledge that another router lacks is sent again after this time: a
 round trip on a link that loses a packet."""
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -26,7 +26,7 @@
         taking: applier.Applier,
         clock: core.Clock,
         rng: random.Random,
-        told: Callable[[], bool],
+        told: Callable[[source.Kind], bool],
     ) -> None:
         super().__init__()
         self._kind = kind
@@ -68,10 +68,10 @@
 
     def _rests(self) -> bool:
         """Whether another router tells in time what is to be known."""
-        if not self._told():
+        if not self._told(self._kind):
             return False
         age_s = self._known.age(self._kind, self._clock.monotonic())
-        return age_s < const.WAITS[self._kind] + const.TOLD_MARGIN_S
+        return age_s < self._known.wait_s(self._kind) + const.TOLD_MARGIN_S
 
     @property
     def _revision(self) -> int:
@@ -92,7 +92,7 @@
         self._taking.changed()
 
     async def _async_follow(self) -> None:
-        wait_s = const.WAITS[self._kind]
+        wait_s = self._known.wait_s(self._kind)
         began = self._clock.monotonic()
         answer = await self._origin.async_changes(
             self._kind, self._revision, wait_s
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -21,6 +21,19 @@
 MS_PER_S = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Missed:
+    """A change that this router lacks.
+
+    Attributes:
+        revision: Revision of the store with the change.
+        since: Time at which this router learned that it lacks some change.
+    """
+
+    revision: int
+    since: float
+
+
 class Relay:
     """Tells other routers what this one knows, and takes what they tell."""
 
@@ -34,6 +47,7 @@
         self._taking = taking
         self._clock = clock
         self._pushed: dict[tuple[str, source.Kind], float] = {}
+        self._missed: dict[source.Kind, _Missed] = {}
 
     def editions(self) -> tuple[messages.Edition, ...]:
         """Returns how far this router's knowledge reaches."""
@@ -47,12 +61,25 @@
         now = self._clock.monotonic()
         for told in editions:
             known = self._known.edition(told.kind)
-            if told.age_ms < 0 or known.revision < max(told.changed, 1):
+            if told.age_ms < 0:
+                continue
+            if known.revision < max(told.changed, 1):
+                self._miss(told, now)
                 continue
             at = now - age_s - told.age_ms / MS_PER_S
             self._known.advance(told.kind, told.revision, changed=False)
             self._known.confirm(told.kind, at)
 
+    def is_behind(self, kind: source.Kind) -> bool:
+        """Whether this router knows for a while that it lacks a change."""
+        missed = self._missed.get(kind)
+        if missed is None:
+            return False
+        if self._known.edition(kind).revision >= missed.revision:
+            del self._missed[kind]
+            return False
+        return self._clock.monotonic() - missed.since > const.BEHIND_S
+
     def lacking(
         self, router: str, editions: tuple[messages.Edition, ...], follows: bool
     ) -> list[messages.Snapshot]:
@@ -119,11 +146,21 @@
             )
         )
 
+    def _miss(self, told: messages.Edition, now: float) -> None:
+        """Notes a change that another router knows of, and this one not."""
+        before = self._missed.get(told.kind)
+        known = self._known.edition(told.kind).revision
+        if before is None or before.revision <= known:
+            self._missed[told.kind] = _Missed(told.changed, now)
+            return
+        revision = max(told.changed, before.revision)
+        self._missed[told.kind] = _Missed(revision, before.since)
+
     def _lacks(self, told: messages.Edition, follows: bool) -> bool:
         known = self._known.edition(told.kind)
         if told.revision >= known.changed:
             return False
-        limit_s = const.WAITS[told.kind] + const.TOLD_MARGIN_S
+        limit_s = self._known.wait_s(told.kind) + const.TOLD_MARGIN_S
         return follows or not 0 <= told.age_ms / MS_PER_S < limit_s
 
     def _is_due(self, router: str, told: messages.Edition, now: float) -> bool:
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -50,10 +50,12 @@
         configuration: The newest configuration; None until one is known.
         servers: Registered servers by name.
         zones_out: Availability zones that get no new work.
+        changes: Number of changes of the registered servers.
     """
 
     def __init__(self, bounds: fleet.Bounds) -> None:
         self._bounds = bounds
+        self.changes = 0
         self.configuration: models.Configuration | None = None
         self.servers: dict[str, Registered] = {}
         self.zones_out: frozenset[str] = frozenset()
@@ -97,6 +99,13 @@
         """Returns the age of what is known of a kind, in seconds."""
         return now - self._editions[kind].at
 
+    def wait_s(self, kind: source.Kind) -> float:
+        """Returns the longest wait of a watch on a kind, in seconds."""
+        if kind is source.Kind.CONFIGURATION:
+            part = const.CONFIGURATION_WAIT_PART
+            return part * self._bounds.configuration_s
+        return const.REGISTRATION_WAIT_S
+
     def configuration_age(self, now: float) -> float:
         """Returns the age of the configuration, in seconds."""
         return self.age(source.Kind.CONFIGURATION, now)
@@ -128,6 +137,7 @@
         """Takes a registration; says whether a new life of the server began."""
         known = self.servers.get(server.name)
         self.servers[server.name] = Registered(server, now + server.cold_s)
+        self.changes += 1
         return known is not None and known.server.life != server.life
 
     def unregister(self, name: str, now: float, grace_s: float) -> None:
@@ -139,6 +149,7 @@
         known = self.servers.get(name)
         if known is None:
             return
+        self.changes += 1
         most_s = self._bounds.server_leave_s - const.LEAVE_MARGIN_S
         grace_s = min(grace_s, most_s)
         if grace_s <= 0:
@@ -154,6 +165,7 @@
         )
         for name in gone:
             del self.servers[name]
+        self.changes += len(gone)
         return gone
 
     def usable(self, service: str, now: float) -> list[Registered]:
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -214,7 +214,7 @@
                 self._taking,
                 self._clock,
                 self._kernel.rng,
-                self._sharing.hub_tells,
+                self._sharing.is_told,
             )
             for kind in source.Kind
         }
--- a/tests/components/fleet/test_groups.py
+++ b/tests/components/fleet/test_groups.py
@@ -68,3 +68,19 @@
             assert hub not in passed
             passed.add(hub)
             hub = hub_of[hub]
+
+
+def test_small_fleet_reads_for_itself() -> None:
+    zones = fleet(groups.MESH_ROUTERS)
+    assert not any(groups.place(it, zones).readers for it in zones)
+
+
+@pytest.mark.parametrize("count", [17, 58, 380])
+def test_all_hubs_agree_on_the_readers(count: int) -> None:
+    zones = fleet(count)
+    places = {router: groups.place(router, zones) for router in zones}
+    hubs = {router for router, it in places.items() if it.hub is None}
+    readers = {it for it in hubs if not places[it].readers}
+    assert len(readers) == min(groups.READERS, len(hubs))
+    assert len({zones[it] for it in readers}) == len(readers)
+    assert all(places[it].readers == readers for it in hubs - readers)
--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -185,3 +185,85 @@
         if it.notices.is_leaving(server)
     ]
     assert len(knowing) == 48
+
+
+def _readers(fleet: rig.Fleet) -> set[str]:
+    """Returns the hubs that nobody tells what the store holds."""
+    now = fleet.clock.now
+    return {
+        address
+        for address, it in fleet.routers.items()
+        if not it.sharing.view.teller(now)
+    }
+
+
+def test_few_readers_tell_the_whole_fleet() -> None:
+    """Each watch of a hub on the store costs a call every second or two."""
+    fleet = rig.Fleet(195)
+    fleet.play(2.0)
+    readers = _readers(fleet)
+    assert len(readers) == groups.READERS
+    assert len({fleet.zones[it] for it in readers}) == groups.READERS
+    for reader in readers:
+        _confirm(fleet.routers[reader], 4, 20)
+    fleet.play(1.0)
+    now = fleet.clock.now
+    for router in fleet.routers.values():
+        assert router.known.configuration == builders.configuration(4)
+        assert router.known.may_honour_keys(now)
+
+
+def test_lost_reader_is_made_up_for_by_the_others() -> None:
+    fleet = rig.Fleet(58)
+    fleet.play(2.0)
+    before = _readers(fleet)
+    fleet.kill([min(before)])
+    fleet.play(0.9)
+    assert _readers(fleet) >= before - {min(before)}
+    fleet.play(7.0)
+    assert len(_readers(fleet)) == groups.READERS
+
+
+def test_lost_readers_are_replaced_within_a_second() -> None:
+    fleet = rig.Fleet(58)
+    fleet.play(2.0)
+    fleet.kill(_readers(fleet))
+    fleet.play(0.9)
+    readers = _readers(fleet)
+    for hub in fleet.hubs() - readers:
+        view = fleet.routers[hub].sharing.view
+        assert view.teller(fleet.clock.now) in readers
+    fleet.play(8.0)
+    assert len(_readers(fleet)) == groups.READERS
+
+
+def test_router_that_lacks_a_change_reads_for_itself() -> None:
+    """Its reader hangs on a call; another hub tells of a newer change."""
+    fleet = rig.Fleet(58)
+    fleet.play(2.0)
+    told = next(iter(fleet.hubs() - _readers(fleet)))
+    router = fleet.routers[told]
+    _confirm(router, 4, 20)
+    kind = source.Kind.SERVERS
+    assert router.sharing.is_told(kind)
+    edition = knowledge.Edition(kind, 25, 25, 5)
+    report = messages.Report(messages.Way.ACROSS, editions=(edition,))
+    other = next(iter(fleet.hubs() - {told}))
+    for _ in range(6):
+        router.hear(other, report)
+        fleet.play(0.1)
+    assert not router.sharing.is_told(kind)
+    assert router.sharing.is_told(source.Kind.ZONES)
+    router.known.advance(kind, 25, changed=True)
+    router.hear(other, report)
+    assert router.sharing.is_told(kind)
+
+
+def test_two_hubs_never_rely_on_each_other() -> None:
+    fleet = rig.Fleet(58)
+    fleet.play(2.0)
+    told = next(iter(fleet.hubs() - _readers(fleet)))
+    view = fleet.routers[told].sharing.view
+    teller = view.teller(fleet.clock.now)
+    view._told[teller].reader = told
+    assert view.teller(fleet.clock.now) != teller
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -68,7 +68,7 @@
         known, clock, lambda: None, origin.forgotten.append
     )
     svc = follower.Follower(
-        kind, origin, known, taking, clock, random.Random(1), lambda: False
+        kind, origin, known, taking, clock, random.Random(1), lambda kind: False
     )
     await svc.on_start()
     await origin.done.wait()
@@ -190,13 +190,13 @@
     read = asyncio.Event()
     taking = applier.Applier(known, clock, read.set, origin.forgotten.append)
     svc = follower.Follower(
-        kind, origin, known, taking, clock, random.Random(1), lambda: True
+        kind, origin, known, taking, clock, random.Random(1), lambda kind: True
     )
     await svc.on_start()
     await read.wait()
     await asyncio.sleep(2 * const.REST_S)
     assert origin.calls == ["all configuration"]
-    clock.now += const.WAITS[kind] + const.TOLD_MARGIN_S
+    clock.now += known.wait_s(kind) + const.TOLD_MARGIN_S
     await origin.done.wait()
     await svc.on_stop()
     assert origin.calls == ["all configuration", "after 5"]
