--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -11,6 +11,7 @@
 from tests.components.admission import load_replay
 
 Arrival = load_replay.Arrival
+STEP_S = load_replay.STEP_S
 
 
 def steady(
@@ -220,3 +221,42 @@
     assert sum(held) / len(held) < patience_s / 3
     begun = [it for it in fates if it.first_at is not None]
     assert len(begun) >= 0.8 * patience_s * load_replay.READ_PER_S / 6_000
+
+
+@pytest.mark.parametrize(("closed_s", "advice_s"), [(None, 0.5), (4.0, 4.0)])
+async def test_what_waits_is_refused_when_no_server_is_left(
+    closed_s: float | None, advice_s: float
+) -> None:
+    """The engines leave, or ask to be spared, while a clump waits for them."""
+    place = load_replay.Replay()
+    fates = [
+        load_replay.Fate(Arrival(0.0, f"w{number % 8}", 12_000, 200))
+        for number in range(60)
+    ]
+    tasks = [
+        asyncio.create_task(place._async_admit(fate, number))
+        for number, fate in enumerate(fates)
+    ]
+    for _ in range(3):
+        await asyncio.sleep(0)
+        place.desk.pump()
+    waiting = place.desk.waiting
+    assert waiting >= 20
+    known = place.desk._using.known.usable("lm", place.clock.now)
+    for it in known:
+        if closed_s is None:
+            place.notices.note_leaving(it.server, place.clock.now)
+        else:
+            place.notices.close(it.server, closed_s, place.clock.now)
+    while place.desk.waiting:
+        # A turn looks at some; the next one follows when the processor rests.
+        place.clock.now += STEP_S
+        place.desk.pump()
+        await asyncio.sleep(0)
+    await asyncio.gather(*tasks)
+    refused = [it for it in fates if it.refused_at is not None]
+    assert len(refused) == waiting
+    assert all(it.refused_at <= 20 * STEP_S for it in refused if it.refused_at)
+    for fate in refused:
+        assert advice_s <= fate.retry_after_s + 20 * STEP_S
+        assert fate.retry_after_s <= advice_s + 0.2
