Never end a stream that has begun with an answer that is no stream

Cause: when a server was lost in the middle of a resumable stream and the next one gave a whole failure, the runner passed that answer on as the end: the caller's stream was framed as complete without its last events. Ruled out: the relay (it passed on each event once), the first server's end. Change: an answer ends a begun stream only if it was a stream itself; the caller's connection is cut otherwise.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -30,6 +30,7 @@
     UNFRAMED_RESET = "unframed_reset"
     CUT_EVENT = "cut_event"
     NOT_HTTP = "not_http"
+    PLAIN = "plain"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +152,7 @@
         if fault is Fault.CROSS:
             self._write(writer, 200, "another", b"x", "X-Response-Seal: o\r\n")
             return True
-        if "/stream/" in seen.target:
+        if "/stream/" in seen.target and fault is not Fault.PLAIN:
             return await self._async_stream(seen, fault, writer)
         return await self._async_plain(request_id, fault, writer)
 
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -46,12 +46,14 @@
         detail: The error's text, for the log.
         head: The answer's head; None while there is none.
         body: The body of an answer that is not streamed.
+        streamed: Whether events are passed on as they come.
     """
 
     end: End = End.LOST
     detail: str = ""
     head: models.Head | None = None
     body: bytes = b""
+    streamed: bool = False
 
 
 class Sink(Protocol):
@@ -178,6 +180,7 @@
 ) -> None:
     head = sent.head
     assert head is not None
+    sent.streamed = True
     events.begin()
     async for data in resp.content.iter_any():
         order.sink.heard()
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -109,7 +109,11 @@
             server = admitted.ok_value.server.name
             if sent.head is not None and sent.head.unreadable:
                 self._log.unreadable(server, sent.head.unreadable)
-            if sent.end is _End.WHOLE and not _is_failure(sent):
+            # What is no stream can't end one that has begun.
+            is_answer = sent.end is _End.WHOLE and (
+                sent.streamed or stream.response is None
+            )
+            if is_answer and not _is_failure(sent):
                 self._log.answered(job, stream, sent, server)
                 return await self._async_answer(stream, sent)
             _note(job, sent, progress, server)
@@ -117,7 +121,7 @@
             self._log.sending_ended(job, sent, server, again)
             if again:
                 continue
-            if sent.end is _End.WHOLE:
+            if is_answer:
                 return await self._async_answer(stream, sent)
             return self._give_up(job, stream, progress, None)
 
--- a/tests/components/gateway/test_requests.py
+++ b/tests/components/gateway/test_requests.py
@@ -127,6 +127,20 @@
         assert len(here.ran()) == 1
 
 
+@pytest.mark.parametrize(
+    "second", [Fault.FAIL, Fault.REFUSE, Fault.ELSEWHERE, Fault.PLAIN]
+)
+async def test_stream_that_no_server_goes_on_with_does_not_look_whole(
+    second: Fault,
+) -> None:
+    """A server crashes in the middle, and the next one gives no stream."""
+    async with place.async_place() as here:
+        here.set_fault(Fault.CUT_EVENT, second)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await here.async_send("/stream/r/1")
+        assert not any(server.faults for server in here.servers)
+
+
 async def test_second_answer_belongs_to_no_request() -> None:
     async with place.async_place(servers=1) as here:
         here.servers[0].faults = [Fault.EXTRA]
