Refuse all that waits for nobody in one turn; prefer near plain servers

Change: each waiting request is checked in each turn; among plain servers that are alike the own zone's comes first, then one that differs between routers. Tests: a clump whose engines all leave is refused in one turn; 90 routers spread over three servers; gateway tests no longer assume which of two equal servers is asked first.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -13,6 +13,7 @@
 from tamarackbridge.components.admission import (
     budget,
     costs,
+    decisions,
     pace,
     permit,
     pressure,
@@ -101,6 +102,7 @@
         self._waiting: list[_Waiter] = []
         self._served: dict[str, float] = {}
         self._pressure = pressure.Pressure()
+        self._log = decisions.DecisionLog(using.known, self._pressure)
         self._paces: collections.defaultdict[str, pace.Pace]
         self._paces = collections.defaultdict(pace.Pace)
         self._level = float("inf")
@@ -156,12 +158,14 @@
     def opens_in_s(self, job: jobs.Job) -> float:
         """Returns when some server takes a new attempt; 0 for now."""
         now = self._clock.monotonic()
-        seconds = self._using.chooser.opens_in_s(job.service.name, (), now)
+        seconds = self._using.chooser.pools.opens_in_s(
+            job.service.name, (), now
+        )
         return seconds if math.isfinite(seconds) else NO_SERVER_RETRY_S
 
     def _unservable(self, job: jobs.Job, now: float) -> answers.Refusal | None:
         """Returns the refusal of a request that no server takes now."""
-        opens_s = self._using.chooser.opens_in_s(
+        opens_s = self._using.chooser.pools.opens_in_s(
             job.service.name, job.avoid, now
         )
         if not opens_s:
@@ -260,7 +264,10 @@
         for place, waiter in enumerate(pending):
             service = waiter.job.service.name
             left_s = self._paces[service].left_s(before[service], now)
-            if place < MAX_LOOKED_AT:
+            refusal = self._unservable(waiter.job, now)
+            if refusal is not None:
+                self._refuse(waiter, refusal, 0, left_s, now)
+            elif place < MAX_LOOKED_AT:
                 self._decide(waiter, now, left_s)
             else:
                 self._decide_unplaced(waiter, now, left_s)
@@ -274,86 +281,44 @@
         standing = self._standing(job.workspace)
         found = verdict.decide_unplaced(job, standing, now, left_s)
         if found.refusal is not None:
-            self._log_refused(job, found.refusal, standing, 0, left_s, now)
-            waiter.fut.set_result(result.Err(self._spread(found.refusal)))
+            refusal = self._spread(found.refusal)
+            self._refuse(waiter, refusal, 0, left_s, now)
 
     def _decide(self, waiter: _Waiter, now: float, left_s: float) -> None:
         job = waiter.job
-        unservable = self._unservable(job, now)
-        if unservable is not None:
-            standing = self._standing(job.workspace)
-            self._log_refused(job, unservable, standing, 0, left_s, now)
-            waiter.fut.set_result(result.Err(unservable))
-            return
         options = self._using.chooser.options(job, self._routers(), now)
         if job.service.is_model:
-            reading_s = self._using.chooser.reading_s(job.service.name, now)
+            reading_s = self._using.chooser.pools.reading_s(
+                job.service.name, now
+            )
             self._pressure.note(reading_s, now)
         standing = self._standing(job.workspace)
         found = verdict.decide(job, options, standing, now, left_s)
         if found.option is not None:
-            self._log_placed(job, found.option, standing, len(options), now)
+            self._waited(now - job.arrived)
+            self._log.placed(job, found.option, standing, len(options), now)
             self._paces[job.service.name].note(now)
             granted = self._permit(job, found.option, now)
             waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
-            servers = len(options)
-            self._log_refused(
-                job, found.refusal, standing, servers, left_s, now
-            )
-            waiter.fut.set_result(result.Err(self._spread(found.refusal)))
-
-    def _log_placed(
-        self,
-        job: jobs.Job,
-        option: choose.Option,
-        standing: verdict.Standing,
-        servers: int,
-        now: float,
-    ) -> None:
-        known = self._using.known
-        cfg = known.configuration
-        self._waited(now - job.arrived)
-        events.write(
-            events.Placed(
-                request=job.call.request_id,
-                workspace=job.workspace,
-                server=option.known.server.name,
-                waited_s=round(now - job.arrived, 4),
-                first_event_s=round(option.first_s, 4),
-                ahead=option.ahead,
-                unread=option.unread,
-                prompt=job.call.prompt_tokens,
-                servers=servers,
-                share=round(standing.ratio, 3),
-                pressure_s=round(self._pressure.wait_s, 4),
-                configuration=cfg.version if cfg is not None else 0,
-                servers_age_s=round(known.servers_age(now), 3),
-            )
-        )
+            refusal = self._spread(found.refusal)
+            self._refuse(waiter, refusal, len(options), left_s, now)
 
-    def _log_refused(
+    def _refuse(
         self,
-        job: jobs.Job,
+        waiter: _Waiter,
         refusal: answers.Refusal,
-        standing: verdict.Standing,
         servers: int,
         left_s: float,
         now: float,
     ) -> None:
-        events.write(
-            events.NotAdmitted(
-                request=job.call.request_id,
-                workspace=job.workspace,
-                reason=refusal.reason.value,
-                waited_s=round(now - job.arrived, 4),
-                waiting=len(self._waiting),
-                share=round(standing.ratio, 3),
-                pressure_s=round(self._pressure.wait_s, 4),
-                servers=servers,
-                left_s=round(left_s, 3) if math.isfinite(left_s) else -1.0,
-            )
+        """Ends the wait of a request, whose servers were so many."""
+        job = waiter.job
+        standing = self._standing(job.workspace)
+        self._log.refused(
+            job, refusal, standing, servers, left_s, len(self._waiting), now
         )
+        waiter.fut.set_result(result.Err(refusal))
 
     def _permit(
         self, job: jobs.Job, option: choose.Option, now: float
--- a/tamarackbridge/components/fleet/summary.py
+++ b/tamarackbridge/components/fleet/summary.py
@@ -5,9 +5,7 @@
 
 from tamarackbridge.components.admission import shares
 from tamarackbridge.components.fleet import messages
-from tamarackbridge.components.placement import ledger, notices
-
-MS_PER_S = 1000
+from tamarackbridge.components.placement import ledger
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,41 +124,6 @@
     return {address: it.zone for it in told for address in it.addresses}
 
 
-def leaving_told(
-    found: Iterable[notices.Leaving], now: float
-) -> tuple[messages.LeavingServer, ...]:
-    """Returns notices of leaving servers as they are told."""
-    return tuple(
-        messages.LeavingServer(
-            it.server,
-            it.address,
-            it.started_ms,
-            int((now - it.at) * MS_PER_S) + 1,
-        )
-        for it in found
-    )
-
-
-def leaving_heard(
-    told: Iterable[messages.LeavingServer], sent_at: float
-) -> Iterable[notices.Leaving]:
-    """Returns notices of leaving servers that were told."""
-    for it in told:
-        at = sent_at - max(it.age_ms, 0) / MS_PER_S
-        yield notices.Leaving(it.server, it.address, it.started_ms, at)
-
-
-def busy_told(
-    closed: Mapping[str, float],
-) -> tuple[messages.BusyServer, ...]:
-    """Returns closed servers as they are told."""
-    return tuple(
-        messages.BusyServer(server, int(left_s * MS_PER_S))
-        for server, left_s in closed.items()
-        if left_s > 0
-    )
-
-
 def held_told(
     held: Iterable[tuple[str, int]],
 ) -> tuple[messages.Held, ...]:
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from tamarackbridge.components.admission import shares
-from tamarackbridge.components.fleet import groups, messages, peers, summary
+from tamarackbridge.components.fleet import (
+    groups,
+    hearsay,
+    messages,
+    peers,
+    summary,
+)
 from tamarackbridge.components.knowledge import messages as knowledge
 from tamarackbridge.components.placement import ledger, notices, parts
 from tamarackbridge.components.telemetry import events
@@ -62,17 +68,6 @@
     routers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Said:
-    """What servers said of taking more work, as it is told."""
-
-    leaving: tuple[messages.LeavingServer, ...] = ()
-    busy: tuple[messages.BusyServer, ...] = ()
-
-
-_NOTHING_SAID = _Said()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """A report and who gets it."""
@@ -171,7 +166,7 @@
         is_news = self._own.work.hear(src, ledger.Told(work, sent_at))
         is_news &= msg.way is _Way.UP
         self._take_held(src, msg.held, sent_at)
-        is_news |= self._take_notices(src, msg, sent_at)
+        is_news |= hearsay.take(self._own.notices, src, msg, sent_at)
         unknown = src not in self._place.hubs and src in self._live
         return Heard(
             is_lost=msg.way is _Way.ACROSS and unknown,
@@ -203,8 +198,9 @@
         lists = now - self._listed_at >= LIST_S
         if lists:
             self._listed_at = now
-        has_news = self._own.notices.take_news()
-        said = self._said(now) if lists or has_news else _NOTHING_SAID
+        said = hearsay.NOTHING
+        if self._own.notices.take_news() or lists:
+            said = hearsay.said(self._own.notices, now)
         for server, chain in self._own.fresh_parts():
             self._held.append((self._address, server, chain))
         below = {
@@ -271,30 +267,6 @@
                 if self._own.held.note(it.server, chain, at):
                     self._held.append((src, it.server, chain))
 
-    def _take_notices(
-        self, src: str, msg: messages.Report, sent_at: float
-    ) -> bool:
-        """Takes what servers said elsewhere; says if one leaves anew."""
-        said = self._own.notices
-        for busy in msg.busy:
-            until = sent_at + busy.left_ms / summary.MS_PER_S
-            said.hear_busy(busy.server, until)
-        is_news = False
-        for it in summary.leaving_heard(msg.leaving, sent_at):
-            if said.hear_leaving(it):
-                is_news = True
-                age_s = round(sent_at - it.at, 3)
-                events.write(events.ServerLeaving(it.server, src, age_s))
-        return is_news
-
-    def _said(self, now: float) -> _Said:
-        """Returns what servers said, as it is told now."""
-        said = self._own.notices
-        return _Said(
-            summary.leaving_told(said.leaving(now), now),
-            summary.busy_told(said.closed(now)),
-        )
-
     def _forget(self, src: str) -> None:
         self._told.pop(src, None)
         self._own.work.forget(src)
@@ -331,7 +303,7 @@
         self,
         below: Mapping[str, summary.Summary],
         lists: bool,
-        said: _Said,
+        said: hearsay.Said,
         now: float,
     ) -> list[Outgoing]:
         if len(below) == 1:
@@ -376,7 +348,7 @@
         way: messages.Way,
         below: Mapping[str, summary.Summary],
         lists: bool,
-        said: _Said,
+        said: hearsay.Said,
     ) -> messages.Report:
         """Returns what this router and those that report to it do."""
         whole = summary.total(below.values())
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -8,10 +8,6 @@
 from collections.abc import Collection, Iterable, Sequence
 import dataclasses
 import functools
-import heapq
-import math
-import statistics
-from typing import TypeAlias
 
 from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import state
@@ -22,6 +18,7 @@
     ledger,
     notices,
     parts,
+    pool,
 )
 from tamarackbridge.helpers import rendezvous
 
@@ -73,15 +70,10 @@
 PLAIN_FULL_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
-FEW = 8
-"""Engines that are weighed because they come first for a request's parts, and
-as many because they have the least to read: beyond these, shared parts would
-be read again on an engine that is no less busy."""
-
-LOADS_S = 0.02
-"""Time for which it is kept which servers are open and which engines have the
-least to read: they read a sixth of a common prompt in it, and the margins of
-lapsed registrations are twenty times as long."""
+FAR_TOKENS = 1.0
+"""Cost of another zone beside that of known bytes, so that among servers that
+are alike the near one is used; what a plain answer carries is not known before
+it comes."""
 
 KNOWN_ORDERS = 4_096
 """Sets of shared parts whose first engines are kept, at 200 bytes each."""
@@ -114,36 +106,6 @@
     full: bool
 
 
-_Changes: TypeAlias = tuple[int, int, int, frozenset[str]]
-"""Tells whether what decides who may take requests has changed."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Pool:
-    """The servers of a service at a time.
-
-    Attributes:
-        at: The time.
-        changes: Of what it was made.
-        staying: Those that do not leave.
-        open: Of those, the ones that are not closed to this router.
-        sound: Of those, the ones that do not fail.
-        names: Names of the sound ones.
-        mean_s: Mean time that the staying ones need for what they have to
-            read; None if there are none.
-        least: Names of the open ones that need the least time for it.
-    """
-
-    at: float
-    changes: _Changes
-    staying: tuple[state.Registered, ...]
-    open: tuple[state.Registered, ...]
-    sound: tuple[state.Registered, ...]
-    names: tuple[str, ...]
-    mean_s: float | None
-    least: frozenset[str]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Prompt:
     """What of a request is the same for all engines.
@@ -168,7 +130,11 @@
 
 
 class Chooser:
-    """Ranks the servers of a service for a request."""
+    """Ranks the servers of a service for a request.
+
+    Attributes:
+        pools: Which servers are open.
+    """
 
     def __init__(
         self,
@@ -188,10 +154,9 @@
         self._known = known
         self._work = work
         self._held = held
-        self._breakers = breakers
         self._estimator = estimator
         self._limiter = limiter
-        self._pools: dict[str, _Pool] = {}
+        self.pools = pool.Pools(known, work, breakers, estimator, told)
 
     def options(
         self, job: jobs.Job, routers: Collection[str], now: float
@@ -200,23 +165,23 @@
 
         Servers that fail are left out unless all do.
         """
-        pool = self._pool(job.service.name, now)
+        found = self.pools.of(job.service.name, now)
         key = parts.affinity(job.call.parts)
-        weighed = pool.sound
+        weighed = found.sound
         order: Sequence[str] = ()
-        if job.service.is_model and len(pool.sound) > 2 * FEW:
-            order = _first(key, pool.names) if key else pool.names[:FEW]
-            few = pool.least | set(order)
-            weighed = tuple(it for it in pool.sound if it.server.name in few)
+        if job.service.is_model and len(found.sound) > 2 * pool.FEW:
+            order = _first(key, found.names) if key else found.names[: pool.FEW]
+            few = found.least | set(order)
+            weighed = tuple(it for it in found.sound if it.server.name in few)
         usable = self._bearing(job, weighed, routers, now)
         if not usable:
-            usable = self._bearing(job, pool.open, routers, now)
+            usable = self._bearing(job, found.open, routers, now)
         if not job.service.is_model:
             plain = [self._plain_option(job, it, now) for it in usable]
             return sorted(plain, key=_cost)
         if not order:
             names = tuple(it.server.name for it in usable)
-            order = _first(key, names) if key else names[:FEW]
+            order = _first(key, names) if key else names[: pool.FEW]
         return sorted(self._model_options(job, usable, order, now), key=_cost)
 
     def _bearing(
@@ -234,25 +199,6 @@
             and self._bears(it, job, routers, now)
         ]
 
-    def opens_in_s(
-        self, service: str, avoid: Collection[str], now: float
-    ) -> float:
-        """Returns when some server may take a request of a service.
-
-        0 if one is open, whatever it has to do; infinite if there is none.
-        """
-        pool = self._pool(service, now)
-        if any(it.server.name not in avoid for it in pool.open):
-            return 0.0
-        return min(
-            (
-                self._notices.closed_s(it.server, now)
-                for it in pool.staying
-                if it.server.name not in avoid
-            ),
-            default=math.inf,
-        )
-
     def note_sent(
         self,
         job: jobs.Job,
@@ -292,65 +238,6 @@
             return True
         return self._limiter.may_send(it.server.name, per_s, limited, now)
 
-    def reading_s(self, service: str, now: float) -> float | None:
-        """Returns the mean time that engines need for what they have to read.
-
-        None while the service has no engine.
-        """
-        return self._pool(service, now).mean_s
-
-    def _pool(self, service: str, now: float) -> _Pool:
-        changes = (
-            self._known.changes,
-            self._notices.changes,
-            self._breakers.changes,
-            self._known.zones_out,
-        )
-        known = self._pools.get(service)
-        if (
-            known is not None
-            and now - known.at < LOADS_S
-            and known.changes == changes
-        ):
-            return known
-        found = self._make_pool(service, changes, now)
-        self._pools[service] = found
-        return found
-
-    def _make_pool(self, service: str, changes: _Changes, now: float) -> _Pool:
-        notes = self._notices
-        staying = tuple(
-            it
-            for it in self._known.usable(service, now)
-            if not notes.is_leaving(it.server)
-        )
-        opened = tuple(
-            it for it in staying if not notes.closed_s(it.server, now)
-        )
-        sound = tuple(
-            it
-            for it in opened
-            if not self._breakers.avoided(it.server.name, now)
-        )
-        left_s = {}
-        for it in staying:
-            name = it.server.name
-            speed = self._estimator.read_per_s(name)
-            left_s[name] = self._work.at(name, now, speed).unread / speed
-        names = tuple(it.server.name for it in sound)
-        return _Pool(
-            at=now,
-            changes=changes,
-            staying=staying,
-            open=opened,
-            sound=sound,
-            names=names,
-            mean_s=statistics.fmean(left_s.values()) if left_s else None,
-            least=frozenset(
-                heapq.nsmallest(FEW, names, key=left_s.__getitem__)
-            ),
-        )
-
     def _model_options(
         self,
         job: jobs.Job,
@@ -362,7 +249,7 @@
         prompt = _prompt(job)
         return [
             self._model_option(
-                job, prompt, it, rank.get(it.server.name, FEW), now
+                job, prompt, it, rank.get(it.server.name, pool.FEW), now
             )
             for it in usable
         ]
@@ -425,9 +312,9 @@
         work = self._work.at(name, now, 0.0)
         slots = max(it.server.slots, 1)
         crowding = self._crowding(name, work, slots, now)
-        cost = PLAIN_FULL_TOKENS * crowding + (
-            _crossing_tokens(job) if it.server.zone != self._zone else 0.0
-        )
+        cost = PLAIN_FULL_TOKENS * crowding + _tie(self._router, name)
+        if it.server.zone != self._zone:
+            cost += FAR_TOKENS + _crossing_tokens(job)
         return Option(it, cost, 0.0, 0, 0.0, 0, work.requests >= slots)
 
 
@@ -455,7 +342,17 @@
 @functools.lru_cache(maxsize=KNOWN_ORDERS)
 def _first(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
     """Returns the engines that come first for shared parts, best first."""
-    return tuple(rendezvous.rank(key, names)[:FEW])
+    return tuple(rendezvous.rank(key, names)[: pool.FEW])
+
+
+@functools.lru_cache(maxsize=KNOWN_ORDERS)
+def _tie(router: str, server: str) -> float:
+    """Returns a cost below 1 that differs between routers.
+
+    Load pattern: many routers see the same idle servers, and would all send to
+    the first of them.
+    """
+    return rendezvous.share(router, server)
 
 
 def _cost(option: Option) -> float:
--- a/tamarackbridge/helpers/rendezvous.py
+++ b/tamarackbridge/helpers/rendezvous.py
@@ -14,6 +14,12 @@
     return sorted(nodes, key=lambda node: (_weight(node, key), node))
 
 
+def share(key: str, node: str) -> float:
+    """Returns how little `key` prefers a node, from 0 to below 1."""
+    weight = _weight(node, key)
+    return float(int.from_bytes(weight, "big") / 2 ** (8 * len(weight)))
+
+
 def owner(key: str, nodes: Iterable[str]) -> str:
     """Returns the preferred node for `key`, or an empty string for none."""
     found = min(nodes, key=lambda node: (_weight(node, key), node), default="")
--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -248,15 +248,12 @@
             place.notices.note_leaving(it.server, place.clock.now)
         else:
             place.notices.close(it.server, closed_s, place.clock.now)
-    while place.desk.waiting:
-        # A turn looks at some; the next one follows when the processor rests.
-        place.clock.now += STEP_S
-        place.desk.pump()
-        await asyncio.sleep(0)
+    place.clock.now += STEP_S
+    place.desk.pump()
+    assert place.desk.waiting == 0
     await asyncio.gather(*tasks)
     refused = [it for it in fates if it.refused_at is not None]
     assert len(refused) == waiting
-    assert all(it.refused_at <= 20 * STEP_S for it in refused if it.refused_at)
+    assert {it.refused_at for it in refused} == {STEP_S}
     for fate in refused:
-        assert advice_s <= fate.retry_after_s + 20 * STEP_S
-        assert fate.retry_after_s <= advice_s + 0.2
+        assert advice_s - STEP_S <= fate.retry_after_s <= advice_s + 0.2
--- a/tests/components/gateway/test_notices.py
+++ b/tests/components/gateway/test_notices.py
@@ -18,18 +18,25 @@
         assert got.status == 200
 
 
+async def _async_favourite(
+    here: place.Place,
+) -> platform_server.PlatformServer:
+    """Returns the server that the router uses while all are idle."""
+    got = await here.async_send("/read/1", request_id="first")
+    assert got.status == 200
+    return next(it for it in here.servers if it.seen)
+
+
 async def _async_until_left(
     here: place.Place, path: str, fault: Fault = Fault.NONE
 ) -> platform_server.PlatformServer:
-    """Sends until the first server has said that it leaves."""
-    leaver = here.servers[0]
+    """Lets a server say that it leaves, in one answer."""
+    leaver = await _async_favourite(here)
     leaver.says = LEAVES
-    for number in range(MANY):
-        leaver.faults = [fault]
-        await here.async_send(path, request_id=f"n{number}")
-        if leaver.seen:
-            return leaver
-    raise AssertionError("the server was never asked")
+    leaver.faults = [fault]
+    await here.async_send(path, request_id="last")
+    assert len(leaver.seen) == 2
+    return leaver
 
 
 @pytest.mark.parametrize(
@@ -56,7 +63,7 @@
     async with place.async_place() as here:
         for server in here.servers:
             server.pace_s = 0.1
-        leaver = here.servers[0]
+        leaver = await _async_favourite(here)
         leaver.says = LEAVES
         calls = [
             asyncio.create_task(
@@ -76,21 +83,23 @@
 
 async def test_notice_outlives_registrations_and_configurations() -> None:
     async with place.async_place() as here:
-        await here.async_begin_life("i-0", 1_000)
+        for server in here.servers:
+            await here.async_begin_life(server.name, 1_000)
         leaver = await _async_until_left(here, "/read/1")
+        other = next(it for it in here.servers if it is not leaver)
         seen = len(leaver.seen)
         await here.store.async_remove("servers", leaver.name)
         known = here.router._known.servers
         await place.async_until(lambda: leaver.name not in known)
-        await here.async_begin_life("i-0", 1_000)
+        await here.async_begin_life(leaver.name, 1_000)
         cfg = {**place.CONFIGURATION, "version": 2}
         await here.store.async_put("config", "main", cfg)
         await here.async_until_version(2)
         await _async_send_many(here)
         assert len(leaver.seen) == seen
         leaver.says = {}
-        await here.async_begin_life("i-0", 2_000)
-        await here.async_drain("i-1")
+        await here.async_begin_life(leaver.name, 2_000)
+        await here.async_drain(other.name)
         await _async_send_many(here)
         assert len(leaver.seen) == seen + MANY
 
@@ -119,12 +128,13 @@
 
 async def test_server_that_asks_to_be_spared_gets_nothing_more() -> None:
     async with place.async_place() as here:
-        spared = here.servers[0]
+        spared = await _async_favourite(here)
+        other = next(it for it in here.servers if it is not spared)
         spared.refuses = True
         spared.says = {"Retry-After": "30"}
         await _async_send_many(here, "/pay/1")
-        assert len(spared.seen) <= 1
-        assert len(here.servers[1].ran) == MANY
+        assert len(spared.seen) == 2
+        assert len(other.ran) == MANY
 
 
 async def test_all_servers_spared_is_refused_with_the_earliest_end() -> None:
@@ -146,7 +156,7 @@
 async def test_flood_under_way_when_a_server_asks_to_be_spared() -> None:
     """Many callers at once, streams that repeat, and a server that is full."""
     async with place.async_place() as here:
-        spared = here.servers[0]
+        spared = await _async_favourite(here)
         spared.refuses = True
         spared.says = {"Retry-After": "30"}
         paths = ("/read/1", "/pay/1", "/stream/r/1")
--- a/tests/components/placement/test_choose.py
+++ b/tests/components/placement/test_choose.py
@@ -1,6 +1,7 @@
 """Placement under the loads that it is meant for."""
 
 import collections
+import dataclasses
 import math
 
 import pytest
@@ -16,6 +17,7 @@
     ledger,
     notices,
     parts,
+    pool,
 )
 from tests.components.knowledge import builders
 
@@ -25,7 +27,7 @@
 class World:
     """The parts of one router's placement, with five engines."""
 
-    def __init__(self, zone: str = "z1") -> None:
+    def __init__(self, zone: str = "z1", router: str = "r1") -> None:
         self.known = state.Knowledge(builders.BOUNDS)
         self.work = ledger.Ledger()
         self.held = parts.HeldParts()
@@ -34,7 +36,7 @@
         self.limiter = cold.ColdLimiter("r1")
         self.notices = notices.Notices()
         self.chooser = choose.Chooser(
-            "r1",
+            router,
             zone,
             self.known,
             self.work,
@@ -162,7 +164,7 @@
     options = world.chooser.options(job, ROUTERS, 1.0)
     assert [it.known.server.name for it in options] == ["s4"]
     job.avoid.add("s4")
-    assert math.isinf(world.chooser.opens_in_s("lm", job.avoid, 1.0))
+    assert math.isinf(world.chooser.pools.opens_in_s("lm", job.avoid, 1.0))
 
 
 def test_cold_engine_gets_its_rate_only() -> None:
@@ -210,7 +212,7 @@
 def test_large_service_is_weighed_in_part() -> None:
     world = large_world()
     options = world.chooser.options(make_job(), ROUTERS, 1.0)
-    assert choose.FEW <= len(options) <= 2 * choose.FEW
+    assert pool.FEW <= len(options) <= 2 * pool.FEW
 
 
 def test_least_busy_engines_of_a_large_service_are_weighed() -> None:
@@ -236,27 +238,19 @@
 
 def test_reading_of_all_engines_counts_for_the_pressure() -> None:
     world = large_world()
-    assert world.chooser.reading_s("lm", 1.0) == 0.0
+    assert world.chooser.pools.reading_s("lm", 1.0) == 0.0
     told = {f"s{number}": ledger.Work(1, 9_000, 0) for number in range(30)}
     world.work.hear("r2", ledger.Told(told, 2.0))
-    seen_s = world.chooser.reading_s("lm", 2.0)
+    seen_s = world.chooser.pools.reading_s("lm", 2.0)
     assert seen_s is not None
     assert abs(seen_s - 0.05) < 1e-6
-    assert world.chooser.reading_s("none", 2.0) is None
-
-
-def _large_world() -> World:
-    world = World()
-    for number in range(5, 70):
-        server = builders.server(f"s{number}", zone=f"z{number % 3}")
-        world.known.register(server, 0.0)
-    return world
+    assert world.chooser.pools.reading_s("none", 2.0) is None
 
 
 @pytest.mark.parametrize("change", ["leaves", "closed", "gone", "out", "fails"])
 def test_change_counts_at_once_among_many_engines(change: str) -> None:
     """What is kept of an engine for some turns is never older than a change."""
-    world = _large_world()
+    world = large_world()
     home = world.best(make_job()).known.server
     match change:
         case "leaves":
@@ -278,3 +272,30 @@
     for name in world.known.servers:
         world.breakers.note(name, jobs.Outcome.UNREACHABLE, 1.0)
     assert len(world.chooser.options(make_job(), ROUTERS, 1.0)) == 5
+
+
+def _plain_world(router: str, zone: str) -> World:
+    world = World(zone, router)
+    for number in range(3):
+        server = builders.server(f"a{number}", "app", f"z{number}", slots=6)
+        world.known.register(server, 0.0)
+    return world
+
+
+@pytest.mark.parametrize("zone", ["z0", "z1", "z2"])
+def test_idle_plain_server_of_the_own_zone_comes_first(zone: str) -> None:
+    world = _plain_world("r1", zone)
+    job = make_job(service=builders.plain_service())
+    job.call = dataclasses.replace(job.call, parts=(), output_tokens=0)
+    assert world.best(job).known.server.zone == zone
+
+
+def test_routers_that_see_idle_servers_do_not_all_choose_the_same() -> None:
+    """Each of many routers has one request now, and none is near a server."""
+    job = make_job(service=builders.plain_service())
+    chosen = collections.Counter(
+        _plain_world(f"r{number}", "z9").best(job).known.server.name
+        for number in range(90)
+    )
+    assert len(chosen) == 3
+    assert min(chosen.values()) >= 15
