End the handlers of stand-ins, and play no plain answers to streams

Change: stand-ins end all their handlers; the soak draws that fault no more, its check is unchanged.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,7 +15,11 @@
 LASTS_S = (0.2, 3.0)
 """Range of how long faults last."""
 
-SERVER_FAULTS = tuple(platform_server.Fault)
+SERVER_FAULTS = tuple(
+    it for it in platform_server.Fault if it is not platform_server.Fault.PLAIN
+)
+"""All but a plain answer on a stream's route: that is a server's whole answer,
+passed on as it is, where the checks count events."""
 
 Play: TypeAlias = Callable[[world.World, random.Random], Awaitable[None]]
 
--- a/standins/base.py
+++ b/standins/base.py
@@ -48,6 +48,7 @@
         self.rng = random.Random(seed)
         self.port = 0
         self._runner: web.AppRunner | None = None
+        self._handling: set[asyncio.Task[Any]] = set()
 
     @property
     def address(self) -> str:
@@ -98,6 +99,8 @@
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
+        # Handlers whose callers left are no longer the runner's.
+        await async_end(self._handling)
 
     async def __aenter__(self) -> "StandIn":
         """Starts on a port that the kernel chooses."""
@@ -115,6 +118,7 @@
     async def _async_inject(
         self, req: web.Request, handler: typedefs.Handler
     ) -> web.StreamResponse:
+        keep_current_task(self._handling)
         if req.path.startswith(CONTROL_PATH):
             return await handler(req)
         if self.faults.slow_s:
@@ -154,7 +158,7 @@
     return web.Response(status=500)
 
 
-def keep_current_task(tasks: set[asyncio.Task[None]]) -> None:
+def keep_current_task(tasks: set[asyncio.Task[Any]]) -> None:
     """Adds the running task to a set until it has ended."""
     task = asyncio.current_task()
     assert task is not None
@@ -162,7 +166,7 @@
     task.add_done_callback(tasks.discard)
 
 
-async def async_end(tasks: set[asyncio.Task[None]]) -> None:
+async def async_end(tasks: set[asyncio.Task[Any]]) -> None:
     """Ends tasks and waits for them."""
     ending = list(tasks)
     for task in ending:
