Spare unread requests from a shutdown's closing; end a starting router well

Change: a connection is idle only if nothing waits in the kernel; SIGTERM ends a process that has not begun to serve with exit 0. Before: both new tests fail (connection reset; the second is new for a process that dies by the signal). After: they pass.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import select
 import socket
 from typing import Any, cast
 import uuid
@@ -140,8 +141,19 @@
             return
         if asyncio.get_running_loop().time() < self._fresh_until:
             return
+        if self._has_unread():
+            return
         self.force_close()
 
+    def _has_unread(self) -> bool:
+        """Whether bytes wait that a busy event loop has not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        sock = self.transport.get_extra_info("socket")
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def pause_writing(self) -> None:
         """The caller has not read what was written."""
         super().pause_writing()
--- a/tamarackbridge/platform/__main__.py
+++ b/tamarackbridge/platform/__main__.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import sys
+import types
 from typing import Any
 
 from tamarackbridge.components.telemetry import spans
@@ -18,8 +19,9 @@
     file: pathlib.Path | None = None, tracer: spans.Tracer | None = None
 ) -> int:
     """Reads the platform's settings and runs the router."""
-    # The settings are read after this; the router takes the signal later.
+    # The settings are read after this; the router takes both signals later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _end)
     platform_router = _import_router()
     settings = importlib.import_module("tamarackbridge.platform.settings")
     try:
@@ -31,6 +33,12 @@
     return code
 
 
+def _end(number: int, frame: types.FrameType | None) -> None:
+    """Ends a process that has not begun to serve, in good order."""
+    del number, frame
+    os._exit(0)
+
+
 def _import_router() -> Any:
     """Imports the router without what only costs time at a start.
 
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -272,6 +272,26 @@
         caller.writer.close()
 
 
+async def test_request_that_waits_unread_is_no_idle_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A busy event loop reads it late; the soak lost two so (7410, 7413)."""
+    monkeypatch.setattr(connection, "FRESH_S", 0.0)
+    async with place.async_place(servers=1) as here:
+        cfg = here.cfg.callers
+        sock = socket.create_connection((cfg.host, cfg.port))
+        counts = here.router._gateway.connections
+        await place.async_until(lambda: counts.open == 1)
+        here.begin_shutdown()
+        sock.sendall(f"GET /read/1 HTTP/1.1\r\n{HEAD}\r\n".encode())
+        # Nothing of the router has run since the request was sent.
+        here.router.close_idle()
+        caller = Caller(*await asyncio.open_connection(sock=sock))
+        status, headers, _ = await caller.async_answer()
+        assert (status, headers["connection"]) == (200, "close")
+        caller.writer.close()
+
+
 async def test_connection_without_a_request_is_closed_in_the_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -66,13 +66,33 @@
     program = programs.Program("vm-0", "z1", "127.0.0.1:1", tmp_path)
     program.write_settings([])
     before = signal.signal(signal.SIGHUP, lambda *_: reached.append(1))
+    end = signal.getsignal(signal.SIGTERM)
     try:
         assert entry.main(tmp_path / "vm-0.conf") == 0
     finally:
         signal.signal(signal.SIGHUP, before)
+        signal.signal(signal.SIGTERM, end)
     assert reached == []
 
 
+_ENDED_EARLY = """
+import os, signal, sys
+from tamarackbridge.platform import __main__ as entry
+entry._import_router = lambda: os.kill(os.getpid(), signal.SIGTERM)
+sys.exit(entry.main() or 5)
+"""
+
+
+async def test_router_that_is_ended_during_its_start_ends_in_good_order() -> (
+    None
+):
+    """The soak saw one end by the signal itself (seed 7401)."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", _ENDED_EARLY, cwd=programs.ROOT
+    )
+    assert await process.wait() == 0
+
+
 @pytest.mark.parametrize(
     "requests",
     [
