Keep the listener open while all requests are taken; leaving servers in the soak

Cause: a shutdown takes all requests for 3 s, but closed its listener 2.9 s after SIGTERM when nothing was held. Change: the listener stays open for 3.3 s at least. Before: the new test fails (closed 2.9 s after); after: it passes. The soak: servers that leave by their answers alone and come back as another life, servers that are full and give advice, and checks of both from what callers and servers see, with tests of their own.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterable, Iterator, Mapping
 
-from soak import callers, programs, world
+from soak import callers, notices, programs, world
 from standins import platform_server
 
 REVOKED_S = 5.0
@@ -40,6 +40,7 @@
     found = [line for it in ended for line in _attempt(it, runs)]
     found.extend(_revoked(place, ended, runs))
     found.extend(_left(place))
+    found.extend(notices.broken(place, ended))
     found.extend(_shutdowns(place, ended))
     for program in place.programs:
         program.check_exit()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -159,7 +159,7 @@
 async def _async_drain(place: world.World, rng: random.Random) -> None:
     name = rng.choice(sorted(place.servers))
     server = place.servers[name]
-    if server.state != "ready":
+    if not server.calm:
         return
     server.state = "draining"
     await place.async_register(name)
@@ -170,6 +170,38 @@
     await place.async_register(name)
 
 
+async def _async_leave_by_answer(
+    place: world.World, rng: random.Random
+) -> None:
+    """Lets a server leave by its answers alone, and come back as another."""
+    name = rng.choice(sorted(place.servers))
+    server = place.servers[name]
+    if not server.calm:
+        return
+    server.says = {"Server-Leaving": "1"}
+    place.note("leaves", name)
+    await asyncio.sleep(4.0 + _lasts(rng))
+    place.note("stays", name)
+    server.says = {}
+    server.born += 1
+    await place.async_register(name)
+
+
+async def _async_fill(place: world.World, rng: random.Random) -> None:
+    """Lets a server turn requests away and say when to come back."""
+    name = rng.choice(sorted(place.servers))
+    server = place.servers[name]
+    if not server.calm:
+        return
+    server.says = {"Retry-After": str(world.ADVICE_S)}
+    server.refuses = True
+    place.note("full", name)
+    await asyncio.sleep(_lasts(rng))
+    server.refuses = False
+    server.says = {}
+    place.note("room", name)
+
+
 async def _async_evacuate(place: world.World, rng: random.Random) -> None:
     zone = rng.choice(world.ZONES)
     if place.store.names("evacuations"):
@@ -209,6 +241,8 @@
     _async_bad_answers,
     _async_bad_answers,
     _async_drain,
+    _async_leave_by_answer,
+    _async_fill,
     _async_evacuate,
     _async_revoke,
     _async_add_route,
--- /dev/null
+++ b/soak/notices.py
@@ -0,0 +1,99 @@
+"""Promises to servers that leave by their answers, or are full."""
+
+from collections.abc import Iterable, Iterator
+
+from soak import callers, programs, world
+
+LEAVE_S = 2.0
+"""Requests that were sent later than this after a router had passed such an
+answer on don't reach a leaving server."""
+
+CROSSING_S = 0.5
+"""Requests may cross the advice of a full server for so long."""
+
+MOST_CROSSING = 2
+"""Requests of one router that may reach a full server later."""
+
+SLACK_S = 0.5
+"""Time that a busy machine may take from a decision to what is seen of it."""
+
+_EXCUSES = frozenset(("kill", "term", "pause", "link"))
+
+Attempts = dict[str, callers.Attempt]
+
+
+def broken(
+    place: world.World, ended: Iterable[callers.Attempt]
+) -> Iterator[str]:
+    """Returns a line for each promise that was broken."""
+    attempts = {it.request_id: it for it in ended}
+    for change in place.changes:
+        back = min(
+            (
+                it.at
+                for it in place.changes
+                if it.name == change.name and it.at > change.at
+            ),
+            default=float("inf"),
+        )
+        got = [
+            it
+            for it in place.arrivals
+            if it.server == change.name
+            and it.at > change.at
+            and it.request_id in attempts
+        ]
+        for program in place.programs:
+            own = [
+                it
+                for it in got
+                if attempts[it.request_id].router == program.name
+            ]
+            if change.kind == "leaves":
+                yield from _left(own, attempts, program, back)
+            elif change.kind == "full":
+                yield from _spared(own, program, back)
+
+
+def _left(
+    own: list[world.Run],
+    attempts: Attempts,
+    program: programs.Program,
+    back: float,
+) -> Iterator[str]:
+    """Checks one router against a server that leaves until a time."""
+    answers = (attempts[it.request_id] for it in own if it.at < back)
+    told = min((it.ended_at for it in answers if it.whole), default=back)
+    for it in own:
+        since_s = attempts[it.request_id].sent_at - told
+        if not since_s > LEAVE_S + SLACK_S or it.at >= back:
+            continue
+        if not _excused(program, told, it.at):
+            yield (
+                f"{it.request_id}: reached {it.server} {since_s:.2f} s after"
+                f" {program.name} had read that it leaves"
+            )
+
+
+def _spared(
+    own: list[world.Run], program: programs.Program, back: float
+) -> Iterator[str]:
+    """Checks one router against a server that is full until a time."""
+    first = min((it.at for it in own if it.at < back), default=None)
+    if first is None:
+        return
+    begin = first + CROSSING_S + SLACK_S
+    end = first + world.ADVICE_S - SLACK_S
+    late = [it for it in own if begin < it.at < end]
+    if len(late) > MOST_CROSSING and not _excused(program, first, end):
+        yield (
+            f"{len(late)} requests of {program.name} reached"
+            f" {late[0].server} while it was full"
+        )
+
+
+def _excused(program: programs.Program, begin: float, end: float) -> bool:
+    return any(
+        it.kind in _EXCUSES and it.begin <= end and it.end >= begin
+        for it in program.disturbed
+    )
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,6 +16,9 @@
 
 ZONES = ("z1", "z2")
 
+ADVICE_S = 3
+"""Time for which a server that is full wants nothing."""
+
 START_S = 15.0
 """Longest time until all routers are ready: a busy machine starts a process
 in two seconds."""
@@ -23,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """A request that a server ran."""
+    """A request that a server got or ran."""
 
     request_id: str
     server: str
@@ -41,13 +44,32 @@
 
 
 class Server(platform_server.PlatformServer):
-    """A server that notes when it ran what."""
+    """A server that notes when it got and ran what.
 
-    def __init__(self, name: str, zone: str, runs: list[Run]) -> None:
+    Attributes:
+        state: What its registration says.
+        born: Tells its lives apart.
+    """
+
+    def __init__(
+        self, name: str, zone: str, runs: list[Run], arrivals: list[Run]
+    ) -> None:
         super().__init__(name)
         self.zone = zone
         self.state = "ready"
+        self.born = 1
         self._runs = runs
+        self._arrivals = arrivals
+
+    @property
+    def calm(self) -> bool:
+        """Whether it neither leaves nor turns requests away."""
+        return self.state == "ready" and not self.says
+
+    def note_arrived(self, request_id: str) -> None:
+        """Notes when and where a request arrived."""
+        now = time.monotonic()
+        self._arrivals.append(Run(request_id, self.name, self.zone, now))
 
     def note_run(self, request_id: str) -> None:
         """Notes when and where a request began to run."""
@@ -61,6 +83,7 @@
 
     Attributes:
         runs: What servers ran, in order.
+        arrivals: What servers got, in order.
         changes: What was written to the store, in order.
         programs: The routers.
         servers: The servers by name.
@@ -72,6 +95,7 @@
     ) -> None:
         self.rng = rng
         self.runs: list[Run] = []
+        self.arrivals: list[Run] = []
         self.changes: list[Change] = []
         self.programs: list[programs.Program] = []
         self.servers: dict[str, Server] = {}
@@ -106,7 +130,7 @@
 
     async def async_add_server(self, name: str, zone: str) -> None:
         """Starts a server and registers it behind a proxy."""
-        server = Server(name, zone, self.runs)
+        server = Server(name, zone, self.runs, self.arrivals)
         server.pace_s = 0.02
         await self._stack.enter_async_context(server)
         link = proxy.Proxy(server.address)
@@ -124,6 +148,7 @@
             "zone": server.zone,
             "slots": 16,
             "state": server.state,
+            "born": server.born,
         }
         await self.store.async_put("servers", name, spec)
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -92,6 +92,9 @@
             self._server.close()
         await base.async_end(self._serving)
 
+    def note_arrived(self, request_id: str) -> None:
+        """Notes that a request arrived, whether it runs or not."""
+
     def note_run(self, request_id: str) -> None:
         """Notes that a request begins to run."""
         self.ran.append(request_id)
@@ -120,6 +123,7 @@
         body = await reader.readexactly(length)
         seen = Seen(method, target, headers, body)
         self.seen.append(seen)
+        self.note_arrived(headers["X-Request-Id"])
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         return await self._async_answer(seen, fault, writer)
 
--- a/tamarackbridge/components/gateway/drain.py
+++ b/tamarackbridge/components/gateway/drain.py
@@ -16,6 +16,10 @@
 """A shutdown ends when nothing was held for this long: a connection that the
 balancer has just made needs a few round trips for its request."""
 
+LISTEN_S = shutdown.TAKE_ALL_S + QUIET_S
+"""Least time until the listener closes: a request that is sent while all are
+taken needs a few round trips for its connection."""
+
 HELD_POLL_S = 0.05
 """Interval at which a shutdown looks for what is still held."""
 
@@ -66,21 +70,31 @@
     left_s = max(times.end - clock.monotonic(), 0.0)
     await asyncio.sleep(min(NOTICE_S, left_s))
     gateway.close_idle()
-    await _async_until_quiet(gateway, clock, times)
+    await _async_until_quiet(gateway, clock, times, times.began + LISTEN_S)
     gateway.close_listener()
-    await _async_until_quiet(gateway, clock, times)
+    await _async_until_quiet(gateway, clock, times, times.began)
     gateway.close_idle()
     leaving.cancel()
 
 
 async def _async_until_quiet(
-    gateway: Gateway, clock: core.Clock, times: shutdown.Shutdown
+    gateway: Gateway,
+    clock: core.Clock,
+    times: shutdown.Shutdown,
+    earliest: float,
 ) -> None:
-    """Waits until nothing was held for a while, or time is up."""
+    """Waits until nothing was held for a while, or time is up.
+
+    Args:
+        gateway: The callers' listener.
+        clock: Measures the wait.
+        times: The times of the shutdown.
+        earliest: Time before which the wait does not end.
+    """
     quiet_since = clock.monotonic()
     while (now := clock.monotonic()) < times.end:
         if gateway.held:
             quiet_since = now
-        elif now - quiet_since >= QUIET_S:
+        elif now - quiet_since >= QUIET_S and now >= earliest:
             return
         await asyncio.sleep(HELD_POLL_S)
--- a/tests/components/gateway/test_shutdown.py
+++ b/tests/components/gateway/test_shutdown.py
@@ -1,6 +1,7 @@
 import pytest
 
-from tamarackbridge.components.gateway import jobs, models, shutdown
+from tamarackbridge.components.gateway import drain, jobs, models, shutdown
+from tests import clocks
 from tests.components.knowledge import builders
 
 
@@ -33,3 +34,39 @@
 
 def test_ends_inside_the_grace_time() -> None:
     assert shutdown.begin(100.0, 8.0).end < 108.0
+
+
+class _Listener:
+    """Notes when a shutdown closed it, on a clock that each look moves."""
+
+    def __init__(self, clock: clocks.VirtualClock) -> None:
+        self.held = 0
+        self.shutdown: shutdown.Shutdown | None = None
+        self.closed_at: float | None = None
+        self._clock = clock
+
+    def close_listener(self) -> None:
+        self.closed_at = self._clock.now
+
+    def close_idle(self) -> None:
+        """No connection is open."""
+
+
+async def test_listener_is_open_for_as_long_as_all_requests_are_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It closed 2.9 s after SIGTERM when nothing was held (seed 7509)."""
+    clock = clocks.VirtualClock(100.0)
+    listener = _Listener(clock)
+
+    async def async_sleep(seconds: float) -> None:
+        clock.now += seconds
+
+    async def async_leave() -> None:
+        """Nothing is listed."""
+
+    monkeypatch.setattr(drain.asyncio, "sleep", async_sleep)
+    await drain.async_drain(listener, clock, 8.0, async_leave)
+    assert listener.closed_at is not None
+    assert listener.closed_at >= 100.0 + shutdown.TAKE_ALL_S + drain.QUIET_S
+    assert clock.now < 100.0 + 8.0
