--- a/soak/checks.py
+++ b/soak/checks.py
@@ -128,10 +128,7 @@
     place: world.World, attempts: Iterable[callers.Attempt]
 ) -> Iterator[str]:
     """Checks that a shutdown cuts nothing on a router that is well."""
-    terms = {
-        program.name: [it for it in program.disturbed if it.kind == "term"]
-        for program in place.programs
-    }
+    terms = {it.name: first_terms(it.disturbed) for it in place.programs}
     rough = {
         program.name: [it for it in program.disturbed if it.kind != "term"]
         for program in place.programs
@@ -152,6 +149,21 @@
                 )
 
 
+def first_terms(
+    disturbed: Iterable[programs.Disturbance],
+) -> list[programs.Disturbance]:
+    """Returns the SIGTERMs of processes that were not shutting down already.
+
+    A further one does not begin the shutdown anew.
+    """
+    found: list[programs.Disturbance] = []
+    for it in disturbed:
+        if it.kind != "term" or (found and it.begin < found[-1].end):
+            continue
+        found.append(it)
+    return found
+
+
 def _overlap(
     disturbance: programs.Disturbance, begin: float, end: float
 ) -> bool:
