Name the route in every end of a request; count ends from logs

The lines of refused, cut and left requests did not name their route, so logs could not tell by what a kind of request loses: refused, late at the first event, paused, cut, or failed. Change: Refused, Cut and CallerLeft name the route; `tamarackbridge account LOG...` counts requests by route, workspace or VM and by how they ended. Ruled out: metrics alone; they are by router and have no pauses of single streams. No decision changes.

--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -18,6 +18,7 @@
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.records import codec, files
 from tamarackbridge.components.settings import loader
+from tamarackbridge.components.telemetry import account as request_account
 from tamarackbridge.components.telemetry import spans
 from tamarackbridge.components.telemetry import trace as request_trace
 from tamarackbridge.components.tls import exceptions as tls
@@ -125,6 +126,27 @@
     return const.Exit.OK
 
 
+@app.command
+def account(
+    *logs: pathlib.Path, by: Literal["route", "workspace", "node"] = "route"
+) -> int:
+    """Prints how requests ended, from the log files of several routers.
+
+    Args:
+        logs: Log files, in any order.
+        by: How requests are grouped.
+    """
+    try:
+        found = request_account.read(logs, by)
+    except OSError as exc:
+        return show.fail(const.Exit.USAGE, str(exc))
+    if not found.ends:
+        return show.fail(const.Exit.REFUSED, "no request ended in these logs")
+    for line in request_account.table(found):
+        print(line)
+    return const.Exit.OK
+
+
 @app.command
 def apply(
     *,
--- a/tamarackbridge/components/gateway/accept.py
+++ b/tamarackbridge/components/gateway/accept.py
@@ -43,6 +43,17 @@
             req.method, req.raw_path, req.host, req.raw_headers
         )
 
+    def route_name(self, call: models.Call) -> str:
+        """Returns the name of a call's route; empty if there is none."""
+        route = self._route(call)
+        return "" if route is None else route.name
+
+    def _route(self, call: models.Call) -> knowledge.Route | None:
+        cfg = self._known.configuration
+        if cfg is None:
+            return None
+        return cfg.route(call.host, call.target.partition("?")[0])
+
     async def async_accept(
         self, req: web.BaseRequest, call: models.Call
     ) -> Accepted:
@@ -67,7 +78,7 @@
         cfg = self._known.configuration
         if cfg is None:
             return _refuse(_Reason.KNOWLEDGE_OLD, STALE_RETRY_S)
-        route = cfg.route(call.host, call.target.partition("?")[0])
+        route = self._route(call)
         if route is None:
             return self._deny(_Reason.NO_ROUTE, now)
         workspace = ""
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -80,6 +80,7 @@
     def refused(
         self,
         request_id: str,
+        route: str,
         refusal: answers.Refusal,
         arrived: float,
         may_have_run: bool = False,
@@ -91,6 +92,7 @@
         events.write(
             events.Refused(
                 request=request_id,
+                route=route,
                 reason=refusal.reason.value,
                 status=refusal.status,
                 retry_after_s=round(refusal.retry_after_s, 3),
@@ -102,18 +104,20 @@
         )
 
     def cut(
-        self, request_id: str, arrived: float, by: str, passed: int
+        self, request_id: str, route: str, arrived: float, by: str, passed: int
     ) -> None:
         """An answer under way is ended after some events."""
         self._counted.cut(by)
         seconds = self._clock.monotonic() - arrived
-        events.write(events.Cut(request_id, by, passed, round(seconds, 4)))
+        events.write(
+            events.Cut(request_id, route, by, passed, round(seconds, 4))
+        )
 
-    def caller_left(self, request_id: str, arrived: float) -> None:
+    def caller_left(self, request_id: str, route: str, arrived: float) -> None:
         """A caller closed its connection."""
         self._counted.cut("caller")
         seconds = self._clock.monotonic() - arrived
-        events.write(events.CallerLeft(request_id, round(seconds, 4)))
+        events.write(events.CallerLeft(request_id, route, round(seconds, 4)))
 
 
 def _age(age_s: float) -> float:
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -198,12 +198,22 @@
         if stream.response is not None:
             last = progress.last
             by = last.end.value if last is not None else "router"
-            self._log.cut(job.call.request_id, job.arrived, by, stream.events)
+            self._log.cut(
+                job.call.request_id,
+                job.route.name,
+                job.arrived,
+                by,
+                stream.events,
+            )
             stream.cut()
             raise exceptions.AnswerCutError(by)
         refusal = self._final(job, progress, refusal)
         self._log.refused(
-            job.call.request_id, refusal, job.arrived, progress.may_have_run
+            job.call.request_id,
+            job.route.name,
+            refusal,
+            job.arrived,
+            progress.may_have_run,
         )
         headers = dict(self._dialect.refusal(job.call.request_id))
         return answers.response(refusal, headers)
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -207,9 +207,9 @@
         call = self._acceptor.read_call(req)
         if call is None:
             refusal = answers.Refusal(answers.Reason.MALFORMED)
-            return self._refuse("", refusal, arrived)
+            return self._refuse("", "", refusal, arrived)
         if self.held > self._max_held or self._meter.overloaded:
-            resp = self._refuse(call.request_id, _TOO_MANY, arrived)
+            resp = self._refuse(call.request_id, "", _TOO_MANY, arrived)
             resp.force_close()
             return resp
         expects = req.headers.get("Expect", "").lower() == "100-continue"
@@ -225,11 +225,12 @@
 
     def _log_end(self, call: models.Call, arrived: float) -> None:
         """Notes who ended a request before its answer was whole."""
+        route = self._acceptor.route_name(call)
         now = self._clock.monotonic()
         if self.shutdown is not None and now >= self.shutdown.end:
-            self._log.cut(call.request_id, arrived, "shutdown", 0)
+            self._log.cut(call.request_id, route, arrived, "shutdown", 0)
         else:
-            self._log.caller_left(call.request_id, arrived)
+            self._log.caller_left(call.request_id, route, arrived)
 
     async def _async_accepted(
         self,
@@ -241,20 +242,29 @@
         assert self._runner is not None
         accepted = await self._acceptor.async_accept(req, call)
         if isinstance(accepted, result.Err):
-            resp = self._refuse(call.request_id, accepted.err_value, arrived)
+            route = self._acceptor.route_name(call)
+            resp = self._refuse(
+                call.request_id, route, accepted.err_value, arrived
+            )
             if not req.content.at_eof():
                 resp.force_close()
             return resp
         job = accepted.ok_value
         now = self._clock.monotonic()
         if self.shutdown is not None and not self.shutdown.takes(job, now):
-            return self._refuse(call.request_id, _SHUTTING_DOWN, arrived)
+            return self._refuse(
+                call.request_id, job.route.name, _SHUTTING_DOWN, arrived
+            )
         return await self._runner.async_run(req, job, span)
 
     def _refuse(
-        self, request_id: str, refusal: answers.Refusal, arrived: float
+        self,
+        request_id: str,
+        route: str,
+        refusal: answers.Refusal,
+        arrived: float,
     ) -> web.Response:
-        self._log.refused(request_id, refusal, arrived)
+        self._log.refused(request_id, route, refusal, arrived)
         headers = dict(self._dialect.refusal(request_id))
         return answers.response(refusal, headers)
 
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -222,9 +222,10 @@
 
 
 class Refused(Event, frozen=True):
-    """The router gave an answer of its own."""
+    """The router gave an answer of its own; `route` is empty if unknown."""
 
     request: str
+    route: str
     reason: str
     status: int
     retry_after_s: float
@@ -238,6 +239,7 @@
     """An answer under way was ended so that it does not look whole."""
 
     request: str
+    route: str
     by: str
     events: int
     seconds: float
@@ -247,6 +249,7 @@
     """A caller closed its connection before its answer was whole."""
 
     request: str
+    route: str
     seconds: float
 
 
--- /dev/null
+++ b/tests/components/telemetry/test_account.py
@@ -0,0 +1,84 @@
+"""Counting how requests ended, from log files."""
+
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from tamarackbridge.components.client import app
+from tamarackbridge.components.telemetry import account
+
+ANSWERED = {
+    "event": "Answered",
+    "route": "draft",
+    "status": 200,
+    "first_event_s": 0.4,
+    "target_s": 0.6,
+    "longest_pause_s": 0.1,
+    "allowed_pause_s": 0.3,
+    "seconds": 2.0,
+}
+PLACED = {"event": "Placed", "workspace": "w"}
+REFUSED = {
+    "event": "Refused",
+    "route": "draft",
+    "reason": "overloaded",
+    "status": 503,
+    "seconds": 0.5,
+}
+
+
+@pytest.mark.parametrize(
+    ("line", "end"),
+    [
+        (ANSWERED, account.IN_TIME),
+        ({**ANSWERED, "first_event_s": 0.7}, account.LATE),
+        ({**ANSWERED, "longest_pause_s": 0.4}, account.PAUSED),
+        (
+            {**ANSWERED, "longest_pause_s": 0.4, "allowed_pause_s": 0.0},
+            account.IN_TIME,
+        ),
+        ({**ANSWERED, "status": 500}, "failed by server"),
+        (REFUSED, "answered 503, overloaded"),
+        ({"event": "Cut", "by": "lost"}, "cut, lost"),
+        ({"event": "CallerLeft"}, "caller left"),
+        (PLACED, ""),
+    ],
+)
+def test_each_line_tells_at_most_one_end(
+    line: dict[str, Any], end: str
+) -> None:
+    assert account.end_of(line) == end
+
+
+def test_ends_are_counted_by_group() -> None:
+    lines = [
+        {**PLACED, "request": "q1"},
+        {**ANSWERED, "request": "q1"},
+        {**REFUSED, "request": "q2"},
+        {**REFUSED, "request": "q3", "seconds": 1.5},
+    ]
+    found = account.count(lines)
+    refused = "answered 503, overloaded"
+    assert found.ends == {"draft": {account.IN_TIME: 1, refused: 2}}
+    assert found.seconds["draft"][refused] == 1.0
+    by_workspace = account.count(lines, by="workspace")
+    assert by_workspace.ends["w"] == {account.IN_TIME: 1}
+
+
+def test_command_prints_a_table(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "log"
+    log.write_text(
+        f"no line\n1.5 vm {json.dumps({**REFUSED, 'request': 'q'})}\n"
+    )
+    assert app.run(["account", str(log)]) == 0
+    shown = capsys.readouterr().out
+    assert "draft: 1 requests" in shown
+    assert "answered 503, overloaded, after 0.500 s" in shown
+    empty = tmp_path / "empty"
+    empty.touch()
+    assert app.run(["account", str(empty)]) == 1
+    assert app.run(["account", str(tmp_path / "missing")]) == 2
