Share a server's reading speed between the prompts of all routers

Cause: each router's unread prompts were aged by the whole speed of a server, though it reads the prompts of all routers one after the other. Routers took engines with a backlog for idle ones, and sent more there. Ruled out as the main cause: refusals of idle engines (pressure of NotAdmitted lines is above the calm bound), waiting in the router (waited_s of late requests is below 3 ms in nine of ten). Change: what a router told shrinks by its part of the speed, in the sum at a server and in what hubs pass on. Conclusion: a cause of late first events wherever several routers share servers; more routers make it worse.

--- a/tamarackbridge/components/placement/ledger.py
+++ b/tamarackbridge/components/placement/ledger.py
@@ -2,7 +2,9 @@
 
 A router knows its own requests exactly, and those of the other routers as they
 were when they last told. Load pattern: many routers send to few servers, whose
-own reports are too old to decide by.
+own reports are too old to decide by. A server reads the prompts of all routers
+one after the other, so what each of them told shrinks by its part of the
+server's speed.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -128,7 +130,7 @@
         if told is None:
             return {}
         return {
-            name: _aged(work, now - told.at, read_per_s(name))
+            name: self._aged(name, work, now - told.at, read_per_s(name))
             for name, work in told.work.items()
         }
 
@@ -147,6 +149,7 @@
         """
         own = self._own.get(server, NOTHING)
         requests, unread, memory = own.requests, own.unread, own.memory
+        reading: list[tuple[int, float]] = []
         for told in self._told.values():
             work = told.work.get(server)
             if work is None:
@@ -154,9 +157,23 @@
             requests += work.requests
             memory += work.memory
             if work.unread:
-                unread += _left(work.unread, now - told.at, read_per_s)
+                reading.append((work.unread, now - told.at))
+        total = unread + sum(tokens for tokens, _ in reading)
+        for tokens, age_s in reading:
+            unread += _left(tokens, total, age_s, read_per_s)
         return Work(requests, unread, memory)
 
+    def _aged(
+        self, server: str, work: Work, age_s: float, read_per_s: float
+    ) -> Work:
+        if not work.unread:
+            return work
+        total = self._own.get(server, NOTHING).unread
+        for told in self._told.values():
+            total += told.work.get(server, NOTHING).unread
+        unread = _left(work.unread, total, age_s, read_per_s)
+        return Work(work.requests, unread, work.memory)
+
     def _count(self, server: str) -> None:
         tickets = self._tickets.get(server)
         if not tickets:
@@ -166,14 +183,17 @@
         self._own[server] = _sum(tickets)
 
 
-def _aged(work: Work, age_s: float, read_per_s: float) -> Work:
-    unread = _left(work.unread, age_s, read_per_s)
-    return Work(work.requests, unread, work.memory)
+def _left(unread: int, total: int, age_s: float, read_per_s: float) -> int:
+    """Returns the tokens of one router that a server has not read yet.
 
-
-def _left(unread: int, age_s: float, read_per_s: float) -> int:
-    """Returns the tokens that are unread after a time."""
-    return max(unread - int(max(age_s, 0.0) * read_per_s), 0)
+    Args:
+        unread: Those that were not read when the router told.
+        total: Those of all routers.
+        age_s: Time since it told.
+        read_per_s: Prompt tokens that the server reads in a second.
+    """
+    read = max(age_s, 0.0) * read_per_s * unread / total
+    return max(unread - int(read), 0)
 
 
 def _sum(tickets: Iterable[Ticket]) -> Work:
