Let only a stream end a stream that has begun in the entry

Callers would see: an engine is lost after 3 of 8 tokens; the next one answers 200, 204, 206, 302 or 404 with a plain body, and the caller waits for an end that never comes, on a connection that stays open. With 404 and a stream that holds only the end marker, the caller gets 3 of 8 tokens framed as complete. Cause: how an attempt ends was decided by its own answer alone, not by whether an earlier attempt had begun the caller's answer. Ruled out: 500 (retried, then cut). Change: the forwarder ends such an attempt as NOT_THE_REST; the table of attempts retries it or cuts the caller's connection. Only 200 is a stream; other statuses went to the caller as 200.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -28,6 +28,8 @@
         cold_factor: How much slower a cold engine is.
         cut_after: Streams are cut after this many tokens; 0 for never.
         resume: Whether the resume header is obeyed.
+        plain_status: Status of a answer without tokens; 0 for none.
+        plain_type: Content type of that answer.
     """
 
     first_token_s: float = 0.02
@@ -36,6 +38,8 @@
     cold_factor: float = 4.0
     cut_after: int = 0
     resume: bool = True
+    plain_status: int = 0
+    plain_type: str = "text/plain"
 
 
 class CompletionRequest(msgspec.Struct):
@@ -109,6 +113,14 @@
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
         answer_id = self.answer_id(req)
         await asyncio.sleep(self.faults.first_token_s + self.faults.late_s)
+        if self.faults.plain_status:
+            headers = {backend.ATTR_REQUEST_ID: answer_id}
+            return web.Response(
+                status=self.faults.plain_status,
+                text="data: [DONE]\n\n",
+                content_type=self.faults.plain_type,
+                headers=headers,
+            )
         if body.stream:
             return await self._async_stream(req, body, start, answer_id)
         return await self._async_whole(req, body, answer_id)
--- a/tamarackbridge/components/entry/attempts.py
+++ b/tamarackbridge/components/entry/attempts.py
@@ -30,6 +30,8 @@
     EMPTY = "empty"
     TRUNCATED = "truncated"
     """The connection ended before the answer did."""
+    NOT_THE_REST = "not_the_rest"
+    """No stream, where a stream had begun."""
     TIMED_OUT = "timed_out"
     CUT_OFF = "cut_off"
     """The router ended an answer that ran longer than its permit."""
@@ -162,5 +164,6 @@
     End.TIMED_OUT: const.Reason.DEADLINE,
     End.CUT_OFF: const.Reason.TRUNCATED,
     End.TRUNCATED: const.Reason.TRUNCATED,
+    End.NOT_THE_REST: const.Reason.TRUNCATED,
     End.LAPSED: const.Reason.NO_CAPACITY,
 }
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -23,6 +23,7 @@
 from tamarackbridge.components.telemetry import spans
 
 _END = attempts.End
+_OK = 200
 _STREAM_TYPE = "text/event-stream"
 
 
@@ -138,11 +139,13 @@
             )
             if end is not None:
                 attempt.end = end
-            elif resp.content_type == _STREAM_TYPE:
+            elif resp.status == _OK and resp.content_type == _STREAM_TYPE:
                 attempt.is_stream = True
                 now = asyncio.get_running_loop().time()
                 timer.reschedule(now + job.permit.life_s)
                 await self._async_stream(job, attempt, resp)
+            elif job.check.begun:
+                attempt.end = _END.NOT_THE_REST
             else:
                 attempt.body = await _async_body(resp)
                 attempt.end = whole_answer.body_end(
--- a/tamarackbridge/components/entry/stream_check.py
+++ b/tamarackbridge/components/entry/stream_check.py
@@ -33,6 +33,7 @@
     """The state of one request's stream.
 
     Attributes:
+        begun: Whether anything was passed on.
         offset: Tokens that were passed on.
         whole: Whether the end marker was seen in its place.
         broken: Whether the current attempt's stream can't be used further.
@@ -43,6 +44,7 @@
     """
 
     def __init__(self, request_id: str) -> None:
+        self.begun = False
         self.offset = 0
         self.whole = False
         self.broken = False
@@ -67,6 +69,7 @@
             if self.broken or self.whole:
                 break
             if self._accept(event):
+                self.begun = True
                 passed.append(event + b"\n\n")
         if len(self._rest) > MAX_EVENT_BYTES:
             self.broken = True
--- a/tests/components/entry/test_attempts.py
+++ b/tests/components/entry/test_attempts.py
@@ -18,6 +18,7 @@
     (_END.CROSSED, True, False, "unknown"),
     (_END.EMPTY, True, False, "unknown"),
     (_END.TRUNCATED, True, False, "unknown"),
+    (_END.NOT_THE_REST, True, False, "unknown"),
     (_END.TIMED_OUT, False, False, "unknown"),
     (_END.CUT_OFF, False, False, "unknown"),
 ]
--- a/tests/components/entry/test_service.py
+++ b/tests/components/entry/test_service.py
@@ -122,6 +122,43 @@
     assert b"[DONE]" not in reply.body
 
 
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (200, "text/plain"),
+        (204, "text/plain"),
+        (206, "text/plain"),
+        (302, "text/plain"),
+        (404, "text/plain"),
+        (404, "text/event-stream"),
+        (500, "text/plain"),
+    ],
+)
+async def test_plain_answer_does_not_end_a_stream_that_has_begun(
+    status: int, kind: str
+) -> None:
+    """An engine is lost in the middle, and the next one gives no stream."""
+    plain = _engine(plain_status=status, plain_type=kind)
+    servers = [_engine(cut_after=3), plain]
+    async with rig_lib.Rig(servers, DRAFT) as rig, asyncio.timeout(5):
+        reply = await rig.async_ask("POST", "/s/v1/completions", STREAM)
+
+    assert reply.cut
+    assert _tokens(reply.body) == [0, 1, 2]
+    assert [done.outcome.value for done in rig.grants.done] == ["failed"] * 2
+
+
+async def test_collected_stream_is_never_joined_from_two_engines() -> None:
+    servers = [_engine(cut_after=3), _engine()]
+    once = dataclasses.replace(DRAFT, idempotent=False)
+    async with rig_lib.Rig(servers, once) as rig, asyncio.timeout(5):
+        reply = await rig.async_ask("POST", "/s/v1/completions", STREAM)
+
+    assert reply.problem["reason"] == const.Reason.OUTCOME_UNKNOWN.value
+    assert rig.grants.closed[0].state is claims.ClaimState.UNKNOWN
+    assert servers[1].runs == {}
+
+
 async def test_stream_past_its_permits_life_is_cut_visibly() -> None:
     async with rig_lib.Rig([_engine(token_s=0.2)], DRAFT, life_s=0.5) as rig:
         reply = await rig.async_ask("POST", "/s/v1/completions", STREAM)
