Never pass on an unsealed stream as an answer

Callers would see: a server is lost in the middle, the next one answers 200 with events and without a seal, and the caller gets both as one whole answer. Ruled out: crossed identifiers (checked for both kinds). Change: what has no seal isn't taken for a stream, and so counts as lost. Before: test_stream_that_no_server_goes_on_with_does_not_look_whole[UNSEALED] fails, "DID NOT RAISE ClientPayloadError"; after: it passes.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -133,7 +133,7 @@
             if head.told is not models.Told.ELSEWHERE:
                 order.sink.told(head)
             events = order.events
-            is_stream = resp.content_type == _STREAM_TYPE
+            is_stream = resp.content_type == _STREAM_TYPE and head.sealed
             if events is not None and resp.status == 200 and is_stream:
                 await _async_stream(order, sent, resp, events)
                 return
