Don't take the end of a shorter run for the end of a stream

Callers would see: a server is lost after events 0 and 1, the next one begins anew and ends after event 0, and the caller gets two of six events framed as complete. Cause: the relay held back the events that the caller had, and the end counted wherever it came. Ruled out: a server that begins anew and runs to the end (passes before and after); one that has nothing left after the last event (the same: its word counts). Change: an end before the last event that was passed on is a lost sending. It holds only where this router joins two sendings: a caller that names any event as its last must not make servers look lost. Before: test_stream_that_no_server_goes_on_with_does_not_look_whole[SHORT_RESTART] fails, "DID NOT RAISE ClientPayloadError"; after: it passes.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -190,5 +190,5 @@
         if events.broken:
             resp.close()
             return
-    whole = not events.partial and not servers.ended_by_reset(resp)
+    whole = events.ends_here and not servers.ended_by_reset(resp)
     sent.end = End.WHOLE if whole else End.LOST
--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -27,10 +27,15 @@
         self.passed = 0
         self.broken = False
         self._rest = b""
+        self._seen = -1
+        self._begun = False
+        self._goes_on = False
 
     def begin(self) -> None:
         """Begins with another server; half an event is dropped."""
         self._rest = b""
+        self._seen = -1
+        self._goes_on = self._begun
         self.broken = False
 
     @property
@@ -38,6 +43,16 @@
         """Whether an event has begun and not ended."""
         return bool(self._rest.strip())
 
+    @property
+    def ends_here(self) -> bool:
+        """Whether the current server's end can be the end of the whole.
+
+        A server that begins anew and ends before the last event has run
+        something else.
+        """
+        behind = self._goes_on and 0 <= self._seen < self.last
+        return not self.partial and not behind
+
     @property
     def resume_after(self) -> str:
         """The last event that the caller has; empty if none."""
@@ -54,6 +69,7 @@
             event = rest[begin : found.end()]
             begin = found.end()
             if self._accept(event):
+                self._begun = True
                 passed.append(event)
         self._rest = rest[begin:]
         if len(self._rest) > MAX_EVENT_BYTES:
@@ -65,6 +81,7 @@
         if found is None:
             return True
         number = int(found.group(1))
+        self._seen = number
         if number <= self.last:
             return False
         self.last = number
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -41,6 +41,24 @@
     assert events.feed(note + event(0)) == note + event(0)
 
 
+def test_end_before_the_last_event_is_not_the_end() -> None:
+    events = relay.EventRelay("")
+    events.feed(event(0) + event(1))
+    events.begin()
+    assert events.ends_here
+    events.feed(event(0))
+    assert not events.ends_here
+    events.feed(event(1))
+    assert events.ends_here
+
+
+def test_end_is_the_servers_word_where_only_the_caller_names_an_event() -> None:
+    events = relay.EventRelay("9")
+    events.begin()
+    events.feed(event(0))
+    assert events.ends_here
+
+
 def test_event_that_never_ends_breaks_the_stream() -> None:
     events = relay.EventRelay("")
     events.feed(b"data: " + b"x" * (relay.MAX_EVENT_BYTES + 1))
--- a/tests/components/gateway/test_requests.py
+++ b/tests/components/gateway/test_requests.py
@@ -149,6 +149,7 @@
         Fault.PLAIN,
         Fault.PARTIAL,
         Fault.NO_CONTENT,
+        Fault.SHORT_RESTART,
         Fault.UNSEALED,
     ],
 )
