Don't join unnumbered events of two servers

Callers would see, after a server is lost in the middle of a resumable stream: events without numbers twice, or the events of a second run after those of the first, framed as complete. Cause: the relay passed on each event without a number, and the runner went on with a stream whose last event has no number to go on after. Ruled out: comments (they carry no data and are still passed on); events with a number. Change: data without a number is passed on only behind a new number of the same server, where another server's part came before; a stream whose last data has no number is cut and not sent again. Before: test_stream_that_no_server_goes_on_with_does_not_look_whole[NO_NUMBERS] and test_events_without_numbers_are_not_passed_on_twice fail, "DID NOT RAISE ClientPayloadError"; after: they pass. Not covered: a server that is lost right before an unnumbered last event is cut, as its place can't be proved.

--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -10,6 +10,7 @@
 """Largest event that is taken from a backend server."""
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([0-9]+)[ ]*(?=\r?\n|$)")
 
 
@@ -20,12 +21,14 @@
         last: Number of the last event that was passed on; -1 for none.
         passed: Events that were passed on.
         broken: Whether the current server's stream can't be used further.
+        resumable: Whether the place of the last event is known by its number.
     """
 
     def __init__(self, resume_after: str) -> None:
         self.last = int(resume_after) if resume_after.isdigit() else -1
         self.passed = 0
         self.broken = False
+        self.resumable = True
         self._rest = b""
         self._seen = -1
         self._begun = False
@@ -79,11 +82,22 @@
     def _accept(self, event: bytes) -> bool:
         found = _ID.search(event)
         if found is None:
-            return True
+            return self._accept_unnumbered(event)
         number = int(found.group(1))
         self._seen = number
         if number <= self.last:
             return False
         self.last = number
+        self.resumable = True
         self.passed += 1
         return True
+
+    def _accept_unnumbered(self, event: bytes) -> bool:
+        if _DATA.search(event) is None:
+            return True
+        # The caller may have it from the server before.
+        if self._goes_on and self._seen < self.last:
+            self.broken = True
+            return False
+        self.resumable = False
+        return True
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -117,7 +117,9 @@
                 self._log.answered(job, stream, sent, server)
                 return await self._async_answer(stream, sent)
             _note(job, sent, progress, server)
-            again = self._may_go_on(job, progress, sent)
+            again = (events is None or events.resumable) and self._may_go_on(
+                job, progress, sent
+            )
             self._log.sending_ended(job, sent, server, again)
             if again:
                 continue
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -59,6 +59,21 @@
     assert events.ends_here
 
 
+def test_event_without_a_number_is_passed_on_in_its_place_only() -> None:
+    note = b"data: x\n\n"
+    events = relay.EventRelay("")
+    assert events.feed(event(0) + note) == event(0) + note
+    assert not events.resumable
+    assert events.feed(event(1)) == event(1)
+    assert events.resumable
+    events.begin()
+    assert events.feed(event(2) + note) == event(2) + note
+    events.feed(event(3))
+    events.begin()
+    assert events.feed(note) == b""
+    assert events.broken
+
+
 def test_event_that_never_ends_breaks_the_stream() -> None:
     events = relay.EventRelay("")
     events.feed(b"data: " + b"x" * (relay.MAX_EVENT_BYTES + 1))
--- a/tests/components/gateway/test_requests.py
+++ b/tests/components/gateway/test_requests.py
@@ -150,6 +150,7 @@
         Fault.PARTIAL,
         Fault.NO_CONTENT,
         Fault.SHORT_RESTART,
+        Fault.NO_NUMBERS,
         Fault.UNSEALED,
     ],
 )
@@ -164,6 +165,14 @@
         assert not any(server.faults for server in here.servers)
 
 
+async def test_events_without_numbers_are_not_passed_on_twice() -> None:
+    async with place.async_place() as here:
+        here.set_fault(Fault.CUT_NO_NUMBERS, Fault.NO_NUMBERS)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await here.async_send("/stream/r/1")
+        assert len(here.ran()) == 1
+
+
 async def test_second_answer_belongs_to_no_request() -> None:
     async with place.async_place(servers=1) as here:
         here.servers[0].faults = [Fault.EXTRA]
