Don't end or go on with a stream by another run in the entry

Cause: the end marker counted wherever it came, and an event without a number was taken for the next one also where another engine's part came before. Ruled out: an engine that begins anew and runs to the end, and one that has only the marker left (both pass before and after; its word counts). Change: the check follows the place of the current attempt; the marker of a shorter run and unnumbered events of a further attempt break that attempt. Before: both cases of test_another_run_does_not_end_a_stream_that_has_begun fail (the bytes are passed on); after: they pass, as does tests/components/entry. Conclusion: proved by the unit test; not seen in a run.

--- a/tamarackbridge/components/entry/stream_check.py
+++ b/tamarackbridge/components/entry/stream_check.py
@@ -54,10 +54,12 @@
         self.repeated = 0
         self._request_id = request_id
         self._rest = b""
+        self._place: int | None = 0
 
     def begin(self) -> None:
         """Begins a new attempt; half an event of the last one is dropped."""
         self._rest = b""
+        self._place = None if self.begun else 0
         self.broken = False
         self.crossed = False
 
@@ -84,8 +86,10 @@
         if not data:
             return True
         if data == _DONE:
-            self.whole = True
-            return True
+            # An attempt that began anew may have run something shorter.
+            self.whole = self._place is None or self._place >= self.offset
+            self.broken = not self.whole
+            return self.whole
         return self._accept_data(data)
 
     def _accept_data(self, data: bytes) -> bool:
@@ -97,15 +101,20 @@
         if event.id is not None and event.id != self._request_id:
             self.broken = self.crossed = True
             return False
+        if event.index is None and self._place is None:
+            self.broken = True
+            return False
         if event.index is None:
             self.resumable = False
         elif event.index < self.offset:
+            self._place = event.index + 1
             self.repeated += 1
             return False
         elif event.index > self.offset:
             self.broken = True
             return False
         self.offset += 1
+        self._place = self.offset
         self.usage = event.usage or self.usage
         return True
 
--- a/tests/components/entry/test_stream_check.py
+++ b/tests/components/entry/test_stream_check.py
@@ -107,3 +107,23 @@
     body: bytes, headers: dict[str, str], strict: bool, end: attempts.End
 ) -> None:
     assert whole_answer.body_end(body, headers, strict) is end
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        _events(0, 1) + _DONE,
+        b'data: {"choices": []}\n\n' + _DONE,
+    ],
+    ids=["shorter run", "unnumbered run"],
+)
+def test_another_run_does_not_end_a_stream_that_has_begun(
+    second: bytes,
+) -> None:
+    check = stream_check.StreamCheck("r")
+    check.feed(_events(0, 3))
+    check.begin()
+
+    assert check.feed(second) == b""
+    assert check.broken
+    assert not check.whole
