Don't drop numbered events behind an unnumbered one in the entry

Cause: the count of tokens, which unnumbered events raise, was also the number that the next event has to have. Ruled out: streams with all or no events numbered. Change: the next number is kept apart from the count. Before: test_unnumbered_event_does_not_hide_the_numbered_ones_behind_it fails ("At index 50 diff: b'1' != b'0'"); after: it passes. A skipped token behind an unnumbered event is noticed before and after.

--- a/tamarackbridge/components/entry/stream_check.py
+++ b/tamarackbridge/components/entry/stream_check.py
@@ -54,6 +54,7 @@
         self.repeated = 0
         self._request_id = request_id
         self._rest = b""
+        self._next = 0
         self._place: int | None = 0
 
     def begin(self) -> None:
@@ -87,7 +88,7 @@
             return True
         if data == _DONE:
             # An attempt that began anew may have run something shorter.
-            self.whole = self._place is None or self._place >= self.offset
+            self.whole = self._place is None or self._place >= self._next
             self.broken = not self.whole
             return self.whole
         return self._accept_data(data)
@@ -106,15 +107,17 @@
             return False
         if event.index is None:
             self.resumable = False
-        elif event.index < self.offset:
+        elif event.index < self._next:
             self._place = event.index + 1
             self.repeated += 1
             return False
-        elif event.index > self.offset:
+        elif event.index > self._next:
             self.broken = True
             return False
+        else:
+            self._next += 1
         self.offset += 1
-        self._place = self.offset
+        self._place = self._next
         self.usage = event.usage or self.usage
         return True
 
--- a/tests/components/entry/test_stream_check.py
+++ b/tests/components/entry/test_stream_check.py
@@ -127,3 +127,20 @@
     assert check.feed(second) == b""
     assert check.broken
     assert not check.whole
+
+
+def test_unnumbered_event_does_not_hide_the_numbered_ones_behind_it() -> None:
+    sent = b'data: {"choices": []}\n\n' + _events(0, 3) + _DONE
+    check = stream_check.StreamCheck("r")
+
+    assert check.feed(sent) == sent
+    assert check.whole
+    assert not check.resumable
+
+
+def test_skipped_token_behind_an_unnumbered_event_is_noticed() -> None:
+    check = stream_check.StreamCheck("r")
+    check.feed(b'data: {"choices": []}\n\n' + _event(0))
+
+    assert check.feed(_event(2)) == b""
+    assert check.broken
