Take signals before a router imports anything

Cause: the entry points set what SIGTERM and SIGHUP do after their imports. Ruled out: the package's own __init__ modules, which import nothing. "tamarackbridge router" keeps SIGHUP's default action, as it reads no settings again. Commands of operators keep both: an exit code of 0 would say that they had done their work. The tests send a signal at each import that is not one of these few modules. Not covered: the interpreter's own start, in which no code of this product runs.

--- a/tamarackbridge/__main__.py
+++ b/tamarackbridge/__main__.py
@@ -1,12 +1,19 @@
 """Entry point of the program."""
 
+import importlib
 import sys
 
-from tamarackbridge.components.client import app
+from tamarackbridge.helpers import start_signals
 
 
 def main() -> None:
     """Runs one command and ends with its exit code."""
+    command = sys.argv[1:2]
+    if command in (["router"], ["platform-router"]):
+        start_signals.end_in_good_order()
+    if command == ["platform-router"]:
+        start_signals.ignore_reload()
+    app = importlib.import_module("tamarackbridge.components.client.app")
     sys.exit(app.run())
 
 
--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -76,8 +76,8 @@
         tracer = exporters.make_tracer(traces, socket.gethostname())
     except exporters.TracesError as exc:
         return show.fail(const.Exit.USAGE, str(exc))
-    entry = importlib.import_module("tamarackbridge.platform.__main__")
-    code: int = entry.main(settings, tracer)
+    start = importlib.import_module("tamarackbridge.platform.start")
+    code: int = start.run(settings, tracer)
     return code
 
 
--- a/tamarackbridge/platform/__main__.py
+++ b/tamarackbridge/platform/__main__.py
@@ -1,58 +1,19 @@
-"""Runs a router on the users' platform."""
+"""Entry point of a router on the users' platform."""
 
-import gc
 import importlib
-import os
-import pathlib
-import signal
 import sys
-import types
-from typing import Any
 
-from tamarackbridge.components.telemetry import spans
-from tamarackbridge.platform import exceptions
+from tamarackbridge.helpers import start_signals
 
-USAGE_EXIT_CODE = 2
 
-
-def main(
-    file: pathlib.Path | None = None, tracer: spans.Tracer | None = None
-) -> int:
-    """Reads the platform's settings and runs the router."""
-    # The settings are read after this; the router takes both signals later.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, _end)
-    platform_router = _import_router()
-    settings = importlib.import_module("tamarackbridge.platform.settings")
-    try:
-        cfg = settings.load(file or settings.path())
-    except exceptions.SettingsError as exc:
-        print(exc, file=sys.stderr)
-        return USAGE_EXIT_CODE
-    code: int = platform_router.run(cfg, tracer or spans.NullTracer())
+def main() -> int:
+    """Runs the router and returns the exit code."""
+    start_signals.end_in_good_order()
+    start_signals.ignore_reload()
+    start = importlib.import_module("tamarackbridge.platform.start")
+    code: int = start.run()
     return code
 
 
-def _end(number: int, frame: types.FrameType | None) -> None:
-    """Ends a process that has not begun to serve, in good order."""
-    del number, frame
-    os._exit(0)
-
-
-def _import_router() -> Any:
-    """Imports the router without what only costs time at a start.
-
-    aiohttp reads the machine's certificate authorities when it is imported,
-    and no connection of a router relies on them; nothing that is imported is
-    garbage. Load pattern: all routers of a zone start at once.
-    """
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
-    gc.disable()
-    try:
-        return importlib.import_module("tamarackbridge.platform_router")
-    finally:
-        gc.enable()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tamarackbridge/platform/start.py
@@ -0,0 +1,46 @@
+"""Starts a router on the users' platform."""
+
+import gc
+import importlib
+import os
+import pathlib
+import sys
+from typing import Any
+
+from tamarackbridge.components.telemetry import spans
+from tamarackbridge.platform import exceptions
+
+USAGE_EXIT_CODE = 2
+
+
+def run(
+    file: pathlib.Path | None = None, tracer: spans.Tracer | None = None
+) -> int:
+    """Reads the platform's settings and runs the router.
+
+    The entry point has set what signals do; the router takes them later.
+    """
+    platform_router = _import_router()
+    settings = importlib.import_module("tamarackbridge.platform.settings")
+    try:
+        cfg = settings.load(file or settings.path())
+    except exceptions.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return USAGE_EXIT_CODE
+    code: int = platform_router.run(cfg, tracer or spans.NullTracer())
+    return code
+
+
+def _import_router() -> Any:
+    """Imports the router without what only costs time at a start.
+
+    aiohttp reads the machine's certificate authorities when it is imported,
+    and no connection of a router relies on them; nothing that is imported is
+    garbage. Load pattern: all routers of a zone start at once.
+    """
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    gc.disable()
+    try:
+        return importlib.import_module("tamarackbridge.platform_router")
+    finally:
+        gc.enable()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -17,6 +17,7 @@
 from soak import programs, world
 from tamarackbridge.components.telemetry import queue_log
 from tamarackbridge.platform import __main__ as entry
+from tamarackbridge.platform import start
 
 CALLERS = 16
 
@@ -62,13 +63,15 @@
         os.kill(os.getpid(), signal.SIGHUP)
         return types.SimpleNamespace(run=lambda cfg, tracer: 0)
 
-    monkeypatch.setattr(entry, "_import_router", import_router)
+    monkeypatch.setattr(start, "_import_router", import_router)
     program = programs.Program("vm-0", "z1", "127.0.0.1:1", tmp_path)
     program.write_settings([])
+    for name, value in program.environment.items():
+        monkeypatch.setenv(name, value)
     before = signal.signal(signal.SIGHUP, lambda *_: reached.append(1))
     end = signal.getsignal(signal.SIGTERM)
     try:
-        assert entry.main(tmp_path / "vm-0.conf") == 0
+        assert entry.main() == 0
     finally:
         signal.signal(signal.SIGHUP, before)
         signal.signal(signal.SIGTERM, end)
@@ -78,7 +81,8 @@
 _ENDED_EARLY = """
 import os, signal, sys
 from tamarackbridge.platform import __main__ as entry
-entry._import_router = lambda: os.kill(os.getpid(), signal.SIGTERM)
+from tamarackbridge.platform import start
+start._import_router = lambda: os.kill(os.getpid(), signal.SIGTERM)
 sys.exit(entry.main() or 5)
 """
 
@@ -93,6 +97,83 @@
     assert await process.wait() == 0
 
 
+_ENDED_AT_FIRST_IMPORT = """
+import os, runpy, signal, sys
+
+package, *words = sys.argv[1:]
+early = {
+    "tamarackbridge",
+    package,
+    f"{package}.__main__",
+    "tamarackbridge.helpers",
+    "tamarackbridge.helpers.start_signals",
+}
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name not in early:
+            os.kill(os.getpid(), int(os.environ["SIGNAL"]))
+
+sys.argv[1:] = words
+sys.meta_path.insert(0, Finder())
+runpy.run_module(package, run_name="__main__", alter_sys=True)
+"""
+
+_PLATFORM_ROUTER = ("tamarackbridge", "platform-router", "--settings", "none")
+
+
+async def _async_end_at_first_import(
+    words: tuple[str, ...], number: signal.Signals
+) -> int:
+    """Sends signals whenever something that costs time is imported."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        _ENDED_AT_FIRST_IMPORT,
+        *words,
+        cwd=programs.ROOT,
+        env={
+            **os.environ,
+            "SIGNAL": str(int(number)),
+            "TAMARACKBRIDGE_SETTINGS": "none",
+        },
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    return await process.wait()
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("tamarackbridge.platform",),
+        _PLATFORM_ROUTER,
+        ("tamarackbridge", "router", "--settings", "none"),
+    ],
+)
+async def test_router_ends_in_good_order_from_its_first_import_on(
+    words: tuple[str, ...],
+) -> None:
+    """The soak saw one end by the signal itself (seed 7601)."""
+    assert await _async_end_at_first_import(words, signal.SIGTERM) == 0
+
+
+@pytest.mark.parametrize(
+    "words", [("tamarackbridge.platform",), _PLATFORM_ROUTER]
+)
+async def test_reload_is_ignored_from_the_first_import_on(
+    words: tuple[str, ...],
+) -> None:
+    code = await _async_end_at_first_import(words, signal.SIGHUP)
+    assert code == start.USAGE_EXIT_CODE
+
+
+async def test_command_of_an_operator_ends_by_the_signal_itself() -> None:
+    """An exit code of 0 would say that it had done its work."""
+    words = ("tamarackbridge", "check", "--settings", "none")
+    code = await _async_end_at_first_import(words, signal.SIGTERM)
+    assert code == -signal.SIGTERM
+
+
 @pytest.mark.parametrize(
     "requests",
     [
