End an answer whose head or framing never ends

What callers would see: a backend server that sends informational answers, blanks before a header's value, zeros of a chunk's size or a chunk extension without end held its request for the whole deadline. A repeatable request then got 504 although another server was well, and the router read and parsed all the while.

Cause: aiohttp's client bounds each line and the number of fields; its parser skips the rest without a callback, and informational answers are dropped one by one.

Change: connections to backend servers count what they received beside the body and end themselves above MAX_FRAMING_BYTES. The library's own limits are named.

After: tests/components/gateway/test_floods.py passes.

--- /dev/null
+++ b/standins/floods.py
@@ -0,0 +1,105 @@
+"""Bytes without end that a backend server in trouble sends."""
+
+import asyncio
+import dataclasses
+
+BURST_BYTES = 64 * 1024
+"""What one write sends at full speed."""
+
+ID_MARK = b"{id}"
+"""Stands for the request's identifier."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Flood:
+    """Bytes to begin with, and bytes that are sent again and again.
+
+    Attributes:
+        before: What is sent once.
+        again: What follows without end.
+        pause_s: Time between the two, in seconds.
+    """
+
+    before: bytes
+    again: bytes
+    pause_s: float = 0.0
+
+
+_HEAD = b"HTTP/1.1 200 X\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_WHOLE = _HEAD + b"Content-Length: 5\r\n\r\nwhole"
+_STREAM = (
+    _HEAD + b"Content-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+_EVENT = b"15\r\nid: 0\ndata: piece 0\n\n\r\n"
+
+IN_HEAD = {
+    "no_http": Flood(b"", b"x"),
+    "reason": Flood(b"HTTP/1.1 200 ", b"x"),
+    "header_lines": Flood(_HEAD, b"X-More: y\r\n"),
+    "header_line": Flood(_HEAD + b"X-More: ", b"y"),
+    "header_blanks": Flood(_HEAD + b"X-More:", b" "),
+    "header_name": Flood(_HEAD, b"y"),
+    "informational": Flood(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+}
+
+IN_BODY = {
+    "no_length": Flood(_HEAD + b"\r\n", b"y"),
+    "chunk_size": Flood(_CHUNKED, b"0"),
+    "chunk_size_too_large": Flood(_CHUNKED, b"f"),
+    "chunk_extension": Flood(_CHUNKED + b"5;", b"y"),
+    "chunk": Flood(_CHUNKED + b"ffffffffff\r\n", b"y"),
+    "small_chunks": Flood(_CHUNKED, b"1\r\ny\r\n"),
+    "trailers": Flood(_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X-More: y\r\n"),
+    "trailer": Flood(_CHUNKED + b"4\r\nbody\r\n0\r\nX-More: ", b"y"),
+}
+
+IN_STREAM = {
+    "chunk_size": Flood(_STREAM + _EVENT, b"0", 0.02),
+    "chunk_extension": Flood(_STREAM + _EVENT + b"5;", b"y", 0.02),
+    "trailers": Flood(_STREAM + _EVENT + b"0\r\n", b"X-More: y\r\n", 0.02),
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Flooding:
+    """One flood under way.
+
+    Attributes:
+        sent: Bytes that the kernel took.
+        ended: Whether the other end closed the connection.
+    """
+
+    sent: int = 0
+    ended: bool = False
+
+    async def async_send(
+        self,
+        flood: Flood,
+        request_id: str,
+        writer: asyncio.StreamWriter,
+        pace_s: float,
+    ) -> None:
+        """Sends until the other end closes.
+
+        Args:
+            flood: What to send.
+            request_id: Identifier of the request.
+            writer: The connection.
+            pace_s: Time between two small writes; 0 for full speed.
+        """
+        block = flood.again
+        if not pace_s:
+            block *= max(BURST_BYTES // len(block), 1)
+        try:
+            writer.write(flood.before.replace(ID_MARK, request_id.encode()))
+            await asyncio.sleep(flood.pause_s)
+            while not writer.is_closing():
+                writer.write(block)
+                await writer.drain()
+                self.sent += len(block)
+                await asyncio.sleep(pace_s)
+        except ConnectionError:
+            pass  # This is how a flood ends.
+        self.ended = True
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 
-from standins import base
+from standins import base, floods
 
 
 class Fault(enum.Enum):
@@ -70,6 +70,9 @@
 
     Attributes:
         faults: Faults of the next requests, in order; then none.
+        flooding: Floods that began, in order.
+        flood_pace_s: Time between small writes of a flood, in seconds; 0
+            for full speed.
         seen: Requests that arrived.
         ran: Identifiers of requests that ran.
         cancelled: Identifiers of streams whose caller left.
@@ -79,7 +82,9 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.faults: list[Fault] = []
+        self.faults: list[Fault | floods.Flood] = []
+        self.flooding: list[floods.Flooding] = []
+        self.flood_pace_s = 0.0
         self.seen: list[Seen] = []
         self.ran: list[str] = []
         self.cancelled: list[str] = []
@@ -146,7 +151,10 @@
         return await self._async_answer(seen, fault, writer)
 
     async def _async_answer(
-        self, seen: Seen, fault: Fault, writer: asyncio.StreamWriter
+        self,
+        seen: Seen,
+        fault: Fault | floods.Flood,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         request_id = seen.headers["X-Request-Id"]
         if fault is Fault.REFUSE or self.refuses:
@@ -156,6 +164,13 @@
             self._write(writer, 421, request_id, b"")
             return True
         self.note_run(request_id)
+        if isinstance(fault, floods.Flood):
+            flooding = floods.Flooding()
+            self.flooding.append(flooding)
+            await flooding.async_send(
+                fault, request_id, writer, self.flood_pace_s
+            )
+            return False
         if fault is Fault.HANG:
             await asyncio.Event().wait()
         if fault is Fault.LOSE:
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -3,17 +3,16 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
-import functools
 from typing import Any, cast
 
 import aiohttp
-from aiohttp import client_proto, hdrs
+from aiohttp import hdrs
 import yarl
 
 from tamarackbridge import core
 from tamarackbridge.components.backend import sockets
 from tamarackbridge.components.gateway import exceptions, models
-from tamarackbridge.helpers import send_once
+from tamarackbridge.helpers import bounded_answers, send_once
 
 CONNECT_TIMEOUT_S = 0.25
 """A connection takes one round trip, 2 ms; a server that is silent for this
@@ -37,7 +36,7 @@
 )
 
 
-class ServerProtocol(client_proto.ResponseHandler):
+class ServerProtocol(bounded_answers.BoundedProtocol):
     """A connection that remembers why it ended and how long it may idle.
 
     Attributes:
@@ -65,9 +64,7 @@
 
     def __init__(self) -> None:
         super().__init__(limit=0, socket_factory=sockets.open_tcp)
-        loop = asyncio.get_running_loop()
-        factory: Any = functools.partial(ServerProtocol, loop=loop)
-        self._factory = factory
+        bounded_answers.bind(self, ServerProtocol)
 
     async def _get(self, key: Any, traces: Any) -> Any:
         idle = self._conns.get(key)
@@ -107,6 +104,7 @@
             read_bufsize=READ_BUFFER_BYTES,
             middlewares=(send_once.async_send_once,),
             skip_auto_headers=_ADDED_BY_LIBRARY,
+            **bounded_answers.LIMITS,
         )
 
     async def on_stop(self) -> None:
--- a/tests/components/gateway/place.py
+++ b/tests/components/gateway/place.py
@@ -8,7 +8,7 @@
 import aiohttp
 import yarl
 
-from standins import platform_server, platform_store
+from standins import floods, platform_server, platform_store
 from standins import ports as standin_ports
 from tamarackbridge import platform_router
 from tamarackbridge.components.gateway import shutdown
@@ -92,7 +92,7 @@
         now = self.router._clock.monotonic()
         self.router._gateway.shutdown = shutdown.begin(now, 8.0)
 
-    def set_fault(self, *faults: platform_server.Fault) -> None:
+    def set_fault(self, *faults: platform_server.Fault | floods.Flood) -> None:
         """The next requests have these faults, wherever they go."""
         shared = list(faults)
         for server in self.servers:
--- /dev/null
+++ b/tests/components/gateway/test_floods.py
@@ -0,0 +1,97 @@
+"""Backend servers whose answers never end."""
+
+import pytest
+
+from standins import floods
+from tamarackbridge.components.telemetry import events
+from tests.components.gateway import place
+
+MAX_TAKEN = 48 * 1024 * 1024
+"""Largest answer that is held, twice, and the kernel's buffers, in bytes."""
+
+DEADLINE_MS = 2500
+"""Below the time limits of the routes."""
+
+PLAIN = {f"head-{name}": it for name, it in floods.IN_HEAD.items()} | {
+    f"body-{name}": it for name, it in floods.IN_BODY.items()
+}
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[events.Event]:
+    written: list[events.Event] = []
+    monkeypatch.setattr(events, "write", written.append)
+    return written
+
+
+def _ended(lines: list[events.Event]) -> list[events.SendingEnded]:
+    return [it for it in lines if isinstance(it, events.SendingEnded)]
+
+
+async def _async_until_closed(here: place.Place, floods_begun: int = 1) -> None:
+    """Waits until the router has closed the connections of all floods."""
+    begun = [it for server in here.servers for it in server.flooding]
+    assert len(begun) == floods_begun
+    await place.async_until(lambda: all(it.ended for it in begun))
+    assert sum(it.sent for it in begun) < MAX_TAKEN
+
+
+@pytest.mark.parametrize("name", PLAIN)
+async def test_flood_ends_with_another_servers_answer(
+    name: str, lines: list[events.Event]
+) -> None:
+    async with place.async_place() as here:
+        here.set_fault(PLAIN[name])
+        got = await here.async_send("/read/1", deadline_ms=DEADLINE_MS)
+        assert (got.status, got.body) == (200, b"answer to q1")
+        assert len(here.ran()) == 2
+        await _async_until_closed(here)
+        (ended,) = _ended(lines)
+        assert (ended.end, ended.again) == ("lost", True)
+        assert ended.detail
+
+
+@pytest.mark.parametrize("name", PLAIN)
+async def test_flood_is_no_answer_to_a_payment_and_not_its_end_elsewhere(
+    name: str, lines: list[events.Event]
+) -> None:
+    async with place.async_place(servers=1) as here:
+        here.set_fault(PLAIN[name])
+        got = await here.async_send("/pay/1", deadline_ms=DEADLINE_MS)
+        assert got.status == 502
+        assert here.ran() == ["q1"]
+        await _async_until_closed(here)
+        (ended,) = _ended(lines)
+        assert (ended.end, ended.again) == ("lost", False)
+        got = await here.async_send("/pay/1", request_id="q2")
+        assert got.body == b"answer to q2"
+        assert here.servers[0].connections == 2
+
+
+@pytest.mark.parametrize("name", floods.IN_STREAM)
+async def test_flooded_stream_does_not_look_whole(
+    name: str, lines: list[events.Event]
+) -> None:
+    async with place.async_place(servers=1) as here:
+        here.set_fault(floods.IN_STREAM[name])
+        with pytest.raises(place.CUT):
+            await here.async_send("/stream/1", deadline_ms=DEADLINE_MS)
+        assert here.ran() == ["q1"]
+        await _async_until_closed(here)
+        (ended,) = _ended(lines)
+        assert (ended.end, ended.again) == ("lost", False)
+        assert ended.detail
+
+
+@pytest.mark.parametrize("name", floods.IN_STREAM)
+async def test_flooded_stream_goes_on_at_another_server(
+    name: str, lines: list[events.Event]
+) -> None:
+    async with place.async_place() as here:
+        here.set_fault(floods.IN_STREAM[name])
+        got = await here.async_send("/stream/r/1", deadline_ms=DEADLINE_MS)
+        numbered = [it for it in got.body.split(b"\n\n") if b"id: " in it]
+        assert len(numbered) == 6
+        await _async_until_closed(here)
+        (ended,) = _ended(lines)
+        assert (ended.end, ended.again) == ("lost", True)
