Close an idle connection on which anything comes

What callers would see: nothing at first; a backend server that sent answers without end on a connection that waits in the pool filled the router's memory until the pool's next clean-up, 15 s later.

Cause: aiohttp parses what comes on an idle connection and queues each answer and each informational one; the queue has no bound and nobody reads it. Ruled out: bytes that are no HTTP, a head that never ends and a body, for which the library closes the connection or stops to read.

Change: bytes after a whole answer, and a second answer to one request, end the connection at once; the first answer is still passed on.

Conclusion: an idle connection holds nothing that a server sent.

--- a/standins/floods.py
+++ b/standins/floods.py
@@ -62,6 +62,19 @@
 }
 
 
+AFTER_ANSWER = {
+    "bytes": Flood(_WHOLE, b"x", 0.02),
+    "answers": Flood(_WHOLE, b"HTTP/1.1 204 X\r\n\r\n", 0.02),
+    "informational": Flood(_WHOLE, b"HTTP/1.1 102 X\r\n\r\n", 0.02),
+    "header_line": Flood(_WHOLE, b"HTTP/1.1 200 X\r\nX-More: ", 0.02),
+    "body": Flood(
+        _WHOLE, b"HTTP/1.1 200 X\r\nContent-Length: 999\r\n\r\n", 0.02
+    ),
+    "at_once": Flood(_WHOLE, b"HTTP/1.1 204 X\r\n\r\n"),
+    "bytes_at_once": Flood(_WHOLE, b"x"),
+}
+
+
 @dataclasses.dataclass(slots=True)
 class Flooding:
     """One flood under way.
--- a/tamarackbridge/helpers/bounded_answers.py
+++ b/tamarackbridge/helpers/bounded_answers.py
@@ -45,24 +45,35 @@
         super().__init__(loop=loop)
         self._received = 0
         self._body: streams.StreamReader | None = None
+        self._surplus = False
 
     def set_response_params(self, **params: Any) -> None:
         """Begins with a request."""
         self._received = 0
         self._body = None
+        self._surplus = False
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Takes the head of an answer that the parser has read."""
         message, body = data
+        if self._body is not None:
+            self._surplus = True
+            return
         if message.code >= 200:
             self._body = body
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes, unless too many came that were no answer's."""
+        if data and self._body is not None and self._body.is_eof():
+            self._give_up("bytes after a whole answer")
+            return
         self._received += len(data)
         super().data_received(data)
+        if self._surplus:
+            self._give_up("an answer to no request")
+            return
         if self._reading_paused or self.transport is None:
             return  # What the parser holds back may be of the body.
         body_bytes = self._body.total_bytes if self._body else 0
--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -12,6 +12,8 @@
 DEADLINE_MS = 2500
 """Below the time limits of the routes."""
 
+TRICKLE_S = 0.02
+
 PLAIN = {f"head-{name}": it for name, it in floods.IN_HEAD.items()} | {
     f"body-{name}": it for name, it in floods.IN_BODY.items()
 }
@@ -95,3 +97,21 @@
         await _async_until_closed(here)
         (ended,) = _ended(lines)
         assert (ended.end, ended.again) == ("lost", True)
+
+
+@pytest.mark.parametrize("pace_s", [0.0, TRICKLE_S])
+@pytest.mark.parametrize("name", floods.AFTER_ANSWER)
+async def test_flood_after_an_answer_closes_the_idle_connection(
+    name: str, pace_s: float
+) -> None:
+    async with place.async_place(servers=1) as here:
+        here.servers[0].flood_pace_s = pace_s
+        here.set_fault(floods.AFTER_ANSWER[name])
+        got = await here.async_send("/pay/1")
+        # What comes with the answer may hide that it is whole.
+        assert (got.status, got.body) == (200, b"whole") or got.status == 502
+        await _async_until_closed(here)
+        assert here.servers[0].flooding[0].sent < 2 * 1024 * 1024
+        got = await here.async_send("/pay/1", request_id="q2")
+        assert (got.status, got.body) == (200, b"answer to q2")
+        assert here.ran() == ["q1", "q2"]
