Use no idle connection on which something waits unread

What callers would see: an old answer for a new request. Bytes that a server sends on an idle connection while the event loop is busy lie in the kernel when the connection is taken from the pool, and are read as the answer to the request that is then sent on it. An answer "not run" among them needs no identifier to be believed, so a payment could run twice.

Cause: the pool looks only at what the event loop has read. Ruled out: bytes that were read before, which close the connection.

Change: a connection is taken from the pool only if poll(2) finds nothing to read; this also finds a server's close that has not been read.

Before: test_what_waits_unread_is_no_answer_to_the_next_request failed with "assert 503 == 200". After: passes.

Conclusion: what remains is what a server sends after the request has left.

--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import select
 from typing import Any, cast
 
 import aiohttp
@@ -59,7 +60,8 @@
     """A pool that gives out only connections that are certainly clean.
 
     aiohttp checks a connection when it goes back into the pool. Bytes that
-    come later would be taken for the answer to the next request.
+    come later would be taken for the answer to the next request, those too
+    that the event loop has not read yet.
     """
 
     def __init__(self) -> None:
@@ -82,7 +84,16 @@
 
 def _unusable(item: tuple[Any, float], now: float) -> bool:
     proto, since = item
-    return bool(proto.should_close or now - since > proto.idle_s)
+    if proto.should_close or now - since > proto.idle_s:
+        return True
+    return not proto.is_connected() or _has_unread(proto.transport)
+
+
+def _has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes or an end wait that a busy event loop has not read yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
 
 
 class ServerClient(core.Service):
--- a/tests/components/gateway/test_servers.py
+++ b/tests/components/gateway/test_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import os
 
 import pytest
 
@@ -74,3 +75,38 @@
     assert set(early.first_lines) == {b"POST /x/1 HTTP/1.1"}
     assert len(early.first_lines) == 3
     assert all(it == BODY for it in early.bodies)
+
+
+STALE = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+async def test_what_waits_unread_is_no_answer_to_the_next_request(
+    client: servers.ServerClient,
+) -> None:
+    """A busy event loop has not read what came on an idle connection."""
+    sockets: list[int] = []
+
+    async def async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        sockets.append(writer.get_extra_info("socket").fileno())
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+                )
+        writer.close()
+
+    listener = await asyncio.start_server(async_serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    for _ in range(2):
+        async with client.async_open(address, _call(b""), ()) as resp:
+            assert await resp.read() == b"done"
+    assert len(sockets) == 1
+    os.write(sockets[0], STALE)
+    # Nothing of the client has run since the server sent it.
+    async with client.async_open(address, _call(b""), ()) as resp:
+        assert resp.status == 200
+        assert await resp.read() == b"done"
+    assert len(sockets) == 2
+    listener.close()
