Say why a sending ended in each case

What operators would see: SendingEnded with an empty detail where a time limit ended a sending, an event was too large, an answer named another request or was not signed, or a connection was reset within an answer without a length.

Cause: only errors of the client brought their text along.

Change: each end but a whole one and a refusal names its cause; at a time limit, what of the answer had not come.

Before: the new tests failed with an empty detail: in test_lines.py CROSS, UNFRAMED_RESET and HANG; in test_floods.py trickles that a deadline ended and events that are too large ("assert ''"). After: tests/components/gateway/ test_lines.py and test_floods.py pass.

Conclusion: the log alone tells these cases apart.

--- a/standins/floods.py
+++ b/standins/floods.py
@@ -62,6 +62,12 @@
 }
 
 
+IN_EVENTS = {
+    "event": Flood(_STREAM + _EVENT + b"ffffffffff\r\ndata: ", b"y", 0.02),
+    "lines": Flood(_STREAM + _EVENT + b"ffffffffff\r\n", b"data: y\n", 0.02),
+    "number": Flood(_STREAM + _EVENT + b"ffffffffff\r\nid: ", b"9", 0.02),
+}
+
 AFTER_ANSWER = {
     "bytes": Flood(_WHOLE, b"x", 0.02),
     "answers": Flood(_WHOLE, b"HTTP/1.1 204 X\r\n\r\n", 0.02),
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -111,7 +111,7 @@
         except exceptions.LostError as exc:
             sent.end, sent.detail = End.LOST, str(exc)
         except TimeoutError:
-            sent.end = End.TIMED_OUT
+            sent.end, sent.detail = End.TIMED_OUT, _missing(sent)
         return sent
 
     async def _async_exchange(self, order: Order, sent: Sent) -> None:
@@ -128,6 +128,7 @@
             order.sink.heard()
             if head.told is models.Told.CROSSED:
                 sent.end = End.CROSSED
+                sent.detail = "the answer names another request"
                 resp.close()
                 return
             if head.told is not models.Told.ELSEWHERE:
@@ -138,7 +139,7 @@
                 await _async_stream(order, sent, resp, events)
                 return
             sent.body = await _async_body(resp)
-            sent.end = _plain_end(head, resp)
+            sent.end, sent.detail = _plain_end(head, resp)
 
 
 def _traced(
@@ -151,14 +152,27 @@
     return (*kept, *trace.items())
 
 
-def _plain_end(head: models.Head, resp: aiohttp.ClientResponse) -> End:
+def _missing(sent: Sent) -> str:
+    """Returns what of an answer did not come in time."""
+    if sent.head is None:
+        return "no whole head of an answer came"
+    if sent.streamed:
+        return "the stream did not end"
+    return "the body did not end"
+
+
+def _plain_end(
+    head: models.Head, resp: aiohttp.ClientResponse
+) -> tuple[End, str]:
     if head.told is models.Told.NOT_RUN:
-        return End.NOT_RUN
+        return End.NOT_RUN, ""
     if head.told is models.Told.ELSEWHERE:
-        return End.ELSEWHERE
-    if servers.ended_by_reset(resp) or (resp.status < 300 and not head.sealed):
-        return End.LOST
-    return End.WHOLE
+        return End.ELSEWHERE, ""
+    if servers.ended_by_reset(resp):
+        return End.LOST, "the connection was reset within the body"
+    if resp.status < 300 and not head.sealed:
+        return End.LOST, "the answer is not signed"
+    return End.WHOLE, ""
 
 
 async def _async_body(resp: aiohttp.ClientResponse) -> bytes:
@@ -188,7 +202,14 @@
         if passed:
             await order.sink.async_events(head, passed)
         if events.broken:
+            sent.detail = events.broken
             resp.close()
             return
-    whole = events.ends_here and not servers.ended_by_reset(resp)
-    sent.end = End.WHOLE if whole else End.LOST
+    if servers.ended_by_reset(resp):
+        sent.detail = "the connection was reset within the stream"
+    elif events.partial:
+        sent.detail = "the stream ended within an event"
+    elif events.behind:
+        sent.detail = "the stream ended before the caller's last event"
+    else:
+        sent.end = End.WHOLE
--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -20,14 +20,15 @@
     Attributes:
         last: Number of the last event that was passed on; -1 for none.
         passed: Events that were passed on.
-        broken: Whether the current server's stream can't be used further.
+        broken: Why the current server's stream can't be used further; empty
+            if it can.
         resumable: Whether the place of the last event is known by its number.
     """
 
     def __init__(self, resume_after: str) -> None:
         self.last = int(resume_after) if resume_after.isdigit() else -1
         self.passed = 0
-        self.broken = False
+        self.broken = ""
         self.resumable = True
         self._rest = b""
         self._seen = -1
@@ -39,7 +40,7 @@
         self._rest = b""
         self._seen = -1
         self._goes_on = self._begun
-        self.broken = False
+        self.broken = ""
 
     @property
     def partial(self) -> bool:
@@ -47,14 +48,12 @@
         return bool(self._rest.strip())
 
     @property
-    def ends_here(self) -> bool:
-        """Whether the current server's end can be the end of the whole.
+    def behind(self) -> bool:
+        """Whether a server that began anew is before the last event.
 
-        A server that begins anew and ends before the last event has run
-        something else.
+        One that ends there has run something else.
         """
-        behind = self._goes_on and 0 <= self._seen < self.last
-        return not self.partial and not behind
+        return self._goes_on and 0 <= self._seen < self.last
 
     @property
     def resume_after(self) -> str:
@@ -76,7 +75,7 @@
                 passed.append(event)
         self._rest = rest[begin:]
         if len(self._rest) > MAX_EVENT_BYTES:
-            self.broken = True
+            self.broken = "an event is too large"
         return b"".join(passed)
 
     def _accept(self, event: bytes) -> bool:
@@ -97,7 +96,7 @@
             return True
         # The caller may have it from the server before.
         if self._goes_on and self._seen < self.last:
-            self.broken = True
+            self.broken = "an event without a number could be a repeated one"
             return False
         self.resumable = False
         return True
--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -12,12 +12,15 @@
 DEADLINE_MS = 2500
 """Below the time limits of the routes."""
 
+LATE_MS = 300
 TRICKLE_S = 0.02
 
 PLAIN = {f"head-{name}": it for name, it in floods.IN_HEAD.items()} | {
     f"body-{name}": it for name, it in floods.IN_BODY.items()
 }
 
+STREAM = floods.IN_STREAM | floods.IN_EVENTS
+
 
 @pytest.fixture
 def lines(monkeypatch: pytest.MonkeyPatch) -> list[events.Event]:
@@ -70,12 +73,12 @@
         assert here.servers[0].connections == 2
 
 
-@pytest.mark.parametrize("name", floods.IN_STREAM)
+@pytest.mark.parametrize("name", STREAM)
 async def test_flooded_stream_does_not_look_whole(
     name: str, lines: list[events.Event]
 ) -> None:
     async with place.async_place(servers=1) as here:
-        here.set_fault(floods.IN_STREAM[name])
+        here.set_fault(STREAM[name])
         with pytest.raises(place.CUT):
             await here.async_send("/stream/1", deadline_ms=DEADLINE_MS)
         assert here.ran() == ["q1"]
@@ -85,12 +88,12 @@
         assert ended.detail
 
 
-@pytest.mark.parametrize("name", floods.IN_STREAM)
+@pytest.mark.parametrize("name", STREAM)
 async def test_flooded_stream_goes_on_at_another_server(
     name: str, lines: list[events.Event]
 ) -> None:
     async with place.async_place() as here:
-        here.set_fault(floods.IN_STREAM[name])
+        here.set_fault(STREAM[name])
         got = await here.async_send("/stream/r/1", deadline_ms=DEADLINE_MS)
         numbered = [it for it in got.body.split(b"\n\n") if b"id: " in it]
         assert len(numbered) == 6
@@ -115,3 +118,36 @@
         got = await here.async_send("/pay/1", request_id="q2")
         assert (got.status, got.body) == (200, b"answer to q2")
         assert here.ran() == ["q1", "q2"]
+
+
+@pytest.mark.parametrize("name", PLAIN)
+async def test_trickle_ends_at_the_deadline(
+    name: str, lines: list[events.Event]
+) -> None:
+    async with place.async_place(servers=1) as here:
+        here.servers[0].flood_pace_s = TRICKLE_S
+        here.set_fault(PLAIN[name])
+        got = await here.async_send("/pay/1", deadline_ms=LATE_MS)
+        assert got.status in (502, 504)
+        assert here.ran() == ["q1"]
+        await _async_until_closed(here)
+        (ended,) = _ended(lines)
+        assert ended.end in ("lost", "timed_out")
+        assert ended.detail
+        got = await here.async_send("/pay/1", request_id="q2")
+        assert got.body == b"answer to q2"
+
+
+@pytest.mark.parametrize("name", STREAM)
+async def test_trickled_stream_is_cut_at_the_deadline(
+    name: str, lines: list[events.Event]
+) -> None:
+    async with place.async_place(servers=1) as here:
+        here.servers[0].flood_pace_s = TRICKLE_S
+        here.set_fault(STREAM[name])
+        with pytest.raises(place.CUT):
+            await here.async_send("/stream/1", deadline_ms=LATE_MS)
+        await _async_until_closed(here)
+        (ended,) = _ended(lines)
+        assert ended.end in ("lost", "timed_out")
+        assert ended.detail
--- a/tests/components/gateway/test_lines.py
+++ b/tests/components/gateway/test_lines.py
@@ -67,6 +67,28 @@
     assert first.server == ended.server != second.server
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault.LOSE,
+        Fault.RESET,
+        Fault.CROSS,
+        Fault.TRUNCATE,
+        Fault.NOT_HTTP,
+        Fault.UNFRAMED_RESET,
+        Fault.HANG,
+    ],
+)
+async def test_sending_that_ended_badly_has_its_cause(
+    fault: Fault, lines: list[events.Event]
+) -> None:
+    async with place.async_place() as here:
+        here.set_fault(fault)
+        await here.async_send("/pay/1", request_id="q9", deadline_ms=500)
+    (ended,) = (it for it in lines if isinstance(it, events.SendingEnded))
+    assert ended.detail
+
+
 async def test_lost_payment_says_that_it_may_have_run(
     lines: list[events.Event],
 ) -> None:
