End a stream on which no new event comes

What callers would see: a server that sends whole events without a number, or the same one again and again, kept its stream for the whole deadline; events without a number were all passed on, at full speed. A resumable stream was then cut although another server was well.

Cause: only an event that does not end was bounded. Events without a number belong to no place in the stream; comments are such events, so a few are still passed on.

Change: MAX_EVENT_BYTES bounds all that comes from one server without a whole new event; a new one begins the count anew.

Conclusion: progress on a stream is counted in new, whole events.

--- a/standins/floods.py
+++ b/standins/floods.py
@@ -66,6 +66,13 @@
     "event": Flood(_STREAM + _EVENT + b"ffffffffff\r\ndata: ", b"y", 0.02),
     "lines": Flood(_STREAM + _EVENT + b"ffffffffff\r\n", b"data: y\n", 0.02),
     "number": Flood(_STREAM + _EVENT + b"ffffffffff\r\nid: ", b"9", 0.02),
+    "unnumbered": Flood(
+        _STREAM + _EVENT + b"ffffffffff\r\n", b"data: y\n\n", 0.02
+    ),
+    "comments": Flood(_STREAM + _EVENT + b"ffffffffff\r\n", b": y\n\n", 0.02),
+    "same": Flood(
+        _STREAM + _EVENT + b"ffffffffff\r\n", b"id: 0\ndata: y\n\n", 0.02
+    ),
 }
 
 AFTER_ANSWER = {
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -209,7 +209,7 @@
         sent.detail = "the connection was reset within the stream"
     elif events.partial:
         sent.detail = "the stream ended within an event"
-    elif events.behind:
+    elif not events.ends_here:
         sent.detail = "the stream ended before the caller's last event"
     else:
         sent.end = End.WHOLE
--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -7,7 +7,8 @@
 import re
 
 MAX_EVENT_BYTES = 1024 * 1024
-"""Largest event that is taken from a backend server."""
+"""What is taken from one backend server without a whole event that is new:
+more than the whole of a stream that it repeats from its begin."""
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
@@ -34,12 +35,14 @@
         self._seen = -1
         self._begun = False
         self._goes_on = False
+        self._stale_bytes = 0
 
     def begin(self) -> None:
         """Begins with another server; half an event is dropped."""
         self._rest = b""
         self._seen = -1
         self._goes_on = self._begun
+        self._stale_bytes = 0
         self.broken = ""
 
     @property
@@ -48,12 +51,14 @@
         return bool(self._rest.strip())
 
     @property
-    def behind(self) -> bool:
-        """Whether a server that began anew is before the last event.
+    def ends_here(self) -> bool:
+        """Whether the current server's end can be the end of the whole.
 
-        One that ends there has run something else.
+        A server that begins anew and ends before the last event has run
+        something else.
         """
-        return self._goes_on and 0 <= self._seen < self.last
+        behind = self._goes_on and 0 <= self._seen < self.last
+        return not self.partial and not behind
 
     @property
     def resume_after(self) -> str:
@@ -70,7 +75,7 @@
                 break
             event = rest[begin : found.end()]
             begin = found.end()
-            if self._accept(event):
+            if self._accept(event) and not self.broken:
                 self._begun = True
                 passed.append(event)
         self._rest = rest[begin:]
@@ -81,11 +86,14 @@
     def _accept(self, event: bytes) -> bool:
         found = _ID.search(event)
         if found is None:
+            self._note_stale(event)
             return self._accept_unnumbered(event)
         number = int(found.group(1))
         self._seen = number
         if number <= self.last:
+            self._note_stale(event)
             return False
+        self._stale_bytes = 0
         self.last = number
         self.resumable = True
         self.passed += 1
@@ -100,3 +108,8 @@
             return False
         self.resumable = False
         return True
+
+    def _note_stale(self, event: bytes) -> None:
+        self._stale_bytes += len(event)
+        if self._stale_bytes > MAX_EVENT_BYTES:
+            self.broken = "events come, but no new one"
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -1,5 +1,6 @@
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from tamarackbridge.components.gateway import relay
 
@@ -80,6 +81,25 @@
     assert events.broken
 
 
+@pytest.mark.parametrize("other", [b": a comment\n\n", event(0)])
+def test_whole_events_that_are_no_new_ones_break_the_stream(
+    other: bytes,
+) -> None:
+    events = relay.EventRelay("")
+    events.feed(event(0))
+    allowed = relay.MAX_EVENT_BYTES // len(other)
+    events.feed(other * allowed)
+    assert not events.broken
+    # A new event ends the count.
+    assert events.feed(event(1)) == event(1)
+    events.feed(other * allowed)
+    assert not events.broken
+    assert events.feed(other + event(2)) == b""
+    assert events.broken
+    events.begin()
+    assert events.feed(event(2)) == event(2)
+
+
 @hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
 def test_any_split_gives_the_same_events(sizes: list[int]) -> None:
     whole = b"".join(event(number) for number in range(12))
