Take no number that is too long from a server or a caller

What callers would see: 500, or a stream cut without a line that tells why, after a server numbered an event, or gave the seconds of Keep-Alive, with more than 4300 digits; 500 as well for a Last-Event-Id of a caller with as many, or with a digit that is not ASCII.

Cause: int() raises ValueError for them, which nobody expects there.

Change: a number of more than 18 digits breaks the server's stream, and is no number in a caller's header; the seconds are read as a float.

Before: test_floods.py, the stream cases [numbers], "not enough values to unpack (expected 1, got 0)" (no SendingEnded); test_relay.py and test_servers.py, "ValueError: Exceeds the limit (4300 digits)" and "invalid literal for int() with base 10". After: all pass.

Conclusion: such a stream is lost, with its line, and may go on elsewhere.

--- a/standins/floods.py
+++ b/standins/floods.py
@@ -34,6 +34,9 @@
 )
 _EVENT = b"15\r\nid: 0\ndata: piece 0\n\n\r\n"
 
+_NUMBER = b"9" * 5000
+"""More digits than Python converts."""
+
 IN_HEAD = {
     "no_http": Flood(b"", b"x"),
     "reason": Flood(b"HTTP/1.1 200 ", b"x"),
@@ -66,6 +69,9 @@
     "event": Flood(_STREAM + _EVENT + b"ffffffffff\r\ndata: ", b"y", 0.02),
     "lines": Flood(_STREAM + _EVENT + b"ffffffffff\r\n", b"data: y\n", 0.02),
     "number": Flood(_STREAM + _EVENT + b"ffffffffff\r\nid: ", b"9", 0.02),
+    "numbers": Flood(
+        _STREAM + _EVENT + b"ffffffffff\r\n", b"id: %b\n\n" % _NUMBER, 0.02
+    ),
     "unnumbered": Flood(
         _STREAM + _EVENT + b"ffffffffff\r\n", b"data: y\n\n", 0.02
     ),
--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -10,6 +10,9 @@
 """What is taken from one backend server without a whole event that is new:
 more than the whole of a stream that it repeats from its begin."""
 
+MAX_DIGITS = 18
+"""Longest number of an event: it fits into 64 bits, as a count of events."""
+
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([0-9]+)[ ]*(?=\r?\n|$)")
@@ -27,7 +30,7 @@
     """
 
     def __init__(self, resume_after: str) -> None:
-        self.last = int(resume_after) if resume_after.isdigit() else -1
+        self.last = _number(resume_after)
         self.passed = 0
         self.broken = ""
         self.resumable = True
@@ -88,7 +91,10 @@
         if found is None:
             self._note_stale(event)
             return self._accept_unnumbered(event)
-        number = int(found.group(1))
+        number = _number(found.group(1).decode())
+        if number < 0:
+            self.broken = "an event's number is too long"
+            return False
         self._seen = number
         if number <= self.last:
             self._note_stale(event)
@@ -113,3 +119,10 @@
         self._stale_bytes += len(event)
         if self._stale_bytes > MAX_EVENT_BYTES:
             self.broken = "events come, but no new one"
+
+
+def _number(text: str) -> int:
+    """Returns the number of an event; -1 if it is none."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        return -1
+    return int(text)
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -169,8 +169,9 @@
         return
     for part in resp.headers.get(hdrs.KEEP_ALIVE, "").split(","):
         name, _, value = part.strip().partition("=")
-        if name == "timeout" and value.isdigit():
-            conn.protocol.idle_s = max(int(value) - IDLE_MARGIN_S, 0.0)
+        if name == "timeout" and value.isascii() and value.isdigit():
+            # A float takes any number of digits.
+            conn.protocol.idle_s = max(float(value) - IDLE_MARGIN_S, 0.0)
 
 
 def _text(exc: BaseException) -> str:
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -100,6 +100,21 @@
     assert events.feed(event(2)) == event(2)
 
 
+@pytest.mark.parametrize("digits", [19, 5000])
+def test_number_that_is_none_breaks_the_stream(digits: int) -> None:
+    events = relay.EventRelay("")
+    number = b"9" * digits
+    assert events.feed(event(0) + b"id: " + number + b"\n\n") == event(0)
+    assert events.broken
+    assert events.resume_after == "0"
+
+
+@pytest.mark.parametrize("text", ["9" * 5000, "\u00b2", "-1", "x"])
+def test_caller_that_names_no_event_begins_anew(text: str) -> None:
+    events = relay.EventRelay(text)
+    assert events.feed(event(0)) == event(0)
+
+
 @hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
 def test_any_split_gives_the_same_events(sizes: list[int]) -> None:
     whole = b"".join(event(number) for number in range(12))
--- a/tests/components/gateway/test_servers.py
+++ b/tests/components/gateway/test_servers.py
@@ -110,3 +110,24 @@
         assert await resp.read() == b"done"
     assert len(sockets) == 2
     listener.close()
+
+
+async def test_idle_time_that_is_no_number_is_passed_over(
+    client: servers.ServerClient,
+) -> None:
+    async def async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+        writer.write(head + b"Keep-Alive: timeout=" + b"9" * 5000)
+        writer.write(b"\r\n\r\n")
+        await asyncio.sleep(READ_LATE_S)  # The head comes alone.
+        writer.write(b"done")
+        writer.close()
+
+    listener = await asyncio.start_server(async_serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    async with client.async_open(address, _call(b""), ()) as resp:
+        assert await resp.read() == b"done"
+    listener.close()
