Bound what the store may answer

What operators would see: a router whose memory grows while the store, or what answers in its place, sends a body without end: up to 0.8 s (or the wait of a watch more) at full speed, once for each kind of object.

Cause: MAX_ANSWER_BYTES was defined and never used; the body was read whole, and unpacked, whatever its size. Answers on an idle connection were queued as on those to backend servers. Ruled out: heads without end, which the library ends.

After: tests/platform/test_store.py and gateway/test_floods.py pass.

Conclusion: such an answer counts as none, and its connection is closed.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -14,6 +14,7 @@
     relay,
     servers,
 )
+from tamarackbridge.helpers import bounded_answers
 
 MAX_PLAIN_BYTES = 16 * 1024 * 1024
 """Largest answer that is held whole."""
@@ -138,7 +139,7 @@
             if events is not None and resp.status == 200 and is_stream:
                 await _async_stream(order, sent, resp, events)
                 return
-            sent.body = await _async_body(resp)
+            sent.body = await bounded_answers.async_read(resp, MAX_PLAIN_BYTES)
             sent.end, sent.detail = _plain_end(head, resp)
 
 
@@ -175,17 +176,6 @@
     return End.WHOLE, ""
 
 
-async def _async_body(resp: aiohttp.ClientResponse) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in resp.content.iter_any():
-        size += len(chunk)
-        if size > MAX_PLAIN_BYTES:
-            raise exceptions.LostError("the answer is too large")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 async def _async_stream(
     order: Order,
     sent: Sent,
--- a/tamarackbridge/helpers/bounded_answers.py
+++ b/tamarackbridge/helpers/bounded_answers.py
@@ -90,6 +90,23 @@
             body.set_exception(exc)
 
 
+async def async_read(resp: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Returns a whole body; the caller leaves the answer after an error.
+
+    Raises:
+        EndlessError: It is larger.
+        ClientError: It did not come whole.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in resp.content.iter_any():
+        size += len(part)
+        if size > max_bytes:
+            raise EndlessError(f"the answer has more than {max_bytes} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
 def bind(
     connector: aiohttp.BaseConnector,
     kind: type[BoundedProtocol] = BoundedProtocol,
--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -9,7 +9,7 @@
 import result
 
 from tamarackbridge import core
-from tamarackbridge.helpers import send_once
+from tamarackbridge.helpers import bounded_answers, send_once
 from tamarackbridge.platform import const
 
 CONNECT_TIMEOUT_S = 0.5
@@ -107,10 +107,13 @@
 
     async def on_start(self) -> None:
         """Opens the pool."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
+        bounded_answers.bind(connector)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=5),
+            connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             middlewares=(send_once.async_send_once,),
+            **bounded_answers.LIMITS,
         )
 
     async def on_stop(self) -> None:
@@ -207,7 +210,7 @@
                 json=body,
                 timeout=timeout,
             ) as resp:
-                data = await resp.read()
+                data = await bounded_answers.async_read(resp, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return result.Err(Failure.UNREACHABLE)
         if resp.status in (200, 201, 204):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,10 @@
 """The store's client against a stand-in: a table of faults."""
 
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import gzip
+
 import pytest
 import result
 
@@ -101,3 +106,99 @@
         assert answer.facts == (source.ServerGone("a"),)
         assert origin.unreadable == 1
         await client.stop()
+
+
+class Endless:
+    """A store that sends bytes without end.
+
+    Attributes:
+        before: What it sends once, on each connection.
+        again: What it sends again and again after that.
+        sent: Bytes that the kernel took.
+        ended: Connections that the client closed.
+    """
+
+    def __init__(self, before: bytes, again: bytes) -> None:
+        self.before = before
+        self.again = again * (65_536 // len(again))
+        self.sent = 0
+        self.ended = 0
+
+    async def async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.before)
+            await asyncio.sleep(0.02)
+            while not writer.is_closing():
+                writer.write(self.again)
+                await writer.drain()
+                self.sent += len(self.again)
+                await asyncio.sleep(0)
+        self.ended += 1
+
+
+HEAD = b"HTTP/1.1 200 X\r\n"
+KERNEL_BYTES = 12 * 1024 * 1024
+"""More than the kernel's buffers of one connection."""
+
+
+@contextlib.asynccontextmanager
+async def _async_endless(
+    before: bytes,
+    again: bytes,
+    max_sent: int = store.MAX_ANSWER_BYTES + KERNEL_BYTES,
+) -> AsyncIterator[tuple[Endless, store.Store]]:
+    here = Endless(before, again)
+    listener = await asyncio.start_server(here.async_serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    client = store.Store(f"127.0.0.1:{port}")
+    await client.start()
+    yield here, client
+    for _ in range(400):
+        if here.ended:
+            break
+        await asyncio.sleep(0.005)
+    assert here.ended == 1
+    assert here.sent < max_sent
+    await client.stop()
+    listener.close()
+
+
+@pytest.mark.parametrize(
+    ("before", "again"),
+    [
+        (HEAD, b"X: y\r\n"),
+        (b"", b"HTTP/1.1 102 X\r\n\r\n"),
+        (HEAD + b"\r\n", b" "),
+        (HEAD + b"Content-Length: 99999999999\r\n\r\n", b" "),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\nffffffff\r\n", b" "),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
+    ],
+)
+async def test_answer_without_end_is_none(before: bytes, again: bytes) -> None:
+    async with _async_endless(before, again) as (_, client):
+        answer = await client.async_list("servers")
+        assert answer == result.Err(Failure.UNREACHABLE)
+
+
+async def test_bytes_without_end_after_an_answer_close_the_connection() -> None:
+    body = b'{"items":[],"as_of":1}'
+    before = HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+    again = b"HTTP/1.1 204 X\r\n\r\n"
+    async with _async_endless(before, again, 2**20) as (_, client):
+        answer = await client.async_list("servers")
+        assert answer == result.Ok(store.Page((), 1))
+
+
+async def test_answer_that_unpacks_without_end_is_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store, "MAX_ANSWER_BYTES", 10_000)
+    body = gzip.compress(b" " * 20_000)
+    before = HEAD + b"Content-Encoding: gzip\r\n"
+    before += f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+    async with _async_endless(before, b"x") as (_, client):
+        answer = await client.async_list("servers")
+        assert answer == result.Err(Failure.UNREACHABLE)
