Bound what servers send to the other clients of theirs

What operators would see: on the deployment with permits, a server that sends informational answers, blanks, zeros or a chunk extension without end held its request for its whole life, and answers on an idle connection grew the router's memory for 30 s. A load report that came in two parts was not read; one whose first part was readable was taken whatever followed.

Before: 8 of the new tests in tests/components/backend/test_floods.py failed: 4 with TimeoutError, 2 idle ones (" <" bytes read), both of load reports ("[] == [3]", "[3] == []"). After: tests/components/backend and tests/components/entry pass.

--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -7,7 +7,7 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.backend import exceptions, sockets
-from tamarackbridge.helpers import send_once
+from tamarackbridge.helpers import bounded_answers, send_once
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_LINE_BYTES = 1024 * 1024
@@ -25,15 +25,18 @@
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=30, socket_factory=sockets.open_tcp
+        )
+        bounded_answers.bind(connector)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=30, socket_factory=sockets.open_tcp
-            ),
+            connector=connector,
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=MAX_LINE_BYTES,
             middlewares=(send_once.async_send_once,),
+            **bounded_answers.LIMITS,
         )
 
     async def on_stop(self) -> None:
--- /dev/null
+++ b/tests/components/backend/test_floods.py
@@ -0,0 +1,122 @@
+"""Backend servers whose answers never end, and their load reports."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import random
+import types
+from typing import Any, cast
+
+import pytest
+
+from standins import floods, platform_server
+from tamarackbridge import core
+from tamarackbridge.components.backend import client, exceptions, load_poller
+from tamarackbridge.components.dispatch import messages as dispatch
+from tamarackbridge.helpers import bounded_answers
+from tests.components.gateway import place
+
+HEADERS = {"X-Request-Id": "q1"}
+MAX_BYTES = 100_000
+
+MAX_TAKEN = 12 * 1024 * 1024
+"""More than the kernel's buffers of one connection, in bytes."""
+
+ANSWERS = {f"head-{name}": it for name, it in floods.IN_HEAD.items()} | {
+    f"body-{name}": it for name, it in floods.IN_BODY.items()
+}
+
+
+@pytest.fixture
+async def backend() -> AsyncIterator[client.BackendClient]:
+    made = client.BackendClient()
+    await made.on_start()
+    yield made
+    await made.on_stop()
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[platform_server.PlatformServer]:
+    async with platform_server.PlatformServer("i-0") as made:
+        yield made
+
+
+async def _async_read(backend: client.BackendClient, address: str) -> bytes:
+    async with backend.async_open("GET", address, "/x", HEADERS, b"") as resp:
+        return await bounded_answers.async_read(resp, MAX_BYTES)
+
+
+async def _async_until_closed(server: platform_server.PlatformServer) -> None:
+    await place.async_until(lambda: server.flooding[0].ended)
+    assert server.flooding[0].sent < MAX_TAKEN
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+async def test_flood_is_no_answer(
+    name: str,
+    backend: client.BackendClient,
+    server: platform_server.PlatformServer,
+) -> None:
+    server.faults = [ANSWERS[name]]
+    with pytest.raises(exceptions.BackendError):
+        await asyncio.wait_for(_async_read(backend, server.address), 5.0)
+    await _async_until_closed(server)
+
+
+@pytest.mark.parametrize("name", floods.AFTER_ANSWER)
+async def test_flood_after_an_answer_closes_the_idle_connection(
+    name: str,
+    backend: client.BackendClient,
+    server: platform_server.PlatformServer,
+) -> None:
+    server.faults = [floods.AFTER_ANSWER[name]]
+    opened = backend.async_open("GET", server.address, "/x", HEADERS, b"")
+    try:
+        async with opened as resp:
+            assert await resp.read() == b"whole"
+    except exceptions.BackendError:
+        assert name == "bytes_at_once"
+    await _async_until_closed(server)
+    assert server.flooding[0].sent < 2 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("body", "known"),
+    [
+        ([b'{"in_fl', b'ight":3}'], 1),
+        ([b'{"in_flight":3}', b" " * load_poller.MAX_REPORT_BYTES], 0),
+    ],
+)
+async def test_load_report_is_taken_whole_or_not_at_all(
+    body: list[bytes], known: int, backend: client.BackendClient
+) -> None:
+    async def async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        size = sum(map(len, body))
+        writer.write(f"HTTP/1.1 200 X\r\nContent-Length: {size}\r\n".encode())
+        writer.write(b"\r\n")
+        for part in body:
+            writer.write(part)
+            await asyncio.sleep(0.02)  # Each part comes alone.
+        writer.close()
+
+    listener = await asyncio.start_server(async_serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    found: list[core.Message] = []
+    poller = load_poller.LoadPoller(
+        load_poller.LoadPort(),
+        backend,
+        core.SystemClock(),
+        random.Random(1),
+        found.append,
+    )
+    one: Any = types.SimpleNamespace(
+        name="i-0", address=f"127.0.0.1:{port}", load_lag_s=0.1
+    )
+    await poller._async_poll(one)
+    assert [cast(dispatch.LoadReport, it).in_flight for it in found] == (
+        [3] * known
+    )
+    assert poller.failed == 1 - known
+    listener.close()
