--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -1,5 +1,7 @@
 """Backend servers whose answers never end."""
 
+import asyncio
+
 import pytest
 
 from standins import floods
@@ -151,3 +153,22 @@
         (ended,) = _ended(lines)
         assert ended.end in ("lost", "timed_out")
         assert ended.detail
+
+
+async def test_other_requests_go_on_beside_floods() -> None:
+    """One server floods all that it gets, at full speed; another is well."""
+    async with place.async_place() as here:
+        bad = here.servers[0]
+        bad.faults = [it for it in PLAIN.values() for _ in range(2)]
+        sent = [
+            asyncio.create_task(
+                here.async_send("/read/1", request_id=f"q{number}")
+            )
+            for number in range(40)
+        ]
+        for number, call in enumerate(sent):
+            got = await call
+            assert got.status == 200
+            assert got.body == f"answer to q{number}".encode()
+        assert bad.flooding
+        await place.async_until(lambda: all(it.ended for it in bad.flooding))
