Let large answers share a bounded part of the memory

What operators would see: a router that runs out of its 256 MB where one server sends bodies without end to several requests at once: each was held up to 16 MB, and twice that while its parts were joined.

Cause: MAX_PLAIN_BYTES bounds one answer, and nothing bounds all of them.

Change: what an answer has above 64 KB comes out of MAX_LARGE_BYTES, which all answers of the router share while they are read; an answer that finds no room is lost. Smaller ones are never touched by it.

Before: test_many_large_answers_share_the_memory_of_two failed ("assert False": no sending ended for want of room).

Conclusion: at most 32 MB of large answers are read at a time. Not bounded by this: an answer that is whole and waits for its caller.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -19,6 +19,10 @@
 MAX_PLAIN_BYTES = 16 * 1024 * 1024
 """Largest answer that is held whole."""
 
+MAX_LARGE_BYTES = 2 * MAX_PLAIN_BYTES
+"""What all answers under way hold together above the uncounted part of each:
+an eighth of a router's memory by default, 256 MB."""
+
 _STREAM_TYPE = "text/event-stream"
 
 
@@ -100,6 +104,7 @@
     ) -> None:
         self._client = client
         self._dialect = dialect
+        self._room = bounded_answers.Room(MAX_LARGE_BYTES)
 
     async def async_send(self, order: Order) -> Sent:
         """Runs one sending to its end or its time limit."""
@@ -139,7 +144,9 @@
             if events is not None and resp.status == 200 and is_stream:
                 await _async_stream(order, sent, resp, events)
                 return
-            sent.body = await bounded_answers.async_read(resp, MAX_PLAIN_BYTES)
+            sent.body = await bounded_answers.async_read(
+                resp, MAX_PLAIN_BYTES, self._room
+            )
             sent.end, sent.detail = _plain_end(head, resp)
 
 
--- a/tamarackbridge/helpers/bounded_answers.py
+++ b/tamarackbridge/helpers/bounded_answers.py
@@ -34,6 +34,11 @@
 less than it carries."""
 
 
+UNCOUNTED_BYTES: Final = 64 * 1024
+"""What each answer may hold whatever others hold: more than most answers, and
+96 MB for the 1,500 requests that a router holds at most."""
+
+
 class EndlessError(aiohttp.ClientPayloadError):
     """Bytes came that can't become an answer."""
 
@@ -90,21 +95,57 @@
             body.set_exception(exc)
 
 
-async def async_read(resp: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+class Room:
+    """Memory that large answers share while they are read.
+
+    Attributes:
+        left: Bytes that may still be taken.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.left = max_bytes
+
+    def resize(self, taken: int, size: int) -> int:
+        """Takes or gives back room for an answer; returns what it has now.
+
+        Raises:
+            EndlessError: There is no room for it.
+        """
+        wanted = max(size - UNCOUNTED_BYTES, 0)
+        if wanted - taken > self.left:
+            raise EndlessError(f"no room for an answer of {size} bytes")
+        self.left -= wanted - taken
+        return wanted
+
+
+async def async_read(
+    resp: aiohttp.ClientResponse, max_bytes: int, room: Room | None = None
+) -> bytes:
     """Returns a whole body; the caller leaves the answer after an error.
 
+    Args:
+        resp: The answer.
+        max_bytes: Largest body that is taken.
+        room: What it shares with other answers until it is whole.
+
     Raises:
-        EndlessError: It is larger.
+        EndlessError: It is larger, or there is no room for it.
         ClientError: It did not come whole.
     """
+    if room is None:
+        room = Room(max_bytes)
     parts: list[bytes] = []
-    size = 0
-    async for part in resp.content.iter_any():
-        size += len(part)
-        if size > max_bytes:
-            raise EndlessError(f"the answer has more than {max_bytes} bytes")
-        parts.append(part)
-    return b"".join(parts)
+    size = taken = 0
+    try:
+        async for part in resp.content.iter_any():
+            size += len(part)
+            if size > max_bytes:
+                raise EndlessError(f"the answer is over {max_bytes} bytes")
+            taken = room.resize(taken, size)
+            parts.append(part)
+        return b"".join(parts)
+    finally:
+        room.resize(taken, 0)
 
 
 def bind(
--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -1,10 +1,12 @@
 """Backend servers whose answers never end."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from standins import floods
+from tamarackbridge.components.gateway import forward
 from tamarackbridge.components.telemetry import events
 from tests.components.gateway import place
 
@@ -14,6 +16,9 @@
 DEADLINE_MS = 2500
 """Below the time limits of the routes."""
 
+MANY = 6
+"""Floods at once; the server has as many slots."""
+
 LATE_MS = 300
 TRICKLE_S = 0.02
 
@@ -35,12 +40,11 @@
     return [it for it in lines if isinstance(it, events.SendingEnded)]
 
 
-async def _async_until_closed(here: place.Place, floods_begun: int = 1) -> None:
-    """Waits until the router has closed the connections of all floods."""
-    begun = [it for server in here.servers for it in server.flooding]
-    assert len(begun) == floods_begun
-    await place.async_until(lambda: all(it.ended for it in begun))
-    assert sum(it.sent for it in begun) < MAX_TAKEN
+async def _async_until_closed(here: place.Place) -> None:
+    """Waits until the router has closed the connection of the flood."""
+    (begun,) = (it for server in here.servers for it in server.flooding)
+    await place.async_until(lambda: begun.ended)
+    assert begun.sent < MAX_TAKEN
 
 
 @pytest.mark.parametrize("name", PLAIN)
@@ -185,3 +189,33 @@
             assert got.body == f"answer to q{number}".encode()
         assert bad.flooding
         await place.async_until(lambda: all(it.ended for it in bad.flooding))
+
+
+async def test_many_large_answers_share_the_memory_of_two(
+    lines: list[events.Event],
+) -> None:
+    """Each alone would be held up to its own limit."""
+    async with place.async_place(servers=1) as here:
+        # Slower than full speed, so that they grow beside each other.
+        here.servers[0].flood_pace_s = 0.001
+        flood = dataclasses.replace(
+            floods.IN_BODY["no_length"], again=b"y" * floods.BURST_BYTES
+        )
+        here.set_fault(*[flood] * MANY)
+        sent = [
+            asyncio.create_task(
+                here.async_send("/pay/1", request_id=f"q{number}")
+            )
+            for number in range(MANY)
+        ]
+        assert {(await it).status for it in sent} == {502}
+        begun = here.servers[0].flooding
+        assert len(begun) == MANY
+        await place.async_until(lambda: all(it.ended for it in begun))
+        assert any("no room" in it.detail for it in _ended(lines))
+        job_runner = here.router._gateway._runner
+        assert job_runner is not None
+        room = job_runner._forwarder._room
+        assert room.left == forward.MAX_LARGE_BYTES
+        got = await here.async_send("/pay/1", request_id="small")
+        assert got.body == b"answer to small"
