Look through each byte of an event once

What callers would see: a router that does nothing else while a server sends an event that does not end in small parts. Each part made the relay look through all of the event again.

Change: the search for an event's end begins where the last one stopped.

--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -14,6 +14,9 @@
 """Longest number of an event: it fits into 64 bits, as a count of events."""
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_BOUNDARY_BYTES = 4
+"""Longest boundary."""
+
 _DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([0-9]+)[ ]*(?=\r?\n|$)")
 
@@ -73,7 +76,9 @@
         rest = self._rest + data
         passed = []
         begin = 0
-        for found in _BOUNDARY.finditer(rest):
+        # No boundary ends in what was looked through before.
+        looked = max(len(self._rest) - _BOUNDARY_BYTES + 1, 0)
+        for found in _BOUNDARY.finditer(rest, looked):
             if self.broken:
                 break
             event = rest[begin : found.end()]
