Test that callers' requests without end are refused

Heads without end, by line or by number of lines, and a body in small chunks without end are refused and their connections closed. Passed at once; no code is changed.

--- /dev/null
+++ b/tests/components/gateway/test_caller_floods.py
@@ -0,0 +1,57 @@
+"""Callers whose requests never end."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.components.gateway import place
+
+HEAD = (
+    f"POST /pay/1 HTTP/1.1\r\nHost: {place.HOST}\r\nX-Request-Id: q1\r\n"
+    f"X-Api-Key: {place.KEY}\r\nX-Deadline-Ms: 300\r\n"
+).encode()
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+BURST_BYTES = 64 * 1024
+
+MAX_TAKEN = 12 * 1024 * 1024
+"""More than the kernel's buffers of one connection, in bytes."""
+
+
+@pytest.mark.parametrize(
+    ("before", "again", "statuses"),
+    [
+        (b"", b"x", {400, 431}),
+        (b"GET /", b"x", {400, 431}),
+        (HEAD, b"X-More: y\r\n", {400, 431}),
+        (HEAD + b"X-More: ", b"y", {400, 431}),
+        (CHUNKED, b"1\r\ny\r\n", {413}),
+    ],
+)
+async def test_request_without_end_is_refused(
+    before: bytes, again: bytes, statuses: set[int]
+) -> None:
+    async with place.async_place(servers=1) as here:
+        cfg = here.cfg.callers
+        reader, writer = await asyncio.open_connection(cfg.host, cfg.port)
+        sent = 0
+        writer.write(before)
+        block = again * (BURST_BYTES // len(again))
+
+        async def async_flood() -> None:
+            nonlocal sent
+            with contextlib.suppress(ConnectionError):
+                while not writer.is_closing():
+                    writer.write(block)
+                    await writer.drain()
+                    sent += len(block)
+                    await asyncio.sleep(0)
+
+        flood = asyncio.create_task(async_flood())
+        head = await reader.readuntil(b"\r\n")
+        assert int(head.split(b" ")[1]) in statuses
+        await asyncio.wait_for(flood, 10.0)
+        assert sent < MAX_TAKEN
+        assert here.ran() == []
+        got = await here.async_send("/pay/1", request_id="q2")
+        assert got.body == b"answer to q2"
