Keep a router's signals until its process has ended

An operator sees a unit that failed; all callers had their answers by then. Cause: loop.add_signal_handler gives a signal its default action back when asyncio.run closes the loop, and the interpreter does so for all others as it ends. A SIGTERM in between ended the process by the signal. Both routers use it.

--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -48,6 +48,7 @@
     spans,
 )
 from tamarackbridge.components.transport import service as transport
+from tamarackbridge.helpers import loop_signals
 from tamarackbridge.platform import const as platform_const
 from tamarackbridge.platform import dialect, directory, exceptions, store
 from tamarackbridge.platform import settings as platform_settings
@@ -335,8 +336,8 @@
         """Runs until a signal asks for the end; returns the exit code."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+            loop_signals.call(loop, number, self._stop.set)
+        loop_signals.call(loop, signal.SIGHUP, self._reload)
         await self.async_start()
         await self._stop.wait()
         await drain.async_drain(
@@ -391,6 +392,7 @@
         return await PlatformRouter(cfg, tracer).async_run()
 
     code = asyncio.run(async_main())
+    loop_signals.ignore(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     tracer.close()
     if not log.stop():
         # A regular exit would wait for the thread that nobody reads from.
--- a/tamarackbridge/router.py
+++ b/tamarackbridge/router.py
@@ -44,6 +44,7 @@
 from tamarackbridge.components.transport import service as transport
 from tamarackbridge.components.vm_list import http as vm_list_http
 from tamarackbridge.components.vm_list import poller as vm_list_poller
+from tamarackbridge.helpers import loop_signals
 
 HANDOVER_S = 1.0
 """Time for the other routers to learn that this one leaves."""
@@ -186,7 +187,7 @@
 
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, on_signal)
+            loop_signals.call(loop, number, on_signal)
         services = self.kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._note_crash(stop, force))
         services = [*services, watch]
@@ -248,4 +249,6 @@
     async def async_main() -> int:
         return await Router(settings).async_run()
 
-    return asyncio.run(async_main())
+    code = asyncio.run(async_main())
+    loop_signals.ignore(signal.SIGTERM, signal.SIGINT)
+    return code
--- /dev/null
+++ b/tests/helpers/test_loop_signals.py
@@ -0,0 +1,35 @@
+"""Signals to an event loop, open and closed."""
+
+import asyncio
+import os
+import signal
+
+from tamarackbridge.helpers import loop_signals
+
+
+def test_signal_calls_back_and_later_does_nothing() -> None:
+    """Its default action would end this process."""
+    heard = []
+
+    async def async_main() -> None:
+        loop = asyncio.get_running_loop()
+        called = asyncio.Event()
+
+        def on_signal() -> None:
+            heard.append(asyncio.get_running_loop() is loop)
+            called.set()
+
+        loop_signals.call(loop, signal.SIGUSR1, on_signal)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        await called.wait()
+
+    before = signal.getsignal(signal.SIGUSR1)
+    try:
+        asyncio.run(async_main())
+        os.kill(os.getpid(), signal.SIGUSR1)
+        assert signal.getsignal(signal.SIGUSR1) is not signal.SIG_DFL
+        loop_signals.ignore(signal.SIGUSR1)
+        os.kill(os.getpid(), signal.SIGUSR1)
+    finally:
+        signal.signal(signal.SIGUSR1, before)
+    assert heard == [True]
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -174,6 +174,58 @@
     assert code == -signal.SIGTERM
 
 
+_ENDED_AGAIN = """
+import atexit, os, signal, sys
+from tamarackbridge import platform_router
+from tamarackbridge.components.telemetry import queue_log
+from tamarackbridge.platform import __main__ as entry
+
+Router = platform_router.PlatformRouter
+start = Router.async_start
+stop = queue_log.QueuedLog.stop
+
+def signal_again():
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        os.kill(os.getpid(), number)
+
+async def async_start(router):
+    await start(router)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+def end(log):
+    signal_again()
+    return stop(log)
+
+def check():
+    # The interpreter gives what is not ignored its default action back.
+    if signal.getsignal(signal.SIGTERM) is not signal.SIG_IGN:
+        os._exit(7)
+
+Router.async_start = async_start
+queue_log.QueuedLog.stop = end
+atexit.register(check)
+sys.exit(entry.main())
+"""
+
+
+async def test_signals_after_the_event_loop_is_closed_do_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Soak seed 7601: a second SIGTERM came as the process ended."""
+    program = programs.Program("vm-0", "z1", "127.0.0.1:1", tmp_path)
+    program.write_settings([])
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        _ENDED_AGAIN,
+        cwd=programs.ROOT,
+        env={**os.environ, **program.environment},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    assert await process.wait() == 0
+    await program.async_close()
+
+
 @pytest.mark.parametrize(
     "requests",
     [
