Add failing tests for read prompts that become unread again

Callers would see: an engine taken for busier than it is, right after any router sends it a prompt. Cause: what a router told shrinks by its part of the speed since it told, and the part is worked out with all that is told or begun now, though it was read before. Seen: test_prompt_that_is_sent_now_makes_nothing_unread_again and test_prompt_that_is_told_now_makes_nothing_unread_again fail, 17529 == 12901.

--- a/tests/components/placement/test_ledger.py
+++ b/tests/components/placement/test_ledger.py
@@ -61,3 +61,20 @@
     found = work.at("i", 10.05, READ_PER_S)
     assert found.unread == 9_000 + 9_000 - 2_250
     assert found.requests == 2
+
+
+def test_prompt_that_is_sent_now_makes_nothing_unread_again() -> None:
+    work = ledger.Ledger()
+    work.hear("r1", _told(9_000, at=10.0))
+    before = work.at("i", 10.09, READ_PER_S).unread
+    ticket = ledger.Ticket(SERVER, "w", 12_000, 12_000, sent=10.09)
+    work.begin(ticket)
+    assert work.at("i", 10.09, READ_PER_S).unread == before + 12_000
+
+
+def test_prompt_that_is_told_now_makes_nothing_unread_again() -> None:
+    work = ledger.Ledger()
+    work.hear("r1", _told(9_000, at=10.0))
+    before = work.at("i", 10.09, READ_PER_S).unread
+    work.hear("r2", _told(12_000, at=10.09))
+    assert work.at("i", 10.09, READ_PER_S).unread == before + 12_000
