Add failing tests for streams that the entry cuts

Callers would see: a stream that is lost after its route's deadline is cut though other engines could go on (the attempt lapses unsent, up to four times, and each takes a permit and a repeat of the budget); and to an HTTP/1.0 caller a cut stream that ends as a whole one does. Cause: an attempt's limit is what is left of the deadline also where the stream has begun; a cut closes the connection without a reset. Seen: test_stream_that_is_lost_after_its_deadline_is_resumed fails, 'assert not True'; test_cut_stream_does_not_look_whole_to_a_caller_without_chunks fails, 'DID NOT RAISE ConnectionResetError'.

--- a/tests/components/entry/test_service.py
+++ b/tests/components/entry/test_service.py
@@ -241,3 +241,33 @@
 
     assert reply.problem["reason"] == const.Reason.NO_CAPACITY.value
     assert reply.problem["not_run"] == "unknown"
+
+
+async def test_stream_that_is_lost_after_its_deadline_is_resumed() -> None:
+    """The deadline bounds the wait for the first event, not the stream."""
+    short = dataclasses.replace(DRAFT, deadline_s=0.3)
+    servers = [_engine(cut_after=4, token_s=0.15), _engine()]
+    async with rig_lib.Rig(servers, short) as rig, asyncio.timeout(8):
+        reply = await rig.async_ask("POST", "/s/v1/completions", STREAM)
+
+    assert not reply.cut
+    assert _tokens(reply.body) == list(range(TOKENS))
+
+
+async def test_cut_stream_does_not_look_whole_to_a_caller_without_chunks() -> (
+    None
+):
+    """HTTP/1.0 ends an answer with its connection; only a reset tells a cut."""
+    servers = [_engine(cut_after=3), _engine(cut_after=2)]
+    head = (
+        f"POST /s/v1/completions HTTP/1.0\r\nX-Api-Key: {rig_lib.KEY}\r\n"
+        f"Content-Length: {len(STREAM)}\r\n\r\n"
+    )
+    async with rig_lib.Rig(servers, DRAFT) as rig, asyncio.timeout(5):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", rig.entry.port
+        )
+        writer.write(head.encode() + STREAM)
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
