--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,23 @@
+"""The list of tests that are known to be red."""
+
+from tests import conftest
+
+
+def test_entries_begin_with_the_identifier_of_a_test() -> None:
+    lines = [
+        "Red:",
+        "- tests/a/test_b.py::test_c[1.0-x]",
+        "  | what was seen in tests/a/test_b.py | issue 1",
+        "- none fails in CI | a finding",
+    ]
+    assert list(conftest.known_red(lines)) == [
+        "tests/a/test_b.py::test_c[1.0-x]"
+    ]
+
+
+def test_listed_tests_exist() -> None:
+    listed = conftest.known_red(conftest.KNOWN_RED.read_text().splitlines())
+    for identifier in listed:
+        path, _, name = identifier.partition("::")
+        text = (conftest.KNOWN_RED.parent / path).read_text()
+        assert f"def {name.partition('[')[0]}(" in text
