--- a/standins/engine.py
+++ b/standins/engine.py
@@ -28,7 +28,7 @@
         cold_factor: How much slower a cold engine is.
         cut_after: Streams are cut after this many tokens; 0 for never.
         resume: Whether the resume header is obeyed.
-        plain_status: Status of a answer without tokens; 0 for none.
+        plain_status: Status of an answer without tokens; 0 for none.
         plain_type: Content type of that answer.
     """
 
--- a/standins/floods.py
+++ b/standins/floods.py
@@ -64,7 +64,6 @@
     "trailers": Flood(_STREAM + _EVENT + b"0\r\n", b"X-More: y\r\n", 0.02),
 }
 
-
 IN_EVENTS = {
     "event": Flood(_STREAM + _EVENT + b"ffffffffff\r\ndata: ", b"y", 0.02),
     "lines": Flood(_STREAM + _EVENT + b"ffffffffff\r\n", b"data: y\n", 0.02),
