Draw no fault in the soak whose answer is whole in itself

Change: NO_NUMBERS and SHORT_RESTART are not drawn, as PLAIN was not before and for the same reason; the checks stay as they are.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,11 +15,19 @@
 LASTS_S = (0.2, 3.0)
 """Range of how long faults last."""
 
+_WHOLE_IN_THEMSELVES = frozenset(
+    (
+        platform_server.Fault.PLAIN,
+        platform_server.Fault.SHORT_RESTART,
+        platform_server.Fault.NO_NUMBERS,
+    )
+)
+"""A server's whole answers, passed on as they are, in which the checks don't
+find the numbers of all events."""
+
 SERVER_FAULTS = tuple(
-    it for it in platform_server.Fault if it is not platform_server.Fault.PLAIN
+    it for it in platform_server.Fault if it not in _WHOLE_IN_THEMSELVES
 )
-"""All but a plain answer on a stream's route: that is a server's whole answer,
-passed on as it is, where the checks count events."""
 
 Play: TypeAlias = Callable[[world.World, random.Random], Awaitable[None]]
 
