Settle what a server has read whenever its work changes

The ledger kept each router's report and, when asked, took off what the server had read since then by that router's part of the work. The part was taken of the sum of now: a prompt that was sent or told a moment ago lessened what the others' prompts were taken to have lost in all the time before it, so that tokens already read came back (17,529 instead of 12,901 unread).

Ruled out: clamping each part at its last value, which needs a walk over all routers for each question.

Each server has one account with running totals. It settles what was read whenever something is sent, read, ended, told or forgotten, by the sum that held until then. All parts of the others shrink alike, so a router's part is kept with the logarithm by which the total had shrunk, and routers are touched only when they tell. Ends of sendings and of routers now come with their time.

New: ends, forgotten routers, reports that were under way, and that the total is the sum of its parts, with random histories.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -201,7 +201,7 @@
     def ended(self, ticket: ledger.Ticket, outcome: jobs.Outcome) -> None:
         """Notes the end of a sending."""
         now = self._clock.monotonic()
-        self._using.work.end(ticket)
+        self._using.work.end(ticket, now)
         self.standings.end(ticket.workspace, ticket.cost, outcome, now)
         name = ticket.server.name
         open_s = self._using.breakers.note(name, outcome, now)
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -174,7 +174,7 @@
         if self.peers.heard(src, now):
             events.write(events.RouterHeard(src))
         if msg.ends:
-            self._forget(src)
+            self._forget(src, now)
             return Heard()
         if not self._accepts(src, msg.way):
             return Heard(is_lost=msg.way is _Way.ACROSS)
@@ -212,7 +212,7 @@
             if now - told.at > peers.SILENT_S:
                 silent_s = round(now - told.at, 3)
                 events.write(events.RouterSilent(src, silent_s))
-                self._forget(src)
+                self._forget(src, now)
         self._mute_silent_hubs(now)
         live = self.peers.live(now)
         silent = self.peers.muted(now)
@@ -308,9 +308,9 @@
                 if self._own.held.note(it.server, chain, at):
                     self._held.append((src, it.server, chain))
 
-    def _forget(self, src: str) -> None:
+    def _forget(self, src: str, now: float) -> None:
         self._told.pop(src, None)
-        self._own.work.forget(src)
+        self._own.work.forget(src, now)
 
     def _move(self, new: groups.Place, now: float) -> list[Outgoing]:
         old, self._place = self._place, new
@@ -319,7 +319,7 @@
         events.write(events.PlaceChanged(new.hub or "", len(new.hubs)))
         for src, told in list(self._told.items()):
             if not self._accepts(src, told.way):
-                self._forget(src)
+                self._forget(src, now)
         asked = new.hubs if new.hub is None else {new.hub}
         self._asked_since = {
             hub: self._asked_since.get(hub, now) for hub in asked
--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -193,7 +193,7 @@
     task = asyncio.create_task(replay._async_admit(fate, 0))
     await asyncio.sleep(0)
     assert replay.desk.waiting == 1
-    replay.work.forget("r2")
+    replay.work.forget("r2", replay.clock.now)
     replay.desk.pump()
     assert replay.work.own()
     task.cancel()
--- a/tests/components/placement/test_estimates.py
+++ b/tests/components/placement/test_estimates.py
@@ -40,7 +40,7 @@
     book = ledger.Ledger()
     told = {"s1": ledger.Work(4, 9_000, 8_000)}
     book.hear("r2", ledger.Told(told, 10.0))
-    book.forget("r2")
+    book.forget("r2", 10.0)
     assert book.at("s1", 10.0, 1.0) == ledger.NOTHING
 
 
@@ -48,8 +48,8 @@
     book = ledger.Ledger()
     ticket = _ticket(10)
     book.begin(ticket)
-    book.end(ticket)
-    book.end(ticket)
+    book.end(ticket, 1.0)
+    book.end(ticket, 1.0)
     assert book.own() == {}
 
 
--- a/tests/components/placement/test_ledger.py
+++ b/tests/components/placement/test_ledger.py
@@ -1,5 +1,7 @@
 """What routers believe that servers have to read."""
 
+import random
+
 import pytest
 
 from tamarackbridge.components.knowledge import models as knowledge
@@ -78,3 +80,80 @@
     before = work.at("i", 10.09, READ_PER_S).unread
     work.hear("r2", _told(12_000, at=10.09))
     assert work.at("i", 10.09, READ_PER_S).unread == before + 12_000
+
+
+def test_prompt_that_fails_now_leaves_what_was_read_before() -> None:
+    work = ledger.Ledger()
+    work.hear("r1", _told(9_000, at=10.0))
+    ticket = ledger.Ticket(SERVER, "w", 9_000, 9_000, sent=10.0)
+    work.begin(ticket)
+    before = work.at("i", 10.1, READ_PER_S).unread
+    work.end(ticket, 10.1)
+    assert work.at("i", 10.1, READ_PER_S).unread == before - 9_000
+
+
+def test_router_that_is_forgotten_now_leaves_what_was_read_before() -> None:
+    work = ledger.Ledger()
+    work.hear("r1", _told(9_000, at=10.0))
+    work.hear("r2", _told(9_000, at=10.0))
+    left = work.at("i", 10.1, READ_PER_S).unread
+    work.forget("r2", 10.1)
+    assert work.at("i", 10.1, READ_PER_S).unread == left // 2
+
+
+def test_report_that_was_under_way_shrinks_by_its_part() -> None:
+    work = ledger.Ledger()
+    work.hear("r1", _told(9_000, at=10.1))
+    work.hear("r2", _told(9_000, at=10.05))
+    assert work.at("i", 10.1, READ_PER_S).unread == 18_000 - 2_250
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_total_is_the_sum_of_its_parts(seed: int) -> None:
+    rng = random.Random(seed)
+    work = ledger.Ledger()
+    routers = [f"r{number}" for number in range(6)]
+    tickets: list[ledger.Ticket] = []
+    now = 10.0
+    for _ in range(2_000):
+        now += rng.expovariate(100.0)
+        step = rng.random()
+        if step < 0.5:
+            unread = rng.choice([0, rng.randrange(20_000)])
+            work.hear(rng.choice(routers), _told(unread, now - 0.002))
+        elif step < 0.6:
+            work.hear(rng.choice(routers), ledger.Told({}, now))
+        elif step < 0.65:
+            work.forget(rng.choice(routers), now)
+        elif step < 0.8 or not tickets:
+            unread = rng.randrange(9_000)
+            tickets.append(ledger.Ticket(SERVER, "w", unread, unread, now))
+            work.begin(tickets[-1])
+        elif step < 0.9:
+            work.read(rng.choice(tickets), now)
+        else:
+            work.end(tickets.pop(rng.randrange(len(tickets))), now)
+        at = now + rng.choice([0.0, 0.02])
+        found = work.at("i", at, READ_PER_S)
+        told = [work.told_by(it, at, _speed).get("i") for it in routers]
+        parts = [it for it in told if it is not None]
+        parts.append(work.own().get("i", ledger.NOTHING))
+        assert found.requests == sum(it.requests for it in parts)
+        assert found.memory == sum(it.memory for it in parts)
+        assert found.unread == pytest.approx(
+            sum(it.unread for it in parts), abs=len(parts)
+        )
+    assert work.own().get("i", ledger.NOTHING).requests == len(tickets)
+
+
+def test_server_without_work_is_dropped() -> None:
+    work = ledger.Ledger()
+    work.hear("r1", _told(9_000, at=10.0))
+    ticket = ledger.Ticket(SERVER, "w", 9_000, 9_000, sent=10.0)
+    work.begin(ticket)
+    work.end(ticket, 10.1)
+    work.end(ticket, 10.1)
+    work.hear("r1", ledger.Told({}, 10.2))
+    assert work.at("i", 10.2, READ_PER_S) == ledger.NOTHING
+    assert work.told_by("r1", 10.2, _speed) == {}
+    assert work.own() == {}
