Print what became of requests second by second

A workspace that gets less than its share may be held to it, or may come through routers that are too busy to serve it. Log lines distinguish the two only once they are counted by second and by router. `tamarackbridge timeline` does that from log files.

No logic is changed. Refusals for a router's own overload name no workspace, since the request is not read, so they show in the router's table only.

--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -1,6 +1,7 @@
 """The program's commands."""
 
 import dataclasses
+import datetime
 import importlib
 import pathlib
 import socket
@@ -20,6 +21,7 @@
 from tamarackbridge.components.settings import loader
 from tamarackbridge.components.telemetry import account as request_account
 from tamarackbridge.components.telemetry import spans
+from tamarackbridge.components.telemetry import timeline as request_timeline
 from tamarackbridge.components.telemetry import trace as request_trace
 from tamarackbridge.components.tls import exceptions as tls
 from tamarackbridge.platform import exceptions as platform_exceptions
@@ -147,6 +149,36 @@
     return const.Exit.OK
 
 
+@app.command
+def timeline(
+    *logs: pathlib.Path,
+    by: Literal["workspace", "node"] = "workspace",
+    only: str = "",
+    start: datetime.datetime | None = None,
+) -> int:
+    """Prints what became of requests second by second, from log files.
+
+    Args:
+        logs: Log files of several routers, in any order.
+        by: How requests are grouped.
+        only: The one group to print.
+        start: Begin of second 0, in UTC; the first arrival by default.
+    """
+    try:
+        steps = request_timeline.read(logs, by, start)
+    except OSError as exc:
+        return show.fail(const.Exit.USAGE, str(exc))
+    steps = [it for it in steps if only in ("", it.group)]
+    if not steps:
+        return show.fail(const.Exit.REFUSED, "no such request in these logs")
+    for line in request_timeline.table(steps):
+        print(line)
+    if only and by == "workspace":
+        for node, number in request_timeline.routers(steps).most_common():
+            print(f"through {node}: {number} requests")
+    return const.Exit.OK
+
+
 @app.command
 def apply(
     *,
