Say what a busy router spends its processor on

Whether a router is bound by its processor, and whether by decisions or by the rest, was in no line and in no metric: lag alone doesn't tell them apart. A router that is busy writes a RouterLoad line a second, and two counters are in its metrics.

No logic is changed. Cost: one line a second at a busy router, none at an idle one.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -59,6 +59,8 @@
         standings: How workspaces stand against their shares.
         fresh_parts: Prompt parts that the other routers don't know of, each
             with the server that holds it.
+        turns: Turns in which waiting requests were looked at.
+        turns_s: Time that they took.
     """
 
     def __init__(
@@ -72,6 +74,8 @@
         super().__init__()
         self.standings = standings.Standings(using, others, rng)
         self.fresh_parts: list[tuple[str, int]] = []
+        self.turns = 0
+        self.turns_s = 0.0
         self._using = using
         self._clock = clock
         self._rng = rng
@@ -220,6 +224,8 @@
         self._turn(now)
         ended = self._clock.monotonic()
         took_s = ended - now
+        self.turns += 1
+        self.turns_s += took_s
         self._rests_until = ended + took_s / TURNS_PART - took_s
         if self._waiting:
             self._look_at(max(self._rests_until, ended + TICK_S), ended)
--- /dev/null
+++ b/tamarackbridge/components/gateway/load_log.py
@@ -0,0 +1,139 @@
+"""What a busy router spends its processor on, as metrics and log lines."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import time
+from typing import Protocol
+
+from tamarackbridge import core
+from tamarackbridge.components.gateway import strain
+from tamarackbridge.components.telemetry import events, metrics
+
+STEP_S = 1.0
+"""Interval of the lines."""
+
+BUSY_PART = 0.1
+"""Part of a processor from which a router is busy; below it there is no line
+unless requests wait."""
+
+
+class Desk(Protocol):
+    """What decides on waiting requests.
+
+    Attributes:
+        turns: Turns in which waiting requests were looked at.
+        turns_s: Time that they took.
+    """
+
+    turns: int
+    turns_s: float
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+
+
+class Gateway(Protocol):
+    """What holds requests.
+
+    Attributes:
+        held: Requests under way.
+    """
+
+    held: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sources:
+    """Where a router's load is read.
+
+    Attributes:
+        desk: What decides on waiting requests.
+        gateway: What holds requests.
+        meter: The lag of the event loop.
+        processor_s: Returns the processor time of the process.
+    """
+
+    desk: Desk
+    gateway: Gateway
+    meter: strain.LagMeter
+    processor_s: Callable[[], float] = time.process_time
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reading:
+    at: float
+    processor_s: float
+    turns: int
+    turns_s: float
+
+
+def register(registry: metrics.Metrics, using: Sources) -> None:
+    """Adds the metrics of a router's load."""
+    for name, help_text, read in (
+        ("held", "Requests under way.", lambda: using.gateway.held),
+        ("lag_seconds", "Lag of the event loop.", lambda: using.meter.lag_s),
+        ("waiting", "Requests that wait.", lambda: using.desk.waiting),
+    ):
+        registry.gauge(name, help_text, read)
+    registry.counter_of(
+        "processor_seconds", "Processor time.", using.processor_s
+    )
+    registry.counter_of(
+        "turn_seconds",
+        "Time in which waiting requests were looked at.",
+        lambda: using.desk.turns_s,
+    )
+
+
+class LoadLog(core.Service):
+    """Writes a line for each second in which this router is busy."""
+
+    def __init__(self, using: Sources, clock: core.Clock) -> None:
+        super().__init__()
+        self._using = using
+        self._clock = clock
+        self._writing: asyncio.Task[None] | None = None
+
+    async def on_start(self) -> None:
+        """Begins to write."""
+        self._writing = asyncio.create_task(self._async_write())
+
+    async def on_stop(self) -> None:
+        """Ends writing."""
+        if self._writing is not None:
+            self._writing.cancel()
+
+    async def _async_write(self) -> None:
+        before = self._read()
+        while True:
+            await asyncio.sleep(STEP_S)
+            after = self._read()
+            line = self._line(before, after)
+            if line.processor >= BUSY_PART or line.waiting:
+                events.write(line)
+            before = after
+
+    def _read(self) -> _Reading:
+        using = self._using
+        return _Reading(
+            at=self._clock.monotonic(),
+            processor_s=using.processor_s(),
+            turns=using.desk.turns,
+            turns_s=using.desk.turns_s,
+        )
+
+    def _line(self, before: _Reading, after: _Reading) -> events.RouterLoad:
+        using = self._using
+        seconds = after.at - before.at
+        processor_s = after.processor_s - before.processor_s
+        return events.RouterLoad(
+            seconds=round(seconds, 3),
+            processor=round(processor_s / seconds, 3),
+            deciding=round((after.turns_s - before.turns_s) / seconds, 3),
+            turns=after.turns - before.turns,
+            waiting=using.desk.waiting,
+            held=using.gateway.held,
+            lag_s=round(using.meter.lag_s, 3),
+        )
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -129,6 +129,24 @@
     hubs: int
 
 
+class RouterLoad(Event, frozen=True):
+    """How busy this router was over the last `seconds`.
+
+    `processor` is the part of one processor that the process used, and
+    `deciding` the part of the time that passed in turns in which waiting
+    requests were looked at. `waiting`, `held` and `lag_s`, the average lag of
+    the event loop, are those at the end.
+    """
+
+    seconds: float
+    processor: float
+    deciding: float
+    turns: int
+    waiting: int
+    held: int
+    lag_s: float
+
+
 class BreakerOpened(Event, frozen=True):
     """A server is avoided after failures."""
 
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -18,6 +18,7 @@
 from tamarackbridge.components.gateway import (
     drain,
     forward,
+    load_log,
     request_log,
     runner,
     servers,
@@ -92,6 +93,7 @@
         self._servers = servers.ServerClient()
         self.meter = strain.LagMeter()
         self._gateway = self._make_gateway()
+        self._load = load_log.Sources(self._desk, self._gateway, self.meter)
         self._register_services()
         self._add_gauges()
         services = self._kernel.mode_services()
@@ -230,6 +232,7 @@
             "servers": self._servers,
             "desk": self._desk,
             "lag": strain.LagService(self.meter, self._clock),
+            "load": load_log.LoadLog(self._load, self._clock),
             "gateway": self._gateway,
             "readiness": gateway.ReadinessService(
                 cfg.readiness.host,
@@ -253,14 +256,11 @@
 
     def _add_gauges(self) -> None:
         registry = self._registry
+        load_log.register(registry, self._load)
         client = self._store
-        meter = self.meter
         now = self._clock.monotonic
         known = self._known
         for name, help_text, read in (
-            ("held", "Requests under way.", lambda: self._gateway.held),
-            ("lag_seconds", "Lag of the event loop.", lambda: meter.lag_s),
-            ("waiting", "Requests that wait.", lambda: self._desk.waiting),
             ("routers", "Routers heard.", lambda: len(self._sharing.routers())),
             (
                 "configuration_version",
