Count a connection's time limit in passes of the event loop too

Callers saw refusals and late answers while the fleet's engines had room. A router that lagged for longer than the limit of 0.25 s took its own lag for a dead engine: the timer of the limit is due in the same pass of the loop as the connection that has long been made, and wins.

Ruled out: engines that take no connections (routers that did not lag connected).

The limit is over after its time and ten passes of the loop, each of which has looked at what has come. test_lag_of_the_router_is_not_taken_for_a_dead_server failed before with NotSentError: connect timed out. A silent server is given up after the same time as before on a loop that does not lag.

--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -13,7 +13,7 @@
 from tamarackbridge import core
 from tamarackbridge.components.backend import sockets
 from tamarackbridge.components.gateway import exceptions, models
-from tamarackbridge.helpers import bounded_answers, send_once
+from tamarackbridge.helpers import bounded_answers, loop_limit, send_once
 
 CONNECT_TIMEOUT_S = 0.25
 """A connection takes one round trip, 2 ms; a server that is silent for this
@@ -81,6 +81,10 @@
             idle.reverse()
         return found
 
+    async def _wrap_create_connection(self, *args: Any, **kwargs: Any) -> Any:
+        async with loop_limit.async_limit(CONNECT_TIMEOUT_S):
+            return await super()._wrap_create_connection(*args, **kwargs)
+
 
 def _unusable(item: tuple[Any, float], now: float) -> bool:
     proto, since = item
@@ -107,9 +111,7 @@
         """Opens the pool."""
         self._session = aiohttp.ClientSession(
             connector=ServerConnector(),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_S
-            ),
+            timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=READ_BUFFER_BYTES,
--- a/tests/components/gateway/test_servers.py
+++ b/tests/components/gateway/test_servers.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import os
+import time
 
 import pytest
 
@@ -131,3 +132,19 @@
     async with client.async_open(address, _call(b""), ()) as resp:
         assert await resp.read() == b"done"
     listener.close()
+
+
+async def test_lag_of_the_router_is_not_taken_for_a_dead_server(
+    early: EarlyServer, client: servers.ServerClient
+) -> None:
+    loop = asyncio.get_running_loop()
+
+    def _lag(passes: int) -> None:
+        time.sleep(1.2 * servers.CONNECT_TIMEOUT_S)
+        if passes > 1:
+            loop.call_soon(_lag, passes - 1)
+
+    loop.call_soon(_lag, 3)
+    opened = client.async_open(early.address, _call(b""), [])
+    async with opened as resp:
+        assert resp.status == 200
