--- a/tamarackbridge/helpers/loop_limit.py
+++ b/tamarackbridge/helpers/loop_limit.py
@@ -21,20 +21,31 @@
     Raises:
         TimeoutError: The limit is over.
     """
-    loop = asyncio.get_running_loop()
     async with asyncio.timeout(None) as limit:
-        left = PASSES
-
-        def _step() -> None:
-            nonlocal left, handle
-            left -= 1
-            if left > 0:
-                handle = loop.call_later(seconds / PASSES, _step)
-            else:
-                limit.reschedule(loop.time())
-
-        handle = loop.call_later(seconds / PASSES, _step)
+        steps = _Steps(limit, seconds / PASSES)
         try:
             yield
         finally:
-            handle.cancel()
+            steps.cancel()
+
+
+class _Steps:
+    """Timers one after the other, the last of which ends a limit."""
+
+    def __init__(self, limit: asyncio.Timeout, step_s: float) -> None:
+        self._limit = limit
+        self._step_s = step_s
+        self._left = PASSES
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(step_s, self._on_timer)
+
+    def cancel(self) -> None:
+        """Stops the timer that is due next."""
+        self._timer.cancel()
+
+    def _on_timer(self) -> None:
+        self._left -= 1
+        if self._left > 0:
+            self._timer = self._loop.call_later(self._step_s, self._on_timer)
+        else:
+            self._limit.reschedule(self._loop.time())
--- a/tests/helpers/test_loop_limit.py
+++ b/tests/helpers/test_loop_limit.py
@@ -28,8 +28,8 @@
     found = asyncio.Event()
     loop = asyncio.get_running_loop()
     async with loop_limit.async_limit(LIMIT_S):
-        loop.call_soon(found.set)
-        time.sleep(2 * LIMIT_S)
+        loop.call_soon(time.sleep, 2 * LIMIT_S)
+        loop.call_soon(loop.call_soon, found.set)
         await found.wait()
 
 
