Replay routers whose processors are charged, and show a congestion collapse

Cause: not mended here. Replays let routers decide in no time, so that a router with more to do than its processor can could not fail in any of them.

Ruled out: charging by the machine's clock (not repeatable), and by counted function calls (a cache filled by an earlier test changes them).

Change: the virtual loop runs the callbacks of a context one after the other on a processor, each for as long as its work is charged: rows of the ledger, servers weighed, requests looked at, read, refused and sent, reports, events. Desks, lag meters, messages and callers that leave wait behind it. Callers come back as advised, on a new connection at any router of the zone, or give up after 4 s.

--- a/tests/components/admission/fleet_replay.py
+++ b/tests/components/admission/fleet_replay.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Iterable, Sequence
+import contextvars
 import random
 from typing import Any, cast
 
@@ -26,10 +27,10 @@
 """Routers know each other this long before the first arrival."""
 
 
-class _Links:
+class Links:
     """Takes messages of one router to the others."""
 
-    def __init__(self, src: str, routers: dict[str, "_Router"]) -> None:
+    def __init__(self, src: str, routers: dict[str, "Router"]) -> None:
         self._src = src
         self._routers = routers
 
@@ -40,12 +41,18 @@
         router = self._routers.get(to)
         if router is not None:
             asyncio.get_running_loop().call_later(
-                LINK_S, router.take, self._src, msg
+                LINK_S, router.take, self._src, msg, context=router.context
             )
 
 
-class _Router:
-    """The desk of a router and what it shares with the others."""
+class Router:
+    """The desk of a router and what it shares with the others.
+
+    Attributes:
+        desk: Its desk.
+        sharing: What it shares.
+        context: Its tasks run in it; None for that of the replay.
+    """
 
     def __init__(
         self,
@@ -56,7 +63,9 @@
         tokens_per_s: float,
         slots: int,
         clock: core.Clock,
+        context: contextvars.Context | None = None,
     ) -> None:
+        self.context = context
         using = load_replay.make_parts(
             address, zone, engines, tokens_per_s, slots
         )
@@ -140,9 +149,9 @@
     ) -> list[load_replay.Fate]:
         loop = asyncio.get_running_loop()
         clock = virtual_loop.LoopClock(loop)
-        routers: dict[str, _Router] = {}
+        routers: dict[str, Router] = {}
         for address, zone in self._zones.items():
-            made = _Router(
+            made = Router(
                 address,
                 zone,
                 self._zones,
@@ -151,7 +160,7 @@
                 self._slots,
                 clock,
             )
-            links = _Links(address, routers)
+            links = Links(address, routers)
             made.sharing.use(cast(transport.PeerService, links))
             routers[address] = made
         for made in routers.values():
--- a/tests/components/admission/load_replay.py
+++ b/tests/components/admission/load_replay.py
@@ -93,6 +93,11 @@
         output = float(fate.arrival.output)
         self.reading.append(_Run(fate, permit, unread, output))
 
+    def drop(self, fate: Fate) -> None:
+        """Ends a request whose caller has left."""
+        self.reading = [it for it in self.reading if it.fate is not fate]
+        self.running = [it for it in self.running if it.fate is not fate]
+
     def step(self, now: float) -> list[_Run]:
         """Lets a step pass; returns the runs that ended."""
         budget = READ_PER_S * STEP_S
--- /dev/null
+++ b/tests/components/admission/processor_replay.py
@@ -0,0 +1,362 @@
+"""Replays callers at routers whose processors are charged for their work.
+
+Load pattern: the platform spreads callers by a hash, so that a small VM can get
+several times the share of the others. What comes, waits and is told queues up
+behind its processor, and callers come back or give up meanwhile.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable, Mapping, Sequence
+import dataclasses
+from typing import Any, cast
+
+import result
+
+from tamarackbridge.components.admission import desk
+from tamarackbridge.components.gateway import answers, jobs, strain
+from tamarackbridge.components.transport import service as transport
+from tests import virtual_loop
+from tests.components.admission import charges, fleet_replay, load_replay
+from tests.components.knowledge import builders
+
+MAX_HELD = 1_500
+"""Requests that a router holds at most."""
+
+REFUSED_RETRY_S = 0.2
+"""Advice of a router that refuses for its own load."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Callers:
+    """What callers do.
+
+    Attributes:
+        give_up_s: Time from the first attempt for which they want an answer.
+        move: Whether an attempt on a new connection reaches any router of the
+            zone; otherwise all reach the first one.
+    """
+
+    give_up_s: float = 4.0
+    move: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The answer to an attempt that is refused.
+
+    Attributes:
+        retry_after_s: When to come back.
+        closes: Whether the connection is closed.
+    """
+
+    retry_after_s: float
+    closes: bool
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Attempt:
+    """One request of a caller at one router.
+
+    Attributes:
+        answer: Done at the first event, or when it is refused.
+        task: What handles it, while that runs.
+        sent: What it has under way at an engine.
+    """
+
+    fate: load_replay.Fate
+    number: int
+    answer: asyncio.Future[Refused | None]
+    task: asyncio.Task[None] | None = None
+    sent: "_Sent | None" = None
+
+
+class _Sent:
+    """A sending, of whose engine the router hears on its own processor."""
+
+    def __init__(
+        self, attempt: _Attempt, permit: jobs.Placement, front: "Front"
+    ) -> None:
+        self._attempt = attempt
+        self._permit = permit
+        self._front = front
+        self._is_over = False
+
+    @property
+    def server(self) -> Any:
+        return self._permit.server
+
+    def heard(self) -> None:
+        self._front.call(self._on_heard)
+
+    def told(self, head: Any) -> None:
+        """The engines' heads say nothing."""
+
+    def progressed(self) -> None:
+        """No pauses are replayed."""
+
+    def finish(self, outcome: jobs.Outcome) -> None:
+        self._front.call(self.end, outcome)
+
+    def end(self, outcome: jobs.Outcome) -> None:
+        """Ends the sending, on the router's processor."""
+        if self._is_over:
+            return
+        self._is_over = True
+        if outcome is jobs.Outcome.SERVED:
+            output = self._attempt.fate.arrival.output
+            events = output / builders.model_service().event_tokens
+            charges.charge("relaying", events * charges.EVENT_S)
+        charges.charge("reading", charges.HEAD_S)
+        self._front.held -= 1
+        self._permit.finish(outcome)
+
+    def _on_heard(self) -> None:
+        if self._is_over:
+            return
+        charges.charge("relaying", charges.EVENT_S)
+        self._permit.heard()
+        self._attempt.fate.first_at = self._front.now()
+        if not self._attempt.answer.done():
+            self._attempt.answer.set_result(None)
+
+
+class Front:
+    """The gateway of a router, on the router's processor.
+
+    Attributes:
+        held: Requests under way.
+        meter: The lag of its event loop.
+        placed: Requests that it sent to engines, by second and workspace.
+        refused: Attempts that it refused, by second and reason.
+    """
+
+    def __init__(
+        self,
+        router: fleet_replay.Router,
+        engines: Mapping[str, load_replay.Engine],
+        slots: int,
+        begin: float,
+    ) -> None:
+        self.held = 0
+        self.meter = strain.LagMeter()
+        self.is_closed = False
+        self.placed: collections.Counter[tuple[int, str]]
+        self.placed = collections.Counter()
+        self.refused: collections.Counter[tuple[int, str]]
+        self.refused = collections.Counter()
+        self._desk: desk.AdmissionDesk = router.desk
+        self._context = router.context
+        self._engines = engines
+        self._slots = slots
+        self._begin = begin
+
+    def now(self) -> float:
+        """Returns the time since the first arrival."""
+        return asyncio.get_running_loop().time() - self._begin
+
+    def call(self, callback: Callable[..., object], *args: Any) -> None:
+        """Calls on the router's processor, after what waits for it."""
+        loop = asyncio.get_running_loop()
+        loop.call_soon(callback, *args, context=self._context)
+
+    def arrive(self, attempt: _Attempt) -> None:
+        """Takes a request, whether its caller has left or not."""
+        if self.is_closed:
+            return
+        charges.charge("reading", charges.HEAD_S)
+        if self.held >= MAX_HELD or self.meter.overloaded:
+            reason = answers.Reason.ROUTER_OVERLOADED
+            self._refuse(attempt, reason, REFUSED_RETRY_S, True)
+            return
+        loop = asyncio.get_running_loop()
+        self.held += 1
+        attempt.task = loop.create_task(self._async_handle(attempt))
+
+    def leave(self, attempt: _Attempt) -> None:
+        """Ends a request whose caller has left."""
+        charges.charge("reading", charges.HEAD_S)
+        if attempt.task is not None and not attempt.task.done():
+            attempt.task.cancel()
+        if attempt.sent is not None:
+            self._engines[attempt.sent.server.name].drop(attempt.fate)
+            attempt.sent.end(jobs.Outcome.CANCELLED)
+
+    async def _async_handle(self, attempt: _Attempt) -> None:
+        charges.charge("reading", charges.BODY_S)
+        now = asyncio.get_running_loop().time()
+        job = load_replay.make_job(
+            attempt.fate.arrival, attempt.number, now, self._slots
+        )
+        try:
+            admitted = await self._desk.async_admit(job)
+        except asyncio.CancelledError:
+            self.held -= 1
+            raise
+        if isinstance(admitted, result.Err):
+            self.held -= 1
+            refusal = admitted.err_value
+            self._refuse(
+                attempt,
+                refusal.reason,
+                refusal.retry_after_s,
+                self.meter.strained,
+            )
+            return
+        charges.charge("sending", charges.SEND_S)
+        permit = admitted.ok_value
+        attempt.sent = _Sent(attempt, permit, self)
+        key = (int(self.now()), attempt.fate.arrival.workspace)
+        self.placed[key] += 1
+        engine = self._engines[permit.server.name]
+        engine.take(attempt.fate, cast(jobs.Placement, attempt.sent), job)
+
+    def _refuse(
+        self,
+        attempt: _Attempt,
+        reason: answers.Reason,
+        retry_after_s: float,
+        closes: bool,
+    ) -> None:
+        charges.charge("refusing", charges.REFUSE_S)
+        self.refused[int(self.now()), reason.value] += 1
+        if not attempt.answer.done():
+            attempt.answer.set_result(Refused(retry_after_s, closes))
+
+
+class ProcessorReplay(fleet_replay.FleetReplay):
+    """Routers with processors before some engines, on a virtual clock.
+
+    Attributes:
+        processors: The routers' processors, by address.
+        fronts: Their gateways.
+    """
+
+    def __init__(
+        self,
+        cores: Mapping[str, float],
+        engines: int,
+        tokens_per_s: float,
+        slots: int = load_replay.SLOTS,
+        seed: int = 1,
+        callers: Callers = Callers(),
+    ) -> None:
+        """Makes a replay.
+
+        Args:
+            cores: The VMs' processors, by address; an event loop uses at most
+                one core.
+            engines: How many engines there are.
+            tokens_per_s: The stated throughput of all.
+            slots: Requests that an engine runs at once.
+            seed: Seed of all randomness.
+            callers: What callers do.
+        """
+        super().__init__(len(cores), engines, tokens_per_s, slots, seed)
+        self._zones = {
+            address: f"z{number % fleet_replay.ZONES}"
+            for number, address in enumerate(cores)
+        }
+        self._cores = cores
+        self._callers = callers
+        self.processors: dict[str, virtual_loop.Processor] = {}
+        self.fronts: dict[str, Front] = {}
+
+    def placed(self, workspace: str, begin: int, end: int) -> int:
+        """Returns how many requests were sent to engines in some seconds."""
+        return sum(
+            count
+            for front in self.fronts.values()
+            for (second, name), count in front.placed.items()
+            if name == workspace and begin <= second < end
+        )
+
+    async def _async_play(
+        self, arrivals: Sequence[load_replay.Arrival], seconds: float
+    ) -> list[load_replay.Fate]:
+        loop = asyncio.get_running_loop()
+        with charges.charging():
+            services = await self._async_start(loop)
+            await asyncio.sleep(fleet_replay.LEAD_S)
+            begin = loop.time()
+            tasks: list[asyncio.Task[Any]] = [
+                asyncio.create_task(self._async_run_engines(begin))
+            ]
+            fates = []
+            for arrival in sorted(arrivals, key=lambda it: it.at):
+                await asyncio.sleep(max(begin + arrival.at - loop.time(), 0.0))
+                fate = load_replay.Fate(arrival)
+                calling = self._async_call(fate, len(fates), begin)
+                fates.append(fate)
+                tasks.append(asyncio.create_task(calling))
+            await asyncio.sleep(begin + seconds - loop.time())
+            for front in self.fronts.values():
+                front.is_closed = True
+            for task in tasks:
+                task.cancel()
+            for service in services:
+                await service.on_stop()
+        return fates
+
+    async def _async_start(self, loop: asyncio.AbstractEventLoop) -> list[Any]:
+        """Starts all routers; returns what has to be stopped."""
+        clock = virtual_loop.LoopClock(loop)
+        routers: dict[str, fleet_replay.Router] = {}
+        services: list[Any] = []
+        for address, zone in self._zones.items():
+            cores = min(self._cores[address], 1.0)
+            processor = virtual_loop.Processor(cores)
+            self.processors[address] = processor
+            made = fleet_replay.Router(
+                address,
+                zone,
+                self._zones,
+                self._engines,
+                self._tokens_per_s,
+                self._slots,
+                clock,
+                processor.context,
+            )
+            links = fleet_replay.Links(address, routers)
+            made.sharing.use(cast(transport.PeerService, links))
+            routers[address] = made
+            begin = loop.time() + fleet_replay.LEAD_S
+            front = Front(made, self._engines, self._slots, begin)
+            self.fronts[address] = front
+            lag = strain.LagService(front.meter, clock)
+            services += [made.desk, made.sharing, lag]
+            for service in (made.sharing, lag):
+                starting = service.on_start()
+                loop.create_task(starting, context=processor.context)
+        return services
+
+    async def _async_call(
+        self, fate: load_replay.Fate, number: int, begin: float
+    ) -> None:
+        """Calls until there is an answer, or it comes too late."""
+        loop = asyncio.get_running_loop()
+        address = fate.arrival.router or self._rng.choice(list(self._zones))
+        until = loop.time() + self._callers.give_up_s
+        while True:
+            front = self.fronts[address]
+            attempt = _Attempt(fate, number, loop.create_future())
+            front.call(front.arrive, attempt)
+            try:
+                async with asyncio.timeout_at(until):
+                    refused = await attempt.answer
+            except TimeoutError:
+                front.call(front.leave, attempt)
+                fate.refused_at = until - begin
+                return
+            if refused is None:
+                return
+            if loop.time() + refused.retry_after_s >= until:
+                fate.refused_at = loop.time() - begin
+                return
+            await asyncio.sleep(refused.retry_after_s)
+            if refused.closes and self._callers.move:
+                address = self._rng.choice(self._zone_of(address))
+
+    def _zone_of(self, address: str) -> list[str]:
+        zone = self._zones[address]
+        return [it for it, other in self._zones.items() if other == zone]
