--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,7 +26,7 @@
     """Returns the names of the measurements."""
     here = pathlib.Path(__file__).parent
     found = {path.stem for path in here.glob("*.py")} - NOT_MEASUREMENTS
-    hidden = ("_", "fake_", "fairness_", "slopes_")
+    hidden = ("_", "fake_", "fairness_", "one_router_", "slopes_")
     return sorted(name for name in found if not name.startswith(hidden))
 
 
