Shed what a strained router can't take up before it is read

Cause: a router took everything up at once, whatever its processor could do, and refused by the average lag of its event loop, late and without a look at shares. Each refusal cost a connection, a task, a parsed request and its body. Its useful work fell as its load rose, down to none.

Change: the limit on what is taken up follows the least delay over an interval, and is shared among workspaces, those within their share first. Few connections are taken in a turn of the event loop; while requests are shed they are looked at in the kernel's buffer and refused from there. Advice grows with the excess and is spread. The log tells sums, not each refusal.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -5,7 +5,7 @@
 import json
 import select
 import socket
-from typing import Any, cast
+from typing import Any, Protocol, cast
 import uuid
 
 from aiohttp import http_exceptions, web
@@ -54,6 +54,21 @@
     write_stall_s: float
 
 
+class Screen(Protocol):
+    """Decides on requests before they are read."""
+
+    def __call__(self, data: bytes) -> bytes | bool:
+        """Returns the answer to a request that is refused.
+
+        Args:
+            data: What came first of the request.
+
+        Returns:
+            Otherwise whether it was decided that it is read.
+        """
+        ...
+
+
 class CallerConnection(web.RequestHandler):
     """Ends a connection whose caller sends or reads too slowly.
 
@@ -67,6 +82,8 @@
         cfg: CallerLimits,
         counts: CallerCounts,
         idle_timeout_s: float | None = None,
+        screen: Screen | None = None,
+        screened: bool = False,
     ) -> None:
         kept: dict[str, Any] = {}
         if idle_timeout_s is not None:
@@ -86,6 +103,8 @@
         self._in_request = False
         self._fresh_until = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._screen = screen
+        self._screened = screened
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes a connection, unless too many are open."""
@@ -116,9 +135,29 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes; the first ones of a request start its timer."""
         if not self._in_request and self._timer is None:
+            if self._is_refused(data):
+                return
             self._start(self._cfg.header_timeout_s, self._header_late)
         super().data_received(data)
 
+    def _is_refused(self, data: bytes) -> bool:
+        """Whether the first bytes of a request were answered unread."""
+        if self._screen is None or self._screened or self._messages:
+            return False
+        found = self._screen(data)
+        if isinstance(found, bytes):
+            if self.transport is not None:
+                self.transport.write(found)
+            self.force_close()
+            return True
+        self._screened = found
+        return False
+
+    def take_screened(self) -> bool:
+        """Whether the present request has been screened; asked once."""
+        screened, self._screened = self._screened, False
+        return screened
+
     def begin_request(self) -> None:
         """The header of a request is whole."""
         self._in_request = True
--- a/tamarackbridge/components/gateway/answers.py
+++ b/tamarackbridge/components/gateway/answers.py
@@ -1,7 +1,10 @@
 """Answers that a router gives on its own."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
+import functools
+import http
 
 from aiohttp import hdrs, web
 import msgspec
@@ -74,14 +77,36 @@
 _encode = msgspec.json.Encoder().encode
 
 
+def raw(refusal: Refusal, headers: Mapping[str, str]) -> bytes:
+    """Returns the bytes of a refusal that ends its connection."""
+    body = _body(refusal)
+    more = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = (
+        f"HTTP/1.1 {refusal.status} {_phrase(refusal.status)}\r\n"
+        f"{hdrs.CONTENT_TYPE}: {CONTENT_TYPE}\r\n"
+        f"{hdrs.CONTENT_LENGTH}: {len(body)}\r\n"
+        f"{hdrs.RETRY_AFTER}: {refusal.retry_after_s:.3f}\r\n"
+        f"{hdrs.CONNECTION}: close\r\n{more}\r\n"
+    )
+    return head.encode() + body
+
+
+@functools.cache
+def _phrase(status: int) -> str:
+    return http.HTTPStatus(status).phrase
+
+
+def _body(refusal: Refusal) -> bytes:
+    return _encode({"reason": refusal.reason.value, "status": refusal.status})
+
+
 def response(refusal: Refusal, headers: dict[str, str]) -> web.Response:
     """Returns the HTTP answer for a refusal."""
-    body = {"reason": refusal.reason.value, "status": refusal.status}
     if refusal.retry_after_s > 0:
         headers[hdrs.RETRY_AFTER] = f"{refusal.retry_after_s:.3f}"
     return web.Response(
         status=refusal.status,
         headers=headers,
-        body=_encode(body),
+        body=_body(refusal),
         content_type=CONTENT_TYPE,
     )
--- /dev/null
+++ b/tamarackbridge/components/gateway/listener.py
@@ -0,0 +1,194 @@
+"""Takes callers' connections, a bounded number in each turn of the event loop.
+
+Load pattern: more connections come than the processor bears. Taking all that
+wait in one turn delays everything else by as much work as waits; and a
+connection, a handler and a parsed request for each that is refused cost as
+much as serving one. So few are taken in a turn, and while requests are shed
+they are looked at in the kernel's buffer, and refused from there.
+"""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import errno
+import select
+import socket
+import struct
+from typing import Protocol
+
+from absl import logging
+
+TAKEN_IN_TURN = 8
+"""Connections taken in one turn: a few milliseconds of work, so that answers
+under way and callers' ends come first again soon."""
+
+REFUSED_IN_TURN = 64
+"""Connections refused in one turn, at a tenth of the cost."""
+
+LOOKED_AT_BYTES = 65_536
+"""What is looked at of a request; one that is longer is taken."""
+
+RETRY_S = 1.0
+"""Pause after the kernel had no descriptor or memory for a connection."""
+
+_NO_ROOM = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+_TCP_INFO_BYTES = 104
+_LAST_DATA_RECV = struct.Struct("=52xI")
+"""Milliseconds since the last data came, in Linux's `tcp_info`."""
+
+
+class Screened(enum.Enum):
+    """What was found of a request that was looked at."""
+
+    UNKNOWN = "unknown"
+    ADMITTED = "admitted"
+
+
+class Screen(Protocol):
+    """Decides on requests before they are read."""
+
+    @property
+    def shedding(self) -> bool:
+        """Whether requests may be refused unread."""
+        ...
+
+    def screen(self, data: bytes) -> Screened | bytes:
+        """Returns the answer to a request that is refused.
+
+        Args:
+            data: All that its connection has received.
+        """
+        ...
+
+    def note_left(self) -> None:
+        """Counts a caller that had left before its request was read."""
+        ...
+
+
+class Listener:
+    """Owns a listening socket.
+
+    Attributes:
+        waited_s: How long the request that was taken last had waited to be
+            read, while others wait; 0 while none do.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        connect: Callable[[Screened], asyncio.BaseProtocol],
+        screen: Screen,
+    ) -> None:
+        self.waited_s = 0.0
+        sock.setblocking(False)
+        self._sock = sock
+        self._connect = connect
+        self._screen = screen
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._serving = True
+        self._listen()
+
+    def close(self) -> None:
+        """Takes the connections that wait, and no further ones.
+
+        The kernel resets what waits at a listener that is closed.
+        """
+        if not self._serving:
+            return
+        self._serving = False
+        self._loop.remove_reader(self._sock)
+        if self._timer is not None:
+            self._timer.cancel()
+        while (conn := self._accept()) is not None:
+            self._take(conn, Screened.UNKNOWN)
+        self._sock.close()
+
+    def _listen(self) -> None:
+        self._timer = None
+        self._loop.add_reader(self._sock, self._on_waiting)
+
+    def _on_waiting(self) -> None:
+        taken = refused = 0
+        while (conn := self._accept()) is not None:
+            screened: Screened | None = Screened.UNKNOWN
+            if self._screen.shedding:
+                screened = self._look_at(conn)
+            if screened is None:
+                refused += 1
+            else:
+                taken += 1
+                self._take(conn, screened)
+            if taken >= TAKEN_IN_TURN or refused >= REFUSED_IN_TURN:
+                return
+        self.waited_s = 0.0
+
+    def _accept(self) -> socket.socket | None:
+        """Returns a connection that waits; None if none does."""
+        while True:
+            try:
+                conn, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return None
+            except ConnectionAbortedError:
+                continue  # It has gone; another may wait.
+            except OSError as exc:
+                if exc.errno not in _NO_ROOM or not self._serving:
+                    raise
+                logging.error("no room for a connection: %s", exc)
+                self._loop.remove_reader(self._sock)
+                self._timer = self._loop.call_later(RETRY_S, self._listen)
+                return None
+            conn.setblocking(False)
+            self.waited_s = _unread_s(conn)
+            return conn
+
+    def _look_at(self, conn: socket.socket) -> Screened | None:
+        """Looks at what a connection has sent; None if that ended it."""
+        try:
+            if _has_left(conn):
+                self._screen.note_left()
+                conn.close()
+                return None
+            data = conn.recv(LOOKED_AT_BYTES, socket.MSG_PEEK)
+            found = self._screen.screen(data)
+            if isinstance(found, Screened):
+                return found
+            # Bytes that wait when a connection closes reset it.
+            conn.recv(len(data))
+            conn.send(found)
+        except (BlockingIOError, InterruptedError):
+            return Screened.UNKNOWN
+        except OSError:
+            self._screen.note_left()
+        conn.close()
+        return None
+
+    def _take(self, conn: socket.socket, screened: Screened) -> None:
+        task = self._loop.create_task(self._async_connect(conn, screened))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_connect(
+        self, conn: socket.socket, screened: Screened
+    ) -> None:
+        await self._loop.connect_accepted_socket(
+            lambda: self._connect(screened), conn
+        )
+
+
+def _has_left(conn: socket.socket) -> bool:
+    """Whether a caller has closed its side of a connection."""
+    poll = select.poll()
+    poll.register(conn, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def _unread_s(conn: socket.socket) -> float:
+    """Returns how long ago the last data of a connection came."""
+    info = conn.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    if len(info) < _LAST_DATA_RECV.size:
+        return 0.0
+    (millis,) = _LAST_DATA_RECV.unpack_from(info)
+    return float(millis) / 1000.0
--- a/tamarackbridge/components/gateway/metrics.py
+++ b/tamarackbridge/components/gateway/metrics.py
@@ -30,6 +30,9 @@
         self._cuts = registry.counter(
             "cuts", "Answers ended before they were whole, by whom.", ("by",)
         )
+        self._left = registry.counter(
+            "left", "Callers that left, by how far they had come.", ("when",)
+        )
         self._unreadable = registry.counter(
             "unreadable_headers",
             "Headers of servers' answers with a value that means nothing.",
@@ -65,6 +68,10 @@
         """Counts an answer that was ended before it was whole."""
         self._cuts.labels(by).inc()
 
+    def left(self, when: str) -> None:
+        """Counts a caller that left before its request went to a server."""
+        self._left.labels(when).inc()
+
     def unreadable(self, header: str) -> None:
         """Counts a header of a server's answer that means nothing."""
         self._unreadable.labels(header).inc()
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -56,6 +56,19 @@
     body: bytes = b""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Glimpse:
+    """What is read of a request that may be refused unread.
+
+    Attributes:
+        request_id: Identifies the request.
+        key: The caller's key; empty if it sent none.
+    """
+
+    request_id: str
+    key: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sending:
     """What is added when a call goes to a backend server.
@@ -127,6 +140,14 @@
         """Returns a call, or None if it names no identifier."""
         ...
 
+    def glimpse(self, data: bytes) -> Glimpse | None:
+        """Looks at the bytes of one request.
+
+        Returns:
+            None unless the bytes are one whole request of a common form.
+        """
+        ...
+
     def write_call(self, call: Call, sending: Sending) -> HeaderList:
         """Returns the headers of a call to a backend server."""
         ...
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -1,5 +1,8 @@
 """What a router says of requests: one event and one count for each decision."""
 
+import collections
+import math
+
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
     answers,
@@ -11,6 +14,9 @@
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.telemetry import events
 
+TOLD_WORKSPACES = 8
+"""Workspaces that are named in a line on requests that were shed."""
+
 
 class RequestLog:
     """Writes events of requests, with the age of what they rest on."""
@@ -24,6 +30,8 @@
         self._clock = clock
         self._known = known
         self._counted = counted
+        self._shed: collections.Counter[str] = collections.Counter()
+        self._shed_last = ""
 
     def sending_ended(
         self, job: jobs.Job, sent: forward.Sent, server: str, again: bool
@@ -103,6 +111,38 @@
             )
         )
 
+    def shed(self, request_id: str, workspace: str) -> None:
+        """A request is refused unread.
+
+        These cost too little for a line each; `tell_shed` writes the sums.
+        """
+        self._counted.refused(answers.Reason.ROUTER_OVERLOADED.value)
+        self._shed[workspace] += 1
+        self._shed_last = request_id
+
+    def tell_shed(self, limit_per_s: float, lag_s: float) -> None:
+        """Writes what was refused unread since the last time, if anything."""
+        if not self._shed:
+            return
+        events.write(
+            events.RequestsShed(
+                requests=self._shed.total(),
+                workspaces=dict(self._shed.most_common(TOLD_WORKSPACES)),
+                last=self._shed_last,
+                limit_per_s=_rounded(limit_per_s),
+                lag_s=round(lag_s, 4),
+            )
+        )
+        self._shed.clear()
+
+    def left_unread(self) -> None:
+        """A caller had left before its request was read."""
+        self._counted.left("unread")
+
+    def left_undecided(self) -> None:
+        """A caller left before it was decided where its request runs."""
+        self._counted.left("undecided")
+
     def cut(
         self, request_id: str, route: str, arrived: float, by: str, passed: int
     ) -> None:
@@ -120,6 +160,11 @@
         events.write(events.CallerLeft(request_id, route, round(seconds, 4)))
 
 
+def _rounded(per_s: float) -> float:
+    """Returns a rate for the log; -1 for no limit."""
+    return round(per_s, 1) if math.isfinite(per_s) else -1.0
+
+
 def _age(age_s: float) -> float:
     """Returns an age for the log; -1 before anything was known."""
     return round(age_s, 3) if age_s < 1e9 else -1.0
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -1,5 +1,6 @@
 """Sends a job to servers until it is answered or must be given up."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 
@@ -96,7 +97,11 @@
             events = relay.EventRelay(job.call.resume_after)
         progress = Progress()
         while True:
-            admitted = await self._desk.async_admit(job)
+            try:
+                admitted = await self._desk.async_admit(job)
+            except asyncio.CancelledError:
+                self._log.left_undecided()
+                raise
             if isinstance(admitted, result.Err):
                 return self._give_up(job, stream, progress, admitted.err_value)
             if caller.has_left(req):
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -255,6 +255,20 @@
     seconds: float
 
 
+class RequestsShed(Event, frozen=True):
+    """Requests that were refused unread since the last such line.
+
+    `workspaces` names those with the most, and `last` one request.
+    `limit_per_s` is how many requests a second are taken up; -1 for no limit.
+    """
+
+    requests: int
+    workspaces: dict[str, int]
+    last: str
+    limit_per_s: float
+    lag_s: float
+
+
 class Cut(Event, frozen=True):
     """An answer under way was ended so that it does not look whole."""
 
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -7,6 +7,9 @@
 from tamarackbridge.components.gateway import models
 from tamarackbridge.platform import const
 
+_MAX_DIGITS = 12
+"""Longest number that is read."""
+
 _MAX_PARTS = 64
 """Longest list of prompt parts that is read; prompts have a few."""
 
@@ -48,6 +51,35 @@
             resume_after=values.get(const.HEADER_RESUME.lower(), ""),
         )
 
+    def glimpse(self, data: bytes) -> models.Glimpse | None:
+        """Looks at the bytes of one request."""
+        head, end, body = data.partition(b"\r\n\r\n")
+        if not end:
+            return None
+        lines = head.decode("latin-1").split("\r\n")
+        if not lines[0].endswith(" HTTP/1.1"):
+            return None
+        values: dict[str, str] = {}
+        for line in lines[1:]:
+            name, colon, value = line.partition(":")
+            lowered = name.lower()
+            if not colon or lowered in values or lowered in _UNCOMMON:
+                return None
+            values[lowered] = value.strip()
+        length = values.get("content-length", "0")
+        if len(length) > _MAX_DIGITS or not length.isdecimal():
+            return None
+        if int(length) != len(body):
+            return None
+        request_id = values.get(const.HEADER_REQUEST_ID.lower(), "")
+        if not request_id.isascii() or not request_id.isprintable():
+            return None
+        if not request_id:
+            return None
+        return models.Glimpse(
+            request_id, values.get(const.HEADER_KEY.lower(), "")
+        )
+
     def write_call(
         self, call: models.Call, sending: models.Sending
     ) -> models.HeaderList:
@@ -97,6 +129,9 @@
 
 _KEPT_FROM_CALLERS = frozenset((const.HEADER_LOAD.lower(),))
 
+_UNCOMMON = frozenset(("transfer-encoding", "expect", "upgrade"))
+"""Headers of requests whose bytes tell too little by themselves."""
+
 _LEAVES = "1"
 """The only value with which a server says that it leaves."""
 
@@ -156,7 +191,7 @@
 
 def _count(text: str) -> int:
     text = text.strip()
-    if not text.isdigit() or len(text) > 12:
+    if not text.isdigit() or len(text) > _MAX_DIGITS:
         return 0
     return int(text)
 
--- /dev/null
+++ b/tamarackbridge/platform_gauges.py
@@ -0,0 +1,64 @@
+"""What a router on the users' platform tells of itself at each reading."""
+
+from tamarackbridge import core
+from tamarackbridge.components.admission import desk
+from tamarackbridge.components.fleet import sharing
+from tamarackbridge.components.gateway import service, shedding, strain
+from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.telemetry import metrics
+from tamarackbridge.platform import store
+
+
+def add(
+    registry: metrics.Metrics,
+    clock: core.Clock,
+    known: state.Knowledge,
+    meter: strain.LagMeter,
+    shedder: shedding.Shedder,
+    gateway: service.GatewayService,
+    waiting: desk.AdmissionDesk,
+    others: sharing.SharingService,
+    client: store.Store,
+) -> None:
+    """Adds the gauges, and the counters that are kept elsewhere."""
+    now = clock.monotonic
+
+    def version() -> int:
+        cfg = known.configuration
+        return cfg.version if cfg else 0
+
+    for name, help_text, read in (
+        ("held", "Requests under way.", lambda: gateway.held),
+        ("lag_seconds", "Lag of the event loop.", lambda: meter.lag_s),
+        (
+            "taken_up_limit",
+            "Requests a second that are taken up; infinite for no limit.",
+            lambda: shedder.limit_per_s,
+        ),
+        ("waiting", "Requests that wait.", lambda: waiting.waiting),
+        ("routers", "Routers heard.", lambda: len(others.routers())),
+        (
+            "configuration_version",
+            "Version of the configuration in force.",
+            version,
+        ),
+        (
+            "configuration_age_seconds",
+            "Age of the configuration.",
+            lambda: known.configuration_age(now()),
+        ),
+        (
+            "servers_age_seconds",
+            "Age of the registrations.",
+            lambda: known.servers_age(now()),
+        ),
+    ):
+        registry.gauge(name, help_text, read)
+    registry.counter_of(
+        "store_calls", "Calls to the store.", lambda: client.calls
+    )
+    registry.counter_of(
+        "requests_shed",
+        "Requests that were not taken up.",
+        lambda: shedder.shed,
+    )
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -11,7 +11,7 @@
 from absl import logging
 import mode
 
-from tamarackbridge import core, crash_watch, messages
+from tamarackbridge import core, crash_watch, messages, platform_gauges
 from tamarackbridge.components.admission import desk, inputs, pressure, shares
 from tamarackbridge.components.fleet import messages as fleet
 from tamarackbridge.components.fleet import sharing, view
@@ -21,6 +21,7 @@
     request_log,
     runner,
     servers,
+    shedding,
     strain,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
@@ -91,9 +92,20 @@
         self._desk = self._make_desk()
         self._servers = servers.ServerClient()
         self.meter = strain.LagMeter()
+        self._shedder = shedding.Shedder(self._due_part, self._kernel.rng)
         self._gateway = self._make_gateway()
         self._register_services()
-        self._add_gauges()
+        platform_gauges.add(
+            self._registry,
+            self._clock,
+            self._known,
+            self.meter,
+            self._shedder,
+            self._gateway,
+            self._desk,
+            self._sharing,
+            self._store,
+        )
         services = self._kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
         self._services = [*services, watch]
@@ -152,6 +164,7 @@
             self._clock,
             log,
             self.meter,
+            self._shedder,
             self._tracer,
         )
         made.use(
@@ -229,7 +242,9 @@
             "sharing": self._sharing,
             "servers": self._servers,
             "desk": self._desk,
-            "lag": strain.LagService(self.meter, self._clock),
+            "lag": strain.LagService(
+                self.meter, self._clock, self._gateway.note_lag
+            ),
             "gateway": self._gateway,
             "readiness": gateway.ReadinessService(
                 cfg.readiness.host,
@@ -251,37 +266,9 @@
         self._using.estimator.forget(server)
         self._using.told.forget(server)
 
-    def _add_gauges(self) -> None:
-        registry = self._registry
-        client = self._store
-        meter = self.meter
-        now = self._clock.monotonic
-        known = self._known
-        for name, help_text, read in (
-            ("held", "Requests under way.", lambda: self._gateway.held),
-            ("lag_seconds", "Lag of the event loop.", lambda: meter.lag_s),
-            ("waiting", "Requests that wait.", lambda: self._desk.waiting),
-            ("routers", "Routers heard.", lambda: len(self._sharing.routers())),
-            (
-                "configuration_version",
-                "Version of the configuration in force.",
-                lambda: self._version()[0],
-            ),
-            (
-                "configuration_age_seconds",
-                "Age of the configuration.",
-                lambda: known.configuration_age(now()),
-            ),
-            (
-                "servers_age_seconds",
-                "Age of the registrations.",
-                lambda: known.servers_age(now()),
-            ),
-        ):
-            registry.gauge(name, help_text, read)
-        registry.counter_of(
-            "store_calls", "Calls to the store.", lambda: client.calls
-        )
+    def _due_part(self, workspace: str) -> float:
+        """Returns the part of a workspace's requests within its share."""
+        return self._desk.standings.of(workspace, True).part
 
     def _use(self) -> dict[str, shares.Use]:
         return dict(self._desk.standings.use.sums(self._clock.monotonic()))
