Merge shedding before reading in a strained router

The replay with processors takes up requests as the listener does: what comes waits in the kernel, a bounded number is taken in each turn, and requests are shed by the limit (each for 0.1 ms of a core). Not all networks tell how long a connection has waited; the lag of the event loop does then.

--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -11,7 +11,7 @@
 from absl import logging
 import mode
 
-from tamarackbridge import core, crash_watch, messages
+from tamarackbridge import core, crash_watch, messages, platform_gauges
 from tamarackbridge.components.admission import desk, inputs, pressure, shares
 from tamarackbridge.components.fleet import messages as fleet
 from tamarackbridge.components.fleet import sharing, view
@@ -22,6 +22,7 @@
     request_log,
     runner,
     servers,
+    shedding,
     strain,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
@@ -92,10 +93,19 @@
         self._desk = self._make_desk()
         self._servers = servers.ServerClient()
         self.meter = strain.LagMeter()
+        self._shedder = shedding.Shedder(self._due_part, self._kernel.rng)
         self._gateway = self._make_gateway()
         self._load = load_log.Sources(self._desk, self._gateway, self.meter)
         self._register_services()
-        self._add_gauges()
+        load_log.register(self._registry, self._load)
+        platform_gauges.add(
+            self._registry,
+            self._clock,
+            self._known,
+            self._shedder,
+            self._sharing,
+            self._store,
+        )
         services = self._kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
         self._services = [*services, watch]
@@ -154,6 +164,7 @@
             self._clock,
             log,
             self.meter,
+            self._shedder,
             self._tracer,
         )
         made.use(
@@ -231,7 +242,9 @@
             "sharing": self._sharing,
             "servers": self._servers,
             "desk": self._desk,
-            "lag": strain.LagService(self.meter, self._clock),
+            "lag": strain.LagService(
+                self.meter, self._clock, self._gateway.note_lag
+            ),
             "load": load_log.LoadLog(self._load, self._clock),
             "gateway": self._gateway,
             "readiness": gateway.ReadinessService(
@@ -254,34 +267,9 @@
         self._using.estimator.forget(server)
         self._using.told.forget(server)
 
-    def _add_gauges(self) -> None:
-        registry = self._registry
-        load_log.register(registry, self._load)
-        client = self._store
-        now = self._clock.monotonic
-        known = self._known
-        for name, help_text, read in (
-            ("routers", "Routers heard.", lambda: len(self._sharing.routers())),
-            (
-                "configuration_version",
-                "Version of the configuration in force.",
-                lambda: self._version()[0],
-            ),
-            (
-                "configuration_age_seconds",
-                "Age of the configuration.",
-                lambda: known.configuration_age(now()),
-            ),
-            (
-                "servers_age_seconds",
-                "Age of the registrations.",
-                lambda: known.servers_age(now()),
-            ),
-        ):
-            registry.gauge(name, help_text, read)
-        registry.counter_of(
-            "store_calls", "Calls to the store.", lambda: client.calls
-        )
+    def _due_part(self, workspace: str) -> float:
+        """Returns the part of a workspace's requests within its share."""
+        return self._desk.standings.of(workspace, True).part
 
     def _use(self) -> dict[str, shares.Use]:
         return dict(self._desk.standings.use.sums(self._clock.monotonic()))
--- a/tests/components/admission/charges.py
+++ b/tests/components/admission/charges.py
@@ -28,6 +28,9 @@
 HEAD_S = 0.15e-3
 """Seconds for taking a connection or a request's head, and for its end."""
 
+SHED_S = 0.1e-3
+"""Seconds for refusing a request unread, its connection taken."""
+
 BODY_S = 0.2e-3
 """Seconds for reading the body of a request."""
 
--- a/tests/components/admission/processor_replay.py
+++ b/tests/components/admission/processor_replay.py
@@ -9,12 +9,19 @@
 import collections
 from collections.abc import Callable, Mapping, Sequence
 import dataclasses
+import random
 from typing import Any, cast
 
 import result
 
 from tamarackbridge.components.admission import desk
-from tamarackbridge.components.gateway import answers, jobs, strain
+from tamarackbridge.components.gateway import (
+    answers,
+    jobs,
+    listener,
+    shedding,
+    strain,
+)
 from tamarackbridge.components.transport import service as transport
 from tests import virtual_loop
 from tests.components.admission import charges, fleet_replay, load_replay
@@ -109,6 +116,7 @@
             charges.charge("relaying", events * charges.EVENT_S)
         charges.charge("reading", charges.HEAD_S)
         self._front.held -= 1
+        self._front.shedder.note_ended()
         self._permit.finish(outcome)
 
     def _on_heard(self) -> None:
@@ -127,6 +135,7 @@
     Attributes:
         held: Requests under way.
         meter: The lag of its event loop.
+        shedder: Limits what it takes up.
         placed: Requests that it sent to engines, by second and workspace.
         refused: Attempts that it refused, by second and reason.
     """
@@ -145,7 +154,13 @@
         self.placed = collections.Counter()
         self.refused: collections.Counter[tuple[int, str]]
         self.refused = collections.Counter()
+        self._backlog: collections.deque[tuple[float, _Attempt]]
+        self._backlog = collections.deque()
         self._desk: desk.AdmissionDesk = router.desk
+        self.shedder = shedding.Shedder(
+            lambda workspace: router.desk.standings.of(workspace, True).part,
+            random.Random(1),
+        )
         self._context = router.context
         self._engines = engines
         self._slots = slots
@@ -160,16 +175,63 @@
         loop = asyncio.get_running_loop()
         loop.call_soon(callback, *args, context=self._context)
 
+    def note_lag(self, lag_s: float, now: float) -> None:
+        """Takes the lag of the event loop, and what waits unread with it."""
+        waited_s = now - self._backlog[0][0] if self._backlog else 0.0
+        self.shedder.note_delay(max(lag_s, waited_s), now)
+
     def arrive(self, attempt: _Attempt) -> None:
+        """Lets a request wait in the kernel, outside of the processor."""
+        loop = asyncio.get_running_loop()
+        self._backlog.append((loop.time(), attempt))
+        if len(self._backlog) == 1:
+            self.call(self._on_waiting)
+
+    def _on_waiting(self) -> None:
+        """Takes up some of the requests that wait."""
+        taken = refused = 0
+        while self._backlog and not self.is_closed:
+            _, attempt = self._backlog[0]
+            if self._sheds(attempt):
+                refused += 1
+            else:
+                taken += 1
+                self._take(attempt)
+            self._backlog.popleft()
+            if (
+                taken >= listener.TAKEN_IN_TURN
+                or refused >= listener.REFUSED_IN_TURN
+            ):
+                break
+        if self._backlog:
+            self.call(self._on_waiting)
+
+    def _sheds(self, attempt: _Attempt) -> bool:
+        """Refuses a request before it is read, if it may not be taken up."""
+        if not self.shedder.active:
+            return False
+        charges.charge("shedding", charges.SHED_S)
+        if attempt.answer.done():
+            return True
+        workspace = attempt.fate.arrival.workspace
+        loop = asyncio.get_running_loop()
+        if self.shedder.admits(workspace, loop.time()):
+            return False
+        retry_s = self.shedder.retry_s(workspace)
+        self._answer(attempt, "shed", retry_s, closes=True)
+        return True
+
+    def _take(self, attempt: _Attempt) -> None:
         """Takes a request, whether its caller has left or not."""
-        if self.is_closed:
-            return
+        loop = asyncio.get_running_loop()
+        if not self.shedder.active:
+            workspace = attempt.fate.arrival.workspace
+            self.shedder.admits(workspace, loop.time())
         charges.charge("reading", charges.HEAD_S)
         if self.held >= MAX_HELD or self.meter.overloaded:
             reason = answers.Reason.ROUTER_OVERLOADED
             self._refuse(attempt, reason, REFUSED_RETRY_S, True)
             return
-        loop = asyncio.get_running_loop()
         self.held += 1
         attempt.task = loop.create_task(self._async_handle(attempt))
 
@@ -195,6 +257,7 @@
             raise
         if isinstance(admitted, result.Err):
             self.held -= 1
+            self.shedder.note_ended()
             refusal = admitted.err_value
             self._refuse(
                 attempt,
@@ -219,7 +282,16 @@
         closes: bool,
     ) -> None:
         charges.charge("refusing", charges.REFUSE_S)
-        self.refused[int(self.now()), reason.value] += 1
+        self._answer(attempt, reason.value, retry_after_s, closes)
+
+    def _answer(
+        self,
+        attempt: _Attempt,
+        reason: str,
+        retry_after_s: float,
+        closes: bool,
+    ) -> None:
+        self.refused[int(self.now()), reason] += 1
         if not attempt.answer.done():
             attempt.answer.set_result(Refused(retry_after_s, closes))
 
@@ -323,7 +395,7 @@
             begin = loop.time() + fleet_replay.LEAD_S
             front = Front(made, self._engines, self._slots, begin)
             self.fronts[address] = front
-            lag = strain.LagService(front.meter, clock)
+            lag = strain.LagService(front.meter, clock, front.note_lag)
             services += [made.desk, made.sharing, lag]
             for service in (made.sharing, lag):
                 starting = service.on_start()
@@ -340,7 +412,7 @@
         while True:
             front = self.fronts[address]
             attempt = _Attempt(fate, number, loop.create_future())
-            front.call(front.arrive, attempt)
+            front.arrive(attempt)
             try:
                 async with asyncio.timeout_at(until):
                     refused = await attempt.answer
