Cut the limit of a strained router no deeper than what it has done

A cut shows in the delay only after what was taken up before it is done, so several followed each other: the limit fell to 25 where 60 a second could be done. What ended lately bounds a cut now, a cut waits for the effect of the one before it, and is deeper the longer the delay. The advice is short, as a new connection most likely reaches another router.

--- a/tamarackbridge/components/gateway/shedding.py
+++ b/tamarackbridge/components/gateway/shedding.py
@@ -26,7 +26,15 @@
 off within it."""
 
 DECREASE = 0.85
-"""Factor of the limit for each cut."""
+"""Factor of the limit for a cut, once for each time that the delay is above
+what may stand."""
+
+MOST_TIMES = 4.0
+"""Most times that it is applied at once."""
+
+EFFECT_S = 0.25
+"""Time after which a cut shows in the delay: what was taken up before it has
+been decided on and sent by then."""
 
 INCREASE = 0.02
 """Part by which the limit grows in an interval without a standing delay: slow
@@ -54,9 +62,10 @@
 MOST_CREDIT = 2.0
 """Requests that a workspace may catch up on after none of its were taken."""
 
-RETRY_MIN_S = 0.25
-RETRY_MAX_S = 2.0
-"""Bounds of the advice when to come back; callers wait from 1 to 12 s."""
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+"""Bounds of the advice when to come back. A new connection most likely reaches
+another router, and callers wait from 1 to 12 s."""
 
 SPREAD = 0.5
 """Part by which the advice varies, so that callers don't return together."""
@@ -152,9 +161,8 @@
         rolls = now - self._rolled_at >= INTERVAL_S
         if rolls:
             self._roll(now)
-        if stands and now - self._cut_at >= max(INTERVAL_S, delay_s):
-            # What was cut before shows in the delay by now.
-            self._cut(now)
+        if stands and now - self._cut_at >= max(EFFECT_S, delay_s):
+            self._cut(delay_s, now)
         elif self.active and rolls and not stands:
             self._relieve(now)
         if rolls or stands:
@@ -182,11 +190,16 @@
         self._came.clear()
         self._ended = 0
 
-    def _cut(self, now: float) -> None:
-        if not self.active:
+    def _cut(self, delay_s: float, now: float) -> None:
+        cut_per_s = 0.0
+        if self.active:
+            times = min(delay_s / STANDING_S, MOST_TIMES)
+            cut_per_s = self.limit_per_s * DECREASE**times
+        else:
             self._shed_at = now
-        bears = self._ended_per_s if not self.active else self.limit_per_s
-        self.limit_per_s = max(bears * DECREASE, LEAST_PER_S)
+        # What ended lately can be done.
+        least_per_s = max(self._ended_per_s * DECREASE, LEAST_PER_S)
+        self.limit_per_s = max(cut_per_s, least_per_s)
         self._cut_at = now
         self._fill(now)
 
