Count a router's processor time by purpose

What a router's processor does was not to be seen, nor how many callers leave before anything was decided on their requests. Coarse sections of the event loop's thread are counted: accepting, reading heads, deciding, refusing, relaying events and sharing; what is left of the process's time is aiohttp and asyncio.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -14,6 +14,7 @@
     relay,
     servers,
 )
+from tamarackbridge.components.telemetry import processor
 from tamarackbridge.helpers import bounded_answers
 
 MAX_PLAIN_BYTES = 16 * 1024 * 1024
@@ -100,8 +101,12 @@
     """Sends calls to backend servers and passes answers on."""
 
     def __init__(
-        self, client: servers.ServerClient, dialect: models.Dialect
+        self,
+        client: servers.ServerClient,
+        dialect: models.Dialect,
+        spent: processor.ProcessorTime,
     ) -> None:
+        self._spent = spent
         self._client = client
         self._dialect = dialect
         self._room = bounded_answers.Room(MAX_LARGE_BYTES)
@@ -142,13 +147,43 @@
             events = order.events
             is_stream = resp.content_type == _STREAM_TYPE and head.sealed
             if events is not None and resp.status == 200 and is_stream:
-                await _async_stream(order, sent, resp, events)
+                await self._async_stream(order, sent, resp, events)
                 return
             sent.body = await bounded_answers.async_read(
                 resp, MAX_PLAIN_BYTES, self._room
             )
             sent.end, sent.detail = _plain_end(head, resp)
 
+    async def _async_stream(
+        self,
+        order: Order,
+        sent: Sent,
+        resp: aiohttp.ClientResponse,
+        events: relay.EventRelay,
+    ) -> None:
+        head = sent.head
+        assert head is not None
+        sent.streamed = True
+        events.begin()
+        async for data in resp.content.iter_any():
+            order.sink.heard()
+            with self._spent.section(processor.Purpose.RELAYING):
+                passed = events.feed(data)
+            if passed:
+                await order.sink.async_events(head, passed)
+            if events.broken:
+                sent.detail = events.broken
+                resp.close()
+                return
+        if servers.ended_by_reset(resp):
+            sent.detail = "the connection was reset within the stream"
+        elif events.partial:
+            sent.detail = "the stream ended within an event"
+        elif not events.ends_here:
+            sent.detail = "the stream ended before the caller's last event"
+        else:
+            sent.end = End.WHOLE
+
 
 def _traced(
     headers: models.HeaderList, trace: Mapping[str, str]
@@ -181,32 +216,3 @@
     if resp.status < 300 and not head.sealed:
         return End.LOST, "the answer is not signed"
     return End.WHOLE, ""
-
-
-async def _async_stream(
-    order: Order,
-    sent: Sent,
-    resp: aiohttp.ClientResponse,
-    events: relay.EventRelay,
-) -> None:
-    head = sent.head
-    assert head is not None
-    sent.streamed = True
-    events.begin()
-    async for data in resp.content.iter_any():
-        order.sink.heard()
-        passed = events.feed(data)
-        if passed:
-            await order.sink.async_events(head, passed)
-        if events.broken:
-            sent.detail = events.broken
-            resp.close()
-            return
-    if servers.ended_by_reset(resp):
-        sent.detail = "the connection was reset within the stream"
-    elif events.partial:
-        sent.detail = "the stream ended within an event"
-    elif not events.ends_here:
-        sent.detail = "the stream ended before the caller's last event"
-    else:
-        sent.end = End.WHOLE
--- a/tamarackbridge/components/gateway/listener.py
+++ b/tamarackbridge/components/gateway/listener.py
@@ -18,6 +18,8 @@
 
 from absl import logging
 
+from tamarackbridge.components.telemetry import processor
+
 TAKEN_IN_TURN = 8
 """Connections taken in one turn: a few milliseconds of work, so that answers
 under way and callers' ends come first again soon."""
@@ -78,8 +80,10 @@
         sock: socket.socket,
         connect: Callable[[Screened], asyncio.BaseProtocol],
         screen: Screen,
+        spent: processor.ProcessorTime,
     ) -> None:
         self.waited_s = 0.0
+        self._spent = spent
         sock.setblocking(False)
         self._sock = sock
         self._connect = connect
@@ -110,6 +114,10 @@
         self._loop.add_reader(self._sock, self._on_waiting)
 
     def _on_waiting(self) -> None:
+        with self._spent.section(processor.Purpose.ACCEPTING):
+            self._take_some()
+
+    def _take_some(self) -> None:
         taken = refused = 0
         while (conn := self._accept()) is not None:
             screened: Screened | None = Screened.UNKNOWN
@@ -146,6 +154,10 @@
 
     def _look_at(self, conn: socket.socket) -> Screened | None:
         """Looks at what a connection has sent; None if that ended it."""
+        with self._spent.section(processor.Purpose.REFUSING):
+            return self._answered(conn)
+
+    def _answered(self, conn: socket.socket) -> Screened | None:
         try:
             if _has_left(conn):
                 self._screen.note_left()
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -24,7 +24,7 @@
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
-from tamarackbridge.components.telemetry import spans
+from tamarackbridge.components.telemetry import processor, spans
 
 SPARE_DESCRIPTORS = 600
 """Descriptors kept for servers, peers, the store and files."""
@@ -55,6 +55,7 @@
 TELL_S = 1.0
 """Interval at which the log tells what was shed."""
 
+_Purpose = processor.Purpose
 _ADMITTED = listener.Screened.ADMITTED
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -84,12 +85,14 @@
         log: request_log.RequestLog,
         meter: strain.LagMeter,
         shedder: shedding.Shedder,
+        spent: processor.ProcessorTime,
         tracer: spans.Tracer,
     ) -> None:
         super().__init__()
         self._log = log
         self._meter = meter
         self._shedder = shedder
+        self._spent = spent
         self._screen = screening.RequestScreen(
             known, dialect, clock, shedder, meter, log
         )
@@ -123,7 +126,9 @@
         )
         sock = socket.create_server((self._host, self.port), backlog=BACKLOG)
         self.port = sock.getsockname()[1]
-        self._listener = listener.Listener(sock, self._connect, self._screen)
+        self._listener = listener.Listener(
+            sock, self._connect, self._screen, self._spent
+        )
 
     async def on_stop(self) -> None:
         """Closes the listener and what is left of the connections."""
@@ -234,7 +239,8 @@
         self, req: web.BaseRequest, arrived: float
     ) -> web.StreamResponse:
         assert self._runner is not None
-        call = self._acceptor.read_call(req)
+        with self._spent.section(_Purpose.READING):
+            call = self._acceptor.read_call(req)
         if call is None:
             refusal = answers.Refusal(answers.Reason.MALFORMED)
             return self._refuse("", "", refusal, arrived)
@@ -328,9 +334,10 @@
         refusal: answers.Refusal,
         arrived: float,
     ) -> web.Response:
-        self._log.refused(request_id, route, refusal, arrived)
-        headers = dict(self._dialect.refusal(request_id))
-        return answers.response(refusal, headers)
+        with self._spent.section(_Purpose.REFUSING):
+            self._log.refused(request_id, route, refusal, arrived)
+            headers = dict(self._dialect.refusal(request_id))
+            return answers.response(refusal, headers)
 
 
 def _max_held(memory_mb: float) -> int:
--- a/tamarackbridge/components/telemetry/metrics.py
+++ b/tamarackbridge/components/telemetry/metrics.py
@@ -6,7 +6,7 @@
 import prometheus_client
 from prometheus_client import exposition, metrics_core, registry
 
-from tamarackbridge.components.telemetry import latency
+from tamarackbridge.components.telemetry import latency, processor
 
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
 PREFIX = "tamarackbridge_"
@@ -47,6 +47,12 @@
         """Adds a counter whose value is kept elsewhere."""
         self._registry.register(_ReadCounter(PREFIX + name, help_text, read))
 
+    def processor(self, name: str, spent: processor.ProcessorTime) -> None:
+        """Adds a counter of processor time by purpose."""
+        self._registry.register(
+            processor.ProcessorCollector(PREFIX + name, spent)
+        )
+
     def latency(
         self, name: str, help_text: str, label: str = ""
     ) -> latency.Latency:
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -12,7 +12,13 @@
 import mode
 
 from tamarackbridge import core, crash_watch, messages, platform_gauges
-from tamarackbridge.components.admission import desk, inputs, pressure, shares
+from tamarackbridge.components.admission import (
+    desk,
+    inputs,
+    metered,
+    pressure,
+    shares,
+)
 from tamarackbridge.components.fleet import messages as fleet
 from tamarackbridge.components.fleet import sharing, view
 from tamarackbridge.components.gateway import (
@@ -45,6 +51,7 @@
 from tamarackbridge.components.telemetry import (
     events,
     metrics,
+    processor,
     queue_log,
     spans,
 )
@@ -82,6 +89,7 @@
         self._kernel = core.Kernel(self._clock, random.Random(self._boot))
         self._known = state.Knowledge(cfg.bounds)
         self._registry = metrics.Metrics(self._clock.monotonic)
+        self._spent = processor.ProcessorTime()
         self._counted = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
         self._using = self._make_parts()
@@ -95,6 +103,7 @@
         self._shedder = shedding.Shedder(self._due_part, self._kernel.rng)
         self._gateway = self._make_gateway()
         self._register_services()
+        self._registry.processor("processor_seconds", self._spent)
         platform_gauges.add(
             self._registry,
             self._clock,
@@ -142,7 +151,8 @@
         )
 
     def _make_desk(self) -> desk.AdmissionDesk:
-        return desk.AdmissionDesk(
+        return metered.MeteredDesk(
+            self._spent,
             self._using,
             self._clock,
             self._kernel.rng,
@@ -165,12 +175,13 @@
             log,
             self.meter,
             self._shedder,
+            self._spent,
             self._tracer,
         )
         made.use(
             runner.Runner(
                 self._desk,
-                forward.Forwarder(self._servers, words),
+                forward.Forwarder(self._servers, words, self._spent),
                 words,
                 self._clock,
                 made.is_last,
@@ -211,7 +222,9 @@
             self._cfg.peers.host,
             self._cfg.peers.port,
             self._clock,
-            self._sharing.receive,
+            self._spent.counted(
+                processor.Purpose.SHARING, self._sharing.receive
+            ),
             messages.Decoder(fleet.PEER_MESSAGES),
         )
         self._sharing.use(peers)
