--- a/bench/one_router.py
+++ b/bench/one_router.py
@@ -33,6 +33,9 @@
 CALM_PER_S = 8.0
 """Requests a second of the calm workspace, at all loads."""
 
+OUTPUT = 40
+"""Tokens that a request generates."""
+
 FIRST_RATE = 40.0
 GROWTH = 1.25
 GOOD = 0.95
@@ -44,6 +47,8 @@
 BEYOND_S = 8.0
 BEYOND_SKIPPED_S = 2.0
 READY_S = 20.0
+GONE_S = 0.5
+"""Time after which work for a caller that has left must have ended."""
 
 _SETTINGS = """node=vm-1
 zone=z1
@@ -65,12 +70,14 @@
         self._reserved = ports.ReservedPorts(3)
         self.port = self._reserved.ports[0]
         self._sums = WORK_DIR / "sums.json"
+        self._worked = WORK_DIR / "worked.json"
         self._world = self._start(
             "world",
             "bench.one_router_world",
             f"--engines={engines}",
             f"--tellers={tellers}",
             f"--router=127.0.0.1:{self._reserved.ports[2]}",
+            f"--out={self._worked}",
             stdout=subprocess.PIPE,
         )
         assert self._world.stdout is not None
@@ -127,15 +134,21 @@
 
     async def async_sums(self) -> dict[str, Any]:
         """Returns the router's processor time by purpose so far."""
-        self._sums.unlink(missing_ok=True)
-        self._router.send_signal(signal.SIGUSR1)
-        for _ in range(500):
-            await asyncio.sleep(0.02)
-            if self._sums.exists():
-                break
-        found: dict[str, Any] = json.loads(self._sums.read_text())
+        found: dict[str, Any]
+        found = await self._async_tell(self._router, self._sums)
         return found
 
+    async def async_worked(self) -> list[tuple[str, float, float]]:
+        """Returns when engines began and ended work, by request."""
+        found: list[tuple[str, float, float]]
+        found = await self._async_tell(self._world, self._worked)
+        return found
+
+    async def _async_tell(
+        self, proc: subprocess.Popen[bytes], out: pathlib.Path
+    ) -> Any:
+        return await asyncio.to_thread(_tell, proc, out)
+
     def stop(self) -> None:
         """Ends all processes."""
         self._quota.kill()
@@ -147,6 +160,17 @@
         self._reserved.close()
 
 
+def _tell(proc: subprocess.Popen[bytes], out: pathlib.Path) -> Any:
+    """Lets a process write a file, and returns what it holds."""
+    out.unlink(missing_ok=True)
+    proc.send_signal(signal.SIGUSR1)
+    for _ in range(500):
+        time.sleep(0.02)
+        if out.exists():
+            break
+    return json.loads(out.read_text())
+
+
 async def _async_step(
     scene: Scene, callers: load.Load, rate: float, seconds: float, skip: float
 ) -> dict[str, Any]:
@@ -171,6 +195,8 @@
             if value / whole >= 0.005
         },
     }
+    row["gone"] = _gone(await scene.async_worked(), callers.left_at)
+    callers.left_at.clear()
     for name, it in counts.items():
         refused = sum(it.refused.values())
         row[name] = {
@@ -186,6 +212,19 @@
     return row
 
 
+def _gone(
+    worked: Sequence[tuple[str, float, float]], left_at: dict[str, float]
+) -> dict[str, int]:
+    """Returns what engines did for callers that had left."""
+    late = [it for it in worked if it[0] in left_at]
+    running = [it for it in late if it[1] < left_at[it[0]] < it[2]]
+    return {
+        "arrived": sum(it[1] > left_at[it[0]] + GONE_S for it in late),
+        "running": len(running),
+        "not_ended": sum(it[2] > left_at[it[0]] + GONE_S for it in running),
+    }
+
+
 def _good(row: dict[str, Any]) -> bool:
     sent = row[world.HOT]["sent"] + row[world.CALM]["sent"]
     in_time = row[world.HOT]["in_time"] + row[world.CALM]["in_time"]
@@ -196,7 +235,7 @@
     scene = Scene(args.engines, args.tellers, args.part)
     try:
         await scene.async_wait()
-        callers = load.Load("127.0.0.1", scene.port, args.seed)
+        callers = load.Load("127.0.0.1", scene.port, args.seed, args.output)
         await callers.async_run({world.HOT: FIRST_RATE}, STEP_S, 0.0)
         rows = []
         knee = args.knee
@@ -226,6 +265,7 @@
     parser.add_argument("--tellers", type=int, default=8)
     parser.add_argument("--part", type=float, default=PART)
     parser.add_argument("--knee", type=float, default=0.0)
+    parser.add_argument("--output", type=int, default=OUTPUT)
     parser.add_argument("--seed", type=int, default=1)
     rows = asyncio.run(_async_main(parser.parse_args(argv)))
     OUT.parent.mkdir(parents=True, exist_ok=True)
--- a/bench/one_router_load.py
+++ b/bench/one_router_load.py
@@ -4,11 +4,11 @@
 import collections
 import dataclasses
 import random
+import time
 
 from bench import one_router_world as world
 
 PROMPT = 2_000
-OUTPUT = 40
 BODY_BYTES = 8_000
 PATIENCE_S = 3.0
 """Time after which a caller leaves without an answer."""
@@ -42,14 +42,21 @@
 
 
 class Load:
-    """Sends requests to one router."""
+    """Sends requests to one router.
 
-    def __init__(self, host: str, port: int, seed: int) -> None:
+    Attributes:
+        idle: Connections that may be used again.
+        left_at: When callers left without an answer, by request.
+    """
+
+    def __init__(self, host: str, port: int, seed: int, output: int) -> None:
+        self._output = output
         self._host = host
         self._port = port
         self._rng = random.Random(seed)
         self._number = 0
         self.idle: list[Caller] = []
+        self.left_at: dict[str, float] = {}
 
     async def async_run(
         self, rates: dict[str, float], seconds: float, skipped_s: float
@@ -83,7 +90,8 @@
     async def _async_one(self, workspace: str, counts: Counts) -> None:
         loop = asyncio.get_running_loop()
         self._number += 1
-        data = _request(workspace, self._number, self._rng)
+        number = self._number
+        data = _request(workspace, number, self._output, self._rng)
         counts.sent += 1
         began = loop.time()
         try:
@@ -92,6 +100,7 @@
                 await caller.async_ask(data)
         except TimeoutError:
             counts.left += 1
+            self.left_at[f"q{number}"] = time.monotonic()
             return
         except OSError:
             counts.failed += 1
@@ -187,13 +196,15 @@
             self._ended.set_result(None)
 
 
-def _request(workspace: str, number: int, rng: random.Random) -> bytes:
+def _request(
+    workspace: str, number: int, output: int, rng: random.Random
+) -> bytes:
     shared = rng.randrange(20)
     head = (
         f"POST /generate/1 HTTP/1.1\r\nHost: {world.HOST}\r\n"
         f"X-Request-Id: q{number}\r\nX-Api-Key: key-{workspace}\r\n"
         f"X-Deadline-Ms: {round(PATIENCE_S * 1000)}\r\n"
-        f"X-Token-Usage: {PROMPT},{OUTPUT}\r\n"
+        f"X-Token-Usage: {PROMPT},{output}\r\n"
         f"X-Prompt-Prefix: s{shared}:{PROMPT // 2},o{number}:{PROMPT // 2}\r\n"
         "Content-Type: application/json\r\n"
         f"Content-Length: {BODY_BYTES}\r\n\r\n"
--- a/bench/one_router_world.py
+++ b/bench/one_router_world.py
@@ -4,6 +4,9 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
+import signal
+import time
 
 from standins import platform_store, ports
 from tamarackbridge import core, messages
@@ -62,6 +65,11 @@
         self.name = name
         self.free_at = 0.0
         self.port = 0
+        self.worked: list[tuple[str, float, float]] = []
+
+    def note(self, request_id: str, began: float) -> None:
+        """Notes that work on a request has ended."""
+        self.worked.append((request_id, began, time.monotonic()))
 
     async def async_start(self) -> None:
         """Listens on a port that the kernel chooses."""
@@ -83,6 +91,8 @@
         self._engine = engine
         self._bytes = b""
         self._left = 0
+        self._request_id = ""
+        self._began = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport
 
@@ -93,6 +103,12 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self._end()
+
+    def _end(self) -> None:
+        if self._request_id:
+            self._engine.note(self._request_id, self._began)
+            self._request_id = ""
 
     def data_received(self, data: bytes) -> None:
         self._bytes += data
@@ -112,6 +128,8 @@
             b"Content-Type: text/event-stream\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n"
         )
+        self._request_id = values[b"x-request-id"].decode()
+        self._began = time.monotonic()
         self._head = answer % values[b"x-request-id"]
         loop = asyncio.get_running_loop()
         begins_s = self._engine.begins_s(int(prompt))
@@ -127,9 +145,11 @@
             + (b"0\r\n\r\n" if last else b"")
         )
         self._head = b""
-        if not last:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(EVENT_S, self._next)
+        if last:
+            self._end()
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(EVENT_S, self._next)
 
 
 @dataclasses.dataclass(slots=True)
@@ -168,7 +188,9 @@
         return round(READ_PER_S * 0.02 * self.part * (1 + engine.port % 3))
 
 
-async def _async_main(engines: int, tellers: int, router: str) -> None:
+async def _async_main(
+    engines: int, tellers: int, router: str, out: pathlib.Path
+) -> None:
     store = platform_store.PlatformStore()
     await store.async_start()
     await store.async_put("config", "main", configuration(engines))
@@ -184,6 +206,14 @@
             "state": "ready",
         }
         await store.async_put("servers", engine.name, spec)
+
+    def tell() -> None:
+        worked = [entry for it in started for entry in it.worked]
+        fresh = out.with_suffix(".new")
+        fresh.write_text(json.dumps(worked))
+        fresh.rename(out)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, tell)
     clock = core.SystemClock()
     tasks = []
     reserved = ports.ReservedPorts(tellers)
@@ -211,5 +241,6 @@
     parser.add_argument("--engines", type=int, required=True)
     parser.add_argument("--tellers", type=int, required=True)
     parser.add_argument("--router", required=True)
+    parser.add_argument("--out", type=pathlib.Path, required=True)
     args = parser.parse_args()
-    asyncio.run(_async_main(args.engines, args.tellers, args.router))
+    asyncio.run(_async_main(args.engines, args.tellers, args.router, args.out))
