--- a/tamarackbridge/components/gateway/load_log.py
+++ b/tamarackbridge/components/gateway/load_log.py
@@ -84,7 +84,7 @@
     ):
         registry.gauge(name, help_text, read)
     registry.counter_of(
-        "processor_seconds", "Processor time.", using.processor_s
+        "process_seconds", "Processor time of the process.", using.processor_s
     )
     registry.counter_of(
         "turn_seconds",
--- a/tests/components/gateway/test_load_log.py
+++ b/tests/components/gateway/test_load_log.py
@@ -84,7 +84,7 @@
     load_log.register(registry, _Busy(lambda: 2.0, 0.5).sources())
     shown = registry.render().decode()
     for name, value in (
-        ("processor_seconds", 1.0),
+        ("process_seconds", 1.0),
         ("turn_seconds", 0.5),
         ("held", 7.0),
         ("waiting", 0.0),
