Help a router that the store turns away as soon as it lacks a change

Cause: what other routers read was sent to such a router only once its knowledge was 2.7 s old. While nothing changes, others' reports keep it young, so the 2.7 s began with the change itself.

The margin for lapsed registrations is not all of it: in the replay, draining servers are used too.

A router that others see lacking a change for 0.4 s is sent it, as a watch that works would have brought it at once.

--- a/tamarackbridge/components/knowledge/const.py
+++ b/tamarackbridge/components/knowledge/const.py
@@ -20,7 +20,8 @@
 
 BEHIND_S: Final = 0.4
 """A router that knows for so long that it lacks a change reads for itself:
-the one that it relies on had the time to send it twice."""
+the one that it relies on had the time to send it twice. One that others see
+lacking it for so long is sent it: a watch would have told it at once."""
 
 PUSH_S: Final = 0.3
 """Knowledge that another router lacks is sent again after this time: a
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -47,6 +47,7 @@
         self._taking = taking
         self._clock = clock
         self._pushed: dict[tuple[str, source.Kind], float] = {}
+        self._lacking_since: dict[tuple[str, source.Kind], float] = {}
         self._missed: dict[source.Kind, _Missed] = {}
 
     def editions(self) -> tuple[messages.Edition, ...]:
@@ -89,13 +90,14 @@
             router: The other router.
             editions: How far its knowledge reaches.
             follows: Whether it relies on this router; another one is only
-                helped once its own watch must have failed.
+                helped once its own watch would have told it.
         """
         now = self._clock.monotonic()
         return [
             self._snapshot(told.kind, now)
             for told in editions
-            if self._lacks(told, follows) and self._is_due(router, told, now)
+            if self._lacks(router, told, follows, now)
+            and self._is_due(router, told, now)
         ]
 
     def take(self, router: str, told: messages.Snapshot, age_s: float) -> None:
@@ -120,8 +122,9 @@
 
     def forget(self, router: str) -> None:
         """Drops what was noted of a router that is gone."""
-        for key in [it for it in self._pushed if it[0] == router]:
-            del self._pushed[key]
+        for noted in (self._pushed, self._lacking_since):
+            for key in [it for it in noted if it[0] == router]:
+                del noted[key]
 
     def _take_servers(self, told: messages.Snapshot) -> None:
         facts = []
@@ -156,12 +159,19 @@
         revision = max(told.changed, before.revision)
         self._missed[told.kind] = _Missed(revision, before.since)
 
-    def _lacks(self, told: messages.Edition, follows: bool) -> bool:
+    def _lacks(
+        self, router: str, told: messages.Edition, follows: bool, now: float
+    ) -> bool:
+        """Whether another router needs what this one knows."""
+        key = (router, told.kind)
         known = self._known.edition(told.kind)
         if told.revision >= known.changed:
+            self._lacking_since.pop(key, None)
             return False
+        since = self._lacking_since.setdefault(key, now)
         limit_s = self._known.wait_s(told.kind) + const.TOLD_MARGIN_S
-        return follows or not 0 <= told.age_ms / MS_PER_S < limit_s
+        is_old = not 0 <= told.age_ms / MS_PER_S < limit_s
+        return follows or is_old or now - since >= const.BEHIND_S
 
     def _is_due(self, router: str, told: messages.Edition, now: float) -> bool:
         key = (router, told.kind)
--- /dev/null
+++ b/tests/components/fleet/test_store_refuses.py
@@ -0,0 +1,47 @@
+"""A store that turns many routers away, while servers leave."""
+
+import asyncio
+import random
+
+import pytest
+
+from tests import virtual_loop
+from tests.components.fleet import store_replay
+
+CUT_S = 8.0
+
+
+async def _async_used_s(
+    replay: store_replay.StoreReplay,
+    refused: set[str],
+    change: str,
+    after_s: float,
+) -> float:
+    """Returns for how long a server is used after the store ended that."""
+    loop = asyncio.get_running_loop()
+    replay.store.refuse(refused)
+    loop.call_later(CUT_S, replay.store.refuse, ())
+    await asyncio.sleep(after_s)
+    getattr(replay.store, change)("s3")
+    used_s = await replay.async_used_s("s3", 4.0)
+    await replay.async_stop()
+    return used_s
+
+
+@pytest.mark.parametrize(
+    ("change", "after_s"),
+    [("drain", 3.0), ("drain", 6.5), ("remove", 3.0), ("remove", 6.5)],
+)
+def test_small_fleet_leaves_a_server_alone_in_time(
+    change: str, after_s: float
+) -> None:
+    """Some routers hear of it from others only, or late from the store."""
+
+    async def async_play() -> float:
+        replay = store_replay.StoreReplay(6)
+        await replay.async_start()
+        refused = set(random.Random(1).sample(sorted(replay.zones), 4))
+        return await _async_used_s(replay, refused, change, after_s)
+
+    with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
+        assert runner.run(async_play()) < store_replay.ALLOWED_S
