Rely on no router that the store turns away

In a large fleet a few hubs read the store for all. If the store turned just these away, nobody read it for up to 2.7 s, over and over: a router that then read for itself told its hub that nothing had changed, which made the hub's knowledge young again, so that all rested on it for another 2.7 s.

Ruled out: a shorter wait until others read for themselves, which only makes the gap smaller and costs each calm fleet calls.

A router says with its knowledge whether the store gave it nothing on its last call. Nobody relies on it then: other hubs choose another reader, and routers without one read for themselves. One that is told by another is not away any more, and forgets since when its own calls failed.

--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -76,6 +76,7 @@
     at: float
     use_at: float
     reader: str = ""
+    away: bool = False
     use: Mapping[str, shares.Use] = dataclasses.field(default_factory=dict)
     seen: pressure.Seen = pressure.NOTHING
     routers: Mapping[str, str] = dataclasses.field(default_factory=dict)
@@ -133,12 +134,13 @@
     def teller(self, now: float) -> str:
         """Returns who tells this router what the store holds; empty for none.
 
-        A hub that relies on this router for it tells nothing new.
+        A hub that relies on this router for it tells nothing new, and neither
+        does one that the store turns away.
         """
         asked = {self._place.hub} if self._place.hub else self._place.readers
         for router in rendezvous.rank(self._address, asked):
             told = self._told.get(router)
-            if told is None or now - told.at >= HUB_SILENT_S:
+            if told is None or now - told.at >= HUB_SILENT_S or told.away:
                 continue
             if told.reader != self._address:
                 return router
@@ -183,6 +185,7 @@
             told = self._told[src] = _Told(msg.way, now, now)
         told.at = now
         told.reader = msg.reader
+        told.away = any(it.away for it in msg.editions)
         sent_at = now - age_s
         if msg.use is not None:
             told.use = summary.use_heard(msg.use)
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -59,6 +59,9 @@
     async def _async_run(self) -> None:
         while True:
             if self._rests():
+                # The store may be well again: whoever tells this router knows.
+                self._away_since = None
+                self._known.away.discard(self._kind)
                 self._taking.drop_lapsed()
                 await asyncio.sleep(const.REST_S)
             elif self._lost_history or self._revision == 0:
@@ -127,6 +130,7 @@
     async def _async_pause(self) -> None:
         if self._away_since is None:
             self._away_since = self._clock.monotonic()
+            self._known.away.add(self._kind)
             events.write(events.StoreAway(self._kind.value, self._age()))
         await asyncio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
         self._pause_s = min(self._pause_s * 2, const.RETRY_MAX_S)
@@ -138,6 +142,7 @@
         now = self._clock.monotonic()
         away_s = now - self._away_since
         self._away_since = None
+        self._known.away.discard(self._kind)
         if away_s > const.OUTAGE_S:
             self._grace_until = now + const.LAPSE_GRACE_S
         events.write(events.StoreBack(self._kind.value, round(away_s, 3)))
--- a/tamarackbridge/components/knowledge/messages.py
+++ b/tamarackbridge/components/knowledge/messages.py
@@ -13,12 +13,14 @@
         changed: Revision at which the kind last changed.
         age_ms: Age of the sender's knowledge when this was sent; below zero
             for none.
+        away: Whether the store gave the sender nothing on its last call.
     """
 
     kind: source.Kind
     revision: int
     changed: int
     age_ms: int
+    away: bool = False
 
 
 class KnownServer(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -184,7 +184,10 @@
         known = self._known.edition(kind)
         age_s = now - known.at
         age_ms = int(age_s * MS_PER_S) + 1 if math.isfinite(age_s) else -1
-        return messages.Edition(kind, known.revision, known.changed, age_ms)
+        away = kind in self._known.away
+        return messages.Edition(
+            kind, known.revision, known.changed, age_ms, away
+        )
 
     def _snapshot(self, kind: source.Kind, now: float) -> messages.Snapshot:
         known = self._known
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -51,6 +51,8 @@
         servers: Registered servers by name.
         zones_out: Availability zones that get no new work.
         changes: Number of changes of the registered servers.
+        away: Kinds on which the store gave this router nothing on its last
+            call.
     """
 
     def __init__(self, bounds: fleet.Bounds) -> None:
@@ -59,6 +61,7 @@
         self.configuration: models.Configuration | None = None
         self.servers: dict[str, Registered] = {}
         self.zones_out: frozenset[str] = frozenset()
+        self.away: set[source.Kind] = set()
         self._editions = {kind: Edition() for kind in source.Kind}
 
     def use_bounds(self, bounds: fleet.Bounds) -> None:
--- a/tests/components/fleet/test_store_refuses.py
+++ b/tests/components/fleet/test_store_refuses.py
@@ -45,3 +45,22 @@
 
     with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
         assert runner.run(async_play()) < store_replay.ALLOWED_S
+
+
+@pytest.mark.parametrize(
+    ("change", "after_s"), [("drain", 3.0), ("drain", 5.0)]
+)
+def test_large_fleet_whose_readers_are_refused_leaves_a_server_alone(
+    change: str, after_s: float
+) -> None:
+    """Those that nobody tells of the store read it for themselves."""
+
+    async def async_play() -> float:
+        replay = store_replay.StoreReplay(58)
+        await replay.async_start()
+        refused = set(random.Random(1).sample(sorted(replay.zones), 35))
+        refused |= replay.readers()
+        return await _async_used_s(replay, refused, change, after_s)
+
+    with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
+        assert runner.run(async_play()) < store_replay.ALLOWED_S
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -202,6 +202,28 @@
     assert origin.calls == ["all configuration", "after 5"]
 
 
+async def test_follower_that_is_told_is_not_away() -> None:
+    """Its own followers would read the store for themselves."""
+    kind = source.Kind.SERVERS
+    clock = clocks.VirtualClock()
+    known = state.Knowledge(builders.BOUNDS)
+    origin = ScriptedSource(clock, [(0.1, facts(5)), (0.1, AWAY)])
+    taking = applier.Applier(
+        known, clock, lambda: None, origin.forgotten.append
+    )
+    told: set[source.Kind] = set()
+    svc = follower.Follower(
+        kind, origin, known, taking, clock, random.Random(1), told.__contains__
+    )
+    await svc.on_start()
+    await asyncio.sleep(const.RETRY_MIN_S / 4)
+    assert known.away == {kind}
+    told.add(kind)
+    await asyncio.sleep(const.RETRY_MIN_S)
+    await svc.on_stop()
+    assert not known.away
+
+
 async def test_renewed_registration_tells_what_is_left_of_being_cold() -> None:
     s1 = builders.server("s1", cold_s=5.0)
     renewed = dataclasses.replace(s1, cold_s=4.0)
