--- a/tests/components/admission/processor_replay.py
+++ b/tests/components/admission/processor_replay.py
@@ -203,7 +203,7 @@
                 or refused >= listener.REFUSED_IN_TURN
             ):
                 break
-        if self._backlog:
+        if self._backlog and not self.is_closed:
             self.call(self._on_waiting)
 
     def _sheds(self, attempt: _Attempt) -> bool:
