--- a/tests/components/gateway/test_shedding.py
+++ b/tests/components/gateway/test_shedding.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Mapping
+import heapq
 import math
 import random
 
@@ -16,6 +17,8 @@
 """Processor time of one that is not."""
 
 PROBE_S = 0.025
+EVENTS = 6
+"""Events of a stream; half of its processor time goes to them."""
 
 
 ADMITTED_IN_TURN = 8
@@ -25,8 +28,12 @@
 class _Router:
     """An event loop that takes up what waits, a bounded part in each turn."""
 
-    def __init__(self, shedder: shedding.Shedder) -> None:
+    def __init__(
+        self, shedder: shedding.Shedder, stream_s: float = 0.0
+    ) -> None:
         self.shedder = shedder
+        self.stream_s = stream_s
+        self.events: list[tuple[float, int]] = []
         self.now = 0.0
         self.probe_at = 0.0
         self.waiting: collections.deque[tuple[float, str]] = collections.deque()
@@ -48,12 +55,17 @@
                 self.shedder.note_delay(max(late_s, waited_s), self.now)
                 self.probe_at = self.now + PROBE_S
             if not self.waiting:
-                self.now = max(self.now, min(due[name], self.probe_at))
+                next_at = min(due[name], self.probe_at)
+                if self.events:
+                    next_at = min(next_at, self.events[0][0])
+                self.now = max(self.now, next_at)
 
     def _turn(self) -> float:
         """Takes up some requests; returns how long the last one waited."""
         admitted = shed = 0
         waited_s = 0.0
+        while self.events and self.events[0][0] <= self.now:
+            self._pass_event(heapq.heappop(self.events)[1])
         while self.waiting:
             if admitted == ADMITTED_IN_TURN or shed == SHED_IN_TURN:
                 return waited_s
@@ -61,14 +73,33 @@
             waited_s = self.now - came
             if self.shedder.admits(name, self.now):
                 admitted += 1
-                self.now += SERVED_S
-                self.done.append((self.now, name, self.now - came))
-                self.shedder.note_ended()
+                self._serve(name, came)
             else:
                 shed += 1
                 self.now += SHED_S
         return 0.0
 
+    def _serve(self, name: str, came: float) -> None:
+        if not self.stream_s:
+            self.now += SERVED_S
+            self.shedder.note_ended()
+        else:
+            self.now += SERVED_S / 2
+            self._expect(EVENTS)
+        self.done.append((self.now, name, self.now - came))
+
+    def _expect(self, left: int) -> None:
+        """Lets the next of a stream's last events come."""
+        at = self.now + self.stream_s / EVENTS
+        heapq.heappush(self.events, (at, left))
+
+    def _pass_event(self, left: int) -> None:
+        self.now += SERVED_S / 2 / EVENTS
+        if left > 1:
+            self._expect(left - 1)
+        else:
+            self.shedder.note_ended()
+
     def in_time(self, name: str, since: float) -> int:
         """Returns how many were answered within 0.3 s."""
         found = [it for it in self.done if it[0] >= since and it[1] == name]
@@ -90,17 +121,19 @@
     assert not router.shedder.active
 
 
+@pytest.mark.parametrize("stream_s", [0.0, 0.5, 2.0])
 @pytest.mark.parametrize("times", [1.5, 3, 10])
 def test_what_is_done_in_time_does_not_fall_beyond_the_knee(
-    times: float,
+    times: float, stream_s: float
 ) -> None:
-    router = _Router(_shedder())
+    router = _Router(_shedder(), stream_s)
     router.run({"a": KNEE_PER_S * times}, 20.0)
     assert router.in_time("a", 5.0) >= 15 * KNEE_PER_S * 0.75
 
 
-def test_workspace_that_asks_for_little_is_not_shed() -> None:
-    router = _Router(_shedder())
+@pytest.mark.parametrize("stream_s", [0.0, 0.5, 2.0])
+def test_workspace_that_asks_for_little_is_not_shed(stream_s: float) -> None:
+    router = _Router(_shedder(), stream_s)
     router.run({"hot": KNEE_PER_S * 10, "calm": KNEE_PER_S * 0.1}, 20.0)
     assert router.in_time("calm", 5.0) >= 15 * KNEE_PER_S * 0.1 * 0.95
     assert router.in_time("hot", 5.0) >= 15 * KNEE_PER_S * 0.6
