--- a/tamarackbridge/components/gateway/listener.py
+++ b/tamarackbridge/components/gateway/listener.py
@@ -199,7 +199,12 @@
 
 def _unread_s(conn: socket.socket) -> float:
     """Returns how long ago the last data of a connection came."""
-    info = conn.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    try:
+        info = conn.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+        )
+    except OSError:
+        return 0.0  # Not all networks tell; the event loop's lag does.
     if len(info) < _LAST_DATA_RECV.size:
         return 0.0
     (millis,) = _LAST_DATA_RECV.unpack_from(info)
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -24,6 +24,7 @@
 from tamarackbridge.components.gateway import (
     drain,
     forward,
+    load_log,
     request_log,
     runner,
     servers,
@@ -102,16 +103,15 @@
         self.meter = strain.LagMeter()
         self._shedder = shedding.Shedder(self._due_part, self._kernel.rng)
         self._gateway = self._make_gateway()
+        self._load = load_log.Sources(self._desk, self._gateway, self.meter)
         self._register_services()
+        load_log.register(self._registry, self._load)
         self._registry.processor("processor_seconds", self._spent)
         platform_gauges.add(
             self._registry,
             self._clock,
             self._known,
-            self.meter,
             self._shedder,
-            self._gateway,
-            self._desk,
             self._sharing,
             self._store,
         )
@@ -258,6 +258,7 @@
             "lag": strain.LagService(
                 self.meter, self._clock, self._gateway.note_lag
             ),
+            "load": load_log.LoadLog(self._load, self._clock),
             "gateway": self._gateway,
             "readiness": gateway.ReadinessService(
                 cfg.readiness.host,
