Tell waiting connections and processor time by this process's own clocks

The listener read from the kernel how long a request had waited, and sections took the clock of their thread. The listener now takes the time since it last left none waiting, by the event loop's clock, and sections use getrusage.

Gateway and platform tests pass.

--- a/tamarackbridge/components/gateway/listener.py
+++ b/tamarackbridge/components/gateway/listener.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 import enum
 import errno
+import math
 import select
 import socket
-import struct
 from typing import Protocol
 
 from absl import logging
@@ -34,9 +34,6 @@
 """Pause after the kernel had no descriptor or memory for a connection."""
 
 _NO_ROOM = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
-_TCP_INFO_BYTES = 104
-_LAST_DATA_RECV = struct.Struct("=52xI")
-"""Milliseconds since the last data came, in Linux's `tcp_info`."""
 
 
 class Screened(enum.Enum):
@@ -71,8 +68,8 @@
     """Owns a listening socket.
 
     Attributes:
-        waited_s: How long the request that was taken last had waited to be
-            read, while others wait; 0 while none do.
+        waited_s: For how long some have waited without a break when the last
+            turn ended; 0 if it left none.
     """
 
     def __init__(
@@ -83,6 +80,7 @@
         spent: processor.ProcessorTime,
     ) -> None:
         self.waited_s = 0.0
+        self._since = math.inf
         self._spent = spent
         sock.setblocking(False)
         self._sock = sock
@@ -118,6 +116,7 @@
             self._take_some()
 
     def _take_some(self) -> None:
+        """Takes or refuses connections until none waits, or enough are."""
         taken = refused = 0
         while (conn := self._accept()) is not None:
             screened: Screened | None = Screened.UNKNOWN
@@ -129,7 +128,11 @@
                 taken += 1
                 self._take(conn, screened)
             if taken >= TAKEN_IN_TURN or refused >= REFUSED_IN_TURN:
+                now = self._loop.time()
+                self._since = min(self._since, now)
+                self.waited_s = now - self._since
                 return
+        self._since = math.inf
         self.waited_s = 0.0
 
     def _accept(self) -> socket.socket | None:
@@ -149,7 +152,6 @@
                 self._timer = self._loop.call_later(RETRY_S, self._listen)
                 return None
             conn.setblocking(False)
-            self.waited_s = _unread_s(conn)
             return conn
 
     def _look_at(self, conn: socket.socket) -> Screened | None:
@@ -195,17 +197,3 @@
     poll = select.poll()
     poll.register(conn, select.POLLRDHUP)
     return bool(poll.poll(0))
-
-
-def _unread_s(conn: socket.socket) -> float:
-    """Returns how long ago the last data of a connection came."""
-    try:
-        info = conn.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
-        )
-    except OSError:
-        return 0.0  # Not all networks tell; the event loop's lag does.
-    if len(info) < _LAST_DATA_RECV.size:
-        return 0.0
-    (millis,) = _LAST_DATA_RECV.unpack_from(info)
-    return float(millis) / 1000.0
--- a/tamarackbridge/components/telemetry/processor.py
+++ b/tamarackbridge/components/telemetry/processor.py
@@ -4,7 +4,7 @@
 import contextlib
 import enum
 import functools
-import time
+import resource
 from typing import ParamSpec, TypeVar
 
 import prometheus_client
@@ -25,6 +25,12 @@
     SHARING = "sharing"
 
 
+def thread_s() -> float:
+    """Returns the processor time of this thread, in seconds."""
+    used = resource.getrusage(resource.RUSAGE_THREAD)
+    return used.ru_utime + used.ru_stime
+
+
 class ProcessorTime:
     """Sums processor time by purpose.
 
@@ -35,7 +41,7 @@
         spent_s: Seconds by purpose.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.thread_time) -> None:
+    def __init__(self, clock: Callable[[], float] = thread_s) -> None:
         self.spent_s = dict.fromkeys(Purpose, 0.0)
         self._clock = clock
         self._open: list[Purpose] = []
--- a/tests/components/gateway/test_screening.py
+++ b/tests/components/gateway/test_screening.py
@@ -163,6 +163,14 @@
         ]
         taking._on_waiting()
         assert len(taken) == listener.TAKEN_IN_TURN
+        began = asyncio.get_running_loop().time()
+        monkeypatch.setattr(taking._loop, "time", lambda: began + 5.0)
+        taking._on_waiting()
+        assert len(taken) == count
+        assert taking.waited_s > 0.0
+        monkeypatch.undo()
+        taking._on_waiting()
+        assert taking.waited_s == 0.0
         await place.async_until(lambda: len(taken) == count)
         for sock in (*callers, *taken):
             sock.close()
