Give no grace to registrations that ended while others read the store

A router that could not read the store for over a second went on using servers whose registrations had ended, for 2.2 s after its return, as in an outage live servers' registrations lapse. If the store had turned away this router and not all, those servers had left: a server removed 1.5 s before the return was used for 3.4 s. The bound on leaving servers was counted from when this router learned of the end, not from the end.

There is a grace only if no other router was answered while this one was not: what others confirmed since then is proof that they were.

Where all routers are refused, the grace stays: new test, which passed before too.

--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -141,9 +141,11 @@
             return
         now = self._clock.monotonic()
         away_s = now - self._away_since
+        # Others were answered meanwhile: what lapsed has been gone for them.
+        was_up = self._known.edition(self._kind).at > self._away_since
         self._away_since = None
         self._known.away.discard(self._kind)
-        if away_s > const.OUTAGE_S:
+        if away_s > const.OUTAGE_S and not was_up:
             self._grace_until = now + const.LAPSE_GRACE_S
         events.write(events.StoreBack(self._kind.value, round(away_s, 3)))
 
--- a/tests/components/fleet/test_store_refuses.py
+++ b/tests/components/fleet/test_store_refuses.py
@@ -28,10 +28,8 @@
     return used_s
 
 
-@pytest.mark.parametrize(
-    ("change", "after_s"),
-    [("drain", 3.0), ("drain", 6.5), ("remove", 3.0), ("remove", 6.5)],
-)
+@pytest.mark.parametrize("change", ["drain", "remove"])
+@pytest.mark.parametrize("after_s", [3.0, 6.5, 7.8])
 def test_small_fleet_leaves_a_server_alone_in_time(
     change: str, after_s: float
 ) -> None:
@@ -48,7 +46,7 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "after_s"), [("drain", 3.0), ("drain", 5.0)]
+    ("change", "after_s"), [("drain", 3.0), ("drain", 5.0), ("remove", 7.8)]
 )
 def test_large_fleet_whose_readers_are_refused_leaves_a_server_alone(
     change: str, after_s: float
@@ -64,3 +62,19 @@
 
     with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
         assert runner.run(async_play()) < store_replay.ALLOWED_S
+
+
+@pytest.mark.parametrize("routers", [6, 58])
+def test_registration_that_lapses_while_all_are_refused_has_its_grace(
+    routers: int,
+) -> None:
+    """The first router to come back tells the others of its end."""
+
+    async def async_play() -> float:
+        replay = store_replay.StoreReplay(routers)
+        await replay.async_start()
+        refused = set(replay.zones)
+        return await _async_used_s(replay, refused, "remove", CUT_S - 1.0)
+
+    with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
+        assert runner.run(async_play()) > 1.0 + store_replay.ALLOWED_S
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -122,6 +122,37 @@
     assert not known.usable("lm", clock.now + 2.3)
 
 
+async def test_registration_that_ends_while_others_read_has_no_grace() -> None:
+    s1 = source.ServerIs(builders.server("s1"))
+    clock = clocks.VirtualClock()
+    known = state.Knowledge(builders.BOUNDS)
+    gone = facts(9, source.ServerGone("s1"))
+    script = [(0.1, facts(5, s1)), (1.8, AWAY), (1.8, AWAY), (0.1, gone)]
+    origin = ScriptedSource(clock, script)
+    taking = applier.Applier(
+        known, clock, lambda: None, origin.forgotten.append
+    )
+
+    def is_told(kind: source.Kind) -> bool:
+        """Another router confirms all the while, and is not relied on."""
+        known.confirm(kind, clock.now)
+        return False
+
+    svc = follower.Follower(
+        source.Kind.SERVERS,
+        origin,
+        known,
+        taking,
+        clock,
+        random.Random(1),
+        is_told,
+    )
+    await svc.on_start()
+    await origin.done.wait()
+    await svc.on_stop()
+    assert not known.servers
+
+
 async def test_registration_that_ends_in_calm_is_gone_at_once() -> None:
     s1 = source.ServerIs(builders.server("s1"))
     known, _, _ = await _async_play(
