--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -129,6 +129,24 @@
     hubs: int
 
 
+class RouterLoad(Event, frozen=True):
+    """How busy this router was over the last `seconds`.
+
+    `processor` is the part of one processor that the process used, and
+    `deciding` the part of the time that passed in turns in which waiting
+    requests were looked at. `waiting`, `held` and `lag_s`, the average lag of
+    the event loop, are those at the end.
+    """
+
+    seconds: float
+    processor: float
+    deciding: float
+    turns: int
+    waiting: int
+    held: int
+    lag_s: float
+
+
 class BreakerOpened(Event, frozen=True):
     """A server is avoided after failures."""
 
@@ -255,6 +273,20 @@
     seconds: float
 
 
+class RequestsShed(Event, frozen=True):
+    """Requests that were refused unread since the last such line.
+
+    `workspaces` names those with the most, and `last` one request.
+    `limit_per_s` is how many requests a second are taken up; -1 for no limit.
+    """
+
+    requests: int
+    workspaces: dict[str, int]
+    last: str
+    limit_per_s: float
+    lag_s: float
+
+
 class Cut(Event, frozen=True):
     """An answer under way was ended so that it does not look whole."""
 
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -11,16 +11,24 @@
 from absl import logging
 import mode
 
-from tamarackbridge import core, crash_watch, messages
-from tamarackbridge.components.admission import desk, inputs, pressure, shares
+from tamarackbridge import core, crash_watch, messages, platform_gauges
+from tamarackbridge.components.admission import (
+    desk,
+    inputs,
+    metered,
+    pressure,
+    shares,
+)
 from tamarackbridge.components.fleet import messages as fleet
 from tamarackbridge.components.fleet import sharing, view
 from tamarackbridge.components.gateway import (
     drain,
     forward,
+    load_log,
     request_log,
     runner,
     servers,
+    shedding,
     strain,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
@@ -44,6 +52,7 @@
 from tamarackbridge.components.telemetry import (
     events,
     metrics,
+    processor,
     queue_log,
     spans,
 )
@@ -81,6 +90,7 @@
         self._kernel = core.Kernel(self._clock, random.Random(self._boot))
         self._known = state.Knowledge(cfg.bounds)
         self._registry = metrics.Metrics(self._clock.monotonic)
+        self._spent = processor.ProcessorTime()
         self._counted = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
         self._using = self._make_parts()
@@ -91,9 +101,20 @@
         self._desk = self._make_desk()
         self._servers = servers.ServerClient()
         self.meter = strain.LagMeter()
+        self._shedder = shedding.Shedder(self._due_part, self._kernel.rng)
         self._gateway = self._make_gateway()
+        self._load = load_log.Sources(self._desk, self._gateway, self.meter)
         self._register_services()
-        self._add_gauges()
+        load_log.register(self._registry, self._load)
+        self._registry.processor("processor_seconds", self._spent)
+        platform_gauges.add(
+            self._registry,
+            self._clock,
+            self._known,
+            self._shedder,
+            self._sharing,
+            self._store,
+        )
         services = self._kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
         self._services = [*services, watch]
@@ -130,7 +151,8 @@
         )
 
     def _make_desk(self) -> desk.AdmissionDesk:
-        return desk.AdmissionDesk(
+        return metered.MeteredDesk(
+            self._spent,
             self._using,
             self._clock,
             self._kernel.rng,
@@ -152,12 +174,14 @@
             self._clock,
             log,
             self.meter,
+            self._shedder,
+            self._spent,
             self._tracer,
         )
         made.use(
             runner.Runner(
                 self._desk,
-                forward.Forwarder(self._servers, words),
+                forward.Forwarder(self._servers, words, self._spent),
                 words,
                 self._clock,
                 made.is_last,
@@ -198,7 +222,9 @@
             self._cfg.peers.host,
             self._cfg.peers.port,
             self._clock,
-            self._sharing.receive,
+            self._spent.counted(
+                processor.Purpose.SHARING, self._sharing.receive
+            ),
             messages.Decoder(fleet.PEER_MESSAGES),
         )
         self._sharing.use(peers)
@@ -229,7 +255,10 @@
             "sharing": self._sharing,
             "servers": self._servers,
             "desk": self._desk,
-            "lag": strain.LagService(self.meter, self._clock),
+            "lag": strain.LagService(
+                self.meter, self._clock, self._gateway.note_lag
+            ),
+            "load": load_log.LoadLog(self._load, self._clock),
             "gateway": self._gateway,
             "readiness": gateway.ReadinessService(
                 cfg.readiness.host,
@@ -251,37 +280,9 @@
         self._using.estimator.forget(server)
         self._using.told.forget(server)
 
-    def _add_gauges(self) -> None:
-        registry = self._registry
-        client = self._store
-        meter = self.meter
-        now = self._clock.monotonic
-        known = self._known
-        for name, help_text, read in (
-            ("held", "Requests under way.", lambda: self._gateway.held),
-            ("lag_seconds", "Lag of the event loop.", lambda: meter.lag_s),
-            ("waiting", "Requests that wait.", lambda: self._desk.waiting),
-            ("routers", "Routers heard.", lambda: len(self._sharing.routers())),
-            (
-                "configuration_version",
-                "Version of the configuration in force.",
-                lambda: self._version()[0],
-            ),
-            (
-                "configuration_age_seconds",
-                "Age of the configuration.",
-                lambda: known.configuration_age(now()),
-            ),
-            (
-                "servers_age_seconds",
-                "Age of the registrations.",
-                lambda: known.servers_age(now()),
-            ),
-        ):
-            registry.gauge(name, help_text, read)
-        registry.counter_of(
-            "store_calls", "Calls to the store.", lambda: client.calls
-        )
+    def _due_part(self, workspace: str) -> float:
+        """Returns the part of a workspace's requests within its share."""
+        return self._desk.standings.of(workspace, True).part
 
     def _use(self) -> dict[str, shares.Use]:
         return dict(self._desk.standings.use.sums(self._clock.monotonic()))
