Stream to callers that speak HTTP/1.0

The connection of such a caller was closed without an answer, though an engine had run its request.

Cause: the answer was always sent in chunks, which HTTP/1.0 does not have; aiohttp refuses that, which was taken for a caller that has left.

Ruled out: refusing HTTP/1.0, which the product's own entry serves.

The answer ends with its connection there.

Two tests, which failed before: no answer, and no reset.

--- a/tamarackbridge/components/entry/caller_stream.py
+++ b/tamarackbridge/components/entry/caller_stream.py
@@ -1,15 +1,13 @@
 """The caller's side of a streamed answer."""
 
-import asyncio
 from collections.abc import Mapping
-import socket
-import struct
 
 import aiohttp
 from aiohttp import web
 
 from tamarackbridge import exceptions
 from tamarackbridge.components.entry import const
+from tamarackbridge.helpers import resets
 
 _RETURNED_HEADERS = ("Content-Type", "ETag", "Cache-Control", "Location")
 
@@ -29,14 +27,6 @@
     return kept
 
 
-def reset_on_close(transport: asyncio.BaseTransport) -> None:
-    """Makes a connection end with a reset, and what is not sent be dropped."""
-    conn = transport.get_extra_info("socket")
-    if conn is not None:
-        linger = struct.pack("ii", 1, 0)
-        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 class CallerStream:
     """Begins a streamed answer with its first bytes.
 
@@ -82,6 +72,6 @@
         if self._req.transport is not None:
             if self._req.version < aiohttp.HttpVersion11:
                 # Without chunks, an answer that is closed looks whole.
-                reset_on_close(self._req.transport)
+                resets.reset_on_close(self._req.transport)
             self._req.transport.abort()
         return self.response or web.Response(status=502)
--- a/tamarackbridge/components/gateway/caller.py
+++ b/tamarackbridge/components/gateway/caller.py
@@ -4,9 +4,11 @@
 import select
 import time
 
+import aiohttp
 from aiohttp import web
 
 from tamarackbridge.components.gateway import exceptions, jobs, models
+from tamarackbridge.helpers import resets
 
 _CLOSED = select.POLLRDHUP
 """Errors and the end of both directions are told without being asked for."""
@@ -106,13 +108,21 @@
     def cut(self) -> None:
         """Ends an answer so that it can't be taken for a whole one."""
         if self._req.transport is not None:
+            if not self._has_chunks():
+                # An answer that is closed looks whole.
+                resets.reset_on_close(self._req.transport)
             self._req.transport.abort()
 
+    def _has_chunks(self) -> bool:
+        """Whether an answer's end can be told from its connection's."""
+        return self._req.version >= aiohttp.HttpVersion11
+
     async def _async_begin(self, head: models.Head) -> None:
         self.response = web.StreamResponse(status=head.status)
         for name, value in head.headers:
             self.response.headers.add(name, value)
-        self.response.enable_chunked_encoding()
+        if self._has_chunks():
+            self.response.enable_chunked_encoding()
         if self._is_last():
             self.response.force_close()
         await self.response.prepare(self._req)
--- /dev/null
+++ b/tamarackbridge/helpers/resets.py
@@ -0,0 +1,13 @@
+"""Connections that end with a reset."""
+
+import asyncio
+import socket
+import struct
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Makes a connection end with a reset, and what is not sent be dropped."""
+    conn = transport.get_extra_info("socket")
+    if conn is not None:
+        linger = struct.pack("ii", 1, 0)
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 import pytest
 
+from standins import platform_server
 from tamarackbridge.components.entry import connection
 from tamarackbridge.components.gateway import caller as gateway_caller
 from tamarackbridge.components.gateway import drain, strain
@@ -55,6 +56,31 @@
         caller.writer.close()
 
 
+async def _async_read_old(here: place.Place) -> bytes:
+    """Returns what a caller that speaks HTTP/1.0 gets of a stream."""
+    caller = await _async_caller(here)
+    caller.writer.write(f"POST /stream/1 HTTP/1.0\r\n{HEAD}\r\n".encode())
+    try:
+        return await caller.reader.read(-1)
+    finally:
+        caller.writer.close()
+
+
+async def test_stream_of_an_old_caller_ends_with_its_connection() -> None:
+    async with place.async_place(servers=1) as here:
+        head, _, body = (await _async_read_old(here)).partition(b"\r\n\r\n")
+        assert head.split(b"\r\n")[0].split(b" ")[1] == b"200"
+        assert b"chunked" not in head.lower()
+        assert body == (await here.async_send("/stream/1")).body
+
+
+async def test_cut_stream_of_an_old_caller_ends_with_a_reset() -> None:
+    async with place.async_place(servers=1) as here:
+        here.set_fault(platform_server.Fault.CUT_EVENT)
+        with pytest.raises(ConnectionResetError):
+            await _async_read_old(here)
+
+
 async def test_body_that_waits_for_leave_gets_it() -> None:
     async with place.async_place(servers=1) as here:
         caller = await _async_caller(here)
