Let more through for a workspace whose requests are not begun

Cause: a workspace's part was its level by what it asked for. What was let through and never begun, as its callers left or its router had no time for it, counted as if it had got its share, so that the rest was refused as beyond it.

Ruled out: returns alone. They raise what is asked and lower the part, but as each attempt counts the same, the workspace still gets its level as long as what is let through is begun. Steering by what is missing to the level was left out by reading: the sum of what was begun is two seconds long, and would let a flood through twice.

Change: routers count what they let through and tell it along with what was asked and begun. The part is raised by the fleet's share of it that was not begun, to twice at most, so that a workspace that recovers gets at most twice its level.

The bounds of the other tests of the gate are unchanged.

--- a/tamarackbridge/components/admission/gate.py
+++ b/tamarackbridge/components/admission/gate.py
@@ -5,7 +5,9 @@
 router lets the same part of a workspace's requests through, worked out from
 what the whole fleet is asked for, which changes slower than what it has been
 served (Raghavan and others, Cloud Control with Distributed Rate Limiting,
-SIGCOMM 2007: global random drop).
+SIGCOMM 2007: global random drop). Where a part of what was let through is not
+begun, as its callers left or its router had no time for it, more is let
+through.
 """
 
 from collections.abc import Mapping
@@ -45,6 +47,12 @@
     return base * (1.0 + (GROWTH if spare > 0 else RELIEF) * spare)
 
 
+LEAST_BEGUN = 0.5
+"""Part of what was let through that is always taken for begun. If all of it is
+begun again at once, a workspace gets twice its level until that is seen, and
+no more."""
+
+
 class ShareGate:
     """Lets a part of each workspace's requests through.
 
@@ -58,6 +66,7 @@
         self._rng = rng
         self._asked: dict[str, float] = {}
         self._served: dict[str, float] = {}
+        self._begun: dict[str, float] = {}
         self._credits: dict[str, float] = {}
 
     def refresh(
@@ -81,6 +90,7 @@
         self._served = {
             name: it.served / window_s for name, it in named.items()
         }
+        self._begun = {name: _begun(it) for name, it in named.items()}
         self.level = math.inf
         if nominal > 0:
             shared = capacity(nominal, sum(self._served.values()), spare)
@@ -95,7 +105,9 @@
     def part(self, workspace: str) -> float:
         """Returns the part of a workspace's requests that is let through."""
         asked = self._asked.get(workspace, 0.0)
-        return self.level / asked if asked > self.level else 1.0
+        if asked <= self.level:
+            return 1.0
+        return min(self.level / (asked * self._begun[workspace]), 1.0)
 
     def admits(self, workspace: str) -> bool:
         """Decides on a request that arrives; each counts the same.
@@ -113,3 +125,10 @@
         admitted = credit >= 1.0
         self._credits[workspace] = credit - 1.0 if admitted else credit
         return admitted
+
+
+def _begun(use: shares.Use) -> float:
+    """Returns the part of what was let through that was begun."""
+    if use.admitted <= 0:
+        return 1.0
+    return min(max(use.served / use.admitted, LEAST_BEGUN), 1.0)
--- a/tamarackbridge/components/admission/shares.py
+++ b/tamarackbridge/components/admission/shares.py
@@ -18,18 +18,28 @@
     Attributes:
         asked: Cost of what a workspace asked for.
         served: Cost of what was begun for it.
+        admitted: Cost of what was found to be within its share.
     """
 
     asked: float = 0.0
     served: float = 0.0
+    admitted: float = 0.0
 
     def plus(self, other: "Use") -> "Use":
         """Returns the sum."""
-        return Use(self.asked + other.asked, self.served + other.served)
+        return Use(
+            self.asked + other.asked,
+            self.served + other.served,
+            self.admitted + other.admitted,
+        )
 
     def less(self, other: "Use") -> "Use":
         """Returns what is left without a part of this use."""
-        return Use(self.asked - other.asked, self.served - other.served)
+        return Use(
+            self.asked - other.asked,
+            self.served - other.served,
+            self.admitted - other.admitted,
+        )
 
 
 NOTHING = Use()
@@ -39,8 +49,7 @@
 class _Entry:
     at: float
     workspace: str
-    asked: float
-    served: float
+    use: Use
 
 
 class UseWindow:
@@ -54,11 +63,15 @@
 
     def ask(self, workspace: str, cost: float, now: float) -> None:
         """Counts a request that arrived."""
-        self._add(_Entry(now, workspace, cost, 0.0))
+        self._add(_Entry(now, workspace, Use(asked=cost)))
+
+    def admit(self, workspace: str, cost: float, now: float) -> None:
+        """Counts a request that is within its workspace's share."""
+        self._add(_Entry(now, workspace, Use(admitted=cost)))
 
     def serve(self, workspace: str, cost: float, now: float) -> None:
         """Counts a request that was sent to a server."""
-        self._add(_Entry(now, workspace, 0.0, cost))
+        self._add(_Entry(now, workspace, Use(served=cost)))
 
     def sums(self, now: float) -> Mapping[str, Use]:
         """Returns the use of each workspace over the window."""
@@ -70,8 +83,7 @@
                 del self._sums[old.workspace]
                 continue
             self._counts[old.workspace] = left
-            kept = self._sums[old.workspace].plus(Use(-old.asked, -old.served))
-            self._sums[old.workspace] = kept
+            self._sums[old.workspace] = self._sums[old.workspace].less(old.use)
         return self._sums
 
     def _add(self, entry: _Entry) -> None:
@@ -79,7 +91,7 @@
         count = self._counts.get(entry.workspace, 0)
         self._counts[entry.workspace] = count + 1
         known = self._sums.get(entry.workspace, NOTHING)
-        self._sums[entry.workspace] = known.plus(Use(entry.asked, entry.served))
+        self._sums[entry.workspace] = known.plus(entry.use)
 
 
 def even_level(asked: Mapping[str, float], capacity: float) -> float:
--- a/tamarackbridge/components/admission/standings.py
+++ b/tamarackbridge/components/admission/standings.py
@@ -56,7 +56,10 @@
         """Counts a request that arrives; says if it is within its share."""
         self.use.ask(workspace, cost, now)
         self.refresh(now)
-        return self._gate.admits(workspace)
+        admitted = self._gate.admits(workspace)
+        if admitted:
+            self.use.admit(workspace, cost, now)
+        return admitted
 
     def end(
         self, workspace: str, cost: float, outcome: jobs.Outcome, now: float
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -35,6 +35,7 @@
     workspace: str
     asked: int
     served: int
+    admitted: int = 0
 
 
 class SeenLoad(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/summary.py
+++ b/tamarackbridge/components/fleet/summary.py
@@ -101,7 +101,9 @@
 ) -> tuple[messages.WorkspaceUse, ...]:
     """Returns the use of workspaces as it is told."""
     return tuple(
-        messages.WorkspaceUse(name, int(it.asked), int(it.served))
+        messages.WorkspaceUse(
+            name, int(it.asked), int(it.served), int(it.admitted)
+        )
         for name, it in use.items()
     )
 
@@ -110,7 +112,10 @@
     told: Iterable[messages.WorkspaceUse],
 ) -> dict[str, shares.Use]:
     """Returns use of workspaces that was told."""
-    return {it.workspace: shares.Use(it.asked, it.served) for it in told}
+    return {
+        it.workspace: shares.Use(it.asked, it.served, it.admitted)
+        for it in told
+    }
 
 
 def seen_told(seen: pressure.Seen) -> messages.SeenLoad:
--- a/tests/components/admission/test_gate.py
+++ b/tests/components/admission/test_gate.py
@@ -18,7 +18,18 @@
 class Fleet:
     """Gates before one engine that hear of each other's use after a time."""
 
-    def __init__(self, routers: int, age_s: float) -> None:
+    def __init__(
+        self, routers: int, age_s: float, begun: dict[str, float] | None = None
+    ) -> None:
+        """Makes a fleet.
+
+        Args:
+            routers: How many routers there are.
+            age_s: Time after which they hear of each other's use.
+            begun: Parts of what is let through for workspaces that are begun
+                at all, where that is not all.
+        """
+        self._begun = begun or {}
         self._rng = random.Random(routers)
         self._gates = [
             gate.ShareGate(random.Random(number)) for number in range(routers)
@@ -29,7 +40,7 @@
         self._now = 0.0
         self._backlog = 0.0
         self._spares = collections.deque([1.0], self._told.maxlen)
-        self.let_through: list[tuple[float, str]] = []
+        self.begun: list[tuple[float, str]] = []
 
     def play(self, per_s: dict[str, float], seconds: float) -> None:
         """Plays requests of a workspace at any router, so many a second."""
@@ -46,10 +57,9 @@
                     self._ask(workspace)
 
     def rate(self, workspace: str, begin: float, end: float) -> float:
-        """Returns the tokens a second that were let through."""
+        """Returns the tokens a second that were begun."""
         count = sum(
-            name == workspace and begin <= at < end
-            for at, name in self.let_through
+            name == workspace and begin <= at < end for at, name in self.begun
         )
         return count * COST / (end - begin)
 
@@ -73,8 +83,11 @@
         number = self._rng.randrange(len(self._gates))
         self._uses[number].ask(workspace, COST, self._now)
         if self._gates[number].admits(workspace):
+            self._uses[number].admit(workspace, COST, self._now)
+            if self._rng.random() >= self._begun.get(workspace, 1.0):
+                return
             self._uses[number].serve(workspace, COST, self._now)
-            self.let_through.append((self._now, workspace))
+            self.begun.append((self._now, workspace))
             self._backlog += COST
 
 
@@ -114,6 +127,36 @@
         assert fleet.rate("flood", begin, begin + 4.0) <= 2 * share
 
 
+@pytest.mark.parametrize("age_s", [0.1, 0.4])
+@pytest.mark.parametrize("routers", [8, 58, 195])
+def test_workspace_whose_requests_are_lost_gets_its_share(
+    routers: int, age_s: float
+) -> None:
+    """Of what is let through for one of two large workspaces 60 % are begun.
+
+    Callers left, or the routers that they came through were short of time.
+    """
+    fleet = Fleet(routers, age_s, {"other": 0.6})
+    fleet.play(CALM, 4.0)
+    fleet.play(FLOOD | {"other": 900.0}, 16.0)
+    flood = fleet.rate("flood", 8.0, 16.0)
+    assert fleet.rate("other", 8.0, 16.0) == pytest.approx(flood, rel=0.1)
+    # Before that the engines read what came with the beginning of the flood.
+    names = ("flood", "other", "small")
+    whole = sum(fleet.rate(name, 12.0, 20.0) for name in names)
+    assert whole == pytest.approx(NOMINAL, rel=0.1)
+
+
+def test_workspace_whose_requests_are_begun_again_gets_twice_its_share() -> (
+    None
+):
+    """It may get no more than that until it is seen that they are."""
+    made = gate.ShareGate(random.Random(1))
+    use = {"w": shares.Use(4_000_000.0, 20_000.0, 2_000_000.0)}
+    made.refresh(use, WINDOW_S, NOMINAL, 0.0)
+    assert made.part("w") == pytest.approx(2 * made.level / 2_000_000.0)
+
+
 def test_requests_of_any_size_are_let_through_alike() -> None:
     made = gate.ShareGate(random.Random(1))
     use = {"w": shares.Use(4_000_000.0, 0.0), "v": shares.Use(500_000.0, 0.0)}
