--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,283 @@
+"""Measures the processor time of a router's decisions on waiting requests."""
+
+import argparse
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import json
+import pathlib
+import random
+import statistics
+import time
+
+from tamarackbridge.components.admission import desk, inputs, pressure, shares
+from tamarackbridge.components.fleet import models as fleet
+from tamarackbridge.components.gateway import jobs, models
+from tamarackbridge.components.knowledge import models as knowledge
+from tamarackbridge.components.knowledge import state
+from tamarackbridge.components.placement import (
+    choose,
+    cold,
+    estimate,
+    health,
+    ledger,
+    notices,
+    parts,
+)
+
+OUTPUT = pathlib.Path("build/measure/decisions.json")
+ENGINES = (5, 45, 200)
+TELLERS = (1, 8, 20)
+WAITING = (24, 100, 400, 1600)
+WORKSPACES = 30
+SUBJECTS = 200
+TURNS = 20
+PATIENCE_S = 12.0
+STEP_S = 0.0005
+"""Virtual time between two turns."""
+
+SERVICE = knowledge.Service("lm", "/health", 360, 16.0, 64, 668_304, 7)
+ROUTE = knowledge.Route(
+    name="r",
+    host="a.example",
+    prefix="/x/",
+    kind=knowledge.RouteKind.STREAM,
+    timeout_s=PATIENCE_S,
+    target_s=0.6,
+    target_gap_s=0.3,
+    priority=1,
+    split=(("lm", 1.0),),
+    max_attempts=1,
+    public=False,
+    sticky=True,
+    resumable=False,
+)
+BOUNDS = fleet.Bounds(
+    server_leave_s=2.0,
+    shutdown_s=8.0,
+    configuration_s=2.0,
+    revocation_s=5.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_slack=50.0,
+    cold_overage=1.5,
+    cold_slack=5.0,
+    share_window_s=4.0,
+    reuse_window_s=10.0,
+    heartbeat_s=1.2,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """How much a router knows and holds.
+
+    Attributes:
+        engines: Model engines.
+        tellers: Other routers that tell of their work.
+        waiting: Requests that wait.
+    """
+
+    engines: int
+    tellers: int
+    waiting: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """Processor time of one size.
+
+    Attributes:
+        size: The size.
+        vain_ms: Of a turn that can place nothing, on average.
+        placed_us: Of a request that is placed, its part of the turns.
+    """
+
+    size: Size
+    vain_ms: float
+    placed_us: float
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return 0.0
+
+
+class _Others:
+    """The other routers of a fleet, which use nothing themselves."""
+
+    def __init__(self, count: int) -> None:
+        self._names = tuple(f"r{number}" for number in range(count))
+
+    def routers(self) -> tuple[str, ...]:
+        return self._names
+
+    def others_use(self) -> dict[str, shares.Use]:
+        return {}
+
+    def others_seen(self) -> pressure.Seen:
+        return pressure.NOTHING
+
+    def use_age_s(self) -> float:
+        return 0.0
+
+    def note_change(self) -> None:
+        """Nobody is told."""
+
+
+class Scene:
+    """A desk before engines whose work other routers tell.
+
+    Attributes:
+        desk: The desk.
+        clock: Its clock.
+    """
+
+    def __init__(self, size: Size) -> None:
+        self.clock = _Clock()
+        self._size = size
+        self._work = ledger.Ledger()
+        known = state.Knowledge(BOUNDS)
+        known.take_configuration(
+            knowledge.Configuration(
+                version=1,
+                routes=(ROUTE,),
+                services={SERVICE.name: SERVICE},
+                limits=knowledge.Limits(tokens_per_s=1e9),
+                workspaces={},
+            )
+        )
+        for number in range(size.engines):
+            server = knowledge.BackendServer(
+                f"s{number}", "lm", "10.0.0.1:1", "z1", 64, False, 0.0, 0
+            )
+            known.register(server, self.clock.now)
+        held, breakers = parts.HeldParts(), health.Health()
+        estimator, limiter = estimate.Estimator(), cold.ColdLimiter("r0")
+        told = notices.Notices()
+        chooser = choose.Chooser(
+            "r0",
+            "z1",
+            known,
+            self._work,
+            held,
+            breakers,
+            estimator,
+            limiter,
+            told,
+        )
+        using = inputs.Parts(
+            BOUNDS,
+            known,
+            self._work,
+            held,
+            breakers,
+            estimator,
+            limiter,
+            told,
+            chooser,
+        )
+        self.desk = desk.AdmissionDesk(
+            using,
+            self.clock,
+            random.Random(1),
+            _Others(size.tellers + 1),
+            lambda seconds: None,
+        )
+
+    def tell(self, unread: int) -> None:
+        """Lets the other routers tell of unread tokens at each engine."""
+        size = self._size
+        work = ledger.Work(2, unread // size.tellers, 6_000)
+        for number in range(1, size.tellers + 1):
+            told = {f"s{it}": work for it in range(size.engines)}
+            self._work.hear(f"r{number}", ledger.Told(told, self.clock.now))
+
+    async def async_call(self, number: int) -> jobs.Admitted:
+        """Asks for one request."""
+        call = models.Call(
+            request_id=f"q{number}",
+            method="POST",
+            host="a.example",
+            target="/x/1",
+            headers=(),
+            key="key",
+            patience_s=PATIENCE_S,
+            prompt_tokens=1_500,
+            output_tokens=100,
+            output_hint=100,
+            parts=(
+                models.PromptPart("head", 400),
+                models.PromptPart(f"subject{number % SUBJECTS}", 600),
+                models.PromptPart(f"own{number}", 500),
+            ),
+            resume_after="",
+        )
+        now = self.clock.now
+        job = jobs.Job(
+            call,
+            ROUTE,
+            SERVICE,
+            f"w{number % WORKSPACES}",
+            now,
+            now + PATIENCE_S,
+        )
+        return await self.desk.async_admit(job)
+
+    def turn(self) -> float:
+        """Lets the desk look at what waits; returns its processor time."""
+        self.clock.now += STEP_S
+        begin = time.process_time()
+        self.desk.pump()
+        return time.process_time() - begin
+
+
+async def async_measure(size: Size) -> Row:
+    """Measures one size."""
+    scene = Scene(size)
+    scene.tell(200_000)
+    tasks = []
+    for number in range(size.waiting):
+        tasks.append(asyncio.create_task(scene.async_call(number)))
+        await asyncio.sleep(0)
+    assert scene.desk.waiting == size.waiting
+    vain = statistics.fmean(scene.turn() for _ in range(TURNS))
+    scene.tell(0)
+    took_s, placed = 0.0, 0
+    for _ in range(TURNS):
+        before = scene.desk.waiting
+        took_s += scene.turn()
+        placed += before - scene.desk.waiting
+        if scene.desk.waiting == 0 or scene.desk.waiting == before:
+            break
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await scene.desk.on_stop()
+    return Row(size, vain * 1e3, took_s / max(placed, 1) * 1e6)
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs the measurement and writes its result."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.parse_args(argv)
+    rows = []
+    print(f"{'engines':>8}{'tellers':>8}{'waiting':>8}", end="")
+    print(f"{'turn in vain, ms':>18}{'placed, us':>12}")
+    for engines in ENGINES:
+        for tellers in TELLERS:
+            for waiting in WAITING:
+                size = Size(engines, tellers, waiting)
+                row = asyncio.run(async_measure(size))
+                rows.append(row)
+                print(f"{engines:8}{tellers:8}{waiting:8}", end="")
+                print(f"{row.vain_ms:18.3f}{row.placed_us:12.1f}", flush=True)
+    doc = [dataclasses.asdict(row) for row in rows]
+    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    OUTPUT.write_text(json.dumps(doc, indent=2) + "\n")
