Decide on waiting requests by the lines in which they stand alike

Cause: each turn sorted all that waited and weighed up to 24 requests against all candidates anew, with the work of each engine summed over all tellers for each request and engine; most could not go and were weighed again in the next turn. What was not among the first 24 was never weighed. Ruled out: the desk's rest alone (a trial with four times the processor for turns placed no more).

Change: requests of one workspace, service, standing, targets, shared parts and size wait in one line, of which the oldest and the oldest that can be in time stand for all. A line that can't go is looked at again when its engine may have room, at the latest after 10 ms; groups of lines take turns, so each is looked at in the end. What every request sees of an engine is worked out once for a turn and anew for an engine that gets a request. An engine is weighed in full only if its least cost is below the best one's. Refusals that are due by time are found by a heap, without weighing. A caller that leaves costs one search in a sorted list.

--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -17,6 +17,7 @@
     inputs,
     pace,
     permit,
+    queue,
     standings,
     verdict,
 )
@@ -26,6 +27,7 @@
     choose,
     ledger,
     parts,
+    prompts,
 )
 from tamarackbridge.components.telemetry import events
 
@@ -34,8 +36,16 @@
 a tenth of the shortest target that can wait."""
 
 MAX_LOOKED_AT = 24
-"""Waiting requests for which servers are weighed in one turn, so that a turn
-stays below a few milliseconds however many wait."""
+"""Requests for which servers are weighed in one turn, so that it holds reading
+and answering up for no more than a millisecond however many wait."""
+
+RECHECK_S = 0.01
+"""Time for which a line is not looked at that could not go; what is not
+foreseen of its servers counts this much later."""
+
+RESUME_S = 0.004
+"""Time after which a turn goes on that did not come to all that waits; fifty of
+them in a row fit into the shortest target that can wait."""
 
 TURNS_PART = 0.25
 """Part of a processor that turns may take, so that a router with many waiting
@@ -45,11 +55,19 @@
 """Advice while no server is known; a new one registers within a second."""
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Waiter:
-    job: jobs.Job
-    within: bool
-    fut: asyncio.Future[jobs.Admitted]
+@dataclasses.dataclass(slots=True)
+class Turns:
+    """What the desk's turns did so far.
+
+    Attributes:
+        count: How many there were.
+        seconds: Time that they took.
+        looked_at: Requests for which servers were weighed.
+    """
+
+    count: int = 0
+    seconds: float = 0.0
+    looked_at: int = 0
 
 
 class AdmissionDesk(core.Service):
@@ -59,6 +77,7 @@
         standings: How workspaces stand against their shares.
         fresh_parts: Prompt parts that the other routers don't know of, each
             with the server that holds it.
+        turns: What its turns did so far.
     """
 
     def __init__(
@@ -78,13 +97,15 @@
         self._others = others
         self._waited = waited
         self._budget = budget.RepeatBudget(using.bounds, rng)
-        self._waiting: list[_Waiter] = []
+        self.turns = Turns()
+        self._waiting = queue.WaitingQueue()
         self._log = decisions.DecisionLog(
             using.known, self.standings.pressure, others.use_age_s
         )
         self._paces: collections.defaultdict[str, pace.Pace]
         self._paces = collections.defaultdict(pace.Pace)
         self._rests_until = -math.inf
+        self._is_unfinished = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
 
@@ -103,6 +124,11 @@
         """Requests that wait."""
         return len(self._waiting)
 
+    def oldest_wait_s(self) -> float:
+        """Returns for how long the oldest request has waited; 0 if none."""
+        now = self._clock.monotonic()
+        return max(now - self._waiting.oldest_arrived(), 0.0)
+
     async def async_admit(self, job: jobs.Job) -> jobs.Admitted:
         """Waits until a job may be sent, or refuses it."""
         now = self._clock.monotonic()
@@ -116,11 +142,10 @@
             within = self.standings.ask(job.workspace, cost, now)
         fut: asyncio.Future[jobs.Admitted]
         fut = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(job, within, fut)
-        service = job.service.name
-        if not any(it.job.service.name == service for it in self._waiting):
-            self._paces[service].note_first(now)
-        self._waiting.append(waiter)
+        waiter = queue.Waiter(job, prompts.make(job), within, fut)
+        if not self._waiting.count(job.service.name):
+            self._paces[job.service.name].note_first(now)
+        self._waiting.add(waiter, now)
         self.pump()
         try:
             return await fut
@@ -128,8 +153,7 @@
             _give_back(fut)
             raise
         finally:
-            if waiter in self._waiting:
-                self._waiting.remove(waiter)
+            self._waiting.remove(waiter)
 
     def may_repeat(self, job: jobs.Job) -> bool:
         """Whether the repeat budget of the job's service allows one more."""
@@ -220,9 +244,13 @@
         self._turn(now)
         ended = self._clock.monotonic()
         took_s = ended - now
+        self.turns.count += 1
+        self.turns.seconds += took_s
         self._rests_until = ended + took_s / TURNS_PART - took_s
         if self._waiting:
-            self._look_at(max(self._rests_until, ended + TICK_S), ended)
+            again_s = RESUME_S if self._is_unfinished else TICK_S
+            again = min(ended + again_s, self._waiting.next_due())
+            self._look_at(max(self._rests_until, again), ended)
 
     def _look_at(self, at: float, now: float) -> None:
         """Sees to it that what waits is looked at, no later than a time."""
@@ -239,62 +267,185 @@
         self.pump()
 
     def _turn(self, now: float) -> None:
-        """Looks at waiting requests once, in fair order."""
+        """Looks at what waits once, in fair order."""
         self.standings.refresh(now)
-        self._waiting.sort(key=lambda it: self._order(it, now))
-        pending = [it for it in self._waiting if not it.fut.done()]
-        before: collections.Counter[str] = collections.Counter()
-        for place, waiter in enumerate(pending):
-            service = waiter.job.service.name
-            left_s = self._paces[service].left_s(before[service], now)
+        for waiter in self._waiting.take_due(now):
+            standing = self._standing(waiter)
+            found = verdict.decide_unplaced(waiter.job, standing, now)
+            self._settle(waiter, found, standing, now)
+        for service in self._waiting.services():
+            self._refuse_unservable(service, now)
+        self._look_at_lines(now)
+        self._give_up(now)
+
+    def _refuse_unservable(self, service: str, now: float) -> None:
+        """Refuses all that wait for a service that has no open server."""
+        if not self._using.chooser.pools.opens_in_s(service, (), now):
+            return
+        for waiter in self._waiting.of(service):
             refusal = self._unservable(waiter.job, now)
             if refusal is not None:
-                self._refuse(waiter, refusal, 0, left_s, now)
-            elif place < MAX_LOOKED_AT:
-                self._decide(waiter, now, left_s)
-            else:
-                self._decide_unplaced(waiter, now, left_s)
-            before[service] += 1
-        self._waiting = [it for it in self._waiting if not it.fut.done()]
-
-    def _decide_unplaced(
-        self, waiter: _Waiter, now: float, left_s: float
-    ) -> None:
+                self._refuse(waiter, refusal, 0, 0.0, now)
+
+    def _look_at_lines(self, now: float) -> None:
+        """Lets go what may go, looking at each line once.
+
+        Groups take turns, so that one with many lines does not keep the others
+        from being looked at.
+        """
+        view = self._using.chooser.view(self._others.routers(), now)
+        left = MAX_LOOKED_AT
+        vain: list[tuple[queue.Group, queue.Line, float]] = []
+        groups = self._waiting.in_order(self.standings.served)
+        for group in groups:
+            group.passed_over = True
+        while groups and left > 0:
+            more = []
+            for group in groups:
+                if left <= 0:
+                    break
+                group.passed_over = False
+                line = group.take_line(now)
+                if line is None:
+                    continue
+                looked_at, due = self._look_at_line(line, view, left, now)
+                left -= looked_at
+                vain.append((group, line, due))
+                more.append(group)
+            groups = more
+        for group, line, due in vain:
+            group.look_again(line, due)
+        self._is_unfinished = left <= 0
+        self.turns.looked_at += MAX_LOOKED_AT - left
+
+    def _look_at_line(
+        self, line: queue.Line, view: choose.View, most: int, now: float
+    ) -> tuple[int, float]:
+        """Lets requests of a line go until one can't.
+
+        Where the oldest has waited too long to be in time, the oldest that has
+        not is looked at as well.
+
+        Returns:
+            At how many requests it has looked, and when to do so again.
+        """
+        looked_at = 0
+        since = -math.inf
+        waits = False
+        standing = self._standing(line.oldest)
+        while looked_at < most:
+            waiter = line.first_since(since)
+            if waiter is None:
+                break
+            looked_at += 1
+            found = self._decide(waiter, standing, view, now)
+            if found.step is not verdict.Step.WAIT:
+                continue
+            can_since = now - found.goes_up_to_s
+            if waits or not waiter.job.arrived < can_since <= now:
+                return looked_at, now + min(found.again_s, RECHECK_S)
+            since, waits = can_since, True
+        return looked_at, now
+
+    def _give_up(self, now: float) -> None:
+        """Refuses what its turn can't reach in time.
+
+        Of each group the ends are looked at: its newest waits for the most
+        others, and its oldest has the least time left.
+        """
+        paces = {
+            name: self._paces[name]
+            for name in self._waiting.services()
+            if self._paces[name].left_s(0, now) > 0
+        }
+        if not paces:
+            return
+        before: collections.Counter[str] = collections.Counter()
+        for group in self._waiting.in_order(self.standings.served):
+            found = group.arrivals
+            pace_of = paces.get(group.service)
+            while pace_of is not None and found:
+                last = before[group.service] + len(found) - 1
+                left_s = pace_of.left_s(last, now)
+                if not self._gave_up(found.newest, left_s, now):
+                    break
+            while pace_of is not None and found:
+                left_s = pace_of.left_s(before[group.service], now)
+                if not self._gave_up(found.oldest, left_s, now):
+                    break
+            before[group.service] += len(found)
+
+    def _gave_up(self, waiter: queue.Waiter, left_s: float, now: float) -> bool:
+        """Refuses a request that will wait for too long; says if it did."""
+        if now + left_s < waiter.job.deadline:
+            return False
+        standing = self._standing(waiter)
+        found = verdict.decide_unplaced(waiter.job, standing, now, left_s)
+        self._settle(waiter, found, standing, now, left_s=left_s)
+        return found.step is verdict.Step.REFUSE
+
+    def _decide(
+        self,
+        waiter: queue.Waiter,
+        standing: verdict.Standing,
+        view: choose.View,
+        now: float,
+    ) -> verdict.Verdict:
         job = waiter.job
-        standing = self.standings.of(job.workspace, waiter.within)
-        found = verdict.decide_unplaced(job, standing, now, left_s)
-        if found.refusal is not None:
-            refusal = self._spread(found.refusal)
-            self._refuse(waiter, refusal, 0, left_s, now)
+        refusal = self._unservable(job, now) if job.avoid else None
+        if refusal is not None:
+            self._refuse(waiter, refusal, 0, 0.0, now)
+            return verdict.Verdict(verdict.Step.REFUSE, refusal=refusal)
+        chosen = self._using.chooser.shortlist(job, waiter.prompt, view)
+        found = verdict.decide(job, chosen.options, standing, now)
+        self._settle(waiter, found, standing, now, chosen.servers)
+        if found.option is not None:
+            view.note_sent(found.option.known.server.name)
+        return found
 
-    def _decide(self, waiter: _Waiter, now: float, left_s: float) -> None:
+    def _settle(
+        self,
+        waiter: queue.Waiter,
+        found: verdict.Verdict,
+        standing: verdict.Standing,
+        now: float,
+        servers: int = 0,
+        left_s: float = 0.0,
+    ) -> None:
+        """Ends the wait of a request, unless it is to wait on."""
         job = waiter.job
-        options = self._using.chooser.options(job, self._others.routers(), now)
-        standing = self.standings.of(job.workspace, waiter.within)
-        found = verdict.decide(job, options, standing, now, left_s)
         if found.option is not None:
+            self._waiting.remove(waiter)
+            if waiter.fut.done():
+                return
             self._waited(now - job.arrived)
-            self._log.placed(job, found.option, standing, len(options), now)
+            self._log.placed(job, found.option, standing, servers, now)
             self._paces[job.service.name].note(now)
             granted = self._permit(job, found.option, now)
             waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
             refusal = self._spread(found.refusal)
-            self._refuse(waiter, refusal, len(options), left_s, now)
+            self._refuse(waiter, refusal, servers, left_s, now)
+
+    def _standing(self, waiter: queue.Waiter) -> verdict.Standing:
+        return self.standings.of(waiter.job.workspace, waiter.within)
 
     def _refuse(
         self,
-        waiter: _Waiter,
+        waiter: queue.Waiter,
         refusal: answers.Refusal,
         servers: int,
         left_s: float,
         now: float,
     ) -> None:
         """Ends the wait of a request, whose servers were so many."""
-        job = waiter.job
-        standing = self.standings.of(job.workspace, waiter.within)
+        waiting = len(self._waiting)
+        self._waiting.remove(waiter)
+        if waiter.fut.done():
+            return
+        standing = self._standing(waiter)
         self._log.refused(
-            job, refusal, standing, servers, left_s, len(self._waiting), now
+            waiter.job, refusal, standing, servers, left_s, waiting, now
         )
         waiter.fut.set_result(result.Err(refusal))
 
@@ -323,14 +474,6 @@
         )
         return permit.Permit(self, ticket, option.ahead)
 
-    def _order(
-        self, waiter: _Waiter, now: float
-    ) -> tuple[bool, bool, float, float]:
-        job = waiter.job
-        late = now - job.arrived > job.route.target_s
-        served = self.standings.served(job.workspace)
-        return (not waiter.within, late, served, job.arrived)
-
     def _spread(self, refusal: answers.Refusal) -> answers.Refusal:
         retry_s = refusal.retry_after_s * self._rng.uniform(0.75, 1.25)
         return dataclasses.replace(refusal, retry_after_s=retry_s)
--- a/tamarackbridge/components/admission/verdict.py
+++ b/tamarackbridge/components/admission/verdict.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 
 from tamarackbridge.components.gateway import answers, jobs
 from tamarackbridge.components.placement import choose
@@ -100,11 +101,17 @@
         step: What happens.
         option: The server, if it is sent.
         refusal: The answer, if it is refused.
+        goes_up_to_s: If it waits, the longest wait with which it would go to
+            its best server now; negative if there is none.
+        again_s: If it waits, after which time that server may be nearly idle;
+            0 if that can't be told.
     """
 
     step: Step
     option: choose.Option | None = None
     refusal: answers.Refusal | None = None
+    goes_up_to_s: float = -1.0
+    again_s: float = 0.0
 
 
 WAIT = Verdict(Step.WAIT)
@@ -135,14 +142,30 @@
     waited_s = now - job.arrived
     target_s = job.route.target_s
     best = next((it for it in options if not it.full), None)
-    if best is not None and _goes(best, standing, waited_s, target_s):
-        return Verdict(Step.SEND, best)
+    goes_up_to_s = -1.0
+    if best is not None:
+        goes_up_to_s = _goes_up_to_s(best, standing, target_s)
+        if waited_s <= goes_up_to_s:
+            return Verdict(Step.SEND, best)
     given_up = decide_unplaced(job, standing, now, left_s)
     if given_up.step is Step.REFUSE:
         return given_up
     if options and now + min(it.first_s for it in options) >= job.deadline:
         return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
-    return WAIT
+    again_s = _idle_in_s(best) if best is not None else 0.0
+    return Verdict(Step.WAIT, goes_up_to_s=goes_up_to_s, again_s=again_s)
+
+
+def given_up_at(job: jobs.Job, within: bool) -> float:
+    """Returns when a request is refused if it can't be sent by then.
+
+    Args:
+        job: The request.
+        within: Whether it is within its workspace's share.
+    """
+    if within or job.avoid or not job.service.is_model:
+        return job.deadline
+    return min(job.arrived + job.route.target_s * SOON, job.deadline)
 
 
 def decide_unplaced(
@@ -152,9 +175,7 @@
     standing = _standing_of(job, standing)
     if now >= job.deadline:
         return _refuse(answers.Reason.DEADLINE, RETRY_MIN_S)
-    waited_s = now - job.arrived
-    soon_s = job.route.target_s * SOON
-    if job.service.is_model and not standing.within and waited_s >= soon_s:
+    if now >= given_up_at(job, standing.within):
         return _refuse(answers.Reason.OVERLOADED, _retry_s(standing))
     if left_s > 0 and now + left_s >= job.deadline:
         return _refuse(answers.Reason.OVERLOADED, RETRY_MAX_S)
@@ -172,19 +193,26 @@
     return dataclasses.replace(standing, within=True)
 
 
-def _goes(
-    option: choose.Option, standing: Standing, waited_s: float, target_s: float
-) -> bool:
-    """Whether a request goes to the server that is best for it."""
+def _idle_in_s(option: choose.Option) -> float:
+    """Returns after which time an engine is nearly idle by what it reads."""
+    if option.ahead <= IDLE_AHEAD:
+        return 0.0
+    return option.ahead_s * (1.0 - IDLE_AHEAD / option.ahead)
+
+
+def _goes_up_to_s(
+    option: choose.Option, standing: Standing, target_s: float
+) -> float:
+    """Returns the longest wait with which a request goes to its best server."""
     if not standing.within:
         if standing.spare >= SPARE and option.ahead == 0:
-            return True
+            return math.inf
         room = max(1.0 - standing.ratio / MOST_OVER, 0.0)
         own_s = OWN_OVER * (option.first_s - option.ahead_s)
-        begins_s = waited_s + option.ahead_s + own_s
-        return begins_s <= target_s * AHEAD_OVER * room
-    in_time = waited_s + option.first_s <= target_s * IN_TIME
-    return in_time or option.ahead <= IDLE_AHEAD
+        return target_s * AHEAD_OVER * room - option.ahead_s - own_s
+    if option.ahead <= IDLE_AHEAD:
+        return math.inf
+    return target_s * IN_TIME - option.first_s
 
 
 def _decide_plain(job: jobs.Job, options: Sequence[choose.Option]) -> Verdict:
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -1,15 +1,20 @@
 """Chooses the server for a request.
 
 Costs are compared in prompt tokens. Load patterns: prompts that share long
-parts, of which each is best read on one engine; and arrivals in clumps, which
-must spread before the engines' first events come late.
+parts, of which each is best read on one engine; arrivals in clumps, which must
+spread before the engines' first events come late; and many waiting requests,
+each of which is to cost little to look at.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection
 import dataclasses
 import functools
+import math
+
+import msgspec
 
 from tamarackbridge.components.gateway import jobs
+from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
     cold,
@@ -19,6 +24,8 @@
     notices,
     parts,
     pool,
+    prompts,
+    table,
 )
 from tamarackbridge.helpers import rendezvous
 
@@ -38,10 +45,6 @@
 """Usual pauses of this part of the allowed one are safe; at the sum of both
 nearly every stream has one that is too long."""
 
-OUTPUT_WEIGHT = 10.0
-"""A generated token counts this many prompt tokens in a request's size, as
-the users weigh it."""
-
 LATE_WEIGHT = 0.5
 """Part of a request's size that is lost when it is late; callers lose half to
 nine tenths."""
@@ -57,16 +60,6 @@
 """Cost of each token that is read before; a wait within the target costs
 callers nothing, but leaves less room for the next."""
 
-BYTES_PER_TOKEN = 25.0
-"""Bytes between zones that cost as much as one token read again."""
-
-EVENT_BYTES = 65
-"""Size of one event of a stream, for what an answer carries."""
-
-BUSY_CROWDS = 1.0
-"""A server that turns another router's requests away is taken for this many
-times as crowded as a full one."""
-
 PLAIN_FULL_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
@@ -75,12 +68,15 @@
 are alike the near one is used; what a plain answer carries is not known before
 it comes."""
 
-KNOWN_ORDERS = 4_096
-"""Sets of shared parts whose first engines are kept, at 200 bytes each."""
+BUSY_CROWDS = 1.0
+"""A server that turns another router's requests away is taken for this many
+times as crowded as a full one."""
+
+KNOWN_TIES = 4_096
+"""Servers whose costs beside even ones are kept, at 200 bytes each."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Option:
+class Option(msgspec.Struct, frozen=True, gc=False):
     """A server for one request.
 
     Attributes:
@@ -103,26 +99,40 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Prompt:
-    """What of a request is the same for all engines.
+class Shortlist:
+    """The servers that decide whether a request goes.
 
     Attributes:
-        chained: Its parts with their numbers.
-        tokens: Its prompt tokens.
-        own: Tokens of its own part.
-        shared: Tokens of all other parts.
-        size: Its size as the users weigh it.
-        memory: Tokens that it takes in an engine's memory.
-        crossing: Cost of its bytes between zones.
+        options: The best server with room, if there is one, and the one with
+            the earliest first event where that may come after the deadline;
+            best first.
+        servers: How many servers were considered.
     """
 
-    chained: parts.Chained
-    tokens: int
-    own: int
-    shared: int
-    size: float
-    memory: int
-    crossing: float
+    options: tuple[Option, ...]
+    servers: int
+
+
+class View:
+    """The servers of all services as one turn of decisions sees them."""
+
+    def __init__(
+        self, make: Callable[[knowledge.Service], table.ServiceTable]
+    ) -> None:
+        self._make = make
+        self._tables: dict[knowledge.Service, table.ServiceTable] = {}
+
+    def of(self, service: knowledge.Service) -> table.ServiceTable:
+        """Returns the servers of a service."""
+        found = self._tables.get(service)
+        if found is None:
+            found = self._tables[service] = self._make(service)
+        return found
+
+    def note_sent(self, server: str) -> None:
+        """Drops what a sending to a server has changed."""
+        for found in self._tables.values():
+            found.note_sent(server)
 
 
 class Chooser:
@@ -147,12 +157,28 @@
         self._router = router
         self._notices = told
         self._zone = zone
-        self._known = known
-        self._work = work
         self._held = held
         self._estimator = estimator
         self._limiter = limiter
         self.pools = pool.Pools(known, work, breakers, estimator, told)
+        self._work = work
+
+    def view(self, routers: Collection[str], now: float) -> View:
+        """Returns the servers as a turn of decisions sees them.
+
+        Args:
+            routers: The routers that may be sending, this one among them.
+            now: The time.
+        """
+
+        def make(service: knowledge.Service) -> table.ServiceTable:
+            def make_row(it: state.Registered) -> table.Row:
+                return self._make_row(service, it, routers, now)
+
+            servers = self.pools.of(service.name, now)
+            return table.ServiceTable(servers, service.is_model, make_row, now)
+
+        return View(make)
 
     def options(
         self, job: jobs.Job, routers: Collection[str], now: float
@@ -161,39 +187,89 @@
 
         Servers that fail are left out unless all do.
         """
-        found = self.pools.of(job.service.name, now)
-        key = parts.affinity(job.call.parts)
-        weighed = found.sound
-        order: Sequence[str] = ()
-        if job.service.is_model and len(found.sound) > 2 * pool.FEW:
-            order = _first(key, found.names) if key else found.names[: pool.FEW]
-            few = found.least | set(order)
-            weighed = tuple(it for it in found.sound if it.server.name in few)
-        usable = self._bearing(job, weighed, routers, now)
-        if not usable:
-            usable = self._bearing(job, found.open, routers, now)
+        found = self.view(routers, now).of(job.service)
+        prompt = prompts.make(job)
+        candidates = found.candidates(prompt.key, job.avoid)
+        ranked = [(found.row(it), rank) for it, rank in candidates]
         if not job.service.is_model:
-            plain = [self._plain_option(job, it, now) for it in usable]
+            plain = [self._weigh_plain(prompt, row) for row, _ in ranked]
             return sorted(plain, key=_cost)
-        if not order:
-            names = tuple(it.server.name for it in usable)
-            order = _first(key, names) if key else names[: pool.FEW]
-        return sorted(self._model_options(job, usable, order, now), key=_cost)
+        return sorted(
+            (self._weigh(job, prompt, row, rank, now) for row, rank in ranked),
+            key=_cost,
+        )
+
+    def shortlist(
+        self, job: jobs.Job, prompt: prompts.Prompt, view: View
+    ) -> Shortlist:
+        """Returns the servers that decide whether a request goes.
+
+        Decides as all of `options` would; a server is weighed in full only if
+        what it costs any request leaves it a chance.
+        """
+        found = view.of(job.service)
+        candidates = found.candidates(prompt.key, job.avoid)
+        if not job.service.is_model:
+            rows = (found.row(it) for it, _ in candidates)
+            best = min(
+                (
+                    self._weigh_plain(prompt, row)
+                    for row in rows
+                    if not row.is_full
+                ),
+                key=_cost,
+                default=None,
+            )
+            return _listed(best, None, len(candidates))
+        best = self._best(job, prompt, found, candidates)
+        soonest = None
+        if self._may_pass_deadline(job, prompt, found, candidates, best):
+            soonest = min(
+                (
+                    self._weigh(job, prompt, found.row(it), place, found.now)
+                    for it, place in candidates
+                ),
+                key=_first_s,
+            )
+        return _listed(best, soonest, len(candidates))
 
-    def _bearing(
+    def _best(
         self,
         job: jobs.Job,
-        found: Iterable[state.Registered],
-        routers: Collection[str],
-        now: float,
-    ) -> list[state.Registered]:
-        """Returns the servers that bear one more request, for a job."""
-        return [
-            it
-            for it in found
-            if it.server.name not in job.avoid
-            and self._bears(it, job, routers, now)
-        ]
+        prompt: prompts.Prompt,
+        found: table.ServiceTable,
+        candidates: pool.Candidates,
+    ) -> Option | None:
+        """Returns the best engine with room; None if there is none."""
+        best: Option | None = None
+        least = math.inf
+        place_cost = _place_cost(prompt)
+        for it, place in candidates:
+            row = found.row(it)
+            cost = row.cost + place * place_cost
+            if cost >= least or _is_full(job, prompt, row):
+                continue
+            option = self._weigh(job, prompt, row, place, found.now)
+            if option.cost < least:
+                best, least = option, option.cost
+        return best
+
+    def _may_pass_deadline(
+        self,
+        job: jobs.Job,
+        prompt: prompts.Prompt,
+        found: table.ServiceTable,
+        candidates: pool.Candidates,
+        best: Option | None,
+    ) -> bool:
+        """Whether the earliest first event may come after the deadline."""
+        if not candidates:
+            return False
+        if best is not None:
+            return found.now + best.first_s >= job.deadline
+        row = found.row(candidates[0][0])
+        first_s = row.first_s + prompt.tokens / row.speed
+        return found.now + first_s >= job.deadline
 
     def note_sent(
         self,
@@ -221,127 +297,119 @@
             return (self._router,)
         return None
 
-    def _bears(
+    def _make_row(
         self,
+        service: knowledge.Service,
         it: state.Registered,
-        job: jobs.Job,
         routers: Collection[str],
         now: float,
-    ) -> bool:
-        per_s = job.service.cold_per_s
-        limited = self._limited_to(it, routers, now)
-        if limited is None or per_s <= 0:
-            return True
-        return self._limiter.may_send(it.server.name, per_s, limited, now)
-
-    def _model_options(
-        self,
-        job: jobs.Job,
-        usable: Iterable[state.Registered],
-        order: Sequence[str],
-        now: float,
-    ) -> list[Option]:
-        rank = {name: place for place, name in enumerate(order)}
-        prompt = _prompt(job)
-        return [
-            self._model_option(
-                job, prompt, it, rank.get(it.server.name, pool.FEW), now
-            )
-            for it in usable
-        ]
+    ) -> table.Row:
+        """Returns a server as one turn sees it."""
+        name = it.server.name
+        is_model = service.is_model
+        speed = self._estimator.read_per_s(name)
+        work = self._work.at(name, now, speed)
+        slots = max((service if is_model else it.server).slots, 1)
+        busy = BUSY_CROWDS if self._notices.is_busy(name, now) else 0.0
+        crowding = work.requests / slots + busy
+        cost = PLAIN_FULL_TOKENS * crowding + _tie(self._router, name)
+        if is_model:
+            cost = CROWD_TOKENS * crowding + AHEAD_WEIGHT * work.unread
+        per_s = service.cold_per_s
+        limited = self._limited_to(it, routers, now) if per_s > 0 else None
+        bears = limited is None or self._limiter.may_send(
+            name, per_s, limited, now
+        )
+        return table.Row(
+            known=it,
+            cost=cost,
+            is_far=it.server.zone != self._zone,
+            is_full=work.requests >= slots,
+            requests=work.requests,
+            memory=work.memory,
+            ahead=work.unread,
+            ahead_s=work.unread / speed,
+            first_s=self._estimator.first_event_s(name, work.unread, 0),
+            speed=speed,
+            pause_s=self._estimator.pause_s(name, now),
+            bears=bears,
+            is_limited=limited is not None,
+        )
 
-    def _model_option(
+    def _weigh(
         self,
         job: jobs.Job,
-        prompt: _Prompt,
-        it: state.Registered,
-        rank: int,
+        prompt: prompts.Prompt,
+        row: table.Row,
+        place: int,
         now: float,
     ) -> Option:
-        name = it.server.name
-        speed = self._estimator.read_per_s(name)
-        work = self._work.at(name, now, speed)
+        """Weighs an engine for a request."""
         unread = own = prompt.tokens
         if prompt.chained:
+            name = row.known.server.name
             unread = self._held.unread(name, prompt.chained, now)
             own = min(prompt.own, unread)
-        first_s = self._estimator.first_event_s(name, work.unread, unread)
-        slots = max(job.service.slots, 1)
-        waited_s = now - job.arrived
-        late = (waited_s + first_s) / job.route.target_s - IN_TIME
+        first_s = row.first_s + unread / row.speed
+        late = (now - job.arrived + first_s) / job.route.target_s - IN_TIME
         late = min(max(late / LATE_SPREAD, 0.0), 1.0)
-        late = max(late, self._jerky(job, name, now))
-        room = job.service.memory_tokens * pool.MEMORY_SHARE
+        if row.pause_s > 0:
+            late = max(late, _jerky(job, row))
         cost = (
-            REREAD_WEIGHT * (unread - own)
+            row.cost
+            + (prompt.crossing if row.is_far else 0.0)
+            + place * _place_cost(prompt)
+            + REREAD_WEIGHT * (unread - own)
             + late * LATE_WEIGHT * prompt.size
-            + CROWD_TOKENS * self._crowding(name, work, slots, now)
-            + AHEAD_WEIGHT * work.unread
-            + (prompt.crossing if it.server.zone != self._zone else 0.0)
-            + rank * (1.0 + RANK_WEIGHT * prompt.shared)
         )
-        full = work.requests >= slots or (
-            work.requests > 0 and work.memory + prompt.memory > room
+        return Option(
+            row.known,
+            cost,
+            first_s,
+            row.ahead,
+            row.ahead_s,
+            unread,
+            _is_full(job, prompt, row),
         )
-        ahead_s = work.unread / speed
-        return Option(it, cost, first_s, work.unread, ahead_s, unread, full)
 
-    def _crowding(
-        self, name: str, work: ledger.Work, slots: int, now: float
-    ) -> float:
-        """Returns the part of a server's slots that counts as taken."""
-        busy = BUSY_CROWDS if self._notices.is_busy(name, now) else 0.0
-        return work.requests / slots + busy
-
-    def _jerky(self, job: jobs.Job, name: str, now: float) -> float:
-        """Returns how likely a pause between events is too long, 0 to 1."""
-        allowed_s = job.route.target_gap_s
-        if allowed_s <= 0:
-            return 0.0
-        part = self._estimator.pause_s(name, now) / allowed_s
-        return min(max((part - PAUSE_SAFE) / PAUSE_SPREAD, 0.0), 1.0)
-
-    def _plain_option(
-        self, job: jobs.Job, it: state.Registered, now: float
-    ) -> Option:
-        name = it.server.name
-        work = self._work.at(name, now, 0.0)
-        slots = max(it.server.slots, 1)
-        crowding = self._crowding(name, work, slots, now)
-        cost = PLAIN_FULL_TOKENS * crowding + _tie(self._router, name)
-        if it.server.zone != self._zone:
-            cost += FAR_TOKENS + _crossing_tokens(job)
-        return Option(it, cost, 0.0, 0, 0.0, 0, work.requests >= slots)
+    def _weigh_plain(self, prompt: prompts.Prompt, row: table.Row) -> Option:
+        """Weighs a plain server for a request."""
+        cost = row.cost
+        if row.is_far:
+            cost += FAR_TOKENS + prompt.crossing
+        return Option(row.known, cost, 0.0, 0, 0.0, 0, row.is_full)
 
 
-def _crossing_tokens(job: jobs.Job) -> float:
-    """Returns what the bytes of a request and its answer cost across zones."""
-    tokens = max(job.service.event_tokens, 1)
-    expected = job.call.output_hint or job.call.output_tokens
-    answer = expected / tokens * EVENT_BYTES
-    return (len(job.call.body) + answer) / BYTES_PER_TOKEN
+def _is_full(job: jobs.Job, prompt: prompts.Prompt, row: table.Row) -> bool:
+    """Whether a request finds no slot or no memory at an engine."""
+    if row.is_full:
+        return True
+    room = job.service.memory_tokens * pool.MEMORY_SHARE
+    return row.requests > 0 and row.memory + prompt.memory > room
 
 
-def _prompt(job: jobs.Job) -> _Prompt:
-    call = job.call
-    return _Prompt(
-        chained=parts.chains(call.parts),
-        tokens=call.prompt_tokens,
-        own=call.parts[-1].tokens if call.parts else call.prompt_tokens,
-        shared=parts.shared_tokens(call.parts),
-        size=call.prompt_tokens + OUTPUT_WEIGHT * call.output_tokens,
-        memory=call.prompt_tokens + call.output_tokens,
-        crossing=_crossing_tokens(job),
-    )
+def _place_cost(prompt: prompts.Prompt) -> float:
+    """Returns what each place in the order of engines costs a request."""
+    return 1.0 + RANK_WEIGHT * prompt.shared
 
 
-@functools.lru_cache(maxsize=KNOWN_ORDERS)
-def _first(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
-    """Returns the engines that come first for shared parts, best first."""
-    return tuple(rendezvous.rank(key, names)[: pool.FEW])
+def _jerky(job: jobs.Job, row: table.Row) -> float:
+    """Returns how likely a pause between events is too long, 0 to 1."""
+    allowed_s = job.route.target_gap_s
+    if allowed_s <= 0:
+        return 0.0
+    part = row.pause_s / allowed_s
+    return min(max((part - PAUSE_SAFE) / PAUSE_SPREAD, 0.0), 1.0)
 
 
-@functools.lru_cache(maxsize=KNOWN_ORDERS)
+def _listed(
+    best: Option | None, soonest: Option | None, servers: int
+) -> Shortlist:
+    found = [it for it in (best, soonest) if it is not None]
+    return Shortlist(tuple(sorted(found, key=_cost)), servers)
+
+
+@functools.lru_cache(maxsize=KNOWN_TIES)
 def _tie(router: str, server: str) -> float:
     """Returns a cost below 1 that differs between routers.
 
@@ -353,3 +421,7 @@
 
 def _cost(option: Option) -> float:
     return option.cost
+
+
+def _first_s(option: Option) -> float:
+    return option.first_s
--- a/tamarackbridge/components/placement/pool.py
+++ b/tamarackbridge/components/placement/pool.py
@@ -4,8 +4,9 @@
 about the servers has changed.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 import dataclasses
+import functools
 import heapq
 import math
 import statistics
@@ -33,6 +34,9 @@
 least to read: they read a sixth of a common prompt in it, and the margins of
 lapsed registrations are twenty times as long."""
 
+Candidates: TypeAlias = Sequence[tuple[state.Registered, int]]
+"""Servers with their places in the order of engines, the first ones first."""
+
 Changes: TypeAlias = tuple[int, int, int, frozenset[str]]
 """Tells whether what decides who may take requests has changed."""
 
@@ -53,7 +57,7 @@
     fill: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Pool:
     """The servers of a service at a time.
 
@@ -63,10 +67,10 @@
         staying: Those that do not leave.
         open: Of those, the ones that are not closed to this router.
         sound: Of those, the ones that do not fail.
-        names: Names of the sound ones.
-        load: What the sound ones have to do, or the open ones if none is
-            sound; None if there are none.
-        least: Names of the open ones that need the least time for it.
+        is_warm: Whether none of them is held to the rate of a cold one.
+        load_of: Returns what one of them has to do.
+        candidates: Servers to weigh, by what requests agree on; kept here
+            while none is limited.
     """
 
     at: float
@@ -74,9 +78,44 @@
     staying: tuple[state.Registered, ...]
     open: tuple[state.Registered, ...]
     sound: tuple[state.Registered, ...]
-    names: tuple[str, ...]
-    load: Load | None
-    least: frozenset[str]
+    is_warm: bool
+    load_of: Callable[[state.Registered], Load]
+    candidates: dict[str, Candidates] = dataclasses.field(default_factory=dict)
+
+    @functools.cached_property
+    def names(self) -> tuple[str, ...]:
+        """Names of the sound ones."""
+        return tuple(self._by_name)
+
+    @functools.cached_property
+    def load(self) -> Load | None:
+        """What the sound ones have to do, or the open ones if none is sound.
+
+        None if there are none.
+        """
+        found = self._loads if self.sound else map(self.load_of, self.open)
+        return _mean(list(found))
+
+    @functools.cached_property
+    def least(self) -> tuple[str, ...]:
+        """Names of the sound ones that need the least time for their work."""
+        loads = zip(self._loads, self.names, strict=True)
+        found = heapq.nsmallest(FEW, loads, key=_reading_s)
+        return tuple(name for _, name in found)
+
+    @functools.cached_property
+    def _by_name(self) -> Mapping[str, state.Registered]:
+        return {it.server.name: it for it in self.sound}
+
+    @functools.cached_property
+    def _loads(self) -> list[Load]:
+        return [self.load_of(it) for it in self.sound]
+
+    def few(self, order: Collection[str]) -> Iterable[state.Registered]:
+        """Returns the sound ones of some names and those with least to read."""
+        return (
+            self._by_name[name] for name in dict.fromkeys((*order, *self.least))
+        )
 
 
 class Pools:
@@ -157,21 +196,17 @@
             for it in opened
             if not self._breakers.avoided(it.server.name, now)
         )
-        loads = {it.server.name: self._load(it, service, now) for it in staying}
-        names = tuple(it.server.name for it in sound)
         return Pool(
             at=now,
             changes=changes,
             staying=staying,
             open=opened,
             sound=sound,
-            names=names,
-            load=_mean([loads[it.server.name] for it in sound or opened]),
-            least=frozenset(
-                heapq.nsmallest(
-                    FEW, names, key=lambda name: loads[name].reading_s
-                )
+            is_warm=not any(
+                now < it.cold_until or notes.is_reopening(it.server, now)
+                for it in opened
             ),
+            load_of=lambda it: self._load(it, service, now),
         )
 
     def _load(self, it: state.Registered, service: str, now: float) -> Load:
@@ -190,6 +225,10 @@
         return Load(1, work.unread / speed, min(fill, 1.0))
 
 
+def _reading_s(found: tuple[Load, str]) -> float:
+    return found[0].reading_s
+
+
 def _mean(loads: Collection[Load]) -> Load | None:
     engines = [it.engines for it in loads]
     if not engines:
