--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -18,6 +18,7 @@
     pace,
     permit,
     queue,
+    rounds,
     standings,
     verdict,
 )
@@ -28,6 +29,7 @@
     ledger,
     parts,
     prompts,
+    table,
 )
 from tamarackbridge.components.telemetry import events
 
@@ -35,14 +37,6 @@
 """Time after which waiting requests are looked at again without an occasion;
 a tenth of the shortest target that can wait."""
 
-MAX_LOOKED_AT = 24
-"""Requests for which servers are weighed in one turn, so that it holds reading
-and answering up for no more than a millisecond however many wait."""
-
-RECHECK_S = 0.01
-"""Time for which a line is not looked at that could not go; what is not
-foreseen of its servers counts this much later."""
-
 RESUME_S = 0.004
 """Time after which a turn goes on that did not come to all that waits; fifty of
 them in a row fit into the shortest target that can wait."""
@@ -55,21 +49,6 @@
 """Advice while no server is known; a new one registers within a second."""
 
 
-@dataclasses.dataclass(slots=True)
-class Turns:
-    """What the desk's turns did so far.
-
-    Attributes:
-        count: How many there were.
-        seconds: Time that they took.
-        looked_at: Requests for which servers were weighed.
-    """
-
-    count: int = 0
-    seconds: float = 0.0
-    looked_at: int = 0
-
-
 class AdmissionDesk(core.Service):
     """Owns the requests that wait in this router.
 
@@ -97,7 +76,7 @@
         self._others = others
         self._waited = waited
         self._budget = budget.RepeatBudget(using.bounds, rng)
-        self.turns = Turns()
+        self.turns = rounds.Turns()
         self._waiting = queue.WaitingQueue()
         self._log = decisions.DecisionLog(
             using.known, self.standings.pressure, others.use_age_s
@@ -150,7 +129,7 @@
         try:
             return await fut
         except asyncio.CancelledError:
-            _give_back(fut)
+            permit.give_back(fut)
             raise
         finally:
             self._waiting.remove(waiter)
@@ -288,92 +267,30 @@
                 self._refuse(waiter, refusal, 0, 0.0, now)
 
     def _look_at_lines(self, now: float) -> None:
-        """Lets go what may go, looking at each line once.
-
-        Groups take turns, so that one with many lines does not keep the others
-        from being looked at.
-        """
+        """Lets go what may go, in fair order."""
         view = self._using.chooser.view(self._others.routers(), now)
-        left = MAX_LOOKED_AT
-        vain: list[tuple[queue.Group, queue.Line, float]] = []
-        groups = self._waiting.in_order(self.standings.served)
-        for group in groups:
-            group.passed_over = True
-        while groups and left > 0:
-            more = []
-            for group in groups:
-                if left <= 0:
-                    break
-                group.passed_over = False
-                line = group.take_line(now)
-                if line is None:
-                    continue
-                looked_at, due = self._look_at_line(line, view, left, now)
-                left -= looked_at
-                vain.append((group, line, due))
-                more.append(group)
-            groups = more
-        for group, line, due in vain:
-            group.look_again(line, due)
-        self._is_unfinished = left <= 0
-        self.turns.looked_at += MAX_LOOKED_AT - left
-
-    def _look_at_line(
-        self, line: queue.Line, view: choose.View, most: int, now: float
-    ) -> tuple[int, float]:
-        """Lets requests of a line go until one can't.
-
-        Where the oldest has waited too long to be in time, the oldest that has
-        not is looked at as well.
-
-        Returns:
-            At how many requests it has looked, and when to do so again.
-        """
-        looked_at = 0
-        since = -math.inf
-        waits = False
-        standing = self._standing(line.oldest)
-        while looked_at < most:
-            waiter = line.first_since(since)
-            if waiter is None:
-                break
-            looked_at += 1
-            found = self._decide(waiter, standing, view, now)
-            if found.step is not verdict.Step.WAIT:
-                continue
-            can_since = now - found.goes_up_to_s
-            if waits or not waiter.job.arrived < can_since <= now:
-                return looked_at, now + min(found.again_s, RECHECK_S)
-            since, waits = can_since, True
-        return looked_at, now
+        looked_at = rounds.look_at_lines(
+            self._waiting.in_order(self.standings.served),
+            lambda waiter: self._decide(waiter, view, now),
+            now,
+        )
+        self._is_unfinished = looked_at >= rounds.MAX_LOOKED_AT
+        self.turns.looked_at += looked_at
 
     def _give_up(self, now: float) -> None:
-        """Refuses what its turn can't reach in time.
-
-        Of each group the ends are looked at: its newest waits for the most
-        others, and its oldest has the least time left.
-        """
+        """Refuses what its turn can't reach in time."""
         paces = {
             name: self._paces[name]
             for name in self._waiting.services()
             if self._paces[name].left_s(0, now) > 0
         }
-        if not paces:
-            return
-        before: collections.Counter[str] = collections.Counter()
-        for group in self._waiting.in_order(self.standings.served):
-            found = group.arrivals
-            pace_of = paces.get(group.service)
-            while pace_of is not None and found:
-                last = before[group.service] + len(found) - 1
-                left_s = pace_of.left_s(last, now)
-                if not self._gave_up(found.newest, left_s, now):
-                    break
-            while pace_of is not None and found:
-                left_s = pace_of.left_s(before[group.service], now)
-                if not self._gave_up(found.oldest, left_s, now):
-                    break
-            before[group.service] += len(found)
+        if paces:
+            rounds.give_up(
+                self._waiting.in_order(self.standings.served),
+                paces,
+                lambda waiter, left_s: self._gave_up(waiter, left_s, now),
+                now,
+            )
 
     def _gave_up(self, waiter: queue.Waiter, left_s: float, now: float) -> bool:
         """Refuses a request that will wait for too long; says if it did."""
@@ -387,8 +304,7 @@
     def _decide(
         self,
         waiter: queue.Waiter,
-        standing: verdict.Standing,
-        view: choose.View,
+        view: table.View,
         now: float,
     ) -> verdict.Verdict:
         job = waiter.job
@@ -397,6 +313,7 @@
             self._refuse(waiter, refusal, 0, 0.0, now)
             return verdict.Verdict(verdict.Step.REFUSE, refusal=refusal)
         chosen = self._using.chooser.shortlist(job, waiter.prompt, view)
+        standing = self._standing(waiter)
         found = verdict.decide(job, chosen.options, standing, now)
         self._settle(waiter, found, standing, now, chosen.servers)
         if found.option is not None:
@@ -477,12 +394,3 @@
     def _spread(self, refusal: answers.Refusal) -> answers.Refusal:
         retry_s = refusal.retry_after_s * self._rng.uniform(0.75, 1.25)
         return dataclasses.replace(refusal, retry_after_s=retry_s)
-
-
-def _give_back(fut: asyncio.Future[jobs.Admitted]) -> None:
-    """Ends a permit whose caller left in the turn in which it was given."""
-    if not fut.done() or fut.cancelled():
-        return
-    admitted = fut.result()
-    if isinstance(admitted, result.Ok):
-        admitted.ok_value.finish(jobs.Outcome.CANCELLED)
--- a/tamarackbridge/components/admission/permit.py
+++ b/tamarackbridge/components/admission/permit.py
@@ -1,7 +1,10 @@
 """Leave to send one request to one server."""
 
+import asyncio
 from typing import Protocol
 
+import result
+
 from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.placement import ledger
@@ -65,3 +68,12 @@
     def finish(self, outcome: jobs.Outcome) -> None:
         """Gives the permit back."""
         self._desk.ended(self._ticket, outcome)
+
+
+def give_back(fut: asyncio.Future[jobs.Admitted]) -> None:
+    """Ends a permit whose caller left in the turn in which it was given."""
+    if not fut.done() or fut.cancelled():
+        return
+    admitted = fut.result()
+    if isinstance(admitted, result.Ok):
+        admitted.ok_value.finish(jobs.Outcome.CANCELLED)
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -6,9 +6,8 @@
 each of which is to cost little to look at.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 import dataclasses
-import functools
 import math
 
 import msgspec
@@ -27,7 +26,6 @@
     prompts,
     table,
 )
-from tamarackbridge.helpers import rendezvous
 
 IN_TIME = 0.85
 """Part of the target within which a first event is planned; the rest is for
@@ -72,9 +70,6 @@
 """A server that turns another router's requests away is taken for this many
 times as crowded as a full one."""
 
-KNOWN_TIES = 4_096
-"""Servers whose costs beside even ones are kept, at 200 bytes each."""
-
 
 class Option(msgspec.Struct, frozen=True, gc=False):
     """A server for one request.
@@ -113,28 +108,6 @@
     servers: int
 
 
-class View:
-    """The servers of all services as one turn of decisions sees them."""
-
-    def __init__(
-        self, make: Callable[[knowledge.Service], table.ServiceTable]
-    ) -> None:
-        self._make = make
-        self._tables: dict[knowledge.Service, table.ServiceTable] = {}
-
-    def of(self, service: knowledge.Service) -> table.ServiceTable:
-        """Returns the servers of a service."""
-        found = self._tables.get(service)
-        if found is None:
-            found = self._tables[service] = self._make(service)
-        return found
-
-    def note_sent(self, server: str) -> None:
-        """Drops what a sending to a server has changed."""
-        for found in self._tables.values():
-            found.note_sent(server)
-
-
 class Chooser:
     """Ranks the servers of a service for a request.
 
@@ -163,7 +136,7 @@
         self.pools = pool.Pools(known, work, breakers, estimator, told)
         self._work = work
 
-    def view(self, routers: Collection[str], now: float) -> View:
+    def view(self, routers: Collection[str], now: float) -> table.View:
         """Returns the servers as a turn of decisions sees them.
 
         Args:
@@ -178,7 +151,7 @@
             servers = self.pools.of(service.name, now)
             return table.ServiceTable(servers, service.is_model, make_row, now)
 
-        return View(make)
+        return table.View(make)
 
     def options(
         self, job: jobs.Job, routers: Collection[str], now: float
@@ -200,7 +173,7 @@
         )
 
     def shortlist(
-        self, job: jobs.Job, prompt: prompts.Prompt, view: View
+        self, job: jobs.Job, prompt: prompts.Prompt, view: table.View
     ) -> Shortlist:
         """Returns the servers that decide whether a request goes.
 
@@ -312,7 +285,7 @@
         slots = max((service if is_model else it.server).slots, 1)
         busy = BUSY_CROWDS if self._notices.is_busy(name, now) else 0.0
         crowding = work.requests / slots + busy
-        cost = PLAIN_FULL_TOKENS * crowding + _tie(self._router, name)
+        cost = PLAIN_FULL_TOKENS * crowding + table.tie(self._router, name)
         if is_model:
             cost = CROWD_TOKENS * crowding + AHEAD_WEIGHT * work.unread
         per_s = service.cold_per_s
@@ -409,16 +382,6 @@
     return Shortlist(tuple(sorted(found, key=_cost)), servers)
 
 
-@functools.lru_cache(maxsize=KNOWN_TIES)
-def _tie(router: str, server: str) -> float:
-    """Returns a cost below 1 that differs between routers.
-
-    Load pattern: many routers see the same idle servers, and would all send to
-    the first of them.
-    """
-    return rendezvous.share(router, server)
-
-
 def _cost(option: Option) -> float:
     return option.cost
 
--- a/tamarackbridge/components/placement/table.py
+++ b/tamarackbridge/components/placement/table.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import pool
 from tamarackbridge.helpers import rendezvous
@@ -18,6 +19,10 @@
 """Sets of shared parts whose first engines are kept, at 200 bytes each."""
 
 
+KNOWN_TIES = 4_096
+"""Servers whose costs beside even ones are kept, at 200 bytes each."""
+
+
 class Row(msgspec.Struct, frozen=True, gc=False):
     """One server.
 
@@ -136,6 +141,28 @@
         ]
 
 
+class View:
+    """The servers of all services as one turn of decisions sees them."""
+
+    def __init__(
+        self, make: Callable[[knowledge.Service], ServiceTable]
+    ) -> None:
+        self._make = make
+        self._tables: dict[knowledge.Service, ServiceTable] = {}
+
+    def of(self, service: knowledge.Service) -> ServiceTable:
+        """Returns the servers of a service."""
+        found = self._tables.get(service)
+        if found is None:
+            found = self._tables[service] = self._make(service)
+        return found
+
+    def note_sent(self, server: str) -> None:
+        """Drops what a sending to a server has changed."""
+        for found in self._tables.values():
+            found.note_sent(server)
+
+
 def _placed(
     servers: Iterable[state.Registered], order: Sequence[str]
 ) -> pool.Candidates:
@@ -156,3 +183,13 @@
     if not key:
         return names[: pool.FEW]
     return tuple(rendezvous.rank(key, names)[: pool.FEW])
+
+
+@functools.lru_cache(maxsize=KNOWN_TIES)
+def tie(router: str, server: str) -> float:
+    """Returns a cost below 1 that differs between routers.
+
+    Load pattern: many routers see the same idle servers, and would all send to
+    the first of them.
+    """
+    return rendezvous.share(router, server)
