Weigh no engine that its place alone makes dearer than the best one

Engines are weighed in their order for the request's shared parts, so the first whose place costs more than the best one found ends the search, before anything else is worked out for it.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -10,6 +10,8 @@
 import statistics
 import time
 
+import result
+
 from tamarackbridge.components.admission import desk, inputs, pressure, shares
 from tamarackbridge.components.fleet import models as fleet
 from tamarackbridge.components.gateway import jobs, models
@@ -36,6 +38,10 @@
 STEP_S = 0.0005
 """Virtual time between two turns."""
 
+CALM_REQUESTS = 200
+CALM_STEP_S = 0.005
+"""Virtual time between two arrivals on a calm day."""
+
 SERVICE = knowledge.Service("lm", "/health", 360, 16.0, 64, 668_304, 7)
 ROUTE = knowledge.Route(
     name="r",
@@ -91,11 +97,13 @@
         size: The size.
         vain_ms: Of a turn that can place nothing, on average.
         placed_us: Of a request that is placed, its part of the turns.
+        calm_us: Of a request that arrives while none waits and is placed.
     """
 
     size: Size
     vain_ms: float
     placed_us: float
+    calm_us: float
 
 
 class _Clock:
@@ -260,7 +268,24 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await scene.desk.on_stop()
-    return Row(size, vain * 1e3, took_s / max(placed, 1) * 1e6)
+    calm_s = await _async_measure_calm(size)
+    placed_s = took_s / max(placed, 1)
+    return Row(size, vain * 1e3, placed_s * 1e6, calm_s * 1e6)
+
+
+async def _async_measure_calm(size: Size) -> float:
+    """Returns the processor time of a request on a calm day."""
+    scene = Scene(size)
+    scene.tell(0)
+    took_s = 0.0
+    for number in range(CALM_REQUESTS):
+        scene.clock.now += CALM_STEP_S
+        begin = time.process_time()
+        admitted = await scene.async_call(number)
+        took_s += time.process_time() - begin
+        assert isinstance(admitted, result.Ok)
+        admitted.ok_value.finish(jobs.Outcome.SERVED)
+    return took_s / CALM_REQUESTS
 
 
 def main(argv: Sequence[str]) -> None:
@@ -269,7 +294,7 @@
     parser.parse_args(argv)
     rows = []
     print(f"{'engines':>8}{'tellers':>8}{'waiting':>8}", end="")
-    print(f"{'turn in vain, ms':>18}{'placed, us':>12}")
+    print(f"{'turn in vain, ms':>18}{'placed, us':>12}{'calm, us':>10}")
     for engines in ENGINES:
         for tellers in TELLERS:
             for waiting in WAITING:
@@ -277,7 +302,8 @@
                 row = asyncio.run(async_measure(size))
                 rows.append(row)
                 print(f"{engines:8}{tellers:8}{waiting:8}", end="")
-                print(f"{row.vain_ms:18.3f}{row.placed_us:12.1f}", flush=True)
+                print(f"{row.vain_ms:18.3f}{row.placed_us:12.1f}", end="")
+                print(f"{row.calm_us:10.1f}", flush=True)
     doc = [dataclasses.asdict(row) for row in rows]
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     OUTPUT.write_text(json.dumps(doc, indent=2) + "\n")
--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -27,7 +27,6 @@
 from tamarackbridge.components.placement import (
     choose,
     ledger,
-    parts,
     prompts,
     table,
 )
@@ -338,7 +337,7 @@
             self._waited(now - job.arrived)
             self._log.placed(job, found.option, standing, servers, now)
             self._paces[job.service.name].note(now)
-            granted = self._permit(job, found.option, now)
+            granted = self._permit(waiter, found.option, now)
             waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
             refusal = self._spread(found.refusal)
@@ -367,8 +366,9 @@
         waiter.fut.set_result(result.Err(refusal))
 
     def _permit(
-        self, job: jobs.Job, option: choose.Option, now: float
+        self, waiter: queue.Waiter, option: choose.Option, now: float
     ) -> permit.Permit:
+        job = waiter.job
         call = job.call
         server = option.known.server
         ticket = ledger.Ticket(
@@ -383,7 +383,7 @@
         if ticket.unread >= ledger.TELL_TOKENS:
             self._others.note_change()
         self.standings.use.serve(job.workspace, ticket.cost, now)
-        for chain, _ in parts.chains(call.parts):
+        for chain, _ in waiter.prompt.chained:
             if self._using.held.note(server.name, chain, now):
                 self.fresh_parts.append((server.name, chain))
         self._using.chooser.note_sent(
--- a/tamarackbridge/components/placement/choose.py
+++ b/tamarackbridge/components/placement/choose.py
@@ -218,6 +218,8 @@
         least = math.inf
         place_cost = _place_cost(prompt)
         for it, place in candidates:
+            if place * place_cost >= least:
+                break
             row = found.row(it)
             cost = row.cost + place * place_cost
             if cost >= least or _is_full(job, prompt, row):
--- a/tamarackbridge/components/placement/pool.py
+++ b/tamarackbridge/components/placement/pool.py
@@ -12,6 +12,8 @@
 import statistics
 from typing import TypeAlias
 
+import msgspec
+
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
     estimate,
@@ -41,8 +43,7 @@
 """Tells whether what decides who may take requests has changed."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
+class Load(msgspec.Struct, frozen=True, gc=False):
     """What model engines have to do on average.
 
     Attributes:
