--- a/tamarackbridge/components/gateway/load_log.py
+++ b/tamarackbridge/components/gateway/load_log.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from tamarackbridge import core
+from tamarackbridge.components.admission import rounds
 from tamarackbridge.components.gateway import strain
 from tamarackbridge.components.telemetry import events, metrics
 
@@ -29,11 +30,9 @@
 
     Attributes:
         turns: Turns in which waiting requests were looked at.
-        turns_s: Time that they took.
     """
 
-    turns: int
-    turns_s: float
+    turns: rounds.Turns
 
     @property
     def waiting(self) -> int:
@@ -89,7 +88,7 @@
     registry.counter_of(
         "turn_seconds",
         "Time in which waiting requests were looked at.",
-        lambda: using.desk.turns_s,
+        lambda: using.desk.turns.seconds,
     )
 
 
@@ -126,8 +125,8 @@
         return _Reading(
             at=self._clock.monotonic(),
             processor_s=using.processor_s(),
-            turns=using.desk.turns,
-            turns_s=using.desk.turns_s,
+            turns=using.desk.turns.count,
+            turns_s=using.desk.turns.seconds,
         )
 
     def _line(self, before: _Reading, after: _Reading) -> events.RouterLoad:
