--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -55,7 +55,9 @@
         standings: How workspaces stand against their shares.
         fresh_parts: Prompt parts that the other routers don't know of, each
             with the server that holds it.
-        turns: What its turns did so far.
+        turns: Turns in which waiting requests were looked at.
+        turns_s: Time that they took.
+        looked_at: Requests for which servers were weighed in them.
     """
 
     def __init__(
@@ -69,13 +71,15 @@
         super().__init__()
         self.standings = standings.Standings(using, others, rng)
         self.fresh_parts: list[tuple[str, int]] = []
+        self.turns = 0
+        self.turns_s = 0.0
+        self.looked_at = 0
         self._using = using
         self._clock = clock
         self._rng = rng
         self._others = others
         self._waited = waited
         self._budget = budget.RepeatBudget(using.bounds, rng)
-        self.turns = rounds.Turns()
         self._waiting = queue.WaitingQueue()
         self._log = decisions.DecisionLog(
             using.known, self.standings.pressure, others.use_age_s
@@ -222,8 +226,8 @@
         self._turn(now)
         ended = self._clock.monotonic()
         took_s = ended - now
-        self.turns.count += 1
-        self.turns.seconds += took_s
+        self.turns += 1
+        self.turns_s += took_s
         self._rests_until = ended + took_s / TURNS_PART - took_s
         if self._waiting:
             again_s = RESUME_S if self._is_unfinished else TICK_S
@@ -274,7 +278,7 @@
             now,
         )
         self._is_unfinished = looked_at >= rounds.MAX_LOOKED_AT
-        self.turns.looked_at += looked_at
+        self.looked_at += looked_at
 
     def _give_up(self, now: float) -> None:
         """Refuses what its turn can't reach in time."""
--- a/tamarackbridge/components/admission/rounds.py
+++ b/tamarackbridge/components/admission/rounds.py
@@ -6,7 +6,6 @@
 
 import collections
 from collections.abc import Callable, Mapping, Sequence
-import dataclasses
 import math
 
 from tamarackbridge.components.admission import pace, queue, verdict
@@ -20,21 +19,6 @@
 foreseen of its servers counts this much later."""
 
 
-@dataclasses.dataclass(slots=True)
-class Turns:
-    """What the desk's turns did so far.
-
-    Attributes:
-        count: How many there were.
-        seconds: Time that they took.
-        looked_at: Requests for which servers were weighed.
-    """
-
-    count: int = 0
-    seconds: float = 0.0
-    looked_at: int = 0
-
-
 def look_at_lines(
     groups: Sequence[queue.Group],
     decide: Callable[[queue.Waiter], verdict.Verdict],
