--- a/tamarackbridge/components/gateway/load_log.py
+++ b/tamarackbridge/components/gateway/load_log.py
@@ -30,15 +30,20 @@
     Attributes:
         turns: Turns in which waiting requests were looked at.
         turns_s: Time that they took.
+        looked_at: Requests for which servers were weighed in them.
     """
 
     turns: int
     turns_s: float
+    looked_at: int
 
     @property
     def waiting(self) -> int:
         """Requests that wait."""
 
+    def oldest_wait_s(self) -> float:
+        """Returns for how long the oldest request has waited; 0 if none."""
+
 
 class Gateway(Protocol):
     """What holds requests.
@@ -73,6 +78,7 @@
     processor_s: float
     turns: int
     turns_s: float
+    looked_at: int
 
 
 def register(registry: metrics.Metrics, using: Sources) -> None:
@@ -81,11 +87,26 @@
         ("held", "Requests under way.", lambda: using.gateway.held),
         ("lag_seconds", "Lag of the event loop.", lambda: using.meter.lag_s),
         ("waiting", "Requests that wait.", lambda: using.desk.waiting),
+        (
+            "oldest_wait_seconds",
+            "Time for which the oldest request has waited.",
+            using.desk.oldest_wait_s,
+        ),
     ):
         registry.gauge(name, help_text, read)
     registry.counter_of(
         "process_seconds", "Processor time of the process.", using.processor_s
     )
+    registry.counter_of(
+        "turns",
+        "Turns in which waiting requests were looked at.",
+        lambda: using.desk.turns,
+    )
+    registry.counter_of(
+        "requests_looked_at",
+        "Waiting requests for which servers were weighed.",
+        lambda: using.desk.looked_at,
+    )
     registry.counter_of(
         "turn_seconds",
         "Time in which waiting requests were looked at.",
@@ -128,6 +149,7 @@
             processor_s=using.processor_s(),
             turns=using.desk.turns,
             turns_s=using.desk.turns_s,
+            looked_at=using.desk.looked_at,
         )
 
     def _line(self, before: _Reading, after: _Reading) -> events.RouterLoad:
@@ -139,7 +161,9 @@
             processor=round(processor_s / seconds, 3),
             deciding=round((after.turns_s - before.turns_s) / seconds, 3),
             turns=after.turns - before.turns,
+            looked_at=after.looked_at - before.looked_at,
             waiting=using.desk.waiting,
+            oldest_s=round(using.desk.oldest_wait_s(), 3),
             held=using.gateway.held,
             lag_s=round(using.meter.lag_s, 3),
         )
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -134,15 +134,18 @@
 
     `processor` is the part of one processor that the process used, and
     `deciding` the part of the time that passed in turns in which waiting
-    requests were looked at. `waiting`, `held` and `lag_s`, the average lag of
-    the event loop, are those at the end.
+    requests were looked at, `looked_at` the requests for which servers were
+    weighed in them. `waiting`, `oldest_s`, the wait of the oldest request,
+    `held` and `lag_s`, the average lag of the event loop, are those at the end.
     """
 
     seconds: float
     processor: float
     deciding: float
     turns: int
+    looked_at: int
     waiting: int
+    oldest_s: float
     held: int
     lag_s: float
 
--- a/tests/components/gateway/test_load_log.py
+++ b/tests/components/gateway/test_load_log.py
@@ -27,6 +27,13 @@
     def turns_s(self) -> float:
         return self.processor * self.now() / 2
 
+    @property
+    def looked_at(self) -> int:
+        return int(60 * self.now())
+
+    def oldest_wait_s(self) -> float:
+        return 0.4
+
     def sources(self) -> load_log.Sources:
         return load_log.Sources(
             self, self, strain.LagMeter(), lambda: self.processor * self.now()
@@ -65,6 +72,7 @@
     assert isinstance(line, events.RouterLoad)
     assert (line.seconds, line.processor, line.deciding) == (1.0, 0.5, 0.25)
     assert (line.turns, line.held, line.waiting) == (4, 7, 0)
+    assert (line.looked_at, line.oldest_s) == (60, 0.4)
 
 
 def test_idle_router_writes_none(lines: list[events.Event]) -> None:
@@ -86,6 +94,9 @@
     for name, value in (
         ("process_seconds", 1.0),
         ("turn_seconds", 0.5),
+        ("turns", 8.0),
+        ("requests_looked_at", 120.0),
+        ("oldest_wait_seconds", 0.4),
         ("held", 7.0),
         ("waiting", 0.0),
     ):
