--- a/tests/components/gateway/test_load_log.py
+++ b/tests/components/gateway/test_load_log.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from tamarackbridge.components.admission import rounds
 from tamarackbridge.components.gateway import load_log, strain
 from tamarackbridge.components.telemetry import events, metrics
 from tests import virtual_loop
@@ -21,9 +20,19 @@
         self.held = 7
 
     @property
-    def turns(self) -> rounds.Turns:
-        seconds = self.processor * self.now() / 2
-        return rounds.Turns(int(4 * self.now()), seconds)
+    def turns(self) -> int:
+        return int(4 * self.now())
+
+    @property
+    def turns_s(self) -> float:
+        return self.processor * self.now() / 2
+
+    @property
+    def looked_at(self) -> int:
+        return int(60 * self.now())
+
+    def oldest_wait_s(self) -> float:
+        return 0.4
 
     def sources(self) -> load_log.Sources:
         return load_log.Sources(
@@ -63,6 +72,7 @@
     assert isinstance(line, events.RouterLoad)
     assert (line.seconds, line.processor, line.deciding) == (1.0, 0.5, 0.25)
     assert (line.turns, line.held, line.waiting) == (4, 7, 0)
+    assert (line.looked_at, line.oldest_s) == (60, 0.4)
 
 
 def test_idle_router_writes_none(lines: list[events.Event]) -> None:
@@ -84,6 +94,9 @@
     for name, value in (
         ("process_seconds", 1.0),
         ("turn_seconds", 0.5),
+        ("turns", 8.0),
+        ("requests_looked_at", 120.0),
+        ("oldest_wait_seconds", 0.4),
         ("held", 7.0),
         ("waiting", 0.0),
     ):
