Play the loss of a quarter of the engines while two workspaces flood

Cause: none found.

Change: a replay can lose engines; what they run is lost, later sendings are repeated at others. A test holds shares to the target after a loss.

Conclusion: the test passes on the code as it is; it keeps the case.

--- a/tests/components/admission/fleet_replay.py
+++ b/tests/components/admission/fleet_replay.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Iterable, Sequence
 import contextvars
+import math
 import random
 from typing import Any, cast
 
@@ -136,6 +137,13 @@
         }
         self._zones = {f"r{n:03}": f"z{n % ZONES}" for n in range(routers)}
         self._tokens_per_s = tokens_per_s
+        self._lost_at = math.inf
+        self._losing: list[load_replay.Engine] = []
+
+    def lose(self, engines: int, at: float) -> None:
+        """Lets so many engines be lost without notice at a time."""
+        self._lost_at = at
+        self._losing = list(self._engines.values())[:engines]
 
     def play(
         self, arrivals: Sequence[load_replay.Arrival], seconds: float
@@ -199,6 +207,12 @@
         while True:
             await asyncio.sleep(load_replay.STEP_S)
             now = loop.time() - begin
+            if now >= self._lost_at:
+                self._lost_at = math.inf
+                for engine in self._losing:
+                    for run in engine.lose():
+                        run.fate.refused_at = now
+                        run.permit.finish(jobs.Outcome.LOST)
             for engine in self._engines.values():
                 for run in engine.step(now):
                     run.fate.ended_at = now
@@ -211,14 +225,21 @@
         job: jobs.Job,
         begin: float,
     ) -> None:
-        admitted = await at.async_admit(job)
-        now = asyncio.get_running_loop().time() - begin
-        if isinstance(admitted, result.Err):
-            fate.refused_at = now
-            fate.retry_after_s = admitted.err_value.retry_after_s
-            return
-        permit = admitted.ok_value
-        self._engines[permit.server.name].take(fate, permit, job)
+        while True:
+            admitted = await at.async_admit(job)
+            if isinstance(admitted, result.Err):
+                now = asyncio.get_running_loop().time() - begin
+                fate.refused_at = now
+                fate.retry_after_s = admitted.err_value.retry_after_s
+                return
+            permit = admitted.ok_value
+            engine = self._engines[permit.server.name]
+            if not engine.is_lost:
+                engine.take(fate, permit, job)
+                return
+            await asyncio.sleep(LINK_S)
+            permit.finish(jobs.Outcome.UNREACHABLE)
+            job.avoid.add(permit.server.name)
 
 
 def tokens(arrival: load_replay.Arrival) -> float:
--- a/tests/components/admission/load_replay.py
+++ b/tests/components/admission/load_replay.py
@@ -78,6 +78,7 @@
     """
 
     def __init__(self, slots: int = SLOTS) -> None:
+        self.is_lost = False
         self.held: set[int] = set()
         self.reading: list[_Run] = []
         self.running: list[_Run] = []
@@ -93,6 +94,13 @@
         output = float(fate.arrival.output)
         self.reading.append(_Run(fate, permit, unread, output))
 
+    def lose(self) -> list[_Run]:
+        """Ends all that it runs at once; returns that."""
+        lost = self.reading + self.running
+        self.reading, self.running = [], []
+        self.is_lost = True
+        return lost
+
     def drop(self, fate: Fate) -> None:
         """Ends a request whose caller has left."""
         self.reading = [it for it in self.reading if it.fate is not fate]
--- a/tests/components/admission/test_fleet_shares.py
+++ b/tests/components/admission/test_fleet_shares.py
@@ -81,3 +81,29 @@
     )
     fates = replay.play(_two_large_workspaces(seed), SECONDS + 1)
     assert fleet_replay.starved(fates, SECONDS) == {}
+
+
+def _two_floods(seed: int) -> list[Arrival]:
+    """Two workspaces that flood alike, one of them at one router."""
+    unit = ENGINES * NOMINAL
+    found = _steady("spread", 1.3 * unit, 4, SECONDS, 40, seed=seed)
+    found += _steady("single", 1.3 * unit, 4, SECONDS, 10, "r003", seed)
+    for number in range(18):
+        found += _steady(f"w{number}", 0.015 * unit, 0, SECONDS, seed=seed)
+    return found
+
+
+def test_loss_of_engines_leaves_shares_even() -> None:
+    """A quarter of the engines is lost without notice while two flood.
+
+    Neither may get twice what the other gets in four seconds.
+    """
+    replay = fleet_replay.FleetReplay(8, ENGINES, ENGINES * NOMINAL, SLOTS)
+    replay.lose(ENGINES // 4, 8.0)
+    fates = replay.play(_two_floods(1), SECONDS + 1)
+    _, spread = fleet_replay.by_second(fates, "spread", SECONDS)
+    _, single = fleet_replay.by_second(fates, "single", SECONDS)
+    for begin in range(4, SECONDS - 3):
+        one, other = (sum(it[begin : begin + 4]) for it in (spread, single))
+        assert 0.5 < one / other < 2.0
+    assert fleet_replay.starved(fates, SECONDS) == {}
