--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -41,8 +41,8 @@
 them in a row fit into the shortest target that can wait."""
 
 TURNS_PART = 0.25
-"""Part of a processor that turns may take, so that a router with many waiting
-requests still reads and answers others; it is a quarter of the smallest VM."""
+"""Part of the time that turns may take; the rest is for reading requests and
+passing answers on, which costs several times what deciding on them does."""
 
 NO_SERVER_RETRY_S = 0.5
 """Advice while no server is known; a new one registers within a second."""
