--- a/tamarackbridge/components/admission/desk.py
+++ b/tamarackbridge/components/admission/desk.py
@@ -17,6 +17,8 @@
     inputs,
     pace,
     permit,
+    queue,
+    rounds,
     standings,
     verdict,
 )
@@ -25,7 +27,8 @@
 from tamarackbridge.components.placement import (
     choose,
     ledger,
-    parts,
+    prompts,
+    table,
 )
 from tamarackbridge.components.telemetry import events
 
@@ -33,9 +36,9 @@
 """Time after which waiting requests are looked at again without an occasion;
 a tenth of the shortest target that can wait."""
 
-MAX_LOOKED_AT = 24
-"""Waiting requests for which servers are weighed in one turn, so that a turn
-stays below a few milliseconds however many wait."""
+RESUME_S = 0.004
+"""Time after which a turn goes on that did not come to all that waits; fifty of
+them in a row fit into the shortest target that can wait."""
 
 TURNS_PART = 0.25
 """Part of a processor that turns may take, so that a router with many waiting
@@ -45,13 +48,6 @@
 """Advice while no server is known; a new one registers within a second."""
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Waiter:
-    job: jobs.Job
-    within: bool
-    fut: asyncio.Future[jobs.Admitted]
-
-
 class AdmissionDesk(core.Service):
     """Owns the requests that wait in this router.
 
@@ -61,6 +57,7 @@
             with the server that holds it.
         turns: Turns in which waiting requests were looked at.
         turns_s: Time that they took.
+        looked_at: Requests for which servers were weighed in them.
     """
 
     def __init__(
@@ -76,19 +73,21 @@
         self.fresh_parts: list[tuple[str, int]] = []
         self.turns = 0
         self.turns_s = 0.0
+        self.looked_at = 0
         self._using = using
         self._clock = clock
         self._rng = rng
         self._others = others
         self._waited = waited
         self._budget = budget.RepeatBudget(using.bounds, rng)
-        self._waiting: list[_Waiter] = []
+        self._waiting = queue.WaitingQueue()
         self._log = decisions.DecisionLog(
             using.known, self.standings.pressure, others.use_age_s
         )
         self._paces: collections.defaultdict[str, pace.Pace]
         self._paces = collections.defaultdict(pace.Pace)
         self._rests_until = -math.inf
+        self._is_unfinished = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
 
@@ -107,6 +106,11 @@
         """Requests that wait."""
         return len(self._waiting)
 
+    def oldest_wait_s(self) -> float:
+        """Returns for how long the oldest request has waited; 0 if none."""
+        now = self._clock.monotonic()
+        return max(now - self._waiting.oldest_arrived(), 0.0)
+
     async def async_admit(self, job: jobs.Job) -> jobs.Admitted:
         """Waits until a job may be sent, or refuses it."""
         now = self._clock.monotonic()
@@ -120,20 +124,18 @@
             within = self.standings.ask(job.workspace, cost, now)
         fut: asyncio.Future[jobs.Admitted]
         fut = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(job, within, fut)
-        service = job.service.name
-        if not any(it.job.service.name == service for it in self._waiting):
-            self._paces[service].note_first(now)
-        self._waiting.append(waiter)
+        waiter = queue.Waiter(job, prompts.make(job), within, fut)
+        if not self._waiting.count(job.service.name):
+            self._paces[job.service.name].note_first(now)
+        self._waiting.add(waiter, now)
         self.pump()
         try:
             return await fut
         except asyncio.CancelledError:
-            _give_back(fut)
+            permit.give_back(fut)
             raise
         finally:
-            if waiter in self._waiting:
-                self._waiting.remove(waiter)
+            self._waiting.remove(waiter)
 
     def may_repeat(self, job: jobs.Job) -> bool:
         """Whether the repeat budget of the job's service allows one more."""
@@ -205,7 +207,7 @@
     def ended(self, ticket: ledger.Ticket, outcome: jobs.Outcome) -> None:
         """Notes the end of a sending."""
         now = self._clock.monotonic()
-        self._using.work.end(ticket)
+        self._using.work.end(ticket, now)
         self.standings.end(ticket.workspace, ticket.cost, outcome, now)
         name = ticket.server.name
         open_s = self._using.breakers.note(name, outcome, now)
@@ -228,7 +230,9 @@
         self.turns_s += took_s
         self._rests_until = ended + took_s / TURNS_PART - took_s
         if self._waiting:
-            self._look_at(max(self._rests_until, ended + TICK_S), ended)
+            again_s = RESUME_S if self._is_unfinished else TICK_S
+            again = min(ended + again_s, self._waiting.next_due())
+            self._look_at(max(self._rests_until, again), ended)
 
     def _look_at(self, at: float, now: float) -> None:
         """Sees to it that what waits is looked at, no later than a time."""
@@ -245,68 +249,130 @@
         self.pump()
 
     def _turn(self, now: float) -> None:
-        """Looks at waiting requests once, in fair order."""
+        """Looks at what waits once, in fair order."""
         self.standings.refresh(now)
-        self._waiting.sort(key=lambda it: self._order(it, now))
-        pending = [it for it in self._waiting if not it.fut.done()]
-        before: collections.Counter[str] = collections.Counter()
-        for place, waiter in enumerate(pending):
-            service = waiter.job.service.name
-            left_s = self._paces[service].left_s(before[service], now)
+        for waiter in self._waiting.take_due(now):
+            standing = self._standing(waiter)
+            found = verdict.decide_unplaced(waiter.job, standing, now)
+            self._settle(waiter, found, standing, now)
+        for service in self._waiting.services():
+            self._refuse_unservable(service, now)
+        self._look_at_lines(now)
+        self._give_up(now)
+
+    def _refuse_unservable(self, service: str, now: float) -> None:
+        """Refuses all that wait for a service that has no open server."""
+        if not self._using.chooser.pools.opens_in_s(service, (), now):
+            return
+        for waiter in self._waiting.of(service):
             refusal = self._unservable(waiter.job, now)
             if refusal is not None:
-                self._refuse(waiter, refusal, 0, left_s, now)
-            elif place < MAX_LOOKED_AT:
-                self._decide(waiter, now, left_s)
-            else:
-                self._decide_unplaced(waiter, now, left_s)
-            before[service] += 1
-        self._waiting = [it for it in self._waiting if not it.fut.done()]
-
-    def _decide_unplaced(
-        self, waiter: _Waiter, now: float, left_s: float
-    ) -> None:
+                self._refuse(waiter, refusal, 0, 0.0, now)
+
+    def _look_at_lines(self, now: float) -> None:
+        """Lets go what may go, in fair order."""
+        view = self._using.chooser.view(self._others.routers(), now)
+        looked_at = rounds.look_at_lines(
+            self._waiting.in_order(self.standings.served),
+            lambda waiter: self._decide(waiter, view, now),
+            now,
+        )
+        self._is_unfinished = looked_at >= rounds.MAX_LOOKED_AT
+        self.looked_at += looked_at
+
+    def _give_up(self, now: float) -> None:
+        """Refuses what its turn can't reach in time."""
+        paces = {
+            name: self._paces[name]
+            for name in self._waiting.services()
+            if self._paces[name].left_s(0, now) > 0
+        }
+        if paces:
+            rounds.give_up(
+                self._waiting.in_order(self.standings.served),
+                paces,
+                lambda waiter, left_s: self._gave_up(waiter, left_s, now),
+                now,
+            )
+
+    def _gave_up(self, waiter: queue.Waiter, left_s: float, now: float) -> bool:
+        """Refuses a request that will wait for too long; says if it did."""
+        if now + left_s < waiter.job.deadline:
+            return False
+        standing = self._standing(waiter)
+        found = verdict.decide_unplaced(waiter.job, standing, now, left_s)
+        self._settle(waiter, found, standing, now, left_s=left_s)
+        return found.step is verdict.Step.REFUSE
+
+    def _decide(
+        self,
+        waiter: queue.Waiter,
+        view: table.View,
+        now: float,
+    ) -> verdict.Verdict:
         job = waiter.job
-        standing = self.standings.of(job.workspace, waiter.within)
-        found = verdict.decide_unplaced(job, standing, now, left_s)
-        if found.refusal is not None:
-            refusal = self._spread(found.refusal)
-            self._refuse(waiter, refusal, 0, left_s, now)
+        refusal = self._unservable(job, now) if job.avoid else None
+        if refusal is not None:
+            self._refuse(waiter, refusal, 0, 0.0, now)
+            return verdict.Verdict(verdict.Step.REFUSE, refusal=refusal)
+        chosen = self._using.chooser.shortlist(job, waiter.prompt, view)
+        standing = self._standing(waiter)
+        found = verdict.decide(job, chosen.options, standing, now)
+        self._settle(waiter, found, standing, now, chosen.servers)
+        if found.option is not None:
+            view.note_sent(found.option.known.server.name)
+        return found
 
-    def _decide(self, waiter: _Waiter, now: float, left_s: float) -> None:
+    def _settle(
+        self,
+        waiter: queue.Waiter,
+        found: verdict.Verdict,
+        standing: verdict.Standing,
+        now: float,
+        servers: int = 0,
+        left_s: float = 0.0,
+    ) -> None:
+        """Ends the wait of a request, unless it is to wait on."""
         job = waiter.job
-        options = self._using.chooser.options(job, self._others.routers(), now)
-        standing = self.standings.of(job.workspace, waiter.within)
-        found = verdict.decide(job, options, standing, now, left_s)
         if found.option is not None:
+            self._waiting.remove(waiter)
+            if waiter.fut.done():
+                return
             self._waited(now - job.arrived)
-            self._log.placed(job, found.option, standing, len(options), now)
+            self._log.placed(job, found.option, standing, servers, now)
             self._paces[job.service.name].note(now)
-            granted = self._permit(job, found.option, now)
+            granted = self._permit(waiter, found.option, now)
             waiter.fut.set_result(result.Ok(granted))
         elif found.refusal is not None:
             refusal = self._spread(found.refusal)
-            self._refuse(waiter, refusal, len(options), left_s, now)
+            self._refuse(waiter, refusal, servers, left_s, now)
+
+    def _standing(self, waiter: queue.Waiter) -> verdict.Standing:
+        return self.standings.of(waiter.job.workspace, waiter.within)
 
     def _refuse(
         self,
-        waiter: _Waiter,
+        waiter: queue.Waiter,
         refusal: answers.Refusal,
         servers: int,
         left_s: float,
         now: float,
     ) -> None:
         """Ends the wait of a request, whose servers were so many."""
-        job = waiter.job
-        standing = self.standings.of(job.workspace, waiter.within)
+        waiting = len(self._waiting)
+        self._waiting.remove(waiter)
+        if waiter.fut.done():
+            return
+        standing = self._standing(waiter)
         self._log.refused(
-            job, refusal, standing, servers, left_s, len(self._waiting), now
+            waiter.job, refusal, standing, servers, left_s, waiting, now
         )
         waiter.fut.set_result(result.Err(refusal))
 
     def _permit(
-        self, job: jobs.Job, option: choose.Option, now: float
+        self, waiter: queue.Waiter, option: choose.Option, now: float
     ) -> permit.Permit:
+        job = waiter.job
         call = job.call
         server = option.known.server
         ticket = ledger.Ticket(
@@ -321,7 +387,7 @@
         if ticket.unread >= ledger.TELL_TOKENS:
             self._others.note_change()
         self.standings.use.serve(job.workspace, ticket.cost, now)
-        for chain, _ in parts.chains(call.parts):
+        for chain, _ in waiter.prompt.chained:
             if self._using.held.note(server.name, chain, now):
                 self.fresh_parts.append((server.name, chain))
         self._using.chooser.note_sent(
@@ -329,23 +395,6 @@
         )
         return permit.Permit(self, ticket, option.ahead)
 
-    def _order(
-        self, waiter: _Waiter, now: float
-    ) -> tuple[bool, bool, float, float]:
-        job = waiter.job
-        late = now - job.arrived > job.route.target_s
-        served = self.standings.served(job.workspace)
-        return (not waiter.within, late, served, job.arrived)
-
     def _spread(self, refusal: answers.Refusal) -> answers.Refusal:
         retry_s = refusal.retry_after_s * self._rng.uniform(0.75, 1.25)
         return dataclasses.replace(refusal, retry_after_s=retry_s)
-
-
-def _give_back(fut: asyncio.Future[jobs.Admitted]) -> None:
-    """Ends a permit whose caller left in the turn in which it was given."""
-    if not fut.done() or fut.cancelled():
-        return
-    admitted = fut.result()
-    if isinstance(admitted, result.Ok):
-        admitted.ok_value.finish(jobs.Outcome.CANCELLED)
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -76,6 +76,7 @@
     at: float
     use_at: float
     reader: str = ""
+    away: bool = False
     use: Mapping[str, shares.Use] = dataclasses.field(default_factory=dict)
     seen: pressure.Seen = pressure.NOTHING
     routers: Mapping[str, str] = dataclasses.field(default_factory=dict)
@@ -133,12 +134,13 @@
     def teller(self, now: float) -> str:
         """Returns who tells this router what the store holds; empty for none.
 
-        A hub that relies on this router for it tells nothing new.
+        A hub that relies on this router for it tells nothing new, and neither
+        does one that the store turns away.
         """
         asked = {self._place.hub} if self._place.hub else self._place.readers
         for router in rendezvous.rank(self._address, asked):
             told = self._told.get(router)
-            if told is None or now - told.at >= HUB_SILENT_S:
+            if told is None or now - told.at >= HUB_SILENT_S or told.away:
                 continue
             if told.reader != self._address:
                 return router
@@ -174,7 +176,7 @@
         if self.peers.heard(src, now):
             events.write(events.RouterHeard(src))
         if msg.ends:
-            self._forget(src)
+            self._forget(src, now)
             return Heard()
         if not self._accepts(src, msg.way):
             return Heard(is_lost=msg.way is _Way.ACROSS)
@@ -183,6 +185,7 @@
             told = self._told[src] = _Told(msg.way, now, now)
         told.at = now
         told.reader = msg.reader
+        told.away = any(it.away for it in msg.editions)
         sent_at = now - age_s
         if msg.use is not None:
             told.use = summary.use_heard(msg.use)
@@ -212,7 +215,7 @@
             if now - told.at > peers.SILENT_S:
                 silent_s = round(now - told.at, 3)
                 events.write(events.RouterSilent(src, silent_s))
-                self._forget(src)
+                self._forget(src, now)
         self._mute_silent_hubs(now)
         live = self.peers.live(now)
         silent = self.peers.muted(now)
@@ -308,9 +311,9 @@
                 if self._own.held.note(it.server, chain, at):
                     self._held.append((src, it.server, chain))
 
-    def _forget(self, src: str) -> None:
+    def _forget(self, src: str, now: float) -> None:
         self._told.pop(src, None)
-        self._own.work.forget(src)
+        self._own.work.forget(src, now)
 
     def _move(self, new: groups.Place, now: float) -> list[Outgoing]:
         old, self._place = self._place, new
@@ -319,7 +322,7 @@
         events.write(events.PlaceChanged(new.hub or "", len(new.hubs)))
         for src, told in list(self._told.items()):
             if not self._accepts(src, told.way):
-                self._forget(src)
+                self._forget(src, now)
         asked = new.hubs if new.hub is None else {new.hub}
         self._asked_since = {
             hub: self._asked_since.get(hub, now) for hub in asked
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -134,15 +134,18 @@
 
     `processor` is the part of one processor that the process used, and
     `deciding` the part of the time that passed in turns in which waiting
-    requests were looked at. `waiting`, `held` and `lag_s`, the average lag of
-    the event loop, are those at the end.
+    requests were looked at, `looked_at` the requests for which servers were
+    weighed in them. `waiting`, `oldest_s`, the wait of the oldest request,
+    `held` and `lag_s`, the average lag of the event loop, are those at the end.
     """
 
     seconds: float
     processor: float
     deciding: float
     turns: int
+    looked_at: int
     waiting: int
+    oldest_s: float
     held: int
     lag_s: float
 
@@ -273,6 +276,20 @@
     seconds: float
 
 
+class RequestsShed(Event, frozen=True):
+    """Requests that were refused unread since the last such line.
+
+    `workspaces` names those with the most, and `last` one request.
+    `limit_per_s` is how many requests a second are taken up; -1 for no limit.
+    """
+
+    requests: int
+    workspaces: dict[str, int]
+    last: str
+    limit_per_s: float
+    lag_s: float
+
+
 class Cut(Event, frozen=True):
     """An answer under way was ended so that it does not look whole."""
 
