Begin a strained router's limit at what it took up, not at what ended

Cause: the first limit was what had ended lately. Streams end long after they show what they cost, so that a flood that has just begun counts for nothing.

Ruled out: growing faster, which makes the limit swing with the length of streams.

--- a/tamarackbridge/components/gateway/shedding.py
+++ b/tamarackbridge/components/gateway/shedding.py
@@ -100,6 +100,7 @@
         self._came_per_s: dict[str, float] = {}
         self._ended = 0
         self._ended_per_s = 0.0
+        self._taken = 0
         self._parts: dict[str, float] = {}
         self._credits: dict[str, float] = {}
 
@@ -113,6 +114,7 @@
         self._came[workspace] += 1
         part = self._parts.get(workspace, 1.0)
         if not self.active:
+            self._taken += 1
             return True
         if part < 1.0 and not self._is_in_part(workspace, part, now):
             self.shed += 1
@@ -157,6 +159,7 @@
             self._above_since = math.inf
         elif math.isinf(self._above_since):
             self._above_since = now
+            self._taken = 0
         stands = now - self._above_since >= INTERVAL_S
         rolls = now - self._rolled_at >= INTERVAL_S
         if rolls:
@@ -191,12 +194,13 @@
         self._ended = 0
 
     def _cut(self, delay_s: float, now: float) -> None:
-        cut_per_s = 0.0
-        if self.active:
-            times = min(delay_s / STANDING_S, MOST_TIMES)
-            cut_per_s = self.limit_per_s * DECREASE**times
-        else:
+        taken_per_s = self.limit_per_s
+        if not self.active:
+            # Streams end long after they show what they cost.
+            taken_per_s = self._taken / (now - self._above_since)
             self._shed_at = now
+        times = min(delay_s / STANDING_S, MOST_TIMES)
+        cut_per_s = taken_per_s * DECREASE**times
         # What ended lately can be done.
         least_per_s = max(self._ended_per_s * DECREASE, LEAST_PER_S)
         self.limit_per_s = max(cut_per_s, least_per_s)
--- a/tests/components/gateway/test_shedding.py
+++ b/tests/components/gateway/test_shedding.py
@@ -181,3 +181,21 @@
     for seconds in advised:
         assert seconds[-1] >= 2 * seconds[0]
         assert seconds[-1] <= shedding.RETRY_MAX_S * (1 + shedding.SPREAD)
+
+
+def test_first_cut_goes_by_what_was_taken_up() -> None:
+    """Streams of a flood have not ended yet when it is too much."""
+    shedder = _shedder()
+    now = 0.0
+    for number in range(160):
+        now += PROBE_S
+        if number % 4 == 0:
+            shedder.admits("calm", now)
+            shedder.note_ended()
+        shedder.note_delay(0.0, now)
+    while not shedder.active:
+        now += PROBE_S
+        for _ in range(4):
+            shedder.admits("flood", now)
+        shedder.note_delay(1.5 * shedding.STANDING_S, now)
+    assert shedder.limit_per_s >= 0.5 * 4 / PROBE_S
