Advise callers of a strained router to come back later

Cause: the advice of 0.1 to 1 s took for granted that a new connection reaches another router. The balancer picks by a hash of the caller, so most came back to the same one.

Ruled out: advice by what the fleet has to spare (trial; best where callers move, and worst where they do not).

Advice of 0.25 to 4 s. No unit test tells the two advices apart; the case is an open finding.

--- a/tamarackbridge/components/gateway/shedding.py
+++ b/tamarackbridge/components/gateway/shedding.py
@@ -62,10 +62,11 @@
 MOST_CREDIT = 2.0
 """Requests that a workspace may catch up on after none of its were taken."""
 
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
-"""Bounds of the advice when to come back. A new connection most likely reaches
-another router, and callers wait from 1 to 12 s."""
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 4.0
+"""Bounds of the advice when to come back: callers may reach the same router
+again, where refusing them takes from serving others. They wait from 1 to 12 s,
+and take at most a third of what they have left."""
 
 SPREAD = 0.5
 """Part by which the advice varies, so that callers don't return together."""
