Give lapsed registrations their grace after an outage for all

A router that was refused by the store just before an outage for all used no server for two seconds after it: that any other router had been answered since its first failed call, however long ago, was taken for a store that was up for the others.

Now it counts only if others were answered until lately: an outage and the longest wait of a watch before the return. test_outage_for_all_after_a_refusal_here_gives_a_grace failed before; the tests of a store that turns single routers away pass as before.

--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -141,8 +141,10 @@
             return
         now = self._clock.monotonic()
         away_s = now - self._away_since
-        # Others were answered meanwhile: what lapsed has been gone for them.
-        was_up = self._known.edition(self._kind).at > self._away_since
+        # Others were answered until lately: what lapsed has been gone for them.
+        heard_at = self._known.edition(self._kind).at
+        recent_s = const.OUTAGE_S + self._known.wait_s(self._kind)
+        was_up = heard_at > self._away_since and now - heard_at < recent_s
         self._away_since = None
         self._known.away.discard(self._kind)
         if away_s > const.OUTAGE_S and not was_up:
--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -122,6 +122,40 @@
     assert not known.usable("lm", clock.now + 2.3)
 
 
+async def test_outage_for_all_after_a_refusal_here_gives_a_grace() -> None:
+    """Others were answered last 0.1 s after this router was refused first."""
+    s1 = source.ServerIs(builders.server("s1"))
+    clock = clocks.VirtualClock()
+    known = state.Knowledge(builders.BOUNDS)
+    gone = facts(9, source.ServerGone("s1"))
+    script = [(0.1, facts(5, s1)), (0.05, AWAY)]
+    script += [(1.8, AWAY)] * 3 + [(0.1, gone)]
+    refused_at = clock.now + 0.15
+    origin = ScriptedSource(clock, script)
+    taking = applier.Applier(
+        known, clock, lambda: None, origin.forgotten.append
+    )
+
+    def is_told(kind: source.Kind) -> bool:
+        if known.away and clock.now < refused_at + 0.5:
+            known.confirm(kind, refused_at + 0.1)
+        return False
+
+    made = follower.Follower(
+        source.Kind.SERVERS,
+        origin,
+        known,
+        taking,
+        clock,
+        random.Random(1),
+        is_told,
+    )
+    await made.on_start()
+    await origin.done.wait()
+    await made.on_stop()
+    assert known.usable("lm", clock.now + 1.0)
+
+
 async def test_registration_that_ends_while_others_read_has_no_grace() -> None:
     s1 = source.ServerIs(builders.server("s1"))
     clock = clocks.VirtualClock()
