Tell no wait at a listener where nothing waits, and close it without descriptors

Two turns that took just as many connections as are taken in one, with none left, looked like a wait since the first of them, and an idle router could shed. And a listener that closed while no descriptor was left raised, and stayed open. Both found in review, both tests failed before. In the test of turns the second turn now leaves some waiting, as it asks for a wait there; it asks for none after the third as before.

--- a/tamarackbridge/components/gateway/listener.py
+++ b/tamarackbridge/components/gateway/listener.py
@@ -128,6 +128,8 @@
                 taken += 1
                 self._take(conn, screened)
             if taken >= TAKEN_IN_TURN or refused >= REFUSED_IN_TURN:
+                if not _has_waiting(self._sock):
+                    break
                 now = self._loop.time()
                 self._since = min(self._since, now)
                 self.waited_s = now - self._since
@@ -145,9 +147,11 @@
             except ConnectionAbortedError:
                 continue  # It has gone; another may wait.
             except OSError as exc:
-                if exc.errno not in _NO_ROOM or not self._serving:
+                if exc.errno not in _NO_ROOM:
                     raise
                 logging.error("no room for a connection: %s", exc)
+                if not self._serving:
+                    return None
                 self._loop.remove_reader(self._sock)
                 self._timer = self._loop.call_later(RETRY_S, self._listen)
                 return None
@@ -192,6 +196,13 @@
         )
 
 
+def _has_waiting(listening: socket.socket) -> bool:
+    """Whether a connection waits to be taken."""
+    poll = select.poll()
+    poll.register(listening, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _has_left(conn: socket.socket) -> bool:
     """Whether a caller has closed its side of a connection."""
     poll = select.poll()
--- a/tests/components/gateway/test_screening.py
+++ b/tests/components/gateway/test_screening.py
@@ -1,6 +1,8 @@
 """Requests that a strained router refuses before it reads them."""
 
 import asyncio
+import errno
+import math
 import socket
 
 import pytest
@@ -157,7 +159,7 @@
         assert taking is not None
         monkeypatch.setattr(taking, "_take", lambda conn, _: taken.append(conn))
         cfg = here.cfg.callers
-        count = 2 * listener.TAKEN_IN_TURN
+        count = 3 * listener.TAKEN_IN_TURN
         callers = [
             socket.create_connection((cfg.host, cfg.port)) for _ in range(count)
         ]
@@ -166,12 +168,14 @@
         began = asyncio.get_running_loop().time()
         monkeypatch.setattr(taking._loop, "time", lambda: began + 5.0)
         taking._on_waiting()
-        assert len(taken) == count
-        assert taking.waited_s > 0.0
+        waited_s = taking.waited_s
         monkeypatch.undo()
+        monkeypatch.setattr(taking, "_take", lambda conn, _: taken.append(conn))
+        assert len(taken) == 2 * listener.TAKEN_IN_TURN
+        assert waited_s > 0.0
         taking._on_waiting()
+        assert len(taken) == count
         assert taking.waited_s == 0.0
-        await place.async_until(lambda: len(taken) == count)
         for sock in (*callers, *taken):
             sock.close()
 
@@ -210,3 +214,44 @@
     seen = dialect.PlatformDialect().glimpse(POST.encode())
     assert seen is not None
     assert (seen.request_id, seen.key) == ("q1", place.KEY)
+
+
+async def test_turn_that_took_all_tells_of_no_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Two such turns, a second apart, looked like a wait of a second."""
+    async with place.async_place(servers=1) as here:
+        taken: list[socket.socket] = []
+        taking = here.router._gateway._listener
+        assert taking is not None
+        monkeypatch.setattr(taking, "_take", lambda conn, _: taken.append(conn))
+        cfg = here.cfg.callers
+        callers = [
+            socket.create_connection((cfg.host, cfg.port))
+            for _ in range(listener.TAKEN_IN_TURN)
+        ]
+        taking._on_waiting()
+        assert len(taken) == listener.TAKEN_IN_TURN
+        assert taking._since == math.inf
+        for sock in (*callers, *taken):
+            sock.close()
+
+
+class _NoRoom(socket.socket):
+    """A listening socket of a process without descriptors."""
+
+    def accept(self) -> tuple[socket.socket, object]:
+        raise OSError(errno.EMFILE, "no descriptor")
+
+
+async def test_listener_closes_where_no_descriptor_is_left() -> None:
+    async with place.async_place(servers=1) as here:
+        screen = here.router._gateway._screen
+        with _NoRoom() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen()
+            made = listener.Listener(
+                sock, lambda _: asyncio.Protocol(), screen, here.router._spent
+            )
+            made.close()
+            assert sock.fileno() == -1
