Bound what a clump takes from a strained router's limit

A hundred requests at once of a workspace that had not been seen were taken up and left a debt of as many: another workspace got none of its 120 in two seconds. The debt is one burst at most. Found in review; test_clump_leaves_no_debt_beyond_a_burst failed before.

--- a/tamarackbridge/components/gateway/shedding.py
+++ b/tamarackbridge/components/gateway/shedding.py
@@ -141,7 +141,7 @@
         """Lets the limit's tokens grow; they bound what a burst takes."""
         burst = self.limit_per_s * INTERVAL_S
         grown = (now - self._filled_at) * self.limit_per_s
-        self._tokens = min(self._tokens + grown, burst)
+        self._tokens = min(max(self._tokens, -burst) + grown, burst)
         self._filled_at = now
 
     def note_ended(self) -> None:
--- a/tests/components/gateway/test_shedding.py
+++ b/tests/components/gateway/test_shedding.py
@@ -199,3 +199,18 @@
             shedder.admits("flood", now)
         shedder.note_delay(1.5 * shedding.STANDING_S, now)
     assert shedder.limit_per_s >= 0.5 * 4 / PROBE_S
+
+
+def test_clump_leaves_no_debt_beyond_a_burst() -> None:
+    """What an unknown workspace sent at once is taken from others after it."""
+    shedder = _shedder()
+    shedder.limit_per_s = 30.0
+    shedder._parts["other"] = 0.5
+    now = 1.0
+    for _ in range(100):
+        shedder.admits("unknown", now)
+    taken = 0
+    for _ in range(120):
+        now += 1 / 60
+        taken += shedder.admits("other", now)
+    assert taken >= 0.75 * 30.0 * 2.0
