Count no request as served whose caller left before it was sent

Of the starved workspace's 1,111 placements 375 ended as their caller left, and all of them counted against its share. Those found gone before anything was sent have certainly not run: they end as unsent, are taken back, and say nothing of the server. Those whose caller left later may have been read by an engine and count as before.

Ruled out: taking back all that ended before the first event; callers that leave early would use engines beyond their share. The test of a caller that leaves as it is admitted asks for it and failed before.

--- a/tamarackbridge/components/admission/permit.py
+++ b/tamarackbridge/components/admission/permit.py
@@ -76,4 +76,4 @@
         return
     admitted = fut.result()
     if isinstance(admitted, result.Ok):
-        admitted.ok_value.finish(jobs.Outcome.CANCELLED)
+        admitted.ok_value.finish(jobs.Outcome.UNSENT)
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -46,6 +46,7 @@
     LOST = "lost"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
+    UNSENT = "unsent"
 
 
 class Placement(Protocol):
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -105,7 +105,7 @@
             if isinstance(admitted, result.Err):
                 return self._give_up(job, stream, progress, admitted.err_value)
             if caller.has_left(req):
-                admitted.ok_value.finish(_Outcome.CANCELLED)
+                admitted.ok_value.finish(_Outcome.UNSENT)
                 raise exceptions.CallerGoneError("closed before the sending")
             with span.child("send") as hop:
                 sent = await self._async_send(
--- a/tamarackbridge/components/placement/health.py
+++ b/tamarackbridge/components/placement/health.py
@@ -30,6 +30,9 @@
         jobs.Outcome.MISDIRECTED,
     )
 )
+_TELL_NOTHING = frozenset(
+    (jobs.Outcome.CANCELLED, jobs.Outcome.UNSENT, jobs.Outcome.REFUSED)
+)
 _CERTAIN = frozenset((jobs.Outcome.UNREACHABLE, jobs.Outcome.MISDIRECTED))
 
 
@@ -58,7 +61,7 @@
             For how long the server is avoided from now on, in seconds; 0 if
             this changes nothing.
         """
-        if outcome in (jobs.Outcome.CANCELLED, jobs.Outcome.REFUSED):
+        if outcome in _TELL_NOTHING:
             return 0.0
         state = self._states.setdefault(server, _State())
         failed = outcome in _FAILURES
--- a/tests/components/admission/test_loads.py
+++ b/tests/components/admission/test_loads.py
@@ -200,6 +200,8 @@
     with contextlib.suppress(asyncio.CancelledError):
         await task
     assert replay.work.own() == {}
+    used = replay.desk.standings.use.sums(replay.clock.now)["w"]
+    assert used.served == 0.0
 
 
 async def test_request_that_waits_after_a_quiet_time_is_not_given_up() -> None:
