Count what routers shed as asked for

Cause: shares were worked out from what routers had taken up. What one refused unread was in no sum.

Change: the cost of shed requests, read from the kernel's buffer, is told with the use of workspaces and counts for the level, not for the part of what is taken up, which is already little. Callers that come back when they were told to count once. The new test of the gate fails before: the level is 0.8 of the capacity where 0.5 is due.

--- a/tamarackbridge/components/admission/gate.py
+++ b/tamarackbridge/components/admission/gate.py
@@ -94,7 +94,11 @@
         self.level = math.inf
         if nominal > 0:
             shared = capacity(nominal, sum(self._served.values()), spare)
-            self.level = shares.even_level(self._asked, shared)
+            wanted = {
+                name: (it.asked + it.shed) / window_s
+                for name, it in named.items()
+            }
+            self.level = shares.even_level(wanted, shared)
         for name in self._credits.keys() - named.keys():
             del self._credits[name]
 
--- a/tamarackbridge/components/admission/shares.py
+++ b/tamarackbridge/components/admission/shares.py
@@ -19,11 +19,14 @@
         asked: Cost of what a workspace asked for.
         served: Cost of what was begun for it.
         admitted: Cost of what was found to be within its share.
+        shed: Cost of what a router had no processor time to take up, each
+            caller counted once. `asked` is without it.
     """
 
     asked: float = 0.0
     served: float = 0.0
     admitted: float = 0.0
+    shed: float = 0.0
 
     def plus(self, other: "Use") -> "Use":
         """Returns the sum."""
@@ -31,6 +34,7 @@
             self.asked + other.asked,
             self.served + other.served,
             self.admitted + other.admitted,
+            self.shed + other.shed,
         )
 
     def less(self, other: "Use") -> "Use":
@@ -39,6 +43,7 @@
             self.asked - other.asked,
             self.served - other.served,
             self.admitted - other.admitted,
+            self.shed - other.shed,
         )
 
 
@@ -73,6 +78,10 @@
         """Counts a request that was sent to a server."""
         self._add(_Entry(now, workspace, Use(served=cost)))
 
+    def shed(self, workspace: str, cost: float, now: float) -> None:
+        """Counts a request that was not taken up."""
+        self._add(_Entry(now, workspace, Use(shed=cost)))
+
     def sums(self, now: float) -> Mapping[str, Use]:
         """Returns the use of each workspace over the window."""
         while self._entries and self._entries[0].at < now - self._window_s:
--- a/tamarackbridge/components/admission/standings.py
+++ b/tamarackbridge/components/admission/standings.py
@@ -6,6 +6,7 @@
     gate,
     inputs,
     pressure,
+    returns,
     shares,
     verdict,
 )
@@ -49,6 +50,7 @@
         self.pressure = pressure.Pressure()
         self._using = using
         self._others = others
+        self._returns = returns.Returns()
         self._gate = gate.ShareGate(rng)
         self._spare = 0.0
         self._level_at = -1.0
@@ -62,6 +64,20 @@
             self.use.admit(workspace, cost, now)
         return admitted
 
+    def shed(
+        self, workspace: str, cost: float, retry_s: float, now: float
+    ) -> None:
+        """Counts a request that this router had no processor time for.
+
+        Args:
+            workspace: Its workspace.
+            cost: Its cost.
+            retry_s: When its caller is to come back; it counts once.
+            now: The time.
+        """
+        if not self._returns.refuse(workspace, retry_s, now):
+            self.use.shed(workspace, cost, now)
+
     def end(
         self, workspace: str, cost: float, outcome: jobs.Outcome, now: float
     ) -> None:
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -36,6 +36,7 @@
     asked: int
     served: int
     admitted: int = 0
+    shed: int = 0
 
 
 class SeenLoad(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/summary.py
+++ b/tamarackbridge/components/fleet/summary.py
@@ -107,7 +107,11 @@
     """Returns the use of workspaces as it is told."""
     return tuple(
         messages.WorkspaceUse(
-            name, int(it.asked), int(it.served), int(it.admitted)
+            name,
+            int(it.asked),
+            int(it.served),
+            int(it.admitted),
+            int(it.shed),
         )
         for name, it in use.items()
     )
@@ -118,7 +122,7 @@
 ) -> dict[str, shares.Use]:
     """Returns use of workspaces that was told."""
     return {
-        it.workspace: shares.Use(it.asked, it.served, it.admitted)
+        it.workspace: shares.Use(it.asked, it.served, it.admitted, it.shed)
         for it in told
     }
 
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -64,11 +64,17 @@
         request_id: Identifies the request.
         key: The caller's key; empty if it sent none.
         patience_s: How long the caller waits; None if it did not say.
+        prompt_tokens: Tokens to read.
+        output_tokens: Greatest number of tokens to generate.
+        output_hint: The caller's estimate of it; 0 if there is none.
     """
 
     request_id: str
     key: str
     patience_s: float | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    output_hint: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tamarackbridge/components/gateway/screening.py
+++ b/tamarackbridge/components/gateway/screening.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+from typing import TypeAlias
 
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
@@ -26,6 +27,11 @@
 }
 
 
+NoteShed: TypeAlias = Callable[[str, models.Glimpse, float], None]
+"""Told what is refused unread: its workspace, what was seen of it, and when its
+caller is to come back, in seconds."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offloading:
     """How requests are offloaded to peers.
@@ -63,6 +69,7 @@
         shedder: shedding.Shedder,
         meter: strain.LagMeter,
         log: request_log.RequestLog,
+        note_shed: NoteShed,
         offloading: Offloading | None = None,
     ) -> None:
         self._known = known
@@ -71,6 +78,7 @@
         self._shedder = shedder
         self._meter = meter
         self._log = log
+        self._note_shed = note_shed
         self._offloading = offloading
 
     @property
@@ -89,7 +97,9 @@
         offloaded = self._offloaded(seen, data)
         if offloaded is not None:
             return offloaded
-        self._log.shed(seen.request_id, self._workspace(seen.key))
+        workspace = self._workspace(seen.key)
+        self._log.shed(seen.request_id, workspace)
+        self._note_shed(workspace, seen, retry_s)
         headers = self._dialect.refusal(seen.request_id)
         return answers.raw(answers.Refusal(_REASON, retry_s), headers)
 
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -87,6 +87,7 @@
         shedder: shedding.Shedder,
         spent: processor.ProcessorTime,
         tracer: spans.Tracer,
+        note_shed: screening.NoteShed,
         offloading: screening.Offloading | None = None,
     ) -> None:
         super().__init__()
@@ -95,8 +96,9 @@
         self._shedder = shedder
         self._spent = spent
         self._screen = screening.RequestScreen(
-            known, dialect, clock, shedder, meter, log
+            known, dialect, clock, shedder, meter, log, note_shed
         )
+        self._note_shed = note_shed
         self._offloading = offloading
         self._pipes: pipes.Pipes | None = None
         self._offload_listener: listener.Listener | None = None
@@ -141,6 +143,7 @@
                 self._shedder,
                 self._meter,
                 self._log,
+                self._note_shed,
                 offloading,
             ),
         )
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -77,10 +77,16 @@
         if not request_id:
             return None
         patience_ms = _count(values.get(const.HEADER_DEADLINE.lower(), ""))
+        read, generated = _tokens(values.get(const.HEADER_TOKENS.lower(), ""))
         return models.Glimpse(
-            request_id,
-            values.get(const.HEADER_KEY.lower(), ""),
-            patience_ms / const.MS_PER_S if patience_ms else None,
+            request_id=request_id,
+            key=values.get(const.HEADER_KEY.lower(), ""),
+            patience_s=patience_ms / const.MS_PER_S if patience_ms else None,
+            prompt_tokens=read,
+            output_tokens=generated,
+            output_hint=_count(
+                values.get(const.HEADER_OUTPUT_HINT.lower(), "")
+            ),
         )
 
     def write_call(
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -13,6 +13,7 @@
 
 from tamarackbridge import core, crash_watch, messages, platform_gauges
 from tamarackbridge.components.admission import (
+    costs,
     desk,
     inputs,
     metered,
@@ -26,6 +27,7 @@
     forward,
     headroom,
     load_log,
+    models,
     offload,
     request_log,
     runner,
@@ -180,6 +182,7 @@
             self._shedder,
             self._spent,
             self._tracer,
+            self._note_shed,
             self._make_offloading(),
         )
         made.use(
@@ -305,6 +308,15 @@
         """Returns the part of a workspace's requests within its share."""
         return self._desk.standings.of(workspace, True).part
 
+    def _note_shed(
+        self, workspace: str, seen: models.Glimpse, retry_s: float
+    ) -> None:
+        """Counts what a workspace asked for and was refused unread."""
+        cost = costs.cost(seen)
+        if workspace and cost:
+            now = self._clock.monotonic()
+            self._desk.standings.shed(workspace, cost, retry_s, now)
+
     def _use(self) -> dict[str, shares.Use]:
         return dict(self._desk.standings.use.sums(self._clock.monotonic()))
 
--- a/tests/components/admission/replay_front.py
+++ b/tests/components/admission/replay_front.py
@@ -219,6 +219,12 @@
         if attempt.peer is None and self._offloads(attempt, loop):
             return True
         retry_s = self.shedder.retry_s(workspace)
+        self._desk.standings.shed(
+            workspace,
+            fleet_replay.tokens(attempt.fate.arrival),
+            retry_s,
+            loop.time(),
+        )
         self._answer(attempt, "shed", retry_s, closes=True)
         return True
 
--- a/tests/components/admission/test_gate.py
+++ b/tests/components/admission/test_gate.py
@@ -189,3 +189,18 @@
 ) -> None:
     """Stated are 1,000 tokens a second."""
     assert least <= gate.capacity(1_000.0, served, spare) <= most
+
+
+def test_what_routers_shed_counts_for_the_level() -> None:
+    """Others must not get what a workspace is due whose router is strained."""
+    made = gate.ShareGate(random.Random(1))
+    use = {
+        "strained": shares.Use(
+            asked=0.2 * NOMINAL, served=0.2 * NOMINAL, shed=0.8 * NOMINAL
+        ),
+        "other": shares.Use(asked=1.5 * NOMINAL, served=0.8 * NOMINAL),
+    }
+    made.refresh(use, 1.0, NOMINAL, 0.0)
+    assert made.level == pytest.approx(0.5 * NOMINAL)
+    assert made.part("other") == pytest.approx(1.0 / 3.0)
+    assert made.part("strained") == 1.0
