Read registrations whatever a single entry holds

What another operator saw: one odd entry among those of the engines, very deeply nested, with a number too large or a port out of range, and routers stopped following the list.

Cause: the whole page was decoded at once, so one entry beyond the decoder's depth or number range made all unreadable; ports were checked for digits alone, and an address that is no address raised while a request was sent.

The list of routers has the same check. 11 of the new tests of the store and 9 of the records' fail before.

--- a/tamarackbridge/platform/directory.py
+++ b/tamarackbridge/platform/directory.py
@@ -4,7 +4,7 @@
 
 import result
 
-from tamarackbridge.platform import const, store
+from tamarackbridge.platform import const, records, store
 
 
 class StoreDirectory:
@@ -42,8 +42,9 @@
 
 
 def _address(name: str) -> str:
-    host, _, port = name.rpartition("_")
-    return f"{host}:{port}" if host and port.isdigit() else ""
+    """Returns the address that a name stands for; empty where it is none."""
+    address = ":".join(name.rsplit("_", 1))
+    return address if records.is_address(address) else ""
 
 
 def _zone(spec: Any) -> str:
--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -1,7 +1,8 @@
 """Reads the store's objects into the product's records."""
 
 from collections.abc import Mapping
-from typing import Any
+import ipaddress
+from typing import Annotated, Any
 
 import msgspec
 
@@ -72,14 +73,21 @@
     tenants: tuple[_Workspace, ...] | None = None
 
 
+MAX_PORT_DIGITS = 5
+
+MAX_NUMBER = 2**53
+"""Largest number that is read; larger ones are not exact in JSON."""
+
+
 class _Server(msgspec.Struct):
     service: str
     address: str
     zone: str
     state: str
-    slots: int = 0
-    cold_remaining_ms: float = 0
-    born: int = 0  # Unix milliseconds of the server's start.
+    slots: Annotated[int, msgspec.Meta(le=MAX_NUMBER)] = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=MAX_NUMBER)] = 0
+    # Unix milliseconds of the server's start.
+    born: Annotated[int, msgspec.Meta(le=MAX_NUMBER)] = 0
 
 
 def configuration(spec: Any) -> models.Configuration:
@@ -114,8 +122,7 @@
     found = _convert(spec, _Server)
     if found.state not in ("ready", "draining"):
         raise exceptions.RecordError(f"{name}: state {found.state!r}")
-    host, _, port = found.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not is_address(found.address):
         raise exceptions.RecordError(f"{name}: address {found.address!r}")
     return models.BackendServer(
         name=name,
@@ -129,6 +136,18 @@
     )
 
 
+def is_address(text: str) -> bool:
+    """Whether a text names an IPv4 address and a port."""
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) < 65_536
+
+
 def _convert(spec: Any, kind: type[Any]) -> Any:
     try:
         return msgspec.convert(spec, kind)
--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -1,5 +1,6 @@
 """The platform's store over HTTP."""
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 from typing import Any
@@ -9,8 +10,9 @@
 import result
 
 from tamarackbridge import core
+from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import bounded_answers, send_once
-from tamarackbridge.platform import const
+from tamarackbridge.platform import const, entries
 
 CONNECT_TIMEOUT_S = 0.5
 """The store answers in 4 ms when it is well; a lost packet costs 0.2 s."""
@@ -59,24 +61,14 @@
     revision: int
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: Any = None
-
-
 class _List(msgspec.Struct):
     as_of: int
-    items: tuple[_Object, ...] = ()
+    items: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
 
 
 class _Event(msgspec.Struct):
-    object: _Object
+    object: msgspec.Raw
     deleted: bool = False
 
 
@@ -87,7 +79,6 @@
 
 _LIST = msgspec.json.Decoder(_List)
 _WATCH = msgspec.json.Decoder(_Watch)
-_OBJECT = msgspec.json.Decoder(_Object)
 
 Paged = result.Result[Page, Failure]
 
@@ -136,11 +127,12 @@
                 return answer
             page: _List = answer.ok_value
             revision = revision or page.as_of
-            objects.extend(_stored(item) for item in page.items)
-            if not page.has_more or not page.items:
+            found = _stored(kind, ((item, False) for item in page.items))
+            objects.extend(found)
+            if not page.has_more or not found:
                 return result.Ok(Page(tuple(objects), revision))
             # The parameter takes the last name of the page before.
-            query = {"since_revision": page.items[-1].metadata.name}
+            query = {"since_revision": found[-1].name}
 
     async def async_watch(
         self, kind: str, revision: int, wait_s: float
@@ -152,8 +144,10 @@
         if isinstance(answer, result.Err):
             return answer
         found: _Watch = answer.ok_value
-        objects = tuple(_stored(it.object, it.deleted) for it in found.events)
-        return result.Ok(Page(objects, found.as_of))
+        objects = _stored(
+            kind, ((it.object, it.deleted) for it in found.events)
+        )
+        return result.Ok(Page(tuple(objects), found.as_of))
 
     async def async_put(
         self, kind: str, name: str, spec: Any
@@ -183,8 +177,8 @@
         if isinstance(data, result.Err):
             return data
         try:
-            return result.Ok(decoder.decode(data.ok_value))
-        except (msgspec.MsgspecError, RecursionError):
+            return result.Ok(entries.page(data.ok_value, decoder))
+        except msgspec.MsgspecError:
             return result.Err(Failure.UNREADABLE)
 
     async def _async_call(
@@ -225,9 +219,20 @@
 }
 
 
-def _stored(item: _Object, deleted: bool = False) -> StoredObject:
-    meta = item.metadata
-    return StoredObject(meta.name, meta.revision, item.spec, deleted)
+def _stored(
+    kind: str, items: Iterable[tuple[msgspec.Raw, bool]]
+) -> list[StoredObject]:
+    """Returns objects that have a name, each with whether it is deleted."""
+    found = []
+    for item, deleted in items:
+        read = entries.entry(item)
+        if read is None:
+            events.write(events.RecordUnreadable(kind, "", "it has no name"))
+            continue
+        meta = read.metadata
+        spec = entries.content(read.spec)
+        found.append(StoredObject(meta.name, meta.revision, spec, deleted))
+    return found
 
 
 def _nothing(data: bytes) -> None:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -125,6 +125,15 @@
         {**SERVER, "zone": None},
         {**SERVER, "slots": "many"},
         {**SERVER, "service": ["lm"]},
+        {**SERVER, "address": "10.0.0.1:65536"},
+        {**SERVER, "address": "10.0.0.1:0"},
+        {**SERVER, "address": "10.0.0.1:\N{SUPERSCRIPT TWO}"},
+        {**SERVER, "address": "[::1:80"},
+        {**SERVER, "address": "a b:80"},
+        {**SERVER, "address": "10.0.0.1:" + "9" * 5_000},
+        {**SERVER, "slots": 10**30},
+        {**SERVER, "born": 10**30},
+        {**SERVER, "cold_remaining_ms": 1e300},
     ],
 )
 def test_unreadable_registration_names_no_server(spec: Any) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -202,3 +202,69 @@
     async with _async_endless(before, b"x") as (_, client):
         answer = await client.async_list("servers")
         assert answer == result.Err(Failure.UNREACHABLE)
+
+
+def _entry(name: str, spec: str) -> str:
+    return f'{{"metadata":{{"name":"{name}","revision":1}},"spec":{spec}}}'
+
+
+@contextlib.asynccontextmanager
+async def _async_saying(body: str) -> AsyncIterator[store.Store]:
+    """Yields a client of a store that gives one answer."""
+
+    async def async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode()
+        writer.write(head.replace(b" X", b" OK", 1) + body.encode())
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(async_serve, "127.0.0.1", 0)
+    client = store.Store(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+    await client.start()
+    yield client
+    await client.stop()
+    listener.close()
+
+
+ODD = (
+    "[" * 100_000 + "]" * 100_000,
+    '{"a":' * 5_000 + "1" + "}" * 5_000,
+    '{"slots":1e999}',
+    '{"slots":' + "9" * 5_000 + "}",
+    '{"text":"[[[[\\"","deep":' + "[" * 5_000 + "]" * 5_000 + "}",
+)
+
+
+@pytest.mark.parametrize("odd", ODD, ids=range(len(ODD)))
+async def test_odd_entry_does_not_hide_the_others(odd: str) -> None:
+    """One entry of another writer must not end the following of the list."""
+    items = f"[{_entry('a', '{}')},{_entry('odd', odd)},{_entry('b', '{}')}]"
+    async with _async_saying(f'{{"as_of":7,"items":{items}}}') as client:
+        page = (await client.async_list("servers")).ok_value
+    assert [it.name for it in page.objects] == ["a", "odd", "b"]
+    assert [it.spec for it in page.objects] == [{}, None, {}]
+    assert page.revision == 7
+
+
+@pytest.mark.parametrize("odd", ODD, ids=range(len(ODD)))
+async def test_odd_entry_does_not_hide_other_changes(odd: str) -> None:
+    found = (
+        f'{{"object":{it}}}' for it in (_entry("odd", odd), _entry("b", "{}"))
+    )
+    body = f'{{"as_of":8,"events":[{",".join(found)}]}}'
+    async with _async_saying(body) as client:
+        page = (await client.async_watch("servers", 7, 0.0)).ok_value
+    assert [(it.name, it.spec) for it in page.objects] == [
+        ("odd", None),
+        ("b", {}),
+    ]
+
+
+async def test_entry_without_a_name_is_left_out() -> None:
+    items = f'[{{"metadata":{{}}}},3,{_entry("b", "{}")}]'
+    async with _async_saying(f'{{"as_of":7,"items":{items}}}') as client:
+        page = (await client.async_list("servers")).ok_value
+    assert [it.name for it in page.objects] == ["b"]
