Use no connection again whose answer names no request

What another operator saw: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran.

Cause: an answer of another request is known by the identifier that it echoes. Refusals need not echo one, so a repeated one passed for the answer to the next request of its connection. Bytes that wait before a request is sent were noticed already; those that come after it were not.

Change: a connection is closed after an answer that names no request. Both new tests (503 and 421) fail before, with 503 for a request that ran.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -18,6 +18,11 @@
 
     NONE = "none"
     REFUSE = "refuse"
+    REFUSE_AGAIN = "refuse_again"
+    """Its refusal names no request, and comes again before the answer to the
+    next request of the connection."""
+    MISDIRECT_AGAIN = "misdirect_again"
+    """The same with 421."""
     ELSEWHERE = "elsewhere"
     FAIL = "fail"
     LOSE = "lose"
@@ -59,6 +64,11 @@
 EVENTS = 6
 """Events of a whole stream."""
 
+_AGAIN = {
+    Fault.REFUSE_AGAIN: "503 X\r\nX-Not-Executed: 1",
+    Fault.MISDIRECT_AGAIN: "421 X",
+}
+
 _BEGINS_ANEW = frozenset((Fault.RESTART, Fault.SHORT_RESTART, Fault.NO_NUMBERS))
 _CUT_BETWEEN = frozenset((Fault.CUT_BETWEEN, Fault.CUT_NO_NUMBERS))
 _ENDS = {Fault.SHORT_RESTART: 1}
@@ -95,6 +105,7 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._serving: set[asyncio.Task[None]] = set()
+        self._owed: dict[asyncio.StreamWriter, bytes] = {}
 
     @property
     def address(self) -> str:
@@ -157,6 +168,12 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         request_id = seen.headers["X-Request-Id"]
+        writer.write(self._owed.pop(writer, b""))
+        if isinstance(fault, Fault) and fault in _AGAIN:
+            text = f"HTTP/1.1 {_AGAIN[fault]}\r\nContent-Length: 0\r\n\r\n"
+            self._owed[writer] = text.encode()
+            writer.write(text.encode())
+            return True
         if fault is Fault.REFUSE or self.refuses:
             self._write(writer, 503, request_id, b"", "X-Not-Executed: 1\r\n")
             return True
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -144,6 +144,9 @@
                 return
             if head.told is not models.Told.ELSEWHERE:
                 order.sink.told(head)
+            if not head.named:
+                # If it came once more, it would pass for the next answer.
+                servers.use_no_further(resp)
             events = order.events
             is_stream = resp.content_type == _STREAM_TYPE and head.sealed
             if events is not None and resp.status == 200 and is_stream:
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -119,6 +119,7 @@
             not.
         leaving: Whether the server says that it leaves.
         unreadable: Headers about the server with a value that means nothing.
+        named: Whether it names the request that it answers.
     """
 
     status: int
@@ -128,6 +129,7 @@
     retry_after_s: float = 0.0
     leaving: bool = False
     unreadable: tuple[str, ...] = ()
+    named: bool = True
 
     @property
     def closed_s(self) -> float:
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -165,6 +165,13 @@
     return isinstance(proto, ServerProtocol) and proto.failure is not None
 
 
+def use_no_further(resp: aiohttp.ClientResponse) -> None:
+    """Closes the connection of an answer once that has been read."""
+    proto = cast(Any, resp)._protocol
+    if isinstance(proto, ServerProtocol):
+        proto.force_close()
+
+
 def _note_idle_time(resp: aiohttp.ClientResponse) -> None:
     conn = resp.connection
     if conn is None or not isinstance(conn.protocol, ServerProtocol):
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -129,6 +129,7 @@
             retry_after_s=retry_s or 0.0,
             leaving=leaving == _LEAVES,
             unreadable=tuple(unreadable),
+            named=const.HEADER_REQUEST_ID.lower() in values,
         )
 
     def refusal(self, request_id: str) -> Mapping[str, str]:
--- a/tests/components/gateway/test_requests.py
+++ b/tests/components/gateway/test_requests.py
@@ -182,6 +182,20 @@
         assert here.ran() == ["q0", "q1", "q2"]
 
 
+@pytest.mark.parametrize("fault", [Fault.REFUSE_AGAIN, Fault.MISDIRECT_AGAIN])
+async def test_refusal_that_comes_again_is_not_the_next_answer(
+    fault: Fault,
+) -> None:
+    """A caller would be told "not run" of a request that runs."""
+    async with place.async_place(servers=1) as here:
+        here.servers[0].faults = [fault]
+        first = await here.async_send("/pay/1", request_id="q0")
+        assert first.status == 503
+        got = await here.async_send("/pay/1", request_id="q1")
+        assert got.body == b"answer to q1"
+        assert here.ran() == ["q1"]
+
+
 async def test_route_timeout_ends_the_wait() -> None:
     async with place.async_place(servers=1) as here:
         here.servers[0].faults = [Fault.HANG]
