Offload nothing while shutting down

A request at a peer may take longer than the shutdown leaves, and the router would cut its answer. The new test fails before: the request went to the peer.

--- a/tamarackbridge/components/gateway/screening.py
+++ b/tamarackbridge/components/gateway/screening.py
@@ -59,6 +59,8 @@
 
     Args:
         offloading: How requests are offloaded; None if they are not.
+        draining: Tells whether the router is shutting down; it offloads
+            nothing then, as a peer may take longer than that leaves.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         log: request_log.RequestLog,
         note_shed: NoteShed,
         offloading: Offloading | None = None,
+        draining: Callable[[], bool] = lambda: False,
     ) -> None:
         self._known = known
         self._dialect = dialect
@@ -80,6 +83,7 @@
         self._log = log
         self._note_shed = note_shed
         self._offloading = offloading
+        self._draining = draining
 
     @property
     def shedding(self) -> bool:
@@ -109,6 +113,8 @@
         """Returns how a request is offloaded; None if no peer has room."""
         if self._offloading is None or seen.patience_s is None:
             return None
+        if self._draining():
+            return None
         now = self._clock.monotonic()
         peer = self._offloading.offloader.pick(now)
         if not peer:
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -139,6 +139,7 @@
                 self._log,
                 self._note_shed,
                 offloading,
+                lambda: self.draining,
             ),
         )
         if offloading is not None:
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -359,11 +359,10 @@
         except exceptions.SettingsError as exc:
             events.write(events.Reloaded((), str(exc)))
             return
-        names = [it.name for it in dataclasses.fields(cfg)]
         changed = [
-            name
-            for name in names
-            if getattr(cfg, name) != getattr(self._cfg, name)
+            it.name
+            for it in dataclasses.fields(cfg)
+            if getattr(cfg, it.name) != getattr(self._cfg, it.name)
         ]
         self._cfg = cfg
         self._known.use_bounds(cfg.bounds)
--- a/tests/components/gateway/test_offload.py
+++ b/tests/components/gateway/test_offload.py
@@ -149,6 +149,17 @@
         assert not math.isnan(float(got.headers["Retry-After"]))
 
 
+async def test_router_that_shuts_down_offloads_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A peer may take longer than the shutdown leaves."""
+    async with _async_two(monkeypatch) as (here, peer):
+        here.begin_shutdown()
+        got = await here.async_send("/pay/1")
+        assert got.status == 503
+        assert peer.ran() == []
+
+
 async def test_shutdown_waits_for_what_a_peer_serves(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
