--- a/tamarackbridge/components/gateway/headroom.py
+++ b/tamarackbridge/components/gateway/headroom.py
@@ -5,6 +5,8 @@
 import math
 import selectors
 
+from tamarackbridge import core
+
 SMOOTHING_S = 0.3
 """Time over which the busy part is averaged: a few intervals of the lag's
 probes, and shorter than the time between two reports to other routers."""
@@ -54,6 +56,11 @@
         return self._counting.idle_s
 
 
+def make_loop() -> asyncio.AbstractEventLoop:
+    """Returns a loop that counts its waits on the routers' clock."""
+    return IdleLoop(core.SystemClock().monotonic)
+
+
 def loop_idle_s() -> float:
     """Returns for how long the running loop had nothing to do, in seconds."""
     loop = asyncio.get_running_loop()
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import functools
 import os
 import random
 import secrets
@@ -390,10 +389,7 @@
     async def async_main() -> int:
         return await PlatformRouter(cfg, tracer).async_run()
 
-    make_loop = functools.partial(
-        headroom.IdleLoop, core.SystemClock().monotonic
-    )
-    with asyncio.Runner(loop_factory=make_loop) as running:
+    with asyncio.Runner(loop_factory=headroom.make_loop) as running:
         code = running.run(async_main())
     loop_signals.ignore(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     tracer.close()
