Keep the limit of a strained router sound where it offloads without one

A router whose lag alone is too high offloads while it has no limit yet. Its tokens then were infinity times nothing, and no later limit allowed to offload. Found in review; the new test fails before with no peer at the second request.

--- a/tamarackbridge/components/gateway/shedding.py
+++ b/tamarackbridge/components/gateway/shedding.py
@@ -166,12 +166,15 @@
 
         That takes work too, so it counts against the limit.
         """
+        if not self.active:
+            return True
         self._fill(now)
         return self._tokens >= 0.0
 
     def note_offloaded(self) -> None:
         """Counts a request that goes to a peer."""
-        self._tokens -= OFFLOAD_WORK
+        if self.active:
+            self._tokens -= OFFLOAD_WORK
         self._ended += OFFLOAD_WORK
 
     def retry_s(self, workspace: str) -> float:
--- a/tests/components/gateway/test_offload.py
+++ b/tests/components/gateway/test_offload.py
@@ -63,6 +63,15 @@
     assert most * 0.9 <= sent <= most * 1.2
 
 
+def test_offloading_without_a_limit_leaves_the_limit_sound() -> None:
+    """A router whose lag alone is too high offloads before it has a limit."""
+    offloader = _offloader({"a": offload.Spare(FAR, 1.0)})
+    _shed(offloader, math.inf)
+    assert offloader.pick(1.0) == offloader.pick(1.0) == "a"
+    _shed(offloader, 20.0)
+    assert offloader.pick(2.0) == "a"
+
+
 def test_spare_processor_is_what_is_idle_less_a_reserve() -> None:
     idle_s = 0.0
     room = headroom.Headroom(2.0, lambda: idle_s)
