--- a/tests/components/gateway/test_lines.py
+++ b/tests/components/gateway/test_lines.py
@@ -106,7 +106,7 @@
     lines: list[events.Event],
 ) -> None:
     async with place.async_place() as here:
-        text = place.settings_text(here.store.address, [1, 2, 3])
+        text = place.settings_text(here.store.address, [1, 2, 3, 4])
         file = tmp_path / "settings.conf"
         monkeypatch.setenv(const.SETTINGS_VARIABLE, str(file))
         file.write_text(text + "\nbounds.revoke_ms=9000\n")
