Log what marks the end of an answer and which attempt gave it

SendingEnded and Answered now have the framing of the server's answer (length, chunked or close), and Answered the number of attempts and the events of the last one; a counter has the sendings without framing, by how they ended.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -10,6 +10,7 @@
 
 from tamarackbridge.components.gateway import (
     exceptions,
+    message_framing,
     models,
     relay,
     servers,
@@ -25,6 +26,7 @@
 first bytes of each: an eighth of a router's default memory of 256 MB."""
 
 _STREAM_TYPE = "text/event-stream"
+_UNMARKED = message_framing.Framing.CLOSE
 
 
 class AttemptEnd(enum.Enum):
@@ -64,6 +66,8 @@
         end: How the attempt ended.
         detail: Error text for the log; empty if there is no error.
         head: Head of the response; None until received.
+        framing: What marks the end of the body; None until the head is
+            received.
         body: Body of a response that is not streamed.
         streamed: Whether events are forwarded as they arrive.
         events: Number of events that were forwarded.
@@ -75,6 +79,7 @@
     end: AttemptEnd = AttemptEnd.LOST
     detail: str = ""
     head: models.ResponseHead | None = None
+    framing: message_framing.Framing | None = None
     body: bytes = b""
     streamed: bool = False
     events: int = 0
@@ -175,6 +180,7 @@
                 params.request, resp.status, resp.raw_headers
             )
             attempt.head = head
+            attempt.framing = message_framing.of_response(resp)
             attempt.head_at = asyncio.get_running_loop().time()
             params.sink.record_activity()
             if head.disposition is models.Disposition.MISMATCHED:
@@ -224,7 +230,7 @@
             attempt.detail = "connection was reset during the stream"
         elif events.has_partial_event:
             attempt.detail = "stream ended in the middle of an event"
-        elif events.is_empty and not servers.has_framing(resp):
+        elif events.is_empty and attempt.framing is _UNMARKED:
             attempt.detail = "connection closed before the first event"
         elif not events.may_end:
             attempt.detail = "stream ended before the last event the caller has"
--- a/tamarackbridge/components/gateway/metrics.py
+++ b/tamarackbridge/components/gateway/metrics.py
@@ -33,6 +33,12 @@
             "Sendings to servers, by how they ended.",
             ("end",),
         )
+        self._unmarked = registry.counter(
+            "unmarked_answers",
+            "Sendings whose answer has neither length nor chunks, by how they"
+            " ended.",
+            ("end",),
+        )
         self._cuts = registry.counter(
             "cuts", "Answers ended before they were whole, by whom.", ("by",)
         )
@@ -84,9 +90,16 @@
         """Counts a response that the router made itself."""
         self._rejections.labels(reason).inc()
 
-    def count_attempt(self, end: str) -> None:
-        """Counts an attempt to send a request to a server."""
+    def count_attempt(self, end: str, framing: str) -> None:
+        """Counts an attempt to send a request to a server.
+
+        Args:
+            end: How it ended.
+            framing: What marks the end of the response; empty without one.
+        """
         self._attempts.labels(end).inc()
+        if framing == "close":
+            self._unmarked.labels(end).inc()
 
     def count_cut(self, by: str) -> None:
         """Counts a response that was cut off.
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -48,7 +48,7 @@
         again: bool,
     ) -> None:
         """Records a failed attempt and whether the request is retried."""
-        self._metrics.count_attempt(attempt.end.value)
+        self._metrics.count_attempt(attempt.end.value, _logged_framing(attempt))
         since_head_s = -1.0
         if attempt.head_at is not None:
             since_head_s = attempt.ended_at - attempt.head_at
@@ -62,6 +62,7 @@
                 seconds=round(attempt.ended_at - attempt.sent_at, 4),
                 since_head_s=round(since_head_s, 4),
                 events=attempt.events,
+                framing=_logged_framing(attempt),
                 blocks=tuple(
                     block.name for block in job.request.prompt_blocks[:-1]
                 ),
@@ -82,15 +83,24 @@
         stream: response_stream.ResponseStream,
         attempt: forward.Attempt,
         server: str,
+        attempts: int,
     ) -> None:
-        """Records a response that was forwarded from a server."""
+        """Records a response that was forwarded from a server.
+
+        Args:
+            job: The job.
+            stream: The response.
+            attempt: Its last attempt.
+            server: Server of the last attempt.
+            attempts: Number of attempts, including the last one.
+        """
         now = self._clock.monotonic()
         first_at = (
             stream.first_event_at if stream.first_event_at is not None else now
         )
         status = attempt.head.status if attempt.head is not None else 0
         route = job.route
-        self._metrics.count_attempt(attempt.end.value)
+        self._metrics.count_attempt(attempt.end.value, _logged_framing(attempt))
         self._metrics.count_answer(
             route.name, status, first_at - job.arrived, now - job.arrived
         )
@@ -105,6 +115,9 @@
                 longest_pause_s=round(stream.longest_pause_s, 4),
                 allowed_pause_s=route.target_gap_s,
                 events=stream.event_count,
+                attempts=attempts,
+                last_events=attempt.events,
+                framing=_logged_framing(attempt),
                 seconds=round(now - job.arrived, 4),
             )
         )
@@ -209,6 +222,11 @@
         events.write(events.CallerLeft(request_id, route, round(seconds, 4)))
 
 
+def _logged_framing(attempt: forward.Attempt) -> str:
+    """Returns the framing for the log; empty if there was no head."""
+    return "" if attempt.framing is None else attempt.framing.value
+
+
 def _logged_rate(per_s: float) -> float:
     """Rounds a rate for the log; returns -1 for no limit."""
     return round(per_s, 1) if math.isfinite(per_s) else -1.0
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -50,12 +50,14 @@
 
     Attributes:
         may_have_run: Whether any server may have run the request.
-        connect_failures: Number of attempts that failed before any part of the
-            request was sent.
+        attempts: Number of attempts, including those that failed before any
+            part of the request was sent.
+        connect_failures: Number of the latter.
         last: Last attempt; None if there was none.
     """
 
     may_have_run: bool = False
+    attempts: int = 0
     connect_failures: int = 0
     last: forward.Attempt | None = None
 
@@ -167,6 +169,7 @@
                     "caller disconnected before the request was sent"
                 )
             run.is_sending = True
+            progress.attempts += 1
             with span.child("send") as attempt_span:
                 attempt = await self._async_send(
                     job, stream, events, admitted.ok_value, attempt_span
@@ -183,7 +186,9 @@
                 attempt.streamed or stream.response is None
             )
             if is_complete and not _is_failure(attempt):
-                self._log.record_response(job, stream, attempt, server)
+                self._log.record_response(
+                    job, stream, attempt, server, progress.attempts
+                )
                 return await self._async_respond(stream, attempt)
             _record_failure(job, attempt, progress, server)
             will_retry = (
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -204,15 +204,6 @@
     return isinstance(proto, ServerProtocol) and proto.failure is not None
 
 
-def has_framing(resp: aiohttp.ClientResponse) -> bool:
-    """Returns whether the head states how the end of the body is marked.
-
-    Otherwise the body ends with its connection, whatever the reason.
-    """
-    headers = resp.headers
-    return hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
-
-
 def close_after_response(resp: aiohttp.ClientResponse) -> None:
     """Closes the connection of a response once the response has been read."""
     proto = cast(Any, resp)._protocol
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -354,8 +354,10 @@
 
     `end` is how it ended, and `again` whether the request is tried again.
     `seconds` is the time since it was sent, and `since_head_s` that since the
-    head of the answer, -1 without one; `events` of it were passed on. `blocks`
-    are the prompt blocks that the request shares with others.
+    head of the answer, -1 without one; `events` of it were passed on. `framing`
+    is what marks the end of its body: `length`, `chunked` or `close` (nothing
+    does), empty without a head. `blocks` are the prompt blocks that the request
+    shares with others.
     """
 
     request: str
@@ -366,6 +368,7 @@
     seconds: float
     since_head_s: float
     events: int
+    framing: str
     blocks: tuple[str, ...]
 
 
@@ -373,8 +376,9 @@
     """A server's complete answer was passed on.
 
     `first_event_s` and `longest_pause_s` are measured; `target_s` and
-    `allowed_pause_s` are the limits of the route. `seconds` is the time since
-    the request arrived.
+    `allowed_pause_s` are the limits of the route. `attempts` were made, of
+    which the last passed on `last_events` of the `events`; `framing` is as in
+    `SendingEnded`. `seconds` is the time since the request arrived.
     """
 
     request: str
@@ -386,6 +390,9 @@
     longest_pause_s: float
     allowed_pause_s: float
     events: int
+    attempts: int
+    last_events: int
+    framing: str
     seconds: float
 
 
