Undo a reset on close

The kernel closes the connections of a killed process in order. A response whose end only its close marks has to reset on close while it is in progress, and needs a way back when its end is known: allow_orderly_close, and its form for sockets. A transport that is closing or aborted keeps its reset: aiohttp ends responses of aborted connections once more.

--- a/tamarackbridge/helpers/resets.py
+++ b/tamarackbridge/helpers/resets.py
@@ -1,4 +1,10 @@
-"""Closes TCP connections with a reset."""
+"""Closes TCP connections with a reset, or in order again.
+
+The kernel closes the connections of a process that ends, also one that is
+killed, in order. Where nothing but the close marks the end of a response, the
+end of the process would pass for the end of the response. So such a connection
+resets on close from the first byte of the response to its last.
+"""
 
 import asyncio
 import socket
@@ -14,5 +20,25 @@
 
 def reset_socket(conn: socket.socket) -> None:
     """Does the same for a socket."""
-    linger = struct.pack("ii", 1, 0)
+    _set_linger(conn, 1)
+
+
+def allow_orderly_close(transport: asyncio.BaseTransport) -> None:
+    """Makes closing a connection send what is unsent and end it in order.
+
+    Undoes `reset_on_close`. Has no effect on a transport that is closing or
+    was aborted: what was decided for it stays.
+    """
+    conn = transport.get_extra_info("socket")
+    if conn is not None and not transport.is_closing():
+        allow_orderly_close_socket(conn)
+
+
+def allow_orderly_close_socket(conn: socket.socket) -> None:
+    """Does the same for a socket; undoes `reset_socket`."""
+    _set_linger(conn, 0)
+
+
+def _set_linger(conn: socket.socket, is_on: int) -> None:
+    linger = struct.pack("ii", is_on, 0)
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
