Add a response whose end only its close marks

aiohttp marks every response: it adds chunks to an HTTP/1.1 response without a length. Where the server's response is unmarked, that mark would state more than the router knows. UnmarkedResponse sends neither, closes its connection, and resets on close until write_eof, so that an exception, an abort or the death of the router is never taken for its end. Its end waits until the kernel has all bytes: before that, a killed router would lose the rest and close in order.

--- /dev/null
+++ b/tamarackbridge/helpers/unmarked_response.py
@@ -0,0 +1,50 @@
+"""Response whose end nothing but the close of its connection marks."""
+
+from typing import Any
+
+from aiohttp import abc, hdrs, web
+
+from tamarackbridge.helpers import resets
+
+
+class UnmarkedResponse(web.StreamResponse):
+    """A response with neither a length nor chunks (RFC 9112, 6.3).
+
+    Used where the end of the server's response is unmarked too: a length or a
+    final chunk of the router's own would state that the body is complete, which
+    the router does not know.
+
+    The connection resets on close until `write_eof`. So a response that is
+    aborted, and one whose router is killed, is seen as truncated.
+    """
+
+    # Without it, aiohttp adds chunks to HTTP/1.1 responses without a length.
+    _length_check = False
+
+    def __init__(self, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self.force_close()
+
+    async def prepare(
+        self, request: web.BaseRequest
+    ) -> abc.AbstractStreamWriter | None:
+        """Sends the head; the connection resets on close from here on."""
+        for name in (hdrs.CONTENT_LENGTH, hdrs.TRANSFER_ENCODING):
+            self.headers.popall(name, None)
+        if not self.prepared and request.transport is not None:
+            resets.reset_on_close(request.transport)
+        return await super().prepare(request)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Ends the response in order, once the kernel has all of it.
+
+        Before, a killed router would lose the rest and yet close in order.
+        """
+        req, writer = self._req, self._payload_writer
+        await super().write_eof(data)
+        if req is None or writer is None or req.transport is None:
+            return
+        if not req.transport.is_closing():
+            req.transport.set_write_buffer_limits(high=0)
+            await writer.drain()
+            resets.allow_orderly_close(req.transport)
