Reset the caller of an offloaded request until its peer has ended it

What callers saw: the process of a router that passes a peer's response on is killed, and the caller's connection closes in order. A response that only its close marks then looks complete. The same after a caller that stops sending (half-closes) and still reads: it counts as gone and was closed in order. The other way round, a router that stopped within 60 ms after a peer had ended a response reset the caller although it had passed on everything.

Cause: the kernel closes the sockets of a dead process in order, and SO_LINGER was set only at the end INCOMPLETE. close() did not look at the peer.

Ruled out: a peer's reset already reached the caller as a reset (test_offload_proxy.py), and HTTP/1.0 requests are not offloaded (preview() of the platform's dialect).

Why it works: the connection resets from the first byte of a response on; only COMPLETE, the peer's orderly close, allows an orderly close. The scene of test_offload_proxy.py is shared, so two of its names lose their underscore.

--- a/tamarackbridge/components/gateway/offload_proxy.py
+++ b/tamarackbridge/components/gateway/offload_proxy.py
@@ -4,6 +4,11 @@
 peer. Proxying a request must cost a small fraction of serving it. So the proxy
 copies bytes without parsing the response, and polls all connections in the same
 phase with one system call per interval instead of waking up for each chunk.
+
+How the caller's connection closes is the only mark of the end of a response
+that has neither a length nor chunks. So from the first byte of a response on it
+resets, also when this process is killed, unless the peer closed its connection
+in order.
 """
 
 import asyncio
@@ -177,12 +182,14 @@
         for group in (self._awaiting_response, self._relaying):
             for request in list(group.requests):
                 if request.connecting:
-                    self._finish(request, End.NOT_SENT)
+                    end = End.NOT_SENT
+                elif not request.has_response:
+                    end = End.LOST
+                elif _is_peer_done(request):
+                    end = End.COMPLETE
                 else:
-                    self._finish(
-                        request,
-                        End.INCOMPLETE if request.has_response else End.LOST,
-                    )
+                    end = End.INCOMPLETE
+                self._finish(request, end)
 
     def _handle_events(
         self,
@@ -249,7 +256,9 @@
                 request, End.COMPLETE if request.has_response else End.LOST
             )
             return
-        request.has_response = True
+        if not request.has_response:
+            request.has_response = True
+            resets.reset_socket(request.caller)
         # The peer itself ends requests at their deadline.
         request.times_out_at = request.offload.deadline + GRACE_S
         if not request.has_body and data.rpartition(b"\r\n\r\n")[2]:
@@ -299,10 +308,9 @@
     def _end(self, request: _ProxiedRequest, end: End) -> None:
         if end in ENDS_WITHOUT_RESPONSE:
             end = _answer(request.caller, request.offload, end)
-        if end is End.INCOMPLETE:
-            # The caller must not take a truncated response for a complete one.
-            resets.reset_socket(request.caller)
-        if end is not End.COMPLETE:
+        if end is End.COMPLETE:
+            resets.allow_orderly_close_socket(request.caller)
+        else:
             resets.reset_socket(request.peer)
         request.peer.close()
         request.caller.close()
--- a/tests/components/gateway/test_offload_proxy.py
+++ b/tests/components/gateway/test_offload_proxy.py
@@ -30,7 +30,7 @@
         clock = core.SystemClock()
         self.ends: list[offload_proxy.End] = []
         self.proxy = offload_proxy.OffloadProxy(clock, most)
-        self.caller, accepted = _make_connection()
+        self.caller, accepted = make_connection()
         self.proxy.open(
             accepted,
             offload_proxy.OffloadedRequest(
@@ -51,7 +51,7 @@
         return received
 
 
-def _make_connection() -> tuple[socket.socket, socket.socket]:
+def make_connection() -> tuple[socket.socket, socket.socket]:
     """Returns the caller and the router end of a connection."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
         caller = socket.create_connection(listening.getsockname())
@@ -62,7 +62,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _async_scene(
+async def async_scene(
     peer: _PeerHandler, deadline_s: float = DEADLINE_S
 ) -> AsyncIterator[_Scene]:
     server = await asyncio.start_server(peer, "127.0.0.1", 0)
@@ -92,7 +92,7 @@
             await asyncio.sleep(0.02)
         writer.close()
 
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         received = await scene.async_read()
         assert received == HEAD + EVENT + large_chunk + EVENT + END
         assert scene.ends == [offload_proxy.End.COMPLETE]
@@ -127,7 +127,7 @@
             writer.transport.abort()
         writer.close()
 
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         assert await scene.async_read() == b"lost"
         assert scene.ends == [offload_proxy.End.LOST]
 
@@ -141,7 +141,7 @@
         await asyncio.sleep(0.1)
         _reset(writer)
 
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         with pytest.raises(ConnectionResetError):
             await scene.async_read()
         assert scene.ends == [offload_proxy.End.INCOMPLETE]
@@ -155,7 +155,7 @@
         await reader.read()
         writer.close()
 
-    async with _async_scene(async_peer, deadline_s=0.1) as scene:
+    async with async_scene(async_peer, deadline_s=0.1) as scene:
         assert await scene.async_read() == b"late"
         assert scene.ends == [offload_proxy.End.TIMED_OUT]
 
@@ -178,7 +178,7 @@
         ended.set()
         writer.close()
 
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         await arrived.wait()
         if answered:
             await asyncio.get_running_loop().sock_recv(scene.caller, 65_536)
@@ -197,7 +197,7 @@
         writer.write(HEAD + EVENT + END)
         writer.close()
 
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         received = b""
         while not received.endswith(END):
             loop = asyncio.get_running_loop()
@@ -221,7 +221,7 @@
         await writer.drain()
         writer.close()
 
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         await asyncio.sleep(0.3)
         assert await scene.async_read() == HEAD + large_body + END
         assert scene.ends == [offload_proxy.End.COMPLETE]
@@ -238,7 +238,7 @@
         writer.close()
 
     arrived = asyncio.Event()
-    async with _async_scene(async_peer) as scene:
+    async with async_scene(async_peer) as scene:
         await arrived.wait()
         scene.proxy.close()
         assert await scene.async_read() == b"lost"
