Don't vouch for plain answers whose end nothing marked

What callers of the product's own interface saw: a backend server sends a plain answer with neither a length nor chunks and its connection ends in the middle, in order or by a reset. The caller got the part with a Content-Length, as a complete 200. For a payment the part was stored as the outcome and replayed.

Cause: end_by_body takes what was read for the whole, and aiohttp ends such a body in order whatever ended the connection.

One that an orderly close ended is UNCONFIRMED: not retried, passed on unmarked, and its claim is stored as unknown, since a replay would state a length. It is told to the dispatcher as served. Ruled out: streams end by [DONE], a mark; without it they are resumed or cut.

--- a/tamarackbridge/components/entry/at_most_once.py
+++ b/tamarackbridge/components/entry/at_most_once.py
@@ -41,14 +41,16 @@
         self._decider = decider
         self._attempt_runner = attempt_runner
         self._inject = inject
-        self._tasks: set[asyncio.Task[web.Response]] = set()
+        self._tasks: set[asyncio.Task[web.StreamResponse]] = set()
 
     @property
     def running(self) -> int:
         """Number of requests whose work has not finished."""
         return len(self._tasks)
 
-    async def async_run(self, request: entry_models.Request) -> web.Response:
+    async def async_run(
+        self, request: entry_models.Request
+    ) -> web.StreamResponse:
         """Answers a request by its deadline, finished or not."""
         history = self._attempt_runner.start(request)
         task = asyncio.create_task(self._async_run_claimed(request, history))
@@ -73,7 +75,7 @@
 
     async def _async_run_claimed(
         self, request: entry_models.Request, history: attempts.AttemptHistory
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         claim = await self._async_claim(request)
         if claim.answer is claims.ClaimAnswer.REPLAY:
             return _replay(request, claim)
@@ -128,6 +130,9 @@
             may_have_run = history.may_have_run or history.in_flight
             state = _STATE.UNKNOWN if may_have_run else _STATE.ABANDONED
             close = claims.ClaimClose(request_id, state)
+        elif completed.end is attempts.End.UNCONFIRMED:
+            # A replay would state a length, and so that the body is complete.
+            close = claims.ClaimClose(request_id, _STATE.UNKNOWN)
         else:
             close = claims.ClaimClose(
                 request_id=request_id,
--- a/tamarackbridge/components/entry/attempts.py
+++ b/tamarackbridge/components/entry/attempts.py
@@ -20,6 +20,9 @@
     """How one attempt on a backend server ended."""
 
     COMPLETE = "whole"
+    UNCONFIRMED = "unconfirmed"
+    """The answer has neither a length nor chunks, and its connection was closed
+    in order. It may be complete."""
     PERMIT_EXPIRED = "lapsed"
     """The permit expired before anything was sent."""
     NOT_SENT = "not_sent"
@@ -55,6 +58,8 @@
 PROVED_NOT_RUN = frozenset({End.PERMIT_EXPIRED, End.NOT_SENT, End.NOT_STARTED})
 """Ends after which the work is known not to have run."""
 
+_ANSWERED = frozenset({End.COMPLETE, End.UNCONFIRMED})
+
 _NEVER_RETRIED = frozenset({End.TIMED_OUT, End.CUT_OFF})
 
 
@@ -124,7 +129,7 @@
             resumable: Whether another attempt can continue that answer.
         """
         self.in_flight = False
-        if end is End.COMPLETE:
+        if end in _ANSWERED:
             return Decision(Step.FINISH)
         self._ended_count += 1
         self.may_have_run |= end not in PROVED_NOT_RUN
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -19,6 +19,7 @@
     stream_check,
 )
 from tamarackbridge.components.entry import models as entry_models
+from tamarackbridge.components.gateway import message_framing
 from tamarackbridge.components.records import models
 from tamarackbridge.components.telemetry import spans
 
@@ -58,6 +59,7 @@
 
 _OUTCOMES = {
     _END.COMPLETE: dispatch.Outcome.OK,
+    _END.UNCONFIRMED: dispatch.Outcome.OK,
     _END.PERMIT_EXPIRED: dispatch.Outcome.UNUSED,
     _END.NOT_STARTED: dispatch.Outcome.COLD,
     _END.CUT_OFF: dispatch.Outcome.CANCELLED,
@@ -153,6 +155,8 @@
                 attempt.end = answer_check.end_by_body(
                     attempt.body, resp.headers, request.route.empty_is_failure
                 )
+                if attempt.end is _END.COMPLETE and not _is_marked(resp):
+                    attempt.end = _END.UNCONFIRMED
 
     async def _async_forward_stream(
         self, job: Job, attempt: Attempt, resp: aiohttp.ClientResponse
@@ -184,7 +188,8 @@
     """Returns the complete body of an answer.
 
     Raises:
-        BackendError: The body exceeds `const.MAX_BUFFERED_BYTES`.
+        BackendError: The body exceeds `const.MAX_BUFFERED_BYTES`, or a reset
+            ended it.
     """
     chunks: list[bytes] = []
     size = 0
@@ -195,9 +200,17 @@
                 "answer exceeds the size limit of buffered answers"
             )
         chunks.append(chunk)
+    if not _is_marked(resp) and client.ended_by_reset(resp):
+        raise exceptions.BackendError("connection was reset during the body")
     return b"".join(chunks)
 
 
+def _is_marked(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether a length or a final chunk marked the end of the body."""
+    framing = message_framing.of_response(resp)
+    return framing is not message_framing.Framing.CLOSE
+
+
 def _headers(job: Job) -> dict[str, str]:
     headers = dict(job.request.headers)
     if trace_headers := job.span.headers():
--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -19,6 +19,7 @@
     telemetry,
 )
 from tamarackbridge.components.entry import models as entry_models
+from tamarackbridge.helpers import unmarked_response
 
 
 class AttemptRunner:
@@ -185,11 +186,18 @@
 
 def buffered_response(
     request: entry_models.Request, attempt: forward.Attempt
-) -> web.Response:
-    """Returns the answer of an attempt that was buffered in full."""
+) -> web.StreamResponse:
+    """Returns the answer of an attempt that was buffered.
+
+    It has no mark of its end if the answer of the backend server had none.
+    """
     headers = caller_stream.returned_headers(
         attempt.headers, request.request_id
     )
+    if attempt.end is attempts.End.UNCONFIRMED:
+        return unmarked_response.UnmarkedResponse(
+            attempt.body, status=attempt.status, headers=headers
+        )
     return web.Response(
         status=attempt.status, headers=headers, body=attempt.body
     )
--- a/tamarackbridge/helpers/unmarked_response.py
+++ b/tamarackbridge/helpers/unmarked_response.py
@@ -16,13 +16,18 @@
 
     The connection resets on close until `write_eof`. So a response that is
     aborted, and one whose router is killed, is seen as truncated.
+
+    Args:
+        body: Sent by `write_eof` if that is given nothing.
+        **kwargs: Arguments of the base class.
     """
 
     # Without it, aiohttp adds chunks to HTTP/1.1 responses without a length.
     _length_check = False
 
-    def __init__(self, **kwargs: Any) -> None:
+    def __init__(self, body: bytes = b"", **kwargs: Any) -> None:
         super().__init__(**kwargs)
+        self._unsent_body = body
         self.force_close()
 
     async def prepare(
@@ -41,7 +46,7 @@
         Before, a killed router would lose the rest and yet close in order.
         """
         req, writer = self._req, self._payload_writer
-        await super().write_eof(data)
+        await super().write_eof(data or self._unsent_body)
         if req is None or writer is None or req.transport is None:
             return
         if not req.transport.is_closing():
