Reset streams to HTTP/1.0 callers unless they end in order

What callers of the product's own interface saw: a router that stops cancels the streams still in progress, and their connections close in order. HTTP/1.0 has no chunks, so the cut stream ends like a whole one, but for its missing [DONE]. The death of the process looks the same.

Cause: only abort() set the reset. Fix: such a stream is an UnmarkedResponse, which resets on close from its head to write_eof.

Evidence: test_shutdown_resets_a_stream_that_has_no_chunks, red before (no reset), green now; tests/components/entry three times.

--- a/tamarackbridge/components/entry/caller_stream.py
+++ b/tamarackbridge/components/entry/caller_stream.py
@@ -7,7 +7,7 @@
 
 from tamarackbridge import exceptions
 from tamarackbridge.components.entry import const
-from tamarackbridge.helpers import resets
+from tamarackbridge.helpers import unmarked_response
 
 _RETURNED_HEADERS = ("Content-Type", "ETag", "Cache-Control", "Location")
 
@@ -54,7 +54,7 @@
         try:
             if self.response is None:
                 returned = returned_headers(headers, self._request_id)
-                self.response = web.StreamResponse(headers=returned)
+                self.response = self._new_response(returned)
                 await self.response.prepare(self._req)
             await self.response.write(data)
         except ConnectionError as exc:
@@ -70,9 +70,12 @@
     def abort(self) -> web.StreamResponse:
         """Aborts the connection to show the caller that the answer is cut."""
         if self._req.transport is not None:
-            if self._req.version < aiohttp.HttpVersion11:
-                # HTTP/1.0 has no chunks: an orderly close looks like a complete
-                # answer, a reset does not.
-                resets.reset_on_close(self._req.transport)
             self._req.transport.abort()
         return self.response or web.Response(status=502)
+
+    def _new_response(self, headers: Mapping[str, str]) -> web.StreamResponse:
+        if self._req.version < aiohttp.HttpVersion11:
+            # HTTP/1.0 has no chunks: an orderly close looks like a complete
+            # answer, a reset does not.
+            return unmarked_response.UnmarkedResponse(headers=headers)
+        return web.StreamResponse(headers=headers)
--- a/tests/components/entry/test_service.py
+++ b/tests/components/entry/test_service.py
@@ -15,7 +15,7 @@
 
 from standins import backend, engine, plain_service
 from tamarackbridge.components.claims import messages as claims
-from tamarackbridge.components.entry import const
+from tamarackbridge.components.entry import const, service
 from tamarackbridge.components.records import models
 from tests.components.entry import rig as rig_lib
 
@@ -288,3 +288,31 @@
         with pytest.raises(ConnectionResetError):
             await reader.read()
         writer.close()
+
+
+async def test_shutdown_resets_a_stream_that_has_no_chunks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a cut stream that ends like a whole one.
+
+    HTTP/1.0 has no chunks. The close that a shutdown causes is the one that the
+    death of the router causes, too.
+    """
+    monkeypatch.setattr(service, "SHUTDOWN_TIMEOUT_S", 0.05)
+    head = (
+        f"POST /s/v1/completions HTTP/1.0\r\nX-Api-Key: {rig_lib.KEY}\r\n"
+        f"Content-Length: {len(STREAM)}\r\n\r\n"
+    )
+    servers = [_engine(token_s=0.1)]
+    async with rig_lib.Rig(servers, DRAFT) as rig, asyncio.timeout(5):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", rig.entry.port
+        )
+        writer.write(head.encode() + STREAM)
+        await reader.readuntil(b"\n\n")
+        await rig.entry.stop()
+        try:
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+        finally:
+            writer.transport.abort()
