--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import dataclasses
 import enum
@@ -13,7 +12,7 @@
 import struct
 from typing import TypeAlias
 
-from standins import base, floods
+from standins import base, floods, server_faults
 
 
 class Fault(enum.Enum):
@@ -74,30 +73,7 @@
     """Sends a stream with status 206."""
 
 
-class EarlyEnd(enum.Enum):
-    """How a server stops before it has sent an event of a stream in full.
-
-    Apart from `Fault`, from all of which the soak test draws: a plain answer
-    without a length may be empty, so not all of these can be checked there.
-    """
-
-    CUT_STATUS = "cut_status"
-    """Closes the connection after the status line of its answer."""
-    CUT_HEADER = "cut_header"
-    """Closes the connection within a header of its answer."""
-    CUT_HEAD = "cut_head"
-    """Closes the connection after all headers, before the empty line."""
-    CUT_HEAD_RESET = "cut_head_reset"
-    """Like CUT_HEAD, with a TCP reset."""
-    UNFRAMED_EMPTY = "unframed_empty"
-    """Sends the head of a stream without a length, and closes."""
-    UNFRAMED_CUT_EVENT = "unframed_cut_event"
-    """Closes a stream without a length within an event."""
-    UNFRAMED_CUT_LINE = "unframed_cut_line"
-    """Closes a stream without a length before the empty line of an event."""
-
-
-AnyFault: TypeAlias = Fault | EarlyEnd | floods.Flood
+AnyFault: TypeAlias = Fault | server_faults.EarlyEnd | floods.Flood
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,23 +98,10 @@
     (Fault.RESTART, Fault.SHORT_RESTART, Fault.NO_NUMBERS)
 )
 _CUT_BETWEEN = frozenset((Fault.CUT_BETWEEN, Fault.CUT_NO_NUMBERS))
-_EVENT_LIMITS: dict[Fault | EarlyEnd, int] = {Fault.SHORT_RESTART: 1}
-"""Number of the event before which a short stream ends."""
-
-_UNFRAMED_CUTS = {
-    EarlyEnd.UNFRAMED_CUT_EVENT: 9,
-    EarlyEnd.UNFRAMED_CUT_LINE: -1,
+_EVENT_LIMITS: dict[Fault | server_faults.EarlyEnd, int] = {
+    Fault.SHORT_RESTART: 1
 }
-"""Part of the third event that is sent of a stream without a length."""
-
-_CUT_HEADS: dict[EarlyEnd, Callable[[str], int]] = {
-    EarlyEnd.CUT_STATUS: lambda head: head.index("\r\n") + 2,
-    EarlyEnd.CUT_HEADER: lambda head: head.index("X-Response-Seal") + 8,
-    EarlyEnd.CUT_HEAD: lambda head: len(head) - 2,
-    EarlyEnd.CUT_HEAD_RESET: lambda head: len(head) - 2,
-    EarlyEnd.UNFRAMED_EMPTY: len,
-}
-"""Length of the part of an answer's head that is sent."""
+"""Number of the event before which a short stream ends."""
 
 
 class PlatformServer:
@@ -205,11 +168,23 @@
 
     def crash(self) -> None:
         """Stops listening and resets all connections."""
+        self._stop_listening()
+        for writer in self._writers:
+            _reset_connection(writer)
+
+    def crash_in_good_order(self) -> None:
+        """Stops listening and closes all connections without a reset.
+
+        The kernel does so for a process that has died.
+        """
+        self._stop_listening()
+        for writer in self._writers:
+            writer.close()
+
+    def _stop_listening(self) -> None:
         self.has_crashed = True
         if self._server is not None:
             self._server.close()
-        for writer in self._writers:
-            _reset_connection(writer)
 
     def record_arrival(self, request_id: str) -> None:
         """Records a request that arrived, whether it runs or not."""
@@ -289,14 +264,10 @@
         if fault is Fault.RESET:
             _reset_connection(writer)
             return False
-        if isinstance(fault, EarlyEnd) and fault in _CUT_HEADS:
+        if fault in server_faults.CUT_HEADS:
             head = self._stream_head(request_id, 200, is_chunked=False)
-            writer.write(head[: _CUT_HEADS[fault](head)].encode())
-            await writer.drain()
-            if fault is EarlyEnd.CUT_HEAD_RESET:
-                await asyncio.sleep(0.01)
-                _reset_connection(writer)
-            return False
+            writer.write(head[: server_faults.CUT_HEADS[fault](head)].encode())
+            return await self._async_leave(fault, writer)
         if fault is Fault.NOT_HTTP:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return False
@@ -318,7 +289,7 @@
     async def _async_plain(
         self,
         request_id: str,
-        fault: Fault | EarlyEnd,
+        fault: Fault | server_faults.EarlyEnd,
         writer: asyncio.StreamWriter,
     ) -> bool:
         body = f"answer to {request_id}".encode()
@@ -326,6 +297,10 @@
         if fault is Fault.TRUNCATE:
             self._write(writer, 200, request_id, body[:4], seal, len(body))
             return False
+        if fault in server_faults.UNFRAMED_BODIES:
+            sent = body[: server_faults.UNFRAMED_BODIES[fault]]
+            self._write(writer, 200, request_id, sent, seal, None)
+            return await self._async_leave(fault, writer)
         if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
             self._write(writer, 200, request_id, body, seal, None)
             await writer.drain()
@@ -341,14 +316,17 @@
     async def _async_stream(
         self,
         seen: ReceivedRequest,
-        fault: Fault | EarlyEnd,
+        fault: Fault | server_faults.EarlyEnd,
         writer: asyncio.StreamWriter,
     ) -> bool:
         request_id = seen.headers["X-Request-Id"]
         first_event = int(seen.headers.get("Last-Event-Id", "-1")) + 1
         if fault in _IGNORES_LAST_EVENT_ID:
             first_event = 0
-        unframed = fault is Fault.UNFRAMED or fault in _UNFRAMED_CUTS
+        if fault is server_faults.EarlyEnd.EMPTY_END:
+            first_event = EVENTS
+        cut = server_faults.STREAM_CUTS.get(fault)
+        unframed = fault is Fault.UNFRAMED or cut is not None
         status = 206 if fault is Fault.PARTIAL else 200
         head = self._stream_head(
             request_id,
@@ -362,14 +340,9 @@
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 if fault in (Fault.NO_NUMBERS, Fault.CUT_NO_NUMBERS):
                     event = event.partition(b"\n")[2]
-                if (
-                    isinstance(fault, EarlyEnd)
-                    and fault in _UNFRAMED_CUTS
-                    and number == first_event + 2
-                ):
-                    writer.write(event[: _UNFRAMED_CUTS[fault]])
-                    await writer.drain()
-                    return False
+                if cut is not None and number == first_event + cut.events:
+                    writer.write(event[: cut.part])
+                    return await self._async_leave(fault, writer)
                 if fault in _CUT_BETWEEN and number == first_event + 2:
                     return False
                 if fault is Fault.CUT_EVENT and number == first_event + 2:
@@ -382,6 +355,8 @@
                 await writer.drain()
                 if self.event_interval_s:
                     await asyncio.sleep(self.event_interval_s)
+            if cut is not None:
+                return await self._async_leave(fault, writer)
             if unframed or fault is Fault.CUT_END:
                 return False
             writer.write(b"0\r\n\r\n")
@@ -391,6 +366,18 @@
             raise
         return True
 
+    async def _async_leave(
+        self, fault: AnyFault, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Ends a connection in the middle of an answer; returns False."""
+        await writer.drain()
+        if fault in server_faults.RESETS:
+            await asyncio.sleep(0.01)
+            _reset_connection(writer)
+        if fault in server_faults.CRASHES:
+            self.crash_in_good_order()
+        return False
+
     def _stream_head(
         self,
         request_id: str,
--- a/tests/components/gateway/test_cut_heads.py
+++ b/tests/components/gateway/test_cut_heads.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from standins import platform_server
+from standins import platform_server, server_faults
 from tests.components.gateway import rig
 
 Fault = platform_server.Fault
-EarlyEnd: TypeAlias = platform_server.EarlyEnd
+EarlyEnd: TypeAlias = server_faults.EarlyEnd
 WHOLE = b"".join(
     f"id: {number}\ndata: piece {number}\n\n".encode()
     for number in range(platform_server.EVENTS)
--- /dev/null
+++ b/tests/components/gateway/test_stream_ends.py
@@ -0,0 +1,270 @@
+"""What the end of an answer tells the caller, seen on the wire.
+
+Servers end their answers with a length or a final chunk (marked), or with their
+connection alone (unmarked). Nothing tells an unmarked answer that was cut in
+good order from a whole one, so a caller must never be told that it is whole.
+"""
+
+from typing import TypeAlias
+
+import pytest
+
+from standins import platform_server, server_faults
+from tests.components.gateway import raw_caller, rig
+
+Fault = platform_server.Fault
+EarlyEnd: TypeAlias = server_faults.EarlyEnd
+End: TypeAlias = raw_caller.End
+
+
+def _events(count: int) -> bytes:
+    """Returns the first events of a stream."""
+    return b"".join(
+        f"id: {number}\ndata: piece {number}\n\n".encode()
+        for number in range(count)
+    )
+
+
+WHOLE = _events(platform_server.EVENTS)
+CUT = _events(2)
+VERSIONS = ["1.1", "1.0"]
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/stream/r/1"])
+async def test_unmarked_stream_cut_between_events_is_not_complete(
+    path: str,
+) -> None:
+    """The only server closes its connection in good order after two events."""
+    async with rig.async_environment(servers=1) as env:
+        env.set_faults(EarlyEnd.UNFRAMED_CUT_BETWEEN)
+        answer = await raw_caller.async_send(env, path)
+        assert (answer.status, answer.body) == (200, CUT)
+        assert answer.end is not End.FINAL_CHUNK
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize(
+    ("fault", "events", "end"),
+    [
+        (Fault.UNFRAMED, 6, End.CLOSED),
+        (EarlyEnd.UNFRAMED_CUT_BETWEEN, 2, End.CLOSED),
+        (EarlyEnd.UNFRAMED_CUT_EVENT, 2, End.RESET),
+        (EarlyEnd.UNFRAMED_CUT_LINE, 2, End.RESET),
+        (EarlyEnd.UNFRAMED_CRASH_BETWEEN, 2, End.RESET),
+        (EarlyEnd.UNFRAMED_CRASH_END, 6, End.RESET),
+    ],
+)
+async def test_unmarked_stream_is_passed_on_unmarked(
+    fault: platform_server.AnyFault, events: int, end: End, version: str
+) -> None:
+    """The caller knows what the router knows: no more, and no less.
+
+    A crashed server refuses connections, so its stream is known to be cut.
+    """
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, "/stream/1", version)
+        assert (answer.status, answer.body) == (200, _events(events))
+        assert answer.end is end
+        assert answer.is_unmarked
+        assert version == "1.0" or answer.headers["connection"] == "close"
+        assert env.ran() == ["q1"]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+async def test_unmarked_stream_that_is_reset_is_not_complete(
+    version: str,
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(EarlyEnd.UNFRAMED_RESET_BETWEEN)
+        answer = await raw_caller.async_send(env, "/stream/1", version)
+        # A reset may overtake the events, or even the head.
+        assert CUT.startswith(answer.body) or answer.status == 502
+        assert (answer.end is End.RESET) == (answer.status == 200)
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize(
+    ("fault", "events"), [(Fault.NONE, 6), (EarlyEnd.EMPTY_END, 0)]
+)
+async def test_marked_stream_ends_in_good_order(
+    fault: platform_server.AnyFault, events: int, version: str
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, "/stream/1", version)
+        assert (answer.status, answer.body) == (200, _events(events))
+        assert answer.is_unmarked == (version == "1.0")
+        expected = End.CLOSED if version == "1.0" else End.FINAL_CHUNK
+        assert answer.end is expected
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("fault", [Fault.CUT_BETWEEN, Fault.CUT_END])
+async def test_marked_stream_that_is_cut_is_not_complete(
+    fault: platform_server.AnyFault, version: str
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, "/stream/1", version)
+        assert answer.status == 200
+        assert WHOLE.startswith(answer.body)
+        assert answer.end is not End.FINAL_CHUNK
+        assert not answer.is_unmarked or answer.end is End.RESET
+
+
+UNMARKED_CUTS = [
+    EarlyEnd.UNFRAMED_CUT_BETWEEN,
+    EarlyEnd.UNFRAMED_CUT_EVENT,
+    EarlyEnd.UNFRAMED_CRASH_BETWEEN,
+]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("fault", UNMARKED_CUTS)
+async def test_unmarked_stream_that_is_cut_goes_on_at_another_server(
+    fault: EarlyEnd, version: str
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, "/stream/r/1", version)
+        assert (answer.status, answer.body) == (200, WHOLE)
+        assert (answer.is_unmarked, answer.end) == (True, End.CLOSED)
+        assert env.ran() == ["q1", "q1"]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize("fault", [Fault.UNFRAMED, EarlyEnd.UNFRAMED_CRASH_END])
+async def test_end_of_an_unmarked_stream_is_confirmed_by_another_server(
+    fault: platform_server.AnyFault, version: str
+) -> None:
+    """The other server has no further events and says so by its final chunk."""
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, "/stream/r/1", version)
+        assert (answer.status, answer.body) == (200, WHOLE)
+        assert (answer.is_unmarked, answer.end) == (True, End.CLOSED)
+        assert env.ran() == ["q1", "q1"]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize(
+    ("second", "events", "end"),
+    [
+        (EarlyEnd.EMPTY_END, 2, End.CLOSED),
+        (Fault.UNFRAMED, 6, End.CLOSED),
+        (EarlyEnd.UNFRAMED_CUT_BETWEEN, 4, End.CLOSED),
+        (EarlyEnd.UNFRAMED_CUT_EVENT, 4, End.RESET),
+        (EarlyEnd.UNFRAMED_CRASH_BETWEEN, 4, End.RESET),
+        (EarlyEnd.UNFRAMED_CRASH_END, 6, End.RESET),
+        (Fault.CUT_BETWEEN, 4, End.RESET),
+        # Without an event the second attempt tells nothing about the first.
+        (EarlyEnd.UNFRAMED_EMPTY, 2, End.CLOSED),
+        (Fault.RESET, 2, End.CLOSED),
+        (Fault.REFUSE, 2, End.CLOSED),
+        (Fault.HANG, 2, End.CLOSED),
+    ],
+)
+async def test_unmarked_stream_ends_as_its_continuation(
+    second: platform_server.AnyFault, events: int, end: End, version: str
+) -> None:
+    """The first server closes an unmarked stream between two events."""
+    async with rig.async_environment() as env:
+        env.set_faults(EarlyEnd.UNFRAMED_CUT_BETWEEN, second)
+        answer = await raw_caller.async_send(env, "/stream/r/1", version)
+        assert (answer.status, answer.body) == (200, _events(events))
+        assert (answer.is_unmarked, answer.end) == (True, end)
+        arrived = [seen for server in env.servers for seen in server.seen]
+        assert len(arrived) == 2
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize(
+    "second",
+    [
+        EarlyEnd.UNFRAMED_EMPTY,
+        EarlyEnd.UNFRAMED_CUT_EVENT,
+        EarlyEnd.UNFRAMED_CRASH_BETWEEN,
+        EarlyEnd.UNFRAMED_CRASH_END,
+        Fault.CUT_BETWEEN,
+        Fault.RESET,
+    ],
+)
+@pytest.mark.parametrize(
+    "first",
+    [
+        Fault.CUT_BETWEEN,
+        EarlyEnd.UNFRAMED_CUT_EVENT,
+        EarlyEnd.UNFRAMED_CRASH_BETWEEN,
+    ],
+)
+async def test_stream_that_both_servers_lose_is_not_complete(
+    first: platform_server.AnyFault,
+    second: platform_server.AnyFault,
+    version: str,
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(first, second)
+        answer = await raw_caller.async_send(env, "/stream/r/1", version)
+        assert answer.status == 200
+        assert WHOLE.startswith(answer.body)
+        assert answer.end is not End.FINAL_CHUNK
+        assert not answer.is_unmarked or answer.end is End.RESET
+
+
+@pytest.mark.parametrize(
+    ("second", "events"),
+    [(Fault.UNFRAMED, 6), (EarlyEnd.UNFRAMED_CUT_BETWEEN, 4)],
+)
+async def test_unmarked_continuation_does_not_complete_a_stream_in_chunks(
+    second: platform_server.AnyFault, events: int
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(Fault.CUT_BETWEEN, second)
+        answer = await raw_caller.async_send(env, "/stream/r/1")
+        assert (answer.status, answer.body) == (200, _events(events))
+        assert not answer.is_unmarked
+        assert answer.end is not End.FINAL_CHUNK
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+@pytest.mark.parametrize(
+    ("fault", "length"),
+    [(Fault.UNFRAMED, 12), (EarlyEnd.UNFRAMED_CUT_BODY, 4)],
+)
+@pytest.mark.parametrize("path", ["/pay/1", "/read/1"])
+async def test_plain_unmarked_body_is_passed_on_unmarked(
+    path: str, fault: platform_server.AnyFault, length: int, version: str
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, path, version)
+        body = b"answer to q1"[:length]
+        assert (answer.status, answer.body) == (200, body)
+        assert (answer.is_unmarked, answer.end) == (True, End.CLOSED)
+        assert version == "1.0" or answer.headers["connection"] == "close"
+        assert env.ran() == ["q1"]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+async def test_plain_unmarked_body_of_a_crashed_server_is_lost(
+    version: str,
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(EarlyEnd.UNFRAMED_CRASH_BODY)
+        answer = await raw_caller.async_send(env, "/pay/1", version)
+        assert answer.status == 502
+        assert b"answ" not in answer.body
+        assert env.ran() == ["q1"]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+async def test_plain_unmarked_body_of_a_crashed_server_is_retried(
+    version: str,
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(EarlyEnd.UNFRAMED_CRASH_BODY)
+        answer = await raw_caller.async_send(env, "/read/1", version)
+        assert (answer.status, answer.body) == (200, b"answer to q1")
+        assert answer.end is End.LENGTH
+        assert env.ran() == ["q1", "q1"]
