Tell callers that an answer is whole only if its server marked its end

Cause: a body without length or chunks ends with its connection, whatever ended it. The router took an orderly close between two events for the end and wrote a final chunk, which states that the stream is whole; a plain body got a length in the same way. The kernel closes the connections of a dead process in good order, and faulty servers cut answers so.

Why this works: a mark is written only after a mark was read. An unmarked answer that closes in good order is UNCONFIRMED. A connection to its server tells whether that has died; then it is lost, as before. A resumable stream is confirmed or continued by another server, as a retry, for a second at most. What stays unconfirmed is passed on unmarked, or cut if the answer to the caller is in chunks already. Unmarked answers reset their connection until their end is decided, so that the death of a router looks like a cut.

--- /dev/null
+++ b/tamarackbridge/components/gateway/attempt_progress.py
@@ -0,0 +1,97 @@
+"""What the attempts of a job have come to."""
+
+import dataclasses
+
+from tamarackbridge.components.gateway import forward, jobs
+
+_End = forward.AttemptEnd
+_Outcome = jobs.Outcome
+
+_OUTCOME_OF_END = {
+    _End.COMPLETE: _Outcome.SERVED,
+    _End.UNCONFIRMED: _Outcome.SERVED,
+    _End.NOT_SENT: _Outcome.UNREACHABLE,
+    _End.NOT_RUN: _Outcome.REJECTED,
+    _End.MISDIRECTED: _Outcome.MISDIRECTED,
+    _End.LOST: _Outcome.LOST,
+    _End.MISMATCHED: _Outcome.LOST,
+    _End.TIMED_OUT: _Outcome.TIMED_OUT,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnconfirmedEnd:
+    """End of a stream that its server has not marked.
+
+    Attributes:
+        attempt: Attempt that ended so.
+        server: Server of the attempt.
+        event_count: Events of the stream until then, of all attempts.
+    """
+
+    attempt: forward.Attempt
+    server: str
+    event_count: int
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """Progress of a job over all its attempts.
+
+    Attributes:
+        may_have_run: Whether any server may have run the request.
+        attempts: Number of attempts, including those that failed before any
+            part of the request was sent.
+        connect_failures: Number of the latter.
+        last: Last attempt without a final response; None if there was none.
+    """
+
+    may_have_run: bool = False
+    attempts: int = 0
+    connect_failures: int = 0
+    last: forward.Attempt | None = None
+    _unconfirmed: UnconfirmedEnd | None = None
+
+    def record_attempt(
+        self,
+        job: jobs.Job,
+        attempt: forward.Attempt,
+        server: str,
+        event_count: int,
+    ) -> None:
+        """Records an attempt that did not produce the final response.
+
+        Args:
+            job: The job.
+            attempt: The attempt.
+            server: Server of the attempt.
+            event_count: Events of the stream so far, of all attempts.
+        """
+        self.last = attempt
+        job.excluded_servers.add(server)
+        if attempt.end is _End.NOT_SENT:
+            self.connect_failures += 1
+        else:
+            job.attempts += 1
+        if attempt.end not in forward.PROVED_NOT_RUN:
+            self.may_have_run = True
+        if attempt.end is _End.UNCONFIRMED and attempt.streamed:
+            self._unconfirmed = UnconfirmedEnd(attempt, server, event_count)
+
+    def unconfirmed_end(self, event_count: int) -> UnconfirmedEnd | None:
+        """Returns the unconfirmed end at which the stream still is.
+
+        Args:
+            event_count: Events of the stream so far, of all attempts.
+        """
+        end = self._unconfirmed
+        if end is None or end.event_count != event_count:
+            return None
+        return end
+
+
+def outcome(attempt: forward.Attempt) -> jobs.Outcome:
+    """Returns the outcome of an attempt for its server."""
+    if attempt.end in forward.WITH_RESPONSE and attempt.is_server_error:
+        return _Outcome.FAILED
+    return _OUTCOME_OF_END[attempt.end]
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -33,7 +33,9 @@
     """How an attempt to send a request to a server ended.
 
     Attributes:
-        COMPLETE: A complete response was received.
+        COMPLETE: A response was received whose server marked its end.
+        UNCONFIRMED: A response was received that may be complete: its
+            connection was closed in good order, and nothing marks its end.
         NOT_SENT: No part of the request was sent.
         NOT_RUN: The server guarantees that it has not run the request.
         MISDIRECTED: Another server than the intended one received the request
@@ -44,6 +46,7 @@
     """
 
     COMPLETE = "whole"
+    UNCONFIRMED = "unconfirmed"
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     MISDIRECTED = "elsewhere"
@@ -52,6 +55,9 @@
     TIMED_OUT = "timed_out"
 
 
+WITH_RESPONSE = frozenset((AttemptEnd.COMPLETE, AttemptEnd.UNCONFIRMED))
+"""Ends after which there is a response that can be passed on."""
+
 PROVED_NOT_RUN = frozenset(
     (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED)
 )
@@ -87,12 +93,20 @@
     head_at: float | None = None
     ended_at: float = 0.0
 
+    @property
+    def is_server_error(self) -> bool:
+        """Returns whether the server responded with a server error."""
+        return self.head is not None and self.head.status >= 500
+
 
 class ResponseSink(Protocol):
     """Receiver of a response in progress."""
 
     async def async_events(
-        self, head: models.ResponseHead, data: bytes
+        self,
+        head: models.ResponseHead,
+        framing: message_framing.Framing,
+        data: bytes,
     ) -> None:
         """Forwards complete events to the caller."""
         ...
@@ -161,9 +175,11 @@
         attempt.ended_at = loop.time()
         return attempt
 
-    async def async_refuses_connections(self, address: str) -> bool:
-        """Returns whether a server refuses connections, as after a crash."""
-        return await self._client.async_refuses_connections(address)
+    async def async_check_connection(
+        self, address: str
+    ) -> servers.ConnectionCheck:
+        """Returns whether a server accepts connections."""
+        return await self._client.async_check_connection(address)
 
     async def _async_exchange(
         self, params: AttemptParameters, attempt: Attempt
@@ -202,7 +218,9 @@
             attempt.body = await response_limits.async_read(
                 resp, MAX_BUFFERED_BYTES, self._body_memory
             )
-            attempt.end, attempt.detail = _buffered_end(head, resp)
+            attempt.end, attempt.detail = _buffered_end(
+                head, resp, attempt.framing
+            )
 
     async def _async_stream(
         self,
@@ -211,8 +229,9 @@
         resp: aiohttp.ClientResponse,
         events: relay.EventRelay,
     ) -> None:
-        head = attempt.head
+        head, framing = attempt.head, attempt.framing
         assert head is not None
+        assert framing is not None
         attempt.streamed = True
         events.switch_server()
         async for data in resp.content.iter_any():
@@ -221,7 +240,7 @@
                 forwarded = events.feed(data)
             if forwarded:
                 attempt.events += relay.count_events(forwarded)
-                await params.sink.async_events(head, forwarded)
+                await params.sink.async_events(head, framing, forwarded)
             if events.error:
                 attempt.detail = events.error
                 resp.close()
@@ -230,12 +249,12 @@
             attempt.detail = "connection was reset during the stream"
         elif events.has_partial_event:
             attempt.detail = "stream ended in the middle of an event"
-        elif events.is_empty and attempt.framing is _UNMARKED:
+        elif events.is_empty and framing is _UNMARKED:
             attempt.detail = "connection closed before the first event"
         elif not events.may_end:
             attempt.detail = "stream ended before the last event the caller has"
         else:
-            attempt.end = AttemptEnd.COMPLETE
+            attempt.end = _end_of_body(framing)
 
 
 def _with_trace(
@@ -257,8 +276,17 @@
     return "timed out before the body was complete"
 
 
+def _end_of_body(framing: message_framing.Framing) -> AttemptEnd:
+    """Returns the end of an attempt whose body ended without an error."""
+    if framing is _UNMARKED:
+        return AttemptEnd.UNCONFIRMED
+    return AttemptEnd.COMPLETE
+
+
 def _buffered_end(
-    head: models.ResponseHead, resp: aiohttp.ClientResponse
+    head: models.ResponseHead,
+    resp: aiohttp.ClientResponse,
+    framing: message_framing.Framing,
 ) -> tuple[AttemptEnd, str]:
     if head.disposition is models.Disposition.NOT_RUN:
         return AttemptEnd.NOT_RUN, ""
@@ -268,4 +296,4 @@
         return AttemptEnd.LOST, "connection was reset during the body"
     if resp.status < 300 and not head.sealed:
         return AttemptEnd.LOST, "response has no signature"
-    return AttemptEnd.COMPLETE, ""
+    return _end_of_body(framing), ""
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -94,13 +94,32 @@
             server: Server of the last attempt.
             attempts: Number of attempts, including the last one.
         """
+        self._metrics.count_attempt(attempt.end.value, _logged_framing(attempt))
+        self.record_unconfirmed(job, stream, attempt, server, attempts)
+
+    def record_unconfirmed(
+        self,
+        job: jobs.Job,
+        stream: response_stream.ResponseStream,
+        attempt: forward.Attempt,
+        server: str,
+        attempts: int,
+    ) -> None:
+        """Records the response of an attempt whose end is recorded already.
+
+        Args:
+            job: The job.
+            stream: The response.
+            attempt: The attempt.
+            server: Server of the attempt.
+            attempts: Number of attempts, including later ones.
+        """
         now = self._clock.monotonic()
         first_at = (
             stream.first_event_at if stream.first_event_at is not None else now
         )
         status = attempt.head.status if attempt.head is not None else 0
         route = job.route
-        self._metrics.count_attempt(attempt.end.value, _logged_framing(attempt))
         self._metrics.count_answer(
             route.name, status, first_at - job.arrived, now - job.arrived
         )
--- a/tamarackbridge/components/gateway/response_stream.py
+++ b/tamarackbridge/components/gateway/response_stream.py
@@ -1,5 +1,6 @@
 """Streamed response to one caller."""
 
+import asyncio
 from collections.abc import Callable
 import select
 import time
@@ -7,8 +8,14 @@
 import aiohttp
 from aiohttp import web
 
-from tamarackbridge.components.gateway import exceptions, jobs, models, relay
-from tamarackbridge.helpers import resets
+from tamarackbridge.components.gateway import (
+    exceptions,
+    jobs,
+    message_framing,
+    models,
+    relay,
+)
+from tamarackbridge.helpers import unmarked_response
 
 _CLOSE_EVENTS = select.POLLRDHUP
 """poll() always reports POLLERR and POLLHUP, so they need not be requested."""
@@ -33,8 +40,11 @@
     The response has the head of the first server that sends events. If the
     request is retried on another server, its events continue the same response.
 
+    Its end is unmarked if that of the server's response is.
+
     Attributes:
         response: The response; None until its head is sent.
+        is_unmarked: Whether nothing marks the end of the response.
         event_count: Number of events written.
         first_event_at: Time at which the first event was written; None before.
         longest_pause_s: Longest time between two writes of events, in seconds.
@@ -44,6 +54,7 @@
         self, req: web.BaseRequest, is_last: Callable[[], bool]
     ) -> None:
         self.response: web.StreamResponse | None = None
+        self.is_unmarked = False
         self.event_count = 0
         self.first_event_at: float | None = None
         self.longest_pause_s = 0.0
@@ -51,11 +62,21 @@
         self._req = req
         self._is_last = is_last
         self._placement: jobs.Permit | None = None
+        self._next_event_limit: asyncio.Timeout | None = None
+
+    @property
+    def may_end_unmarked(self) -> bool:
+        """Returns whether the response may end without a mark."""
+        return self.response is None or self.is_unmarked
 
     def set_placement(self, placement: jobs.Permit) -> None:
         """Sets the placement to which server activity is reported from now."""
         self._placement = placement
 
+    def set_next_event_limit(self, limit: asyncio.Timeout) -> None:
+        """Sets a time limit that ends with the next event."""
+        self._next_event_limit = limit
+
     def record_activity(self) -> None:
         """Reports to the placement that the server sent data."""
         if self._placement is not None:
@@ -67,16 +88,22 @@
             self._placement.handle_notices(head)
 
     async def async_events(
-        self, head: models.ResponseHead, data: bytes
+        self,
+        head: models.ResponseHead,
+        framing: message_framing.Framing,
+        data: bytes,
     ) -> None:
         """Writes complete events to the caller.
 
         Raises:
             CallerGoneError: The caller closed its connection.
         """
+        if self._next_event_limit is not None:
+            self._next_event_limit.reschedule(None)
+            self._next_event_limit = None
         try:
             if self.response is None:
-                await self._async_begin(head)
+                await self._async_begin(head, framing)
             assert self.response is not None
             await self.response.write(data)
         except (ConnectionError, RuntimeError) as exc:
@@ -96,17 +123,27 @@
         self._last_write_at = now
         self.event_count += events
 
-    async def async_end(self, head: models.ResponseHead) -> web.StreamResponse:
-        """Finishes a complete response.
+    async def async_end(
+        self,
+        head: models.ResponseHead,
+        framing: message_framing.Framing,
+        body: bytes = b"",
+    ) -> web.StreamResponse:
+        """Finishes a response.
+
+        Args:
+            head: Head of the server's response.
+            framing: What marks the end of the server's response.
+            body: Body of a response that was not streamed.
 
         Raises:
             CallerGoneError: The caller closed its connection.
         """
         try:
             if self.response is None:
-                await self._async_begin(head)
+                await self._async_begin(head, framing)
             assert self.response is not None
-            await self.response.write_eof()
+            await self.response.write_eof(body)
         except (ConnectionError, RuntimeError) as exc:
             raise exceptions.CallerGoneError(str(exc)) from exc
         return self.response
@@ -114,24 +151,26 @@
     def abort(self) -> None:
         """Aborts the connection so that the response is seen as truncated."""
         if self._req.transport is not None:
-            if not self._is_chunked():
-                # Without chunks a normal close marks a complete response.
-                resets.reset_on_close(self._req.transport)
             self._req.transport.abort()
 
-    def _is_chunked(self) -> bool:
-        """Returns whether the response uses chunked transfer encoding.
-
-        HTTP/1.0 has none: there the response ends where the connection does.
-        """
-        return self._req.version >= aiohttp.HttpVersion11
-
-    async def _async_begin(self, head: models.ResponseHead) -> None:
-        self.response = web.StreamResponse(status=head.status)
+    async def _async_begin(
+        self, head: models.ResponseHead, framing: message_framing.Framing
+    ) -> None:
+        # HTTP/1.0 has no chunks.
+        self.is_unmarked = (
+            framing is message_framing.Framing.CLOSE
+            or self._req.version < aiohttp.HttpVersion11
+        )
+        kind = (
+            unmarked_response.UnmarkedResponse
+            if self.is_unmarked
+            else web.StreamResponse
+        )
+        self.response = kind(status=head.status)
+        if not self.is_unmarked:
+            self.response.enable_chunked_encoding()
         for name, value in head.headers:
             self.response.headers.add(name, value)
-        if self._is_chunked():
-            self.response.enable_chunked_encoding()
         if self._is_last():
             self.response.force_close()
         await self.response.prepare(self._req)
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -9,6 +9,7 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
+    attempt_progress,
     exceptions,
     forward,
     jobs,
@@ -17,6 +18,7 @@
     relay,
     request_log,
     response_stream,
+    servers,
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.telemetry import spans
@@ -29,38 +31,14 @@
 """Minimum Retry-After when servers rejected the request: one step of a server's
 queue takes this long."""
 
+CONFIRMATION_S = 1.0
+"""Time for which another server may leave it open whether a stream goes on.
+Callers abandon a stream after a pause of two seconds at the earliest."""
+
 _End = forward.AttemptEnd
 _Outcome = jobs.Outcome
 _Reason = rejections.Reason
 
-_OUTCOME_OF_END = {
-    _End.COMPLETE: _Outcome.SERVED,
-    _End.NOT_SENT: _Outcome.UNREACHABLE,
-    _End.NOT_RUN: _Outcome.REJECTED,
-    _End.MISDIRECTED: _Outcome.MISDIRECTED,
-    _End.LOST: _Outcome.LOST,
-    _End.MISMATCHED: _Outcome.LOST,
-    _End.TIMED_OUT: _Outcome.TIMED_OUT,
-}
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """Progress of a job over all its attempts.
-
-    Attributes:
-        may_have_run: Whether any server may have run the request.
-        attempts: Number of attempts, including those that failed before any
-            part of the request was sent.
-        connect_failures: Number of the latter.
-        last: Last attempt; None if there was none.
-    """
-
-    may_have_run: bool = False
-    attempts: int = 0
-    connect_failures: int = 0
-    last: forward.Attempt | None = None
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Run:
@@ -78,7 +56,9 @@
     job: jobs.Job
     stream: response_stream.ResponseStream
     time_limit: asyncio.Timeout
-    progress: Progress = dataclasses.field(default_factory=Progress)
+    progress: attempt_progress.Progress = dataclasses.field(
+        default_factory=attempt_progress.Progress
+    )
     is_sending: bool = False
     rejection: rejections.Rejection | None = None
 
@@ -111,7 +91,7 @@
         """
         now = asyncio.get_running_loop().time()
         for run in self._runs:
-            if run.stream.response is None:
+            if run.stream.response is None and not run.time_limit.expired():
                 run.rejection = rejection
                 run.time_limit.reschedule(now)
 
@@ -137,11 +117,13 @@
             async with run.time_limit:
                 return await self._async_run_attempts(req, run, span)
         except TimeoutError:
-            if run.rejection is None:
+            if not run.time_limit.expired():
                 raise
             # A server may run what is being sent.
             run.progress.may_have_run |= run.is_sending
-            return self._reject_or_cut(job, stream, run.progress, run.rejection)
+            return await self._async_give_up(
+                job, stream, run.progress, run.rejection
+            )
         finally:
             self._runs.discard(run)
 
@@ -156,11 +138,11 @@
             try:
                 admitted = await self._controller.async_admit(job)
             except asyncio.CancelledError:
-                if run.rejection is None:
+                if not run.time_limit.expired():
                     self._log.record_left_undecided()
                 raise
             if isinstance(admitted, result.Err):
-                return self._reject_or_cut(
+                return await self._async_give_up(
                     job, stream, progress, admitted.err_value
                 )
             if response_stream.has_left(req):
@@ -182,24 +164,33 @@
                 )
             # A response without a stream can't complete a stream that the
             # caller has already received a part of.
-            is_complete = attempt.end is _End.COMPLETE and (
+            has_response = attempt.end in forward.WITH_RESPONSE and (
                 attempt.streamed or stream.response is None
             )
-            if is_complete and not _is_failure(attempt):
+            may_go_on = attempt.end is _End.UNCONFIRMED and attempt.streamed
+            if has_response and not may_go_on and not attempt.is_server_error:
                 self._log.record_response(
                     job, stream, attempt, server, progress.attempts
                 )
                 return await self._async_respond(stream, attempt)
-            _record_failure(job, attempt, progress, server)
+            progress.record_attempt(job, attempt, server, stream.event_count)
             will_retry = (
                 events is None or events.resumable
             ) and self._may_retry(job, progress, attempt)
             self._log.record_attempt_end(job, attempt, server, will_retry)
             if will_retry:
+                if may_go_on:
+                    self._limit_confirmation(run)
                 continue
-            if is_complete:
+            if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
-            return self._reject_or_cut(job, stream, progress, None)
+            return await self._async_give_up(job, stream, progress, None)
+
+    def _limit_confirmation(self, run: _Run) -> None:
+        """Limits the time in which another server confirms a stream's end."""
+        now = asyncio.get_running_loop().time()
+        run.time_limit.reschedule(now + CONFIRMATION_S)
+        run.stream.set_next_event_limit(run.time_limit)
 
     async def _async_send(
         self,
@@ -229,18 +220,39 @@
         outcome = _Outcome.CANCELLED
         try:
             attempt = await self._forwarder.async_send(params)
-            outcome = _outcome(attempt)
-            if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
-                address = params.address
-                if await self._forwarder.async_refuses_connections(address):
-                    outcome = _Outcome.CRASHED
+            outcome = await self._async_outcome(job, attempt, params.address)
             attempt_span.set("end", attempt.end.value)
         finally:
             permit.finish(outcome)
         return attempt
 
+    async def _async_outcome(
+        self, job: jobs.Job, attempt: forward.Attempt, address: str
+    ) -> jobs.Outcome:
+        """Returns the outcome of an attempt, by the state of its server.
+
+        The connections of a process that dies are closed in good order, so a
+        response whose end is not marked is lost unless its server lives on.
+        """
+        if attempt.end is _End.UNCONFIRMED:
+            check = await self._forwarder.async_check_connection(address)
+            if check is not servers.ConnectionCheck.ACCEPTED:
+                attempt.end = _End.LOST
+                attempt.detail = (
+                    f"unmarked response ended, new connection {check.value}"
+                )
+        outcome = attempt_progress.outcome(attempt)
+        if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
+            check = await self._forwarder.async_check_connection(address)
+            if check is servers.ConnectionCheck.REFUSED:
+                outcome = _Outcome.CRASHED
+        return outcome
+
     def _may_retry(
-        self, job: jobs.Job, progress: Progress, attempt: forward.Attempt
+        self,
+        job: jobs.Job,
+        progress: attempt_progress.Progress,
+        attempt: forward.Attempt,
     ) -> bool:
         """Returns whether a failed job may be sent to another server."""
         if self._clock.monotonic() >= job.deadline:
@@ -256,23 +268,50 @@
     async def _async_respond(
         self, stream: response_stream.ResponseStream, attempt: forward.Attempt
     ) -> web.StreamResponse:
-        head = attempt.head
+        head, framing = attempt.head, attempt.framing
         assert head is not None
-        if stream.response is not None:
-            return await stream.async_end(head)
+        assert framing is not None
+        if stream.response is not None or attempt.streamed:
+            return await stream.async_end(head, framing)
+        if attempt.end is _End.UNCONFIRMED:
+            return await stream.async_end(head, framing, attempt.body)
         if not attempt.body and head.status == 200 and _is_stream(head):
-            return await stream.async_end(head)
+            return await stream.async_end(head, framing)
         resp = web.Response(status=head.status, body=attempt.body)
         resp.headers.popall("Content-Type", None)
         for name, value in head.headers:
             resp.headers.add(name, value)
         return resp
 
+    async def _async_give_up(
+        self,
+        job: jobs.Job,
+        stream: response_stream.ResponseStream,
+        progress: attempt_progress.Progress,
+        rejection: rejections.Rejection | None,
+    ) -> web.StreamResponse:
+        """Ends a job that is not sent to a server again.
+
+        A stream that may be complete ends without a mark, if it has none;
+        otherwise its caller would take it for complete.
+        """
+        unconfirmed = progress.unconfirmed_end(stream.event_count)
+        if unconfirmed is not None and stream.may_end_unmarked:
+            self._log.record_unconfirmed(
+                job,
+                stream,
+                unconfirmed.attempt,
+                unconfirmed.server,
+                progress.attempts,
+            )
+            return await self._async_respond(stream, unconfirmed.attempt)
+        return self._reject_or_cut(job, stream, progress, rejection)
+
     def _reject_or_cut(
         self,
         job: jobs.Job,
         stream: response_stream.ResponseStream,
-        progress: Progress,
+        progress: attempt_progress.Progress,
         rejection: rejections.Rejection | None,
     ) -> web.StreamResponse:
         if stream.response is not None:
@@ -301,7 +340,7 @@
     def _final_rejection(
         self,
         job: jobs.Job,
-        progress: Progress,
+        progress: attempt_progress.Progress,
         rejection: rejections.Rejection | None,
     ) -> rejections.Rejection:
         last = progress.last
@@ -317,30 +356,6 @@
         return rejections.Rejection(_Reason.SERVER_REJECTED, retry_after_s)
 
 
-def _record_failure(
-    job: jobs.Job, attempt: forward.Attempt, progress: Progress, server: str
-) -> None:
-    """Records an attempt that did not produce the final response."""
-    progress.last = attempt
-    job.excluded_servers.add(server)
-    if attempt.end is _End.NOT_SENT:
-        progress.connect_failures += 1
-    else:
-        job.attempts += 1
-    if attempt.end not in forward.PROVED_NOT_RUN:
-        progress.may_have_run = True
-
-
-def _is_failure(attempt: forward.Attempt) -> bool:
-    return attempt.head is not None and attempt.head.status >= 500
-
-
-def _outcome(attempt: forward.Attempt) -> jobs.Outcome:
-    if attempt.end is _End.COMPLETE and _is_failure(attempt):
-        return _Outcome.FAILED
-    return _OUTCOME_OF_END[attempt.end]
-
-
 def _is_crash_suspect(job: jobs.Job, attempt: forward.Attempt) -> bool:
     """Returns whether a lost request may have crashed its server.
 
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import enum
 import select
 from typing import Any, cast
 
@@ -39,6 +40,20 @@
 )
 
 
+class ConnectionCheck(enum.Enum):
+    """Result of opening a connection to a server.
+
+    Attributes:
+        ACCEPTED: The server accepted the connection.
+        REFUSED: The server refused it, as after a crash.
+        FAILED: The server can't be reached, or not in time.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
 class ServerProtocol(response_limits.BoundedProtocol):
     """Client protocol that keeps the connection's error and idle timeout.
 
@@ -109,7 +124,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._session: aiohttp.ClientSession | None = None
-        self._connection_checks: dict[str, asyncio.Task[bool]] = {}
+        self._connection_checks: dict[str, asyncio.Task[ConnectionCheck]] = {}
 
     async def on_start(self) -> None:
         """Opens the connection pool."""
@@ -165,15 +180,14 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise exceptions.LostError(_describe(exc)) from exc
 
-    async def async_refuses_connections(self, address: str) -> bool:
-        """Returns whether a server refuses connections.
+    async def async_check_connection(self, address: str) -> ConnectionCheck:
+        """Opens a connection to a server, and closes it at once.
 
-        A server that can't be reached, or not in time, does not refuse them.
         Callers that ask at the same time share one connection attempt.
         """
         check = self._connection_checks.get(address)
         if check is None:
-            check = asyncio.create_task(_async_refuses_connections(address))
+            check = asyncio.create_task(_async_check_connection(address))
             self._connection_checks[address] = check
             check.add_done_callback(
                 lambda _: self._connection_checks.pop(address)
@@ -181,18 +195,18 @@
         return await asyncio.shield(check)
 
 
-async def _async_refuses_connections(address: str) -> bool:
+async def _async_check_connection(address: str) -> ConnectionCheck:
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return True
+        return ConnectionCheck.REFUSED
     except (OSError, TimeoutError) as exc:
         events.write(events.ConnectionCheckFailed(address, _describe(exc)))
-        return False
+        return ConnectionCheck.FAILED
     writer.transport.abort()
-    return False
+    return ConnectionCheck.ACCEPTED
 
 
 def ended_by_reset(resp: aiohttp.ClientResponse) -> bool:
