--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -19,9 +19,9 @@
     stream_check,
 )
 from tamarackbridge.components.entry import models as entry_models
-from tamarackbridge.components.gateway import message_framing
 from tamarackbridge.components.records import models
 from tamarackbridge.components.telemetry import spans
+from tamarackbridge.helpers import message_framing
 
 _END = attempts.End
 _OK = 200
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -10,13 +10,12 @@
 
 from tamarackbridge.components.gateway import (
     exceptions,
-    message_framing,
     models,
     relay,
     servers,
 )
 from tamarackbridge.components.telemetry import processor
-from tamarackbridge.helpers import response_limits
+from tamarackbridge.helpers import message_framing, response_limits
 
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 """Maximum size of a response that is buffered."""
--- a/tamarackbridge/components/gateway/response_stream.py
+++ b/tamarackbridge/components/gateway/response_stream.py
@@ -11,11 +11,10 @@
 from tamarackbridge.components.gateway import (
     exceptions,
     jobs,
-    message_framing,
     models,
     relay,
 )
-from tamarackbridge.helpers import unmarked_response
+from tamarackbridge.helpers import message_framing, unmarked_response
 
 _CLOSE_EVENTS = select.POLLRDHUP
 """poll() always reports POLLERR and POLLHUP, so they need not be requested."""
--- a/tests/components/gateway/test_message_framing.py
+++ b/tests/helpers/test_message_framing.py
@@ -6,7 +6,7 @@
 import multidict
 import pytest
 
-from tamarackbridge.components.gateway import message_framing
+from tamarackbridge.helpers import message_framing
 
 Framing = message_framing.Framing
 
