Let the soak cut streams without a length, and crash servers behind them

Servers send streams without length or chunks: whole, cut between two events in good order, cut within an event, or reset; and a server crashes in the middle of some, so that its connections close in good order and it refuses new ones for 4 to 6 s, longer than any pause of a router. The faults are drawn from a generator of their own, so what faults.py draws from earlier seeds is the same.

The check: a stream that lacks events may end in good order only where a server that lived on closed it so itself, at the same event, and only if the answer has neither length nor chunks. It is stricter than before for such answers too: a reset of an unmarked answer counts as its loss, and nothing else ends one early unseen. So that a reset arrives as one, links now pass resets on instead of closing in good order.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,8 @@
 import aiohttp
 
 from soak import environment, programs
-from tamarackbridge.helpers import send_once
+from tamarackbridge.components.gateway import message_framing, servers
+from tamarackbridge.helpers import response_limits, send_once
 
 CALLER_TIMEOUT_S = 3.0
 """Client timeout, sent with each request."""
@@ -46,7 +47,9 @@
         status: HTTP status of the answer; 0 without one.
         answer_id: X-Request-Id of the answer; empty without one.
         body: Bytes of the answer's body that arrived.
-        complete: Whether the answer ended where its HTTP framing says.
+        complete: Whether the answer ended where its HTTP framing says: without
+            a length or chunks, where the connection is closed in good order.
+        unmarked: Whether the answer has neither a length nor chunks.
         abandoned: Whether the caller closed the connection before the
             answer had ended.
         error: Error of the connection or of the client timeout, if any.
@@ -62,6 +65,7 @@
     answer_id: str = ""
     body: bytes = b""
     complete: bool = False
+    unmarked: bool = False
     abandoned: bool = False
     error: str = ""
 
@@ -147,6 +151,7 @@
         while True:
             router = self._rng.choice(self._balancer.rotation())
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=30)
+            response_limits.bind(connector, servers.ServerProtocol)
             async with aiohttp.ClientSession(
                 connector=connector,
                 middlewares=(send_once.async_send_once,),
@@ -212,8 +217,13 @@
             ) as resp:
                 request.status = resp.status
                 request.answer_id = resp.headers.get("X-Request-Id", "")
+                framing = message_framing.of_response(resp)
+                request.unmarked = framing is message_framing.Framing.CLOSE
                 async for chunk in resp.content.iter_any():
                     request.body += chunk
+                if request.unmarked and servers.ended_by_reset(resp):
+                    request.error = "connection was reset"
+                    return
                 request.complete = True
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             request.error = f"{type(exc).__name__}: {exc}"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -47,7 +47,7 @@
     lines = [
         line
         for request in ended_requests
-        for line in _check_request(request, runs)
+        for line in _check_request(request, runs, env.unmarked_ends)
     ]
     lines.extend(_check_revocations(env, ended_requests, runs))
     lines.extend(_check_drains(env))
@@ -59,7 +59,11 @@
     return lines
 
 
-def _check_request(request: callers.ClientRequest, runs: Runs) -> Iterator[str]:
+def _check_request(
+    request: callers.ClientRequest,
+    runs: Runs,
+    unmarked_ends: environment.UnmarkedEnds,
+) -> Iterator[str]:
     run_count = len(runs.get(request.request_id, ()))
     not_retried = request.route in ("pay", "stream")
     if run_count > (1 if not_retried else 2):
@@ -67,10 +71,17 @@
     if request.status in NOT_RUN_STATUSES and run_count:
         yield f"{request.request_id}: status {request.status}, but it ran"
     if request.status == 200:
-        yield from _check_answer(request)
+        yield from check_answer(request, unmarked_ends)
 
 
-def _check_answer(request: callers.ClientRequest) -> Iterator[str]:
+def check_answer(
+    request: callers.ClientRequest, unmarked_ends: environment.UnmarkedEnds
+) -> Iterator[str]:
+    """Checks the bytes of an answer of status 200, and what its end says.
+
+    Only where a server itself closed a stream early in good order, and lived
+    on, may the caller see the same: no router can tell that it was cut.
+    """
     name = request.request_id
     if request.answer_id != name:
         yield f"{name}: got the answer to {request.answer_id!r}"
@@ -78,7 +89,10 @@
         events = request.events
         if events != COMPLETE_STREAM[: len(events)]:
             yield f"{name}: got events {events}, expected 0, 1, 2 ..."
-        if request.complete and events != COMPLETE_STREAM:
+        is_as_sent = request.unmarked and len(events) in unmarked_ends.get(
+            name, ()
+        )
+        if request.complete and events != COMPLETE_STREAM and not is_as_sent:
             yield f"{name}: stream of events {events} ended as if complete"
     elif request.complete and request.body != f"answer to {name}".encode():
         yield f"{name}: unexpected answer {request.body[:60]!r}"
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -5,7 +5,7 @@
 import pathlib
 import random
 import time
-from typing import Any
+from typing import Any, TypeAlias
 
 from soak import programs, proxy
 from standins import platform_server, platform_store
@@ -61,6 +61,11 @@
     at: float
 
 
+UnmarkedEnds: TypeAlias = dict[str, set[int]]
+"""Streams that servers closed early as if they were whole: by the identifier of
+the request, the number of the first event that was not sent."""
+
+
 class Server(platform_server.PlatformServer):
     """A server that records the requests that it receives and runs.
 
@@ -76,6 +81,7 @@
         zone: str,
         runs: list[RequestRecord],
         arrivals: list[RequestRecord],
+        unmarked_ends: UnmarkedEnds,
     ) -> None:
         super().__init__(name)
         self.zone = zone
@@ -83,6 +89,7 @@
         self.incarnation = 1
         self._runs = runs
         self._arrivals = arrivals
+        self._unmarked_ends = unmarked_ends
 
     @property
     def is_normal(self) -> bool:
@@ -102,6 +109,10 @@
         now = time.monotonic()
         self._runs.append(RequestRecord(request_id, self.name, self.zone, now))
 
+    def record_unmarked_end(self, request_id: str, next_event: int) -> None:
+        """Records a stream that was closed early, as if it were whole."""
+        self._unmarked_ends.setdefault(request_id, set()).add(next_event)
+
 
 class Environment:
     """The router processes, and everything that they communicate with.
@@ -109,6 +120,7 @@
     Attributes:
         runs: Requests that servers ran, in order.
         arrivals: Requests that servers received, in order.
+        unmarked_ends: Streams that servers closed early in good order.
         changes: Changes by operators and servers, in order.
         routers: The router processes.
         servers: The servers by name.
@@ -126,6 +138,7 @@
         self.rng = rng
         self.runs: list[RequestRecord] = []
         self.arrivals: list[RequestRecord] = []
+        self.unmarked_ends: UnmarkedEnds = {}
         self.changes: list[Change] = []
         self.routers: list[programs.RouterProcess] = []
         self.servers: dict[str, Server] = {}
@@ -163,7 +176,9 @@
 
     async def async_add_server(self, name: str, zone: str) -> None:
         """Starts a server and registers it behind a proxy."""
-        server = Server(name, zone, self.runs, self.arrivals)
+        server = Server(
+            name, zone, self.runs, self.arrivals, self.unmarked_ends
+        )
         server.event_interval_s = 0.02
         await self._stack.enter_async_context(server)
         link = proxy.Proxy(server.address)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -57,12 +57,13 @@
             await asyncio.sleep(rng.expovariate(1 / MEAN_GAP_S))
             action = rng.choice(_ACTIONS)
             own_rng = random.Random(rng.randrange(2**32))
-            group.create_task(_async_run_action(action, env, own_rng))
+            group.create_task(async_run_action(action, env, own_rng))
 
 
-async def _async_run_action(
+async def async_run_action(
     action: Action, env: environment.Environment, rng: random.Random
 ) -> None:
+    """Runs one fault until it has ended."""
     await action(env, rng)
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 
-from standins import base
+from standins import base, ports
 
 CHUNK_BYTES = 65_536
 
@@ -50,36 +50,59 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._serving: set[asyncio.Task[None]] = set()
-        self._port = 0
+        self._reserved = ports.ReservedPorts(1)
 
     @property
     def address(self) -> str:
         """`host:port` while running."""
-        return f"127.0.0.1:{self._port}"
+        return f"127.0.0.1:{self._reserved.ports[0]}"
+
+    @property
+    def connections(self) -> int:
+        """Number of connections that are relayed."""
+        return len(self._writers) // 2
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._server is not None
 
     async def __aenter__(self) -> "Proxy":
-        """Starts to listen on a port that the kernel chooses."""
-        self._server = await asyncio.start_server(
-            self._async_serve, "127.0.0.1", 0
-        )
-        self._port = self._server.sockets[0].getsockname()[1]
+        """Starts to listen on a port that the kernel chose."""
+        await self.async_listen()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Closes the listener and resets all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         self.reset()
         await base.async_cancel(self._serving)
+        self._reserved.close()
+
+    async def async_listen(self) -> None:
+        """Accepts connections, also again after a crash."""
+        self._server = await asyncio.start_server(
+            self._async_serve, "127.0.0.1", self._reserved.ports[0]
+        )
+
+    def crash(self) -> None:
+        """Refuses connections and closes all open ones in good order.
+
+        The kernel does so for a process that has died.
+        """
+        self._stop_listening()
+        for writer in list(self._writers):
+            writer.close()
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
 
     def reset(self) -> None:
         """Resets all open connections."""
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            _reset(writer)
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -126,4 +149,13 @@
             if self.fault.dropped_direction not in (Direction.BOTH, direction):
                 writer.write_eof()
         except (ConnectionError, OSError):
-            writer.transport.abort()
+            # A close in good order would look like the end of an answer.
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,7 +6,7 @@
 import pathlib
 import random
 
-from soak import callers, checks, environment, faults
+from soak import callers, checks, environment, faults, unmarked_ends
 
 CALLERS = 16
 """Callers that send requests at the same time."""
@@ -75,7 +75,11 @@
             if became_ready
             else ["not all routers became ready after the start"]
         )
-        await faults.async_inject(env, rng, seconds)
+        # A generator of its own leaves the draws of earlier seeds unchanged.
+        own_rng = random.Random(f"unmarked ends {seed}")
+        async with asyncio.TaskGroup() as group:
+            group.create_task(faults.async_inject(env, rng, seconds))
+            group.create_task(unmarked_ends.async_inject(env, own_rng, seconds))
         if not await _async_wait_until_ready(balancer, RECOVERY_S):
             broken.append("not all routers became ready after the last fault")
         for task in tasks:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -193,6 +193,14 @@
         """Records a request that begins to run."""
         self.ran.append(request_id)
 
+    def record_unmarked_end(self, request_id: str, next_event: int) -> None:
+        """Records a stream that was closed early, as if it were whole.
+
+        Args:
+            request_id: Identifier of the request.
+            next_event: Number of the first event that was not sent.
+        """
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -342,6 +350,8 @@
                     event = event.partition(b"\n")[2]
                 if cut is not None and number == first_event + cut.events:
                     writer.write(event[: cut.part])
+                    if fault is server_faults.EarlyEnd.UNFRAMED_CUT_BETWEEN:
+                        self.record_unmarked_end(request_id, number)
                     return await self._async_leave(fault, writer)
                 if fault in _CUT_BETWEEN and number == first_event + 2:
                     return False
