Abort an unmarked response whose end is interrupted

TLS says on a regular close that the data ends there, whatever SO_LINGER is set to. If the wait for a slow caller is cancelled, aiohttp closes the connection, and a part of the body looked like the whole over TLS.

Also run over TLS: a late reader gets the whole body, an abort is seen as a reset. A regular close by others before write_eof still reads as an end over TLS; the doc comment says so.

--- a/tamarackbridge/helpers/unmarked_response.py
+++ b/tamarackbridge/helpers/unmarked_response.py
@@ -15,7 +15,8 @@
     the router does not know.
 
     The connection resets on close until `write_eof`. So a response that is
-    aborted, and one whose router is killed, is seen as truncated.
+    aborted, and one whose router is killed, is seen as truncated. TLS says on
+    close that the data ends there: over TLS, abort the transport on an error.
 
     Args:
         body: Sent by `write_eof` if that is given nothing.
@@ -46,10 +47,15 @@
         Before, a killed router would lose the rest and yet close in order.
         """
         req, writer = self._req, self._payload_writer
-        await super().write_eof(data or self._unsent_body)
-        if req is None or writer is None or req.transport is None:
-            return
-        if not req.transport.is_closing():
-            req.transport.set_write_buffer_limits(high=0)
+        transport = None if req is None else req.transport
+        try:
+            await super().write_eof(data or self._unsent_body)
+            if writer is None or transport is None or transport.is_closing():
+                return
+            transport.set_write_buffer_limits(high=0)
             await writer.drain()
-            resets.allow_orderly_close(req.transport)
+        except BaseException:
+            if transport is not None:
+                transport.abort()
+            raise
+        resets.allow_orderly_close(transport)
--- a/tests/helpers/test_unmarked_response.py
+++ b/tests/helpers/test_unmarked_response.py
@@ -3,11 +3,14 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
+import pathlib
+import ssl
 
 from aiohttp import web
 import pytest
 
 from tamarackbridge.helpers import unmarked_response
+from tests import certificates
 
 BODY = b"data: x\n\n"
 LARGE = b"y" * 4_000_000
@@ -17,16 +20,19 @@
 
 @contextlib.asynccontextmanager
 async def _async_request(
-    handler: _Handler, version: str = "1.1", method: str = "GET"
+    handler: _Handler,
+    version: str = "1.1",
+    authority: certificates.Authority | None = None,
 ) -> AsyncIterator[asyncio.StreamReader]:
     """Yields the reader of a caller that has sent a request."""
     runner = web.ServerRunner(web.Server(handler))
     await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
+    contexts = (None, None) if authority is None else _tls(authority)
+    site = web.TCPSite(runner, "127.0.0.1", 0, ssl_context=contexts[0])
     await site.start()
     host, port = runner.addresses[0][:2]
-    reader, writer = await asyncio.open_connection(host, port)
-    writer.write(f"{method} / HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+    reader, writer = await asyncio.open_connection(host, port, ssl=contexts[1])
+    writer.write(f"GET / HTTP/{version}\r\nHost: a\r\n\r\n".encode())
     try:
         yield reader
     finally:
@@ -34,6 +40,16 @@
         await runner.cleanup()
 
 
+def _tls(
+    authority: certificates.Authority,
+) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+    """Returns the contexts of a server and of a caller."""
+    issued = authority.issue("server")
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server.load_cert_chain(issued.certificate, issued.key)
+    return server, ssl.create_default_context(cafile=str(authority.path))
+
+
 async def _async_whole(req: web.BaseRequest) -> web.StreamResponse:
     resp = unmarked_response.UnmarkedResponse(
         headers={"Content-Length": "3", "Content-Type": "text/event-stream"}
@@ -67,8 +83,35 @@
         assert (await reader.read()).endswith(b"\r\n\r\n" + LARGE)
 
 
-@pytest.mark.parametrize("ending", ["abort", "close", "raise"])
-async def test_response_without_its_end_is_reset(ending: str) -> None:
+@pytest.fixture(params=["plain", "tls"])
+def authority(
+    request: pytest.FixtureRequest, tmp_path: pathlib.Path
+) -> certificates.Authority | None:
+    if request.param == "plain":
+        return None
+    return certificates.Authority(tmp_path, "ours")
+
+
+async def test_end_waits_for_a_caller_that_reads_late(
+    authority: certificates.Authority | None,
+) -> None:
+    async def async_large(req: web.BaseRequest) -> web.StreamResponse:
+        resp = unmarked_response.UnmarkedResponse(LARGE)
+        await resp.prepare(req)
+        return resp
+
+    async with _async_request(async_large, authority=authority) as reader:
+        await asyncio.sleep(0.1)
+        assert (await reader.read()).endswith(b"\r\n\r\n" + LARGE)
+
+
+@pytest.mark.parametrize(
+    ("ending", "is_tls"),
+    [("abort", False), ("close", False), ("raise", False), ("abort", True)],
+)
+async def test_response_without_its_end_is_reset(
+    ending: str, is_tls: bool, tmp_path: pathlib.Path
+) -> None:
     async def async_cut(req: web.BaseRequest) -> web.StreamResponse:
         resp = unmarked_response.UnmarkedResponse()
         await resp.prepare(req)
@@ -84,9 +127,31 @@
         return resp
 
     read = asyncio.Event()
-    async with _async_request(async_cut) as reader:
+    authority = certificates.Authority(tmp_path, "ours") if is_tls else None
+    async with _async_request(async_cut, authority=authority) as reader:
         assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
         assert await reader.readexactly(len(BODY)) == BODY
         read.set()
         with pytest.raises(ConnectionResetError):
             await reader.read()
+
+
+async def test_end_that_is_interrupted_is_reset(
+    authority: certificates.Authority | None,
+) -> None:
+    """Guards against a part of a large body that ends in order."""
+
+    async def async_cut(req: web.BaseRequest) -> web.StreamResponse:
+        resp = unmarked_response.UnmarkedResponse()
+        await resp.prepare(req)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await resp.write_eof(LARGE)
+        ended.set()
+        return resp
+
+    ended = asyncio.Event()
+    async with _async_request(async_cut, authority=authority) as reader:
+        await ended.wait()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
