Interrupt a response in the test with more bytes than the kernel takes

test_end_that_is_interrupted_is_reset[tls] failed 2 of 3 runs: 4 MB fitted into the kernel's buffers now and then, and the response then ended in time. With 32 MB, and a wait for the interruption itself: 20 of 20 green; without the abort 5 of 5 red. The contexts for TLS move to tests/certificates.py.

--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -3,6 +3,7 @@
 import datetime
 import ipaddress
 import pathlib
+import ssl
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -54,6 +55,13 @@
             client_ca=str(client_ca or ""),
         )
 
+    def contexts(self, name: str) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+        """Returns the contexts of a server `name`, and of its callers."""
+        issued = self.issue(name)
+        server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        server.load_cert_chain(issued.certificate, issued.key)
+        return server, ssl.create_default_context(cafile=str(self.path))
+
 
 def _name(text: str) -> x509.Name:
     return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
--- a/tests/helpers/test_unmarked_response.py
+++ b/tests/helpers/test_unmarked_response.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import pathlib
-import ssl
 
 from aiohttp import web
 import pytest
@@ -14,6 +13,8 @@
 
 BODY = b"data: x\n\n"
 LARGE = b"y" * 4_000_000
+UNSENDABLE = b"y" * 32_000_000
+"""More than the kernel buffers for one connection."""
 
 _Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -27,7 +28,9 @@
     """Yields the reader of a caller that has sent a request."""
     runner = web.ServerRunner(web.Server(handler))
     await runner.setup()
-    contexts = (None, None) if authority is None else _tls(authority)
+    contexts = (
+        (None, None) if authority is None else authority.contexts("server")
+    )
     site = web.TCPSite(runner, "127.0.0.1", 0, ssl_context=contexts[0])
     await site.start()
     host, port = runner.addresses[0][:2]
@@ -40,16 +43,6 @@
         await runner.cleanup()
 
 
-def _tls(
-    authority: certificates.Authority,
-) -> tuple[ssl.SSLContext, ssl.SSLContext]:
-    """Returns the contexts of a server and of a caller."""
-    issued = authority.issue("server")
-    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    server.load_cert_chain(issued.certificate, issued.key)
-    return server, ssl.create_default_context(cafile=str(authority.path))
-
-
 async def _async_whole(req: web.BaseRequest) -> web.StreamResponse:
     resp = unmarked_response.UnmarkedResponse(
         headers={"Content-Length": "3", "Content-Type": "text/event-stream"}
@@ -144,14 +137,18 @@
     async def async_cut(req: web.BaseRequest) -> web.StreamResponse:
         resp = unmarked_response.UnmarkedResponse()
         await resp.prepare(req)
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(0.05):
-                await resp.write_eof(LARGE)
-        ended.set()
+                await resp.write_eof(UNSENDABLE)
+        except TimeoutError:
+            interrupted.set()
         return resp
 
-    ended = asyncio.Event()
-    async with _async_request(async_cut, authority=authority) as reader:
-        await ended.wait()
+    interrupted = asyncio.Event()
+    async with (
+        asyncio.timeout(10),
+        _async_request(async_cut, authority=authority) as reader,
+    ):
+        await interrupted.wait()
         with pytest.raises(ConnectionResetError):
             await reader.read()
