Abort connections that are to reset when they are closed over TLS

What HTTP/1.0 callers over TLS saw: a router that stops closes a stream in progress regularly, and TLS then says that the data ends there, whatever SO_LINGER is set to. Cause: aiohttp closes the connection at the end of a shutdown, before the handler notices that it is cancelled.

Fix: force_close of callers' connections aborts one that is to reset (resets.will_reset); a stream that an error or a cancellation ends is aborted by its runner.

The gateway shares the connection class, and has no TLS.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -11,6 +11,7 @@
 from aiohttp import http_exceptions, web
 
 from tamarackbridge.components.entry import const, problem
+from tamarackbridge.helpers import resets
 
 FIRST_REQUEST_GRACE_S = 0.3
 """Seconds for which a new connection counts as about to send a request.
@@ -141,6 +142,15 @@
             self._counts.open -= 1
         super().connection_lost(exc)
 
+    def force_close(self) -> None:
+        """Closes the connection; aborts it if closing is to reset it.
+
+        Over TLS, a regular close would first mark the end of the data.
+        """
+        if self.transport is not None and resets.will_reset(self.transport):
+            self.transport.abort()
+        super().force_close()
+
     def data_received(self, data: bytes) -> None:
         """Processes bytes; a request's first ones start its header timer."""
         if not self._in_request and self._timer is None:
--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -67,6 +67,11 @@
             outcome = await self.async_run_attempts(request, history, stream)
         except caller_stream.CallerGoneError:
             return stream.abort()
+        except BaseException:
+            # A regular close by the server library ends data over TLS.
+            if stream.response is not None:
+                stream.abort()
+            raise
         if isinstance(outcome, forward.Attempt):
             if outcome.is_stream:
                 return await stream.async_finish()
--- a/tamarackbridge/helpers/resets.py
+++ b/tamarackbridge/helpers/resets.py
@@ -10,6 +10,10 @@
 import socket
 import struct
 
+_LINGER = struct.Struct("ii")
+_RESET = (1, 0)
+_ORDERLY = (0, 0)
+
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Makes closing a connection reset it and discard unsent bytes."""
@@ -20,7 +24,16 @@
 
 def reset_socket(conn: socket.socket) -> None:
     """Does the same for a socket."""
-    _set_linger(conn, 1)
+    _set_linger(conn, _RESET)
+
+
+def will_reset(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether closing an open connection resets it."""
+    conn = transport.get_extra_info("socket")
+    if conn is None or transport.is_closing():
+        return False
+    linger = conn.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.size)
+    return bool(_LINGER.unpack(linger) == _RESET)
 
 
 def allow_orderly_close(transport: asyncio.BaseTransport) -> None:
@@ -36,9 +49,9 @@
 
 def allow_orderly_close_socket(conn: socket.socket) -> None:
     """Does the same for a socket; undoes `reset_socket`."""
-    _set_linger(conn, 0)
+    _set_linger(conn, _ORDERLY)
 
 
-def _set_linger(conn: socket.socket, is_on: int) -> None:
-    linger = struct.pack("ii", is_on, 0)
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+def _set_linger(conn: socket.socket, linger: tuple[int, int]) -> None:
+    value = _LINGER.pack(*linger)
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
--- a/tests/components/entry/rig.py
+++ b/tests/components/entry/rig.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import random
+import ssl
 from typing import ClassVar
 
 import aiohttp
@@ -106,7 +107,9 @@
         servers: Sequence[backend.Backend],
         *routes: models.Route,
         life_s: float = 10.0,
+        ssl_context: ssl.SSLContext | None = None,
     ) -> None:
+        self._ssl_context = ssl_context
         self.servers = servers
         self.granter = PermitGranter(
             [str(n) for n in range(len(servers))], life_s
@@ -206,4 +209,5 @@
             random.Random(1),
             self.inject,
             telemetry.null(),
+            self._ssl_context,
         )
--- a/tests/components/entry/test_service.py
+++ b/tests/components/entry/test_service.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
 from typing import Any
 
 import aiohttp
@@ -17,6 +18,7 @@
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.entry import const, service
 from tamarackbridge.components.records import models
+from tests import certificates
 from tests.components.entry import rig as rig_lib
 
 TOKENS = 8
@@ -290,23 +292,31 @@
         writer.close()
 
 
+@pytest.mark.parametrize("is_tls", [False, True])
 async def test_shutdown_resets_a_stream_that_has_no_chunks(
-    monkeypatch: pytest.MonkeyPatch,
+    is_tls: bool, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a cut stream that ends like a whole one.
 
     HTTP/1.0 has no chunks. The close that a shutdown causes is the one that the
-    death of the router causes, too.
+    death of the router causes, too. TLS marks the end of the data on close.
     """
+    server_context, caller_context = None, None
+    if is_tls:
+        authority = certificates.Authority(tmp_path, "ours")
+        server_context, caller_context = authority.contexts("server")
     monkeypatch.setattr(service, "SHUTDOWN_TIMEOUT_S", 0.05)
     head = (
         f"POST /s/v1/completions HTTP/1.0\r\nX-Api-Key: {rig_lib.KEY}\r\n"
         f"Content-Length: {len(STREAM)}\r\n\r\n"
     )
     servers = [_engine(token_s=0.1)]
-    async with rig_lib.Rig(servers, DRAFT) as rig, asyncio.timeout(5):
+    async with (
+        rig_lib.Rig(servers, DRAFT, ssl_context=server_context) as rig,
+        asyncio.timeout(5),
+    ):
         reader, writer = await asyncio.open_connection(
-            "127.0.0.1", rig.entry.port
+            "127.0.0.1", rig.entry.port, ssl=caller_context
         )
         writer.write(head.encode() + STREAM)
         await reader.readuntil(b"\n\n")
--- a/tests/helpers/test_resets.py
+++ b/tests/helpers/test_resets.py
@@ -40,9 +40,12 @@
 
 async def test_orderly_close_sends_everything() -> None:
     async with _async_connection() as (transport, reader):
+        assert not resets.will_reset(transport)
         resets.reset_on_close(transport)
+        assert resets.will_reset(transport)
         transport.write(DATA)
         resets.allow_orderly_close(transport)
+        assert not resets.will_reset(transport)
         transport.close()
         assert await reader.read() == DATA
 
