--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,8 +11,8 @@
 import aiohttp
 
 from soak import environment, programs
-from tamarackbridge.components.gateway import message_framing, servers
-from tamarackbridge.helpers import response_limits, send_once
+from tamarackbridge.components.gateway import servers
+from tamarackbridge.helpers import message_framing, response_limits, send_once
 
 CALLER_TIMEOUT_S = 3.0
 """Client timeout, sent with each request."""
