Take a list of the store that is cut within a deep entry for unreadable

A RecursionError left Store.async_list and ended the task that follows the store. Cause: the second try replaces deep values by an invalid number and finds them by their ends; a list that is cut within one has none, so the decoder gets the same text.

--- a/tamarackbridge/platform/entries.py
+++ b/tamarackbridge/platform/entries.py
@@ -47,7 +47,12 @@
     try:
         return decoder.decode(data)
     except RecursionError:
+        pass
+    try:
         return decoder.decode(_without_deep_values(data))
+    except RecursionError as exc:
+        # A list that is cut within a deep value has no end to replace it by.
+        raise msgspec.DecodeError("nested too deeply") from exc
 
 
 def _without_deep_values(data: bytes) -> bytes:
