Don't take a list of the store that can't be continued for the whole

A page that says that there is more, and names no object to go on from, ended the list as if it were whole: objects of later pages counted as removed. Such a list is UNREADABLE now, so what is known stays, and it is read again. Weighed: going on with what was read (it would drop servers and routes that exist).

--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -164,8 +164,10 @@
                 kind, ((item, False) for item in page.items)
             )
             objects.extend(added)
-            if not page.has_more or not added:
+            if not page.has_more:
                 return result.Ok(Page(tuple(objects), revision, era))
+            if not added:
+                return result.Err(Failure.UNREADABLE)
             # Despite its name, the parameter is the last name on this page.
             query = {"since_revision": added[-1].name}
 
