Reproduce floods that fill a router's memory in failing tests

Operators of other sites saw a faulty engine send bytes that were no answer, without end, until the machine that had called it ran out of memory; the requests of all others ended with it.

Ruled out: heads (bounded by MAX_FRAMING_BYTES each; what they took was the size of reads).

--- a/soak/programs.py
+++ b/soak/programs.py
@@ -93,6 +93,11 @@
             and self._incarnation.process.returncode is None
         )
 
+    @property
+    def pid(self) -> int:
+        """Identifier of the last process; 0 before the first start."""
+        return self._incarnation.process.pid if self._incarnation else 0
+
     @property
     def has_run_code(self) -> bool:
         """Whether the last process has shown that the router's code ran.
@@ -111,12 +116,15 @@
         """Environment variables that name the settings file."""
         return {"TAMARACKBRIDGE_SETTINGS": str(self._settings_file)}
 
-    def write_settings(self, seeds: list[str], revoke_ms: int = 5_000) -> None:
+    def write_settings(
+        self, seeds: list[str], revoke_ms: int = 5_000, memory_mb: int = 256
+    ) -> None:
         """Writes the settings file.
 
         Args:
             seeds: Control addresses of the routers to contact first.
             revoke_ms: Time after which a revoked API key is rejected.
+            memory_mb: Memory of its VM.
         """
         lines = (
             f"node={self.name}",
@@ -132,6 +140,7 @@
             f"provider.address={self._store_address}",
             f"bounds.grace_s={GRACE_S}",
             f"bounds.revoke_ms={revoke_ms}",
+            f"limits.memory_mb={memory_mb}",
             "metrics.port=0",
         )
         self._settings_file.write_text("\n".join(lines), encoding="utf-8")
--- a/tests/components/gateway/rig.py
+++ b/tests/components/gateway/rig.py
@@ -139,7 +139,9 @@
     raise AssertionError("condition did not hold after 2000 checks")
 
 
-def settings_text(store: str, ports: list[int]) -> str:
+def settings_text(
+    store: str, ports: list[int], memory_mb: float = 256.0
+) -> str:
     return "\n".join(
         (
             "node=vm-1",
@@ -152,6 +154,7 @@
             f"provider.address={store}",
             "bounds.grace_s=3",
             "metrics.port=0",
+            f"limits.memory_mb={memory_mb}",
             f"internal_ports={ports[3]},{ports[3]}",
         )
     )
@@ -210,7 +213,9 @@
 
 @contextlib.asynccontextmanager
 async def async_environment(
-    servers: int = 2, tracer: spans.Tracer = NO_TRACES
+    servers: int = 2,
+    tracer: spans.Tracer = NO_TRACES,
+    memory_mb: float = 256.0,
 ) -> AsyncIterator[Environment]:
     async with contextlib.AsyncExitStack() as stack:
         store = platform_store.PlatformStore()
@@ -224,7 +229,9 @@
             started.append(server)
         reserved_ports = standin_ports.ReservedPorts(4)
         stack.callback(reserved_ports.close)
-        cfg = settings.parse(settings_text(store.address, reserved_ports.ports))
+        cfg = settings.parse(
+            settings_text(store.address, reserved_ports.ports, memory_mb)
+        )
         router = platform_router.PlatformRouter(cfg, tracer)
         await router.async_start()
         stack.push_async_callback(router.async_stop)
--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -6,11 +6,12 @@
 
 import asyncio
 import dataclasses
+from typing import Any
 
 import pytest
 
 from standins import floods
-from tamarackbridge.components.gateway import forward
+from tamarackbridge.components.gateway import forward, in_flight_limit, relay
 from tamarackbridge.components.telemetry import events
 from tests.components.gateway import rig
 
@@ -230,3 +231,108 @@
         assert body_memory.left == forward.MAX_TOTAL_BUFFERED_BYTES
         got = await env.async_send("/pay/1", request_id="small")
         assert got.body == b"answer to small"
+
+
+SPARE_BYTES = 2 * 1024 * 1024
+"""Memory that the router of the next tests has beyond that of an idle one."""
+
+MAX_STALLED_BYTES = 64 * 1024
+"""Bytes that a router may hold of a stream that its caller does not read."""
+
+
+class _RecordingRelay(relay.EventRelay):
+    """Records the bytes of unfinished events that all relays hold."""
+
+    relays: list["_RecordingRelay"]
+    most_bytes = 0
+
+    def feed(self, data: bytes) -> bytes:
+        if self not in self.relays:
+            self.relays.append(self)
+        forwarded = super().feed(data)
+        held = sum(len(each._buffer) for each in self.relays)
+        type(self).most_bytes = max(self.most_bytes, held)
+        return forwarded
+
+
+@pytest.mark.parametrize("name", ["event", "lines", "number"])
+async def test_unfinished_events_share_the_memory_of_the_router(
+    name: str,
+    log: list[events.Event],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_RecordingRelay, "relays", [], raising=False)
+    monkeypatch.setattr(_RecordingRelay, "most_bytes", 0)
+    monkeypatch.setattr(relay, "EventRelay", _RecordingRelay)
+    spare_mb = SPARE_BYTES / 1024 / 1024
+    async with rig.async_environment(
+        servers=2, memory_mb=in_flight_limit.BASE_MEMORY_MB + spare_mb
+    ) as env:
+        flood = floods.IN_EVENTS[name]
+        again = flood.again * (floods.BURST_BYTES // len(flood.again))
+        for server in env.servers:
+            server.flood_pace_s = 0.001
+        env.set_faults(*[dataclasses.replace(flood, again=again)] * MANY)
+        sent = [
+            asyncio.create_task(
+                env.async_send("/stream/1", request_id=f"q{number}")
+            )
+            for number in range(MANY)
+        ]
+        await rig.async_wait_until(lambda: len(env.ran()) == MANY)
+        for number in range(4):
+            got = await env.async_send("/stream/1", request_id=f"ok{number}")
+            assert got.body.count(b"data: piece") == 6
+        for result in await asyncio.gather(*sent, return_exceptions=True):
+            assert isinstance(result, rig.STREAM_CUT)
+        assert _RecordingRelay.most_bytes < SPARE_BYTES
+        ends = _failed_attempts(log)
+        assert {end.end for end in ends} == {"lost"}
+        assert any("no room" in end.detail for end in ends)
+
+
+async def test_stream_of_a_stalled_caller_is_not_read_ahead() -> None:
+    """Guards against valid events that pile up for callers that do not read."""
+    event = b"id: %d\ndata: " + b"y" * 1000 + b"\n\n"
+    block = b"".join(event % number for number in range(40_000))
+    body = b"%x\r\n%b\r\n" % (len(block), block)
+    head, _, _ = floods.IN_STREAM["chunk_size"].before.partition(b"\r\n\r\n")
+    async with rig.async_environment(servers=1) as env:
+        env.servers[0].flood_pace_s = 1.0
+        env.set_faults(floods.Flood(head + b"\r\n\r\n" + body, b"", 10.0))
+        cfg = env.cfg.callers
+        _, writer = await asyncio.open_connection(
+            cfg.host, cfg.port, limit=1024
+        )
+        lines = (
+            "POST /stream/1 HTTP/1.1",
+            f"Host: {rig.HOST}",
+            "X-Request-Id: q1",
+            "X-Deadline-Ms: 2500",
+            f"X-Api-Key: {rig.KEY}",
+            "Content-Length: 0",
+            "",
+            "",
+        )
+        writer.write("\r\n".join(lines).encode())
+        session = env.router._servers._session
+        assert session is not None
+        connector: Any = session.connector
+
+        def stalled() -> list[Any]:
+            return [
+                conn for conn in connector._acquired if conn._reading_paused
+            ]
+
+        held = -1
+        try:
+            for _ in range(200):  # Until the kernel's buffers are full.
+                previous = held
+                await asyncio.sleep(0.02)
+                held = sum(conn._body._size for conn in stalled())
+                if stalled() and held == previous:
+                    break
+            assert len(stalled()) == 1
+            assert 0 < held <= MAX_STALLED_BYTES
+        finally:
+            writer.transport.abort()
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -1,5 +1,8 @@
 """Event streams relayed across servers: no duplicate or partial events."""
 
+from collections.abc import Iterator
+import re
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -117,6 +120,53 @@
     assert events.feed(event(0)) == event(0)
 
 
+class _CountingPattern:
+    """A regular expression that counts the bytes that it is given."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self.count = 0
+        self._pattern = pattern
+
+    def search(self, data: bytes) -> re.Match[bytes] | None:
+        self.count += len(data)
+        return self._pattern.search(data)
+
+    def finditer(self, data: bytes, start: int) -> Iterator[re.Match[bytes]]:
+        self.count += len(data)
+        return self._pattern.finditer(data, start)
+
+
+def test_event_in_many_pieces_is_not_copied_for_each(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pattern = _CountingPattern(relay._BOUNDARY)
+    monkeypatch.setattr(relay, "_BOUNDARY", pattern)
+    events = relay.EventRelay("")
+    piece = b"y" * 100
+    pieces = relay.MAX_EVENT_BYTES // len(piece) - 1
+    events.feed(b"id: 0\ndata: ")
+    for _ in range(pieces):
+        assert events.feed(piece) == b""
+    assert events.feed(b"\n\n") == b"id: 0\ndata: " + piece * pieces + b"\n\n"
+    assert pattern.count < 3 * relay.MAX_EVENT_BYTES
+
+
+@hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
+@hypothesis.example([3, 1, 1, 1, 1])
+def test_any_chunking_of_any_line_end_gives_the_same_events(
+    sizes: list[int],
+) -> None:
+    whole = b"id: 0\r\n\r\nid: 1\n\nid: 2\n\r\nid: 3\r\n\nid: 4\r\n\r\n"
+    events = relay.EventRelay("")
+    forwarded = []
+    start = 0
+    for size in [*sizes, len(whole)]:
+        forwarded.append(events.feed(whole[start : start + size]))
+        start += size
+    assert b"".join(forwarded) == whole
+    assert not events.has_partial_event
+
+
 @hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
 def test_any_chunking_gives_the_same_events(sizes: list[int]) -> None:
     whole = b"".join(event(number) for number in range(12))
--- a/tests/helpers/test_response_limits.py
+++ b/tests/helpers/test_response_limits.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import aiohttp
+
 from tamarackbridge.helpers import response_limits
 
 HEAD = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -37,3 +39,29 @@
         _, body = await conn.read()
         assert await body.read() == b""
     assert not conn.should_close
+
+
+async def test_one_read_of_many_connections_is_small() -> None:
+    """Guards against the memory that all connections read at one time."""
+    sizes = []
+
+    class RecordingProtocol(response_limits.BoundedProtocol):
+        def data_received(self, data: bytes) -> None:
+            sizes.append(len(data))
+            super().data_received(data)
+
+    async def async_answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 2000000\r\n\r\n")
+        writer.write(b"y" * 2_000_000)
+
+    server = await asyncio.start_server(async_answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connector = aiohttp.TCPConnector()
+    response_limits.bind(connector, RecordingProtocol)
+    async with server, aiohttp.ClientSession(connector=connector) as session:
+        async with session.get(f"http://127.0.0.1:{port}/") as resp:
+            assert len(await resp.read()) == 2_000_000
+    assert max(sizes) <= 16 * 1024
