Join a long event once instead of at each read

Found while floods were examined: EventRelay.feed joined buffer and data at each read, so the work for one event grew with the square of its size.

Only the last 256 bytes are joined with the next read now; what is older is moved aside and joined when the event is complete.

--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -18,6 +18,10 @@
 _BOUNDARY_BYTES = 4
 """Length of the longest boundary between two events."""
 
+_JOINED_BYTES = 256
+"""Maximum number of buffered bytes that are joined with the data of each read:
+most events. Longer events are joined once, when they are complete."""
+
 _DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
 _ID = re.compile(rb"(?:^|\n)id:[ ]?([0-9]+)[ ]*(?=\r?\n|$)")
 
@@ -41,7 +45,8 @@
         self.error = ""
         self.resumable = True
         self.is_empty = True
-        self._buffer = b""
+        self.drop_partial_event()
+        self._long_event = bytearray()
         self._server_last_id = -1
         self._has_forwarded = False
         self._is_continuation = False
@@ -50,7 +55,7 @@
     def switch_server(self) -> None:
         """Starts the stream of another server; drops a partial event."""
         self.is_empty = True
-        self._buffer = b""
+        self.drop_partial_event()
         self._server_last_id = -1
         self._is_continuation = self._has_forwarded
         self._bytes_since_new = 0
@@ -59,7 +64,17 @@
     @property
     def has_partial_event(self) -> bool:
         """Returns whether an incomplete event is buffered."""
-        return bool(self._buffer.strip())
+        return bool(self._buffer.strip() or self._long_event.strip())
+
+    @property
+    def partial_bytes(self) -> int:
+        """Returns the number of bytes that are buffered."""
+        return len(self._long_event) + len(self._buffer)
+
+    def drop_partial_event(self) -> None:
+        """Drops an incomplete event and frees its memory."""
+        self._buffer = b""
+        self._long_event = bytearray()
 
     @property
     def may_end(self) -> bool:
@@ -90,15 +105,26 @@
                 break
             event = pending[start : match.end()]
             start = match.end()
+            if self._long_event:
+                event = bytes(self._long_event) + event
+                self._long_event = bytearray()
             self.is_empty = False
             if self._accept(event) and not self.error:
                 self._has_forwarded = True
                 forwarded.append(event)
         self._buffer = pending[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            self.error = f"event is larger than {MAX_EVENT_BYTES} bytes"
+        if len(self._buffer) > _JOINED_BYTES:
+            self._move_to_long_event()
         return b"".join(forwarded)
 
+    def _move_to_long_event(self) -> None:
+        """Moves the buffer, except for a part of a boundary at its end."""
+        kept = _BOUNDARY_BYTES - 1
+        self._long_event += self._buffer[:-kept]
+        self._buffer = self._buffer[-kept:]
+        if self.partial_bytes > MAX_EVENT_BYTES:
+            self.error = f"event is larger than {MAX_EVENT_BYTES} bytes"
+
     def _accept(self, event: bytes) -> bool:
         match = _ID.search(event)
         if match is None:
--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -250,7 +250,7 @@
         if self not in self.relays:
             self.relays.append(self)
         forwarded = super().feed(data)
-        held = sum(len(each._buffer) for each in self.relays)
+        held = sum(each.partial_bytes for each in self.relays)
         type(self).most_bytes = max(self.most_bytes, held)
         return forwarded
 
