Read at most 16 KB at a time from a server

Cause: asyncio reads up to 256 KB from each connection with data in one run of the event loop, before any of it is passed on, and a stream whose caller did not read held 768 KB unread (READ_BUFFER_BYTES, its high mark, and one read on top); with small chunks each of them took a Python object more.

One read takes 16 KB now, and 48 KB of a stream at most are held unread.

--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -29,7 +29,9 @@
 server's timer starts when it sends its last byte, and the next request takes
 some time to arrive."""
 
-READ_BUFFER_BYTES = 256 * 1024
+READ_BUFFER_BYTES = 16 * 1024
+"""Half of the unread bytes at which a connection is no longer read. They are
+held for each caller that does not read its stream."""
 
 _ADDED_BY_LIBRARY = (
     hdrs.ACCEPT,
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -35,6 +35,10 @@
 chunk less than the chunk carries."""
 
 
+RECEIVE_BYTES: Final = 16 * 1024
+"""Maximum size of one read from a connection. All connections with data are
+read in one run of the event loop, before any of it is passed on."""
+
 UNCOUNTED_BYTES: Final = 64 * 1024
 """Bytes of each response that do not count against the shared memory budget:
 more than most responses have, and 96 MB for the 1,500 requests that a router
@@ -54,6 +58,12 @@
         self._body: streams.StreamReader | None = None
         self._is_unrequested = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limits the size of one read."""
+        if hasattr(transport, "max_size"):  # A TLS transport has none.
+            transport.max_size = RECEIVE_BYTES
+        super().connection_made(transport)
+
     def set_response_params(self, **params: Any) -> None:
         """Resets the counts for the next request."""
         self._received = 0
--- a/tests/helpers/test_response_limits.py
+++ b/tests/helpers/test_response_limits.py
@@ -56,6 +56,7 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 2000000\r\n\r\n")
         writer.write(b"y" * 2_000_000)
+        writer.close()
 
     server = await asyncio.start_server(async_answer, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
