Share one memory budget among bodies and unfinished events

Operators of other sites saw a router run out of memory under a faulty server's flood, and the requests of all other clients on it ended.

One budget covers both now: a third of the VM's memory beyond that of an idle router (28.7 MB of 150). A partial event is dropped when its attempt ends, also while its request waits for another server.

The test of the shared memory of plain bodies asserts the same with the new budget's name.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -21,10 +21,6 @@
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 """Maximum size of a response that is buffered."""
 
-MAX_TOTAL_BUFFERED_BYTES = 2 * MAX_BUFFERED_BYTES
-"""Memory that all responses in progress may use together, above the uncounted
-first bytes of each: an eighth of a router's default memory of 256 MB."""
-
 _STREAM_TYPE = "text/event-stream"
 _UNMARKED = message_framing.Framing.CLOSE
 
@@ -127,20 +123,27 @@
 
 
 class Forwarder:
-    """Sends requests to backend servers and forwards their responses."""
+    """Sends requests to backend servers and forwards their responses.
+
+    Args:
+        client: HTTP client for the servers.
+        dialect: Writes requests and reads response heads.
+        processor_time: Meter of the processor time.
+        max_response_bytes: Memory for plain bodies and incomplete events of all
+            attempts together.
+    """
 
     def __init__(
         self,
         client: servers.ServerClient,
         dialect: models.Dialect,
         processor_time: processor.ProcessorTime,
+        max_response_bytes: int,
     ) -> None:
         self._processor_time = processor_time
         self._client = client
         self._dialect = dialect
-        self._body_memory = response_limits.MemoryBudget(
-            MAX_TOTAL_BUFFERED_BYTES
-        )
+        self._response_memory = response_limits.MemoryBudget(max_response_bytes)
 
     async def async_send(self, params: AttemptParameters) -> Attempt:
         """Runs one attempt until it ends or reaches its time limit."""
@@ -158,6 +161,9 @@
                 AttemptEnd.TIMED_OUT,
                 _missing_part(attempt),
             )
+        finally:
+            if params.events is not None:
+                params.events.drop_partial_event()
         attempt.ended_at = loop.time()
         return attempt
 
@@ -197,10 +203,13 @@
             events = params.events
             is_stream = resp.content_type == _STREAM_TYPE and head.sealed
             if events is not None and resp.status == 200 and is_stream:
-                await self._async_stream(params, attempt, resp, events)
+                with self._response_memory.reserve() as reservation:
+                    await self._async_stream(
+                        params, attempt, resp, events, reservation
+                    )
                 return
             attempt.body = await response_limits.async_read(
-                resp, MAX_BUFFERED_BYTES, self._body_memory
+                resp, MAX_BUFFERED_BYTES, self._response_memory
             )
             attempt.end, attempt.detail = _buffered_end(head, resp)
 
@@ -210,6 +219,7 @@
         attempt: Attempt,
         resp: aiohttp.ClientResponse,
         events: relay.EventRelay,
+        reservation: response_limits.Reservation,
     ) -> None:
         head = attempt.head
         assert head is not None
@@ -226,6 +236,7 @@
                 attempt.detail = events.error
                 resp.close()
                 return
+            reservation.resize(events.partial_bytes)
         if servers.ended_by_reset(resp):
             attempt.detail = "connection was reset during the stream"
         elif events.has_partial_event:
--- a/tamarackbridge/components/gateway/in_flight_limit.py
+++ b/tamarackbridge/components/gateway/in_flight_limit.py
@@ -1,4 +1,4 @@
-"""Limit on the requests that a router has in flight."""
+"""Limits that follow from the memory of a VM: requests in flight, responses."""
 
 MAX_IN_FLIGHT = 1_500
 """Upper limit for any VM: the number of requests that one processor finishes
@@ -8,6 +8,14 @@
 """Memory of a router without requests, in MB, including the growth of its local
 copy of the configuration and registrations in a large fleet."""
 
+RESPONSE_FRACTION = 1 / 3
+"""Part of the memory beyond `BASE_MEMORY_MB` that responses may use together
+while they are read. The rest is for requests, and for copies of what is passed
+on."""
+
+MIN_RESPONSE_MB = 1.0
+"""Memory for responses on a VM of any size."""
+
 REQUEST_MEMORY_MB = 0.05
 """Memory per request in flight, in MB: three copies of its body, 12 KB in the
 mean, and the buffers of two connections."""
@@ -17,3 +25,9 @@
     """Returns the limit for a VM with this much memory, at least 1."""
     fitting = int((memory_mb - BASE_MEMORY_MB) / REQUEST_MEMORY_MB)
     return min(max(fitting, 1), MAX_IN_FLIGHT)
+
+
+def max_response_bytes(memory_mb: float) -> int:
+    """Returns the memory for responses that are being read, in bytes."""
+    spare_mb = (memory_mb - BASE_MEMORY_MB) * RESPONSE_FRACTION
+    return int(max(spare_mb, MIN_RESPONSE_MB) * 1024 * 1024)
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -7,7 +7,8 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+import contextlib
 import functools
 from typing import Any, Final
 
@@ -39,10 +40,15 @@
 """Maximum size of one read from a connection. All connections with data are
 read in one run of the event loop, before any of it is passed on."""
 
-UNCOUNTED_BYTES: Final = 64 * 1024
+UNCOUNTED_BYTES: Final = 4 * 1024
 """Bytes of each response that do not count against the shared memory budget:
-more than most responses have, and 96 MB for the 1,500 requests that a router
-has in flight at most."""
+more than an event has, so that usual streams cost no accounting."""
+
+MAX_PART_OF_LEFT: Final = 2
+"""Largest reservation of one response, as a multiple of what it leaves for
+others (Choudhury and Hahne, Dynamic Queue Length Thresholds, 1998). One
+response may take two thirds of the budget, and however many grow without end,
+each leaves room for an ordinary one."""
 
 
 class ResponseLimitError(aiohttp.ClientPayloadError):
@@ -110,7 +116,7 @@
 
 
 class MemoryBudget:
-    """Memory budget that large responses share while they are read.
+    """Memory budget that responses share while they are held.
 
     Attributes:
         left: Bytes that are still available.
@@ -119,26 +125,43 @@
     def __init__(self, max_bytes: int) -> None:
         self.left = max_bytes
 
-    def resize(self, reserved: int, size: int) -> int:
-        """Adjusts the reservation of one response to its size.
+    @contextlib.contextmanager
+    def reserve(self) -> Iterator["Reservation"]:
+        """Yields a reservation, which is released at the end."""
+        reservation = Reservation(self)
+        try:
+            yield reservation
+        finally:
+            reservation.resize(0)
+
 
-        Args:
-            reserved: Bytes that are reserved for the response so far.
-            size: Size of the response that was read so far.
+class Reservation:
+    """Part of a memory budget that one response uses.
 
-        Returns:
-            Bytes that are reserved for it now.
+    Attributes:
+        size: Bytes that are reserved.
+    """
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.size = 0
+        self._budget = budget
+
+    def resize(self, held: int) -> None:
+        """Adjusts the reservation to the bytes that are held now.
 
         Raises:
-            ResponseLimitError: The budget is exhausted.
+            ResponseLimitError: Too little of the budget would be left.
         """
-        wanted = max(size - UNCOUNTED_BYTES, 0)
-        if wanted - reserved > self.left:
+        wanted = max(held - UNCOUNTED_BYTES, 0)
+        if wanted == self.size:
+            return
+        left = self._budget.left - (wanted - self.size)
+        if wanted > self.size and wanted > MAX_PART_OF_LEFT * left:
             raise ResponseLimitError(
-                f"no room in memory for a response of {size} bytes"
+                f"no room in memory for {held} bytes of a response"
             )
-        self.left -= wanted - reserved
-        return wanted
+        self._budget.left = left
+        self.size = wanted
 
 
 async def async_read(
@@ -160,21 +183,19 @@
         ClientError: The body is incomplete.
     """
     if room is None:
-        room = MemoryBudget(max_bytes)
+        room = MemoryBudget((MAX_PART_OF_LEFT + 1) * max_bytes)
     chunks: list[bytes] = []
-    size = reserved = 0
-    try:
+    size = 0
+    with room.reserve() as reservation:
         async for chunk in resp.content.iter_any():
             size += len(chunk)
             if size > max_bytes:
                 raise ResponseLimitError(
                     f"response body is larger than {max_bytes} bytes"
                 )
-            reserved = room.resize(reserved, size)
+            reservation.resize(size)
             chunks.append(chunk)
         return b"".join(chunks)
-    finally:
-        room.resize(reserved, 0)
 
 
 def bind(
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -32,6 +32,7 @@
     event_loop_lag,
     forward,
     headroom,
+    in_flight_limit,
     load_log,
     models,
     offload,
@@ -168,7 +169,10 @@
             runner.Runner(
                 self._admission_controller,
                 forward.Forwarder(
-                    self._servers, platform_dialect, self._processor_time
+                    self._servers,
+                    platform_dialect,
+                    self._processor_time,
+                    in_flight_limit.max_response_bytes(self._cfg.memory_mb),
                 ),
                 platform_dialect,
                 self._clock,
--- a/tests/components/gateway/test_floods.py
+++ b/tests/components/gateway/test_floods.py
@@ -11,7 +11,7 @@
 import pytest
 
 from standins import floods
-from tamarackbridge.components.gateway import forward, in_flight_limit, relay
+from tamarackbridge.components.gateway import in_flight_limit, relay
 from tamarackbridge.components.telemetry import events
 from tests.components.gateway import rig
 
@@ -227,8 +227,10 @@
         assert any("no room" in end.detail for end in _failed_attempts(log))
         job_runner = env.router._gateway._runner
         assert job_runner is not None
-        body_memory = job_runner._forwarder._body_memory
-        assert body_memory.left == forward.MAX_TOTAL_BUFFERED_BYTES
+        memory = job_runner._forwarder._response_memory
+        assert memory.left == in_flight_limit.max_response_bytes(
+            env.cfg.memory_mb
+        )
         got = await env.async_send("/pay/1", request_id="small")
         assert got.body == b"answer to small"
 
@@ -289,6 +291,11 @@
         ends = _failed_attempts(log)
         assert {end.end for end in ends} == {"lost"}
         assert any("no room" in end.detail for end in ends)
+        assert env.router._gateway._runner is not None
+        memory = env.router._gateway._runner._forwarder._response_memory
+        assert memory.left == in_flight_limit.max_response_bytes(
+            env.cfg.memory_mb
+        )
 
 
 async def test_stream_of_a_stalled_caller_is_not_read_ahead() -> None:
--- a/tests/helpers/test_response_limits.py
+++ b/tests/helpers/test_response_limits.py
@@ -1,8 +1,10 @@
 """Limits on the bytes of a response, on a client's connection."""
 
 import asyncio
+import contextlib
 
 import aiohttp
+import pytest
 
 from tamarackbridge.helpers import response_limits
 
@@ -66,3 +68,30 @@
         async with session.get(f"http://127.0.0.1:{port}/") as resp:
             assert len(await resp.read()) == 2_000_000
     assert max(sizes) <= 16 * 1024
+
+
+def test_responses_without_end_leave_room_for_an_ordinary_one() -> None:
+    max_bytes = 28 * 1024 * 1024
+    budget = response_limits.MemoryBudget(max_bytes)
+    with contextlib.ExitStack() as stack:
+        growing = {stack.enter_context(budget.reserve()): 0 for _ in range(400)}
+        while growing:
+            for reservation in list(growing):
+                growing[reservation] += response_limits.RECEIVE_BYTES
+                try:
+                    reservation.resize(growing[reservation])
+                except response_limits.ResponseLimitError:
+                    del growing[reservation]  # Holds its memory until the end.
+        assert 0 < budget.left < max_bytes
+        stack.enter_context(budget.reserve()).resize(32 * 1024)
+    assert budget.left == max_bytes
+
+
+def test_one_response_may_use_most_of_the_budget() -> None:
+    budget = response_limits.MemoryBudget(3_000_000)
+    with budget.reserve() as reservation:
+        reservation.resize(2_000_000)
+        with pytest.raises(response_limits.ResponseLimitError):
+            reservation.resize(2_100_000)
+        reservation.resize(100)
+        assert budget.left == 3_000_000
