--- a/bench/floods.py
+++ b/bench/floods.py
@@ -61,6 +61,15 @@
     reads: bool = True
 
 
+_LARGE_BYTES = 4 * 1024 * 1024
+_LARGE_BODY = floods.Flood(
+    b"HTTP/1.1 200 X\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\n"
+    b"Content-Length: %d\r\n\r\n" % _LARGE_BYTES + bytes(_LARGE_BYTES),
+    b"x",
+    pause_s=10.0,
+)
+"""A valid answer of 4 MB."""
+
 SCENARIOS = {
     "head-no_http": Scenario("/pay/1", floods.IN_HEAD["no_http"]),
     "head-line": Scenario("/pay/1", floods.IN_HEAD["header_line"]),
@@ -68,6 +77,7 @@
     "body": Scenario("/pay/1", floods.IN_BODY["no_length"]),
     "body-retried": Scenario("/read/1", floods.IN_BODY["no_length"]),
     "body-small_chunks": Scenario("/pay/1", floods.IN_BODY["small_chunks"]),
+    "body-valid-slow": Scenario("/pay/1", _LARGE_BODY, reads=False),
     "stream-event": Scenario("/stream/1", floods.IN_EVENTS["event"]),
     "stream-lines": Scenario("/stream/1", floods.IN_EVENTS["lines"]),
     "stream-valid": Scenario("/stream/1", None),
