Take a stream that starts over and ends early for lost

A server sent events 0 1 2 and 0 again, then its final chunk: the repeated event was dropped and the caller got a final chunk after 2, though the server had begun anew and ended early. Cause: only a second server's stream was compared with what the caller has. Now any stream that ends with an event before the last forwarded one is lost, and goes on elsewhere where that is allowed. A caller's own Last-Event-Id is not compared, as before. The new test failed before.

--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -80,11 +80,11 @@
     def may_end(self) -> bool:
         """Returns whether the current server's stream may end here.
 
-        A server that starts over and ends before the last forwarded event has
-        produced a different stream.
+        A server whose last event precedes the last forwarded one has started
+        over, and its stream ends early or is a different one.
         """
         behind = (
-            self._is_continuation and 0 <= self._server_last_id < self.last_id
+            self._has_forwarded and 0 <= self._server_last_id < self.last_id
         )
         return not self.has_partial_event and not behind
 
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -65,6 +65,14 @@
     assert events.may_end
 
 
+def test_stream_that_starts_over_may_not_end_before_its_last_event() -> None:
+    events = relay.EventRelay("")
+    events.feed(event(0) + event(1) + event(2) + event(0))
+    assert not events.may_end
+    events.feed(event(1) + event(2))
+    assert events.may_end
+
+
 def test_event_without_an_id_is_forwarded_only_after_known_events() -> None:
     without_id = b"data: x\n\n"
     events = relay.EventRelay("")
