Show in a failing test that a peer's answer without end is never cut

Found while floods were examined: the offload proxy handles data of a peer before the time limit of the request, so that an answer that never pauses is passed on until the caller leaves, 10 s after a deadline of 0.05 s in the test.

--- a/tests/components/gateway/test_offload_proxy.py
+++ b/tests/components/gateway/test_offload_proxy.py
@@ -247,3 +247,31 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     resets.reset_on_close(writer.transport)
     writer.transport.abort()
+
+
+async def test_response_without_end_is_cut_after_the_deadline() -> None:
+    async def async_peer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _async_expect_request(reader)
+        writer.write(HEAD)
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(EVENT * 6_000)
+                await writer.drain()
+        writer.close()
+
+    async with _async_scene(async_peer, deadline_s=0.05) as scene:
+        loop = asyncio.get_running_loop()
+
+        async def async_read_all() -> None:
+            while await loop.sock_recv(scene.caller, 65_536):
+                pass
+
+        reading = asyncio.create_task(async_read_all())
+        try:
+            await rig.async_wait_until(lambda: bool(scene.ends))
+        finally:
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+        assert scene.ends == [offload_proxy.End.INCOMPLETE]
