Cut a peer's answer that goes on after the deadline

The offload proxy handled data of a peer before the time limit of the request: an answer without a pause was passed on until the caller left, in the test 10 s after a deadline of 0.05 s.

What arrives later than 2 s after the deadline is dropped now, and the request ends as at its time limit. Up to then data may have waited for a router that was late itself. A trial with a deadline of 0.3 s: still going after 3 s before, cut after 2.3 s now.

--- a/tamarackbridge/components/gateway/offload_proxy.py
+++ b/tamarackbridge/components/gateway/offload_proxy.py
@@ -34,6 +34,10 @@
 GRACE_S = 0.25
 """Time after a request's deadline during which the peer may still respond."""
 
+MAX_OVERTIME_S = 2.0
+"""Time after a request's deadline after which received data is dropped. Until
+then it may have waited for a router that is late itself."""
+
 STALL_TIMEOUT_S = 10.0
 """Time without progress in writing after which a caller counts as gone."""
 
@@ -249,6 +253,9 @@
                 request, End.COMPLETE if request.has_response else End.LOST
             )
             return
+        if now >= request.offload.deadline + MAX_OVERTIME_S:
+            self._time_out(request)
+            return
         request.has_response = True
         # The peer itself ends requests at their deadline.
         request.times_out_at = request.offload.deadline + GRACE_S
