--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -94,8 +94,16 @@
     Fault.MISDIRECT_AGAIN: "421 X",
 }
 
-_IGNORES_LAST_EVENT_ID = frozenset(
-    (Fault.RESTART, Fault.SHORT_RESTART, Fault.NO_NUMBERS)
+_IGNORES_LAST_EVENT_ID: frozenset[object] = frozenset(
+    (
+        Fault.RESTART,
+        Fault.SHORT_RESTART,
+        Fault.NO_NUMBERS,
+        server_faults.EarlyEnd.UNFRAMED_RESTART,
+    )
+)
+_UNFRAMED: frozenset[object] = frozenset(
+    (Fault.UNFRAMED, server_faults.EarlyEnd.UNFRAMED_RESTART)
 )
 _CUT_BETWEEN = frozenset((Fault.CUT_BETWEEN, Fault.CUT_NO_NUMBERS))
 _EVENT_LIMITS: dict[Fault | server_faults.EarlyEnd, int] = {
@@ -334,7 +342,7 @@
         if fault is server_faults.EarlyEnd.EMPTY_END:
             first_event = EVENTS
         cut = server_faults.STREAM_CUTS.get(fault)
-        unframed = fault is Fault.UNFRAMED or cut is not None
+        unframed = fault in _UNFRAMED or cut is not None
         status = 206 if fault is Fault.PARTIAL else 200
         head = self._stream_head(
             request_id,
@@ -343,6 +351,11 @@
             is_chunked=not unframed,
         )
         writer.write(head.encode())
+        if fault in server_faults.COMMENTS:
+            writer.write(_encode_chunk(b": a comment\n\n"))
+            if fault is server_faults.EarlyEnd.COMMENT_HANG:
+                await asyncio.Event().wait()
+            return await self._async_leave(fault, writer)
         try:
             for number in range(first_event, _EVENT_LIMITS.get(fault, EVENTS)):
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/standins/server_faults.py
+++ b/standins/server_faults.py
@@ -42,6 +42,12 @@
     """Closes the connection within a plain body without a length."""
     UNFRAMED_CRASH_BODY = "unframed_crash_body"
     """Like UNFRAMED_CUT_BODY, because the server crashes."""
+    UNFRAMED_RESTART = "unframed_restart"
+    """Ignores Last-Event-Id and sends the stream without a length."""
+    COMMENT_RESET = "comment_reset"
+    """Resets a chunked stream after a comment."""
+    COMMENT_HANG = "comment_hang"
+    """Sends nothing after a comment in a chunked stream."""
     EMPTY_END = "empty_end"
     """Sends a chunked stream without any event, with its final chunk."""
 
@@ -70,6 +76,11 @@
 }
 """Part that is sent of a stream without a length."""
 
+COMMENTS: frozenset[object] = frozenset(
+    (EarlyEnd.COMMENT_RESET, EarlyEnd.COMMENT_HANG)
+)
+"""Streams of which only a comment is sent."""
+
 CUT_HEADS: dict[object, Callable[[str], int]] = {
     EarlyEnd.CUT_STATUS: lambda head: head.index("\r\n") + 2,
     EarlyEnd.CUT_HEADER: lambda head: head.index("X-Response-Seal") + 8,
@@ -86,7 +97,11 @@
 """Length of the part of a plain body that is sent without a length."""
 
 RESETS: frozenset[object] = frozenset(
-    (EarlyEnd.CUT_HEAD_RESET, EarlyEnd.UNFRAMED_RESET_BETWEEN)
+    (
+        EarlyEnd.CUT_HEAD_RESET,
+        EarlyEnd.UNFRAMED_RESET_BETWEEN,
+        EarlyEnd.COMMENT_RESET,
+    )
 )
 """Ends with a TCP reset."""
 
--- /dev/null
+++ b/tests/components/gateway/test_confirmations.py
@@ -0,0 +1,83 @@
+"""What a router makes of unmarked answers that it can't confirm."""
+
+import asyncio
+import time
+
+import pytest
+
+from standins import platform_server, server_faults
+from tamarackbridge.components.gateway import runner, servers
+from tests.components.gateway import raw_caller, rig
+
+_Fault = platform_server.Fault
+_EarlyEnd = server_faults.EarlyEnd
+_End = raw_caller.End
+
+PAUSE_S = 0.12
+"""Pause after each event of a slow server."""
+
+
+@pytest.mark.parametrize("path", ["/pay/1", "/stream/1"])
+async def test_failed_connection_check_tells_nothing_about_a_server(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A live server whose queue of new connections is full drops them."""
+
+    async def _async_fail(address: str) -> servers.ConnectionCheck:
+        await asyncio.sleep(0)
+        return servers.ConnectionCheck.FAILED
+
+    monkeypatch.setattr(servers, "_async_check_connection", _async_fail)
+    async with rig.async_environment() as env:
+        env.set_faults(_Fault.UNFRAMED)
+        answer = await raw_caller.async_send(env, path)
+        assert answer.status == 200
+        assert (answer.is_unmarked, answer.end) == (True, _End.CLOSED)
+        assert env.ran() == ["q1"]
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    "second", [_EarlyEnd.COMMENT_RESET, _EarlyEnd.COMMENT_HANG]
+)
+async def test_comment_does_not_continue_a_stream(
+    second: _EarlyEnd, version: str
+) -> None:
+    """The first server's stream is whole, and unmarked."""
+    async with rig.async_environment() as env:
+        env.set_faults(_Fault.UNFRAMED, second)
+        started_at = time.monotonic()
+        answer = await raw_caller.async_send(env, "/stream/r/1", version)
+        seconds = time.monotonic() - started_at
+        assert answer.body.count(b"data:") == platform_server.EVENTS
+        assert (answer.is_unmarked, answer.end) == (True, _End.CLOSED)
+        assert seconds < 2 * runner.CONFIRMATION_S
+
+
+async def test_confirmation_is_limited_over_all_attempts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Servers that repeat a stream, unmarked, confirm nothing."""
+    routes = [
+        rig.route(
+            "resumed",
+            "streaming",
+            attempts=4,
+            path_prefix="/stream/r/",
+            resumable=True,
+        )
+    ]
+    monkeypatch.setattr(
+        rig, "CONFIGURATION", {**rig.CONFIGURATION, "routes": routes}
+    )
+    async with rig.async_environment(servers=4) as env:
+        env.set_faults(_Fault.UNFRAMED, *[_EarlyEnd.UNFRAMED_RESTART] * 3)
+        for server in env.servers:
+            server.event_interval_s = PAUSE_S
+        started_at = time.monotonic()
+        answer = await raw_caller.async_send(env, "/stream/r/1")
+        seconds = time.monotonic() - started_at
+        assert answer.body.count(b"data:") == platform_server.EVENTS
+        assert answer.end is _End.CLOSED
+        run_s = platform_server.EVENTS * PAUSE_S
+        assert run_s < seconds < run_s + 1.5 * runner.CONFIRMATION_S
--- a/tests/components/gateway/test_servers.py
+++ b/tests/components/gateway/test_servers.py
@@ -156,3 +156,16 @@
     )
     async with response_context as resp:
         assert resp.status == 200
+
+
+async def test_lag_of_the_router_does_not_fail_a_connection_check(
+    early_server: EarlyServer, client: servers.ServerClient
+) -> None:
+    def _block(passes: int) -> None:
+        time.sleep(1.2 * servers.CONNECT_TIMEOUT_S)
+        if passes > 1:
+            asyncio.get_running_loop().call_soon(_block, passes - 1)
+
+    asyncio.get_running_loop().call_soon(_block, 3)
+    check = await client.async_check_connection(early_server.address)
+    assert check is servers.ConnectionCheck.ACCEPTED
--- a/tests/helpers/test_message_framing.py
+++ b/tests/helpers/test_message_framing.py
@@ -1,8 +1,10 @@
 """What marks the end of a response body, by its head."""
 
+import asyncio
 import types
 from typing import Any, cast
 
+import aiohttp
 import multidict
 import pytest
 
@@ -30,6 +32,16 @@
             [("Transfer-Encoding", "chunked"), ("Transfer-Encoding", "gzip")],
             Framing.CLOSE,
         ),
+        ("POST", 200, [("Transfer-Encoding", "chunked ")], Framing.CHUNKED),
+        (
+            "POST",
+            200,
+            [("Transfer-Encoding", "gzip,\tchunked")],
+            Framing.CHUNKED,
+        ),
+        ("POST", 200, [("Transfer-Encoding", "chunked\t")], Framing.CLOSE),
+        ("POST", 200, [("Transfer-Encoding", "chunked\v")], Framing.CLOSE),
+        ("POST", 200, [("Transfer-Encoding", "chun\u212aed")], Framing.CLOSE),
         ("POST", 204, [], Framing.LENGTH),
         ("GET", 304, [], Framing.LENGTH),
         ("HEAD", 200, [], Framing.LENGTH),
@@ -45,3 +57,44 @@
         method=method, status=status, headers=multidict.CIMultiDict(headers)
     )
     assert message_framing.of_response(cast(Any, resp)) is expected
+
+
+@pytest.mark.parametrize(
+    "codings",
+    [
+        b"chunked",
+        b"chunked ",
+        b"\tchunked",
+        b"chunked\t",
+        b"chunked \t",
+        b"gzip,\tchunked",
+        b"chun\xe2\x84\xaaed",
+        b"chunked,",
+        b"gzip",
+    ],
+)
+async def test_framing_is_that_of_the_parser(codings: bytes) -> None:
+    """A body in chunks that is cut is an error, one without them is not."""
+
+    async def _async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: %b\r\n\r\n" % codings
+        writer.write(head + b"1\r\nx\r\n")
+        await writer.drain()
+        writer.close()
+
+    listener = await asyncio.start_server(_async_serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with (
+        listener,
+        aiohttp.ClientSession() as session,
+        session.get(f"http://127.0.0.1:{port}/") as resp,
+    ):
+        expected = Framing.CLOSE
+        try:
+            await resp.read()
+        except aiohttp.ClientPayloadError:
+            expected = Framing.CHUNKED
+        assert message_framing.of_response(resp) is expected
