Read the name of a transfer coding as the parser does

What callers saw: a server's cut stream, whose Transfer-Encoding was "chunked" with a Kelvin sign for its k or a trailing vertical tab, had a final chunk. Cause: of_response folded and stripped more than aiohttp's parser, which takes such a coding for an unknown one and reads the body until the close. Left red: a trailing tab, which aiohttp strips from the headers and raw headers but not for its own decision; only RawResponseMessage.chunked tells.

--- a/tamarackbridge/helpers/message_framing.py
+++ b/tamarackbridge/helpers/message_framing.py
@@ -33,7 +33,10 @@
         return Framing.LENGTH
     codings = ",".join(resp.headers.getall(hdrs.TRANSFER_ENCODING, ()))
     if codings:
-        is_chunked = codings.rpartition(",")[2].strip().lower() == "chunked"
+        # aiohttp's parser takes any other character for a part of the name,
+        # and reads the body until the connection is closed.
+        last = codings.rpartition(",")[2].lstrip(" \t").rstrip(" ")
+        is_chunked = last.isascii() and last.lower() == "chunked"
         return Framing.CHUNKED if is_chunked else Framing.CLOSE
     if hdrs.CONTENT_LENGTH in resp.headers:
         return Framing.LENGTH
