Don't take a failed connection check for the death of a server

What callers saw: an unmarked answer of a live server, with all its bytes here, got 502 (a payment, which had run) or a reset (a stream), where it was passed on before. Cause: every result but an accepted connection counted as death. A check also fails if the server's queue of new connections is full (the opening packet is dropped), and its limit of 0.25 s ran out if the router itself stood still. Why it works: only a refusal is a sign of death; all else stays unconfirmed. The check has the limit that the connector uses, which allows for the router's lag.

--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -232,15 +232,15 @@
         """Returns the outcome of an attempt, by the state of its server.
 
         The connections of a process that dies are closed in good order, so a
-        response whose end is not marked is lost unless its server lives on.
+        response whose end is not marked is lost if its server refuses a new
+        connection. One that fails tells nothing: the queue of a live server's
+        new connections may be full.
         """
         if attempt.end is _End.UNCONFIRMED:
             check = await self._forwarder.async_check_connection(address)
-            if check is not servers.ConnectionCheck.ACCEPTED:
+            if check is servers.ConnectionCheck.REFUSED:
                 attempt.end = _End.LOST
-                attempt.detail = (
-                    f"unmarked response ended, new connection {check.value}"
-                )
+                attempt.detail = "unmarked response ended, server is gone"
         outcome = attempt_progress.outcome(attempt)
         if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
             check = await self._forwarder.async_check_connection(address)
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -198,7 +198,7 @@
 async def _async_check_connection(address: str) -> ConnectionCheck:
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with loop_limit.async_limit(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return ConnectionCheck.REFUSED
