Count no comment and no repeat as the continuation of a stream

What callers saw: a whole unmarked stream on a resumable route was reset, or held until its deadline (3.0 s), if the server asked for a confirmation sent a comment and then failed or fell silent. Repeats by further servers held its end for 2.7 s. Cause: the limit of a second ended with any bytes, the unconfirmed end was compared by a count that has comments in it, and each unconfirmed repeat set the limit anew. Why it works: both compare the position of the relay, which only events with a number or data move; a limit that is pending stays as it is.

--- a/tamarackbridge/components/gateway/attempt_progress.py
+++ b/tamarackbridge/components/gateway/attempt_progress.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from tamarackbridge.components.gateway import forward, jobs
+from tamarackbridge.components.gateway import forward, jobs, relay
 
 _End = forward.AttemptEnd
 _Outcome = jobs.Outcome
@@ -26,12 +26,14 @@
     Attributes:
         attempt: Attempt that ended so.
         server: Server of the attempt.
-        event_count: Events of the stream until then, of all attempts.
+        events: Relay of the stream's events.
+        position: Its position then.
     """
 
     attempt: forward.Attempt
     server: str
-    event_count: int
+    events: relay.EventRelay
+    position: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +59,7 @@
         job: jobs.Job,
         attempt: forward.Attempt,
         server: str,
-        event_count: int,
+        events: relay.EventRelay | None,
     ) -> None:
         """Records an attempt that did not produce the final response.
 
@@ -65,7 +67,7 @@
             job: The job.
             attempt: The attempt.
             server: Server of the attempt.
-            event_count: Events of the stream so far, of all attempts.
+            events: Relay of the events; None on routes without streams.
         """
         self.last = attempt
         job.excluded_servers.add(server)
@@ -75,17 +77,19 @@
             job.attempts += 1
         if attempt.end not in forward.PROVED_NOT_RUN:
             self.may_have_run = True
-        if attempt.end is _End.UNCONFIRMED and attempt.streamed:
-            self._unconfirmed = UnconfirmedEnd(attempt, server, event_count)
-
-    def unconfirmed_end(self, event_count: int) -> UnconfirmedEnd | None:
-        """Returns the unconfirmed end at which the stream still is.
-
-        Args:
-            event_count: Events of the stream so far, of all attempts.
-        """
+        if (
+            attempt.end is _End.UNCONFIRMED
+            and attempt.streamed
+            and events is not None
+        ):
+            self._unconfirmed = UnconfirmedEnd(
+                attempt, server, events, events.position
+            )
+
+    def unconfirmed_end(self) -> UnconfirmedEnd | None:
+        """Returns the unconfirmed end at which the stream still is."""
         end = self._unconfirmed
-        if end is None or end.event_count != event_count:
+        if end is None or end.position != end.events.position:
             return None
         return end
 
--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -28,6 +28,8 @@
     Attributes:
         last_id: ID of the last event that was forwarded; -1 for none.
         forwarded: Number of events with an ID that were forwarded.
+        position: Number of events that were forwarded, apart from comments
+            and the like, by which a stream does not go on.
         error: Reason for which the rest of the current server's stream is
             unusable; empty if it is usable.
         resumable: Whether another server can continue the stream: the last
@@ -38,6 +40,7 @@
     def __init__(self, resume_after: str) -> None:
         self.last_id = _parse_id(resume_after)
         self.forwarded = 0
+        self.position = 0
         self.error = ""
         self.resumable = True
         self.is_empty = True
@@ -116,6 +119,7 @@
         self.last_id = number
         self.resumable = True
         self.forwarded += 1
+        self.position += 1
         return True
 
     def _accept_unnumbered(self, event: bytes) -> bool:
@@ -126,6 +130,7 @@
             self.error = "event without an ID may be a duplicate"
             return False
         self.resumable = False
+        self.position += 1
         return True
 
     def _count_stale(self, event: bytes) -> None:
--- a/tamarackbridge/components/gateway/response_stream.py
+++ b/tamarackbridge/components/gateway/response_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import select
 import time
 
@@ -33,6 +34,15 @@
     return bool(poll.poll(0))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _EventLimit:
+    """Time limit that ends when the events pass a position."""
+
+    timeout: asyncio.Timeout
+    events: relay.EventRelay
+    position: int
+
+
 class ResponseStream:
     """Writes server-sent events to a caller.
 
@@ -61,7 +71,7 @@
         self._req = req
         self._is_last = is_last
         self._placement: jobs.Permit | None = None
-        self._next_event_limit: asyncio.Timeout | None = None
+        self._next_event_limit: _EventLimit | None = None
 
     @property
     def may_end_unmarked(self) -> bool:
@@ -72,9 +82,21 @@
         """Sets the placement to which server activity is reported from now."""
         self._placement = placement
 
-    def set_next_event_limit(self, limit: asyncio.Timeout) -> None:
-        """Sets a time limit that ends with the next event."""
-        self._next_event_limit = limit
+    @property
+    def has_next_event_limit(self) -> bool:
+        """Returns whether there is a time limit for the next event."""
+        return self._next_event_limit is not None
+
+    def set_next_event_limit(
+        self, limit: asyncio.Timeout, events: relay.EventRelay
+    ) -> None:
+        """Sets a time limit that ends with the next event.
+
+        Args:
+            limit: The limit.
+            events: Relay of the events; a comment does not change its position.
+        """
+        self._next_event_limit = _EventLimit(limit, events, events.position)
 
     def record_activity(self) -> None:
         """Reports to the placement that the server sent data."""
@@ -97,8 +119,9 @@
         Raises:
             CallerGoneError: The caller closed its connection.
         """
-        if self._next_event_limit is not None:
-            self._next_event_limit.reschedule(None)
+        limit = self._next_event_limit
+        if limit is not None and limit.events.position != limit.position:
+            limit.timeout.reschedule(None)
             self._next_event_limit = None
         try:
             if self.response is None:
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -173,24 +173,26 @@
                     job, stream, attempt, server, progress.attempts
                 )
                 return await self._async_respond(stream, attempt)
-            progress.record_attempt(job, attempt, server, stream.event_count)
+            progress.record_attempt(job, attempt, server, events)
             will_retry = (
                 events is None or events.resumable
             ) and self._may_retry(job, progress, attempt)
             self._log.record_attempt_end(job, attempt, server, will_retry)
             if will_retry:
-                if may_go_on:
-                    self._limit_confirmation(run)
+                if may_go_on and events is not None:
+                    self._limit_confirmation(run, events)
                 continue
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
             return await self._async_give_up(job, stream, progress, None)
 
-    def _limit_confirmation(self, run: _Run) -> None:
-        """Limits the time in which another server confirms a stream's end."""
+    def _limit_confirmation(self, run: _Run, events: relay.EventRelay) -> None:
+        """Limits the time in which other servers confirm a stream's end."""
+        if run.stream.has_next_event_limit:
+            return
         now = asyncio.get_running_loop().time()
         run.time_limit.reschedule(now + CONFIRMATION_S)
-        run.stream.set_next_event_limit(run.time_limit)
+        run.stream.set_next_event_limit(run.time_limit, events)
 
     async def _async_send(
         self,
@@ -295,7 +297,7 @@
         A stream that may be complete ends without a mark, if it has none;
         otherwise its caller would take it for complete.
         """
-        unconfirmed = progress.unconfirmed_end(stream.event_count)
+        unconfirmed = progress.unconfirmed_end()
         if unconfirmed is not None and stream.may_end_unmarked:
             self._log.record_unconfirmed(
                 job,
