--- a/tests/components/gateway/test_offload_proxy.py
+++ b/tests/components/gateway/test_offload_proxy.py
@@ -261,7 +261,7 @@
                 await writer.drain()
         writer.close()
 
-    async with _async_scene(async_peer, deadline_s=0.05) as scene:
+    async with async_scene(async_peer, deadline_s=0.05) as scene:
         loop = asyncio.get_running_loop()
 
         async def async_read_all() -> None:
