Compare the end of a stream only with numbered events that were forwarded

Cause: a comment counts as forwarded. Evidence: the new test in test_relay.py failed before, passes now; test_requests.py, test_stream_ends.py and test_confirmations.py pass.

--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -86,9 +86,7 @@
         A server whose last event precedes the last forwarded one has started
         over, and its stream ends early or is a different one.
         """
-        behind = (
-            self._has_forwarded and 0 <= self._server_last_id < self.last_id
-        )
+        behind = self.forwarded > 0 and 0 <= self._server_last_id < self.last_id
         return not self.has_partial_event and not behind
 
     @property
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -73,6 +73,13 @@
     assert events.may_end
 
 
+def test_comment_is_not_compared_with_an_event_that_the_caller_named() -> None:
+    events = relay.EventRelay("9")
+    events.switch_server()
+    events.feed(b": a comment\n\n" + event(0))
+    assert events.may_end
+
+
 def test_event_without_an_id_is_forwarded_only_after_known_events() -> None:
     without_id = b"data: x\n\n"
     events = relay.EventRelay("")
