Take no refusal for the death of a server that shuts down

Callers got 502 for a whole unmarked payment, or a reset after a whole unmarked stream, from a server that had stopped listening and was finishing what it ran; found in review. Such a server says so in its answers, and the router knew. Its answer stays unconfirmed now: passed on unmarked. The new test failed before.

--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -236,9 +236,10 @@
         The connections of a process that dies are closed in good order, so a
         response whose end is not marked is lost if its server refuses a new
         connection. One that fails tells nothing: the queue of a live server's
-        new connections may be full.
+        new connections may be full. Nor does a refusal by a server that shuts
+        down, as it finishes its responses after it has stopped listening.
         """
-        if attempt.end is _End.UNCONFIRMED:
+        if attempt.end is _End.UNCONFIRMED and not _shuts_down(attempt):
             check = await self._forwarder.async_check_connection(address)
             if check is servers.ConnectionCheck.REFUSED:
                 attempt.end = _End.LOST
@@ -366,6 +367,10 @@
     return len(job.request.prompt_blocks) > 1 and attempt.events <= 1
 
 
+def _shuts_down(attempt: forward.Attempt) -> bool:
+    return attempt.head is not None and attempt.head.announces_shutdown
+
+
 def _is_stream(head: models.ResponseHead) -> bool:
     return any(
         name.lower() == "content-type" and "event-stream" in value
--- a/tests/components/gateway/test_stream_ends.py
+++ b/tests/components/gateway/test_stream_ends.py
@@ -268,3 +268,22 @@
         assert (answer.status, answer.body) == (200, b"answer to q1")
         assert answer.end is End.LENGTH
         assert env.ran() == ["q1", "q1"]
+
+
+@pytest.mark.parametrize(
+    ("path", "fault", "body"),
+    [
+        ("/stream/1", EarlyEnd.UNFRAMED_CRASH_END, WHOLE),
+        ("/pay/1", EarlyEnd.UNFRAMED_CRASH_BODY, b"answ"),
+    ],
+)
+async def test_refused_connection_tells_nothing_about_a_server_that_shuts_down(
+    path: str, fault: EarlyEnd, body: bytes
+) -> None:
+    """It stops listening first, and then finishes its responses."""
+    async with rig.async_environment(servers=1) as env:
+        env.servers[0].extra_headers = {"Server-Leaving": "1"}
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, path)
+        assert (answer.status, answer.body) == (200, body)
+        assert (answer.is_unmarked, answer.end) == (True, End.CLOSED)
