Take the framing of an answer in chunks from the parser

The decoded headers lack the tab, so no check of them can tell. Now the connection keeps what aiohttp's parser decided.

--- a/tamarackbridge/helpers/message_framing.py
+++ b/tamarackbridge/helpers/message_framing.py
@@ -6,6 +6,8 @@
 import aiohttp
 from aiohttp import hdrs
 
+from tamarackbridge.helpers import response_limits
+
 
 class Framing(enum.Enum):
     """What marks the end of a response body.
@@ -28,16 +30,17 @@
 
 
 def of_response(resp: aiohttp.ClientResponse) -> Framing:
-    """Returns the framing that the head of a response states."""
+    """Returns the framing of a response whose head was received.
+
+    Args:
+        resp: Response on a connection of `response_limits`.
+    """
     if resp.method == hdrs.METH_HEAD or resp.status in _BODILESS:
         return Framing.LENGTH
-    codings = ",".join(resp.headers.getall(hdrs.TRANSFER_ENCODING, ()))
-    if codings:
-        # aiohttp's parser takes any other character for a part of the name,
-        # and reads the body until the connection is closed.
-        last = codings.rpartition(",")[2].lstrip(" \t").rstrip(" ")
-        is_chunked = last.isascii() and last.lower() == "chunked"
-        return Framing.CHUNKED if is_chunked else Framing.CLOSE
+    if response_limits.is_chunked(resp):
+        return Framing.CHUNKED
+    if hdrs.TRANSFER_ENCODING in resp.headers:
+        return Framing.CLOSE
     if hdrs.CONTENT_LENGTH in resp.headers:
         return Framing.LENGTH
     return Framing.CLOSE
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -56,10 +56,16 @@
 
 
 class BoundedProtocol(client_proto.ResponseHandler):
-    """A client connection that closes when it gets too many bytes."""
+    """A client connection that closes when it gets too many bytes.
+
+    Attributes:
+        is_chunked: Whether the parser reads the response in chunks. What it
+            accepts as such can't be told from the decoded headers.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
+        self.is_chunked = False
         self._received = 0
         self._body: streams.StreamReader | None = None
         self._is_unrequested = False
@@ -85,6 +91,7 @@
             return
         if message.code >= 200:
             self._body = body
+            self.is_chunked = message.chunked
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -198,6 +205,13 @@
         return b"".join(chunks)
 
 
+def is_chunked(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether a final chunk marks the end of a response."""
+    untyped: Any = resp  # The attribute is private to aiohttp.
+    proto = untyped._protocol
+    return isinstance(proto, BoundedProtocol) and proto.is_chunked
+
+
 def bind(
     connector: aiohttp.BaseConnector,
     kind: type[BoundedProtocol] = BoundedProtocol,
--- a/tests/helpers/test_message_framing.py
+++ b/tests/helpers/test_message_framing.py
@@ -8,7 +8,7 @@
 import multidict
 import pytest
 
-from tamarackbridge.helpers import message_framing
+from tamarackbridge.helpers import message_framing, response_limits
 
 Framing = message_framing.Framing
 
@@ -17,31 +17,8 @@
     ("method", "status", "headers", "expected"),
     [
         ("POST", 200, [("Content-Length", "4")], Framing.LENGTH),
-        ("POST", 200, [("Transfer-Encoding", "chunked")], Framing.CHUNKED),
-        (
-            "POST",
-            200,
-            [("transfer-encoding", "GZIP, Chunked")],
-            Framing.CHUNKED,
-        ),
         ("POST", 200, [], Framing.CLOSE),
         ("POST", 200, [("Transfer-Encoding", "identity")], Framing.CLOSE),
-        (
-            "POST",
-            200,
-            [("Transfer-Encoding", "chunked"), ("Transfer-Encoding", "gzip")],
-            Framing.CLOSE,
-        ),
-        ("POST", 200, [("Transfer-Encoding", "chunked ")], Framing.CHUNKED),
-        (
-            "POST",
-            200,
-            [("Transfer-Encoding", "gzip,\tchunked")],
-            Framing.CHUNKED,
-        ),
-        ("POST", 200, [("Transfer-Encoding", "chunked\t")], Framing.CLOSE),
-        ("POST", 200, [("Transfer-Encoding", "chunked\v")], Framing.CLOSE),
-        ("POST", 200, [("Transfer-Encoding", "chun\u212aed")], Framing.CLOSE),
         ("POST", 204, [], Framing.LENGTH),
         ("GET", 304, [], Framing.LENGTH),
         ("HEAD", 200, [], Framing.LENGTH),
@@ -54,11 +31,20 @@
     expected: message_framing.Framing,
 ) -> None:
     resp = types.SimpleNamespace(
-        method=method, status=status, headers=multidict.CIMultiDict(headers)
+        method=method,
+        status=status,
+        headers=multidict.CIMultiDict(headers),
+        _protocol=None,
     )
     assert message_framing.of_response(cast(Any, resp)) is expected
 
 
+def _connector() -> aiohttp.TCPConnector:
+    connector = aiohttp.TCPConnector()
+    response_limits.bind(connector)
+    return connector
+
+
 @pytest.mark.parametrize(
     "codings",
     [
@@ -68,6 +54,9 @@
         b"chunked\t",
         b"chunked \t",
         b"gzip,\tchunked",
+        b"GZIP, Chunked",
+        b"chunked\x0b",
+        b"chunked\r\nTransfer-Encoding: gzip",
         b"chun\xe2\x84\xaaed",
         b"chunked,",
         b"gzip",
@@ -89,7 +78,7 @@
     port = listener.sockets[0].getsockname()[1]
     async with (
         listener,
-        aiohttp.ClientSession() as session,
+        aiohttp.ClientSession(connector=_connector()) as session,
         session.get(f"http://127.0.0.1:{port}/") as resp,
     ):
         expected = Framing.CLOSE
