Keep the error of a connection and its test in one place

The gateway's and the product's own client had each a protocol that keeps the error which ended a connection, and a function that asks for it. Callers see no change.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -221,7 +221,7 @@
                 request.unmarked = framing is message_framing.Framing.CLOSE
                 async for chunk in resp.content.iter_any():
                     request.body += chunk
-                if request.unmarked and servers.ended_by_reset(resp):
+                if request.unmarked and response_limits.ended_by_reset(resp):
                     request.error = "connection was reset"
                     return
                 request.complete = True
--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -1,9 +1,7 @@
 """HTTP client for backend servers."""
 
-import asyncio
 from collections.abc import AsyncIterator, Mapping
 import contextlib
-from typing import Any, cast
 
 import aiohttp
 
@@ -15,34 +13,6 @@
 MAX_LINE_BYTES = 1024 * 1024
 
 
-class _Protocol(response_limits.BoundedProtocol):
-    """Client protocol that keeps the error that ended the connection.
-
-    Attributes:
-        failure: The error; None if the connection is open or was closed in
-            order.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop=loop)
-        self.failure: BaseException | None = None
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records the error."""
-        self.failure = exc
-        super().connection_lost(exc)
-
-
-def ended_by_reset(resp: aiohttp.ClientResponse) -> bool:
-    """Returns whether an error ended the connection of a response.
-
-    aiohttp ends a body with neither a length nor chunks there, as if the
-    connection had been closed in order.
-    """
-    proto = cast(Any, resp)._protocol
-    return isinstance(proto, _Protocol) and proto.failure is not None
-
-
 class BackendClient(core.Service):
     """HTTP client with a pool of connections to backend servers."""
 
@@ -58,7 +28,7 @@
         connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=30, socket_factory=sockets.open_tcp
         )
-        response_limits.bind(connector, _Protocol)
+        response_limits.bind(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -21,7 +21,7 @@
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
 from tamarackbridge.components.telemetry import spans
-from tamarackbridge.helpers import message_framing
+from tamarackbridge.helpers import message_framing, response_limits
 
 _END = attempts.End
 _OK = 200
@@ -200,7 +200,7 @@
                 "answer exceeds the size limit of buffered answers"
             )
         chunks.append(chunk)
-    if not _is_marked(resp) and client.ended_by_reset(resp):
+    if not _is_marked(resp) and response_limits.ended_by_reset(resp):
         raise exceptions.BackendError("connection was reset during the body")
     return b"".join(chunks)
 
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -255,7 +255,7 @@
                 resp.close()
                 return
             reservation.resize(events.partial_bytes)
-        if servers.ended_by_reset(resp):
+        if response_limits.ended_by_reset(resp):
             attempt.detail = "connection was reset during the stream"
         elif events.has_partial_event:
             attempt.detail = "stream ended in the middle of an event"
@@ -302,7 +302,7 @@
         return AttemptEnd.NOT_RUN, ""
     if head.disposition is models.Disposition.MISDIRECTED:
         return AttemptEnd.MISDIRECTED, ""
-    if servers.ended_by_reset(resp):
+    if response_limits.ended_by_reset(resp):
         return AttemptEnd.LOST, "connection was reset during the body"
     if resp.status < 300 and not head.sealed:
         return AttemptEnd.LOST, "response has no signature"
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -57,24 +57,16 @@
 
 
 class ServerProtocol(response_limits.BoundedProtocol):
-    """Client protocol that keeps the connection's error and idle timeout.
+    """Client protocol that keeps the connection's idle timeout.
 
     Attributes:
-        failure: Error that ended the connection; None if it is open or was
-            closed normally.
         idle_s: Idle time after which the connection is not reused.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
-        self.failure: BaseException | None = None
         self.idle_s = DEFAULT_IDLE_S
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records the error."""
-        self.failure = exc
-        super().connection_lost(exc)
-
 
 class ServerConnector(aiohttp.TCPConnector):
     """Connection pool that never reuses a connection with unread data.
@@ -211,15 +203,6 @@
     return ConnectionCheck.ACCEPTED
 
 
-def ended_by_reset(resp: aiohttp.ClientResponse) -> bool:
-    """Returns whether an error ended the connection of a response.
-
-    A response without a length can otherwise look complete.
-    """
-    proto = cast(Any, resp)._protocol
-    return isinstance(proto, ServerProtocol) and proto.failure is not None
-
-
 def close_after_response(resp: aiohttp.ClientResponse) -> None:
     """Closes the connection of a response once the response has been read."""
     proto = cast(Any, resp)._protocol
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -59,12 +59,15 @@
     """A client connection that closes when it gets too many bytes.
 
     Attributes:
+        failure: Error that ended the connection; None if it is open or was
+            closed in good order.
         is_chunked: Whether the parser reads the response in chunks. What it
             accepts as such can't be told from the decoded headers.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
+        self.failure: BaseException | None = None
         self.is_chunked = False
         self._received = 0
         self._body: streams.StreamReader | None = None
@@ -76,6 +79,11 @@
             transport.max_size = RECEIVE_BYTES
         super().connection_made(transport)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Records the error."""
+        self.failure = exc
+        super().connection_lost(exc)
+
     def set_response_params(self, **params: Any) -> None:
         """Resets the counts for the next request."""
         self._received = 0
@@ -207,9 +215,23 @@
 
 def is_chunked(resp: aiohttp.ClientResponse) -> bool:
     """Returns whether a final chunk marks the end of a response."""
+    proto = _protocol(resp)
+    return proto is not None and proto.is_chunked
+
+
+def ended_by_reset(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether an error ended the connection of a response.
+
+    A response with neither a length nor chunks can otherwise look complete.
+    """
+    proto = _protocol(resp)
+    return proto is not None and proto.failure is not None
+
+
+def _protocol(resp: aiohttp.ClientResponse) -> BoundedProtocol | None:
     untyped: Any = resp  # The attribute is private to aiohttp.
     proto = untyped._protocol
-    return isinstance(proto, BoundedProtocol) and proto.is_chunked
+    return proto if isinstance(proto, BoundedProtocol) else None
 
 
 def bind(
