Limit the answers that the entry keeps in memory, each and together

Callers saw: nothing; found in review. No router was seen to run out of memory.

Cause: the product's own interface kept the events for a caller without a stream in a list without a limit, and limited plain answers to 16 MB each but not together.

Fix: one memory budget of the Forwarder, twice the largest single answer, counts both kinds while they are received, and 16 MB apply to a kept stream as well. An excess is a payload error, which BackendClient.async_open translates as before: the attempt ends as truncated, its connection is closed, and the request is retried where that is allowed.

Not covered: an answer that is complete counts no more while its caller takes it slowly, and the unfinished event of a stream (at most 1 MB each) is not counted.

--- a/tamarackbridge/components/entry/const.py
+++ b/tamarackbridge/components/entry/const.py
@@ -14,7 +14,12 @@
 PROBLEM_CONTENT_TYPE: Final = "application/problem+json"
 
 MAX_BUFFERED_BYTES: Final = 16 * 1024 * 1024
-"""Largest answer that is not a stream; such an answer is buffered in full."""
+"""Largest answer that is buffered in full: one that is not a stream, or a
+stream for a caller that can't receive one."""
+
+MAX_ALL_BUFFERED_BYTES: Final = 2 * MAX_BUFFERED_BYTES
+"""Memory budget of all such answers while they are received. It admits one of
+the largest size while all others have half of that size together."""
 
 COST_REPORT_INTERVAL_S: Final = 0.2
 """Seconds between two cost reports of a running stream to the dispatcher."""
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -21,7 +21,7 @@
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
 from tamarackbridge.components.telemetry import spans
-from tamarackbridge.helpers import message_framing
+from tamarackbridge.helpers import message_framing, response_limits
 
 _END = attempts.End
 _OK = 200
@@ -96,6 +96,9 @@
 
     def __init__(self, backend: client.BackendClient) -> None:
         self._backend = backend
+        self._memory = response_limits.MemoryBudget(
+            const.MAX_ALL_BUFFERED_BYTES
+        )
 
     async def async_run(self, job: Job, attempt: Attempt) -> None:
         """Runs one attempt and records its progress and end in `attempt`.
@@ -147,11 +150,14 @@
                 attempt.is_stream = True
                 now = asyncio.get_running_loop().time()
                 timer.reschedule(now + job.permit.life_s)
-                await self._async_forward_stream(job, attempt, resp)
+                with self._memory.reserve() as reservation:
+                    await self._async_forward_stream(
+                        job, attempt, resp, reservation
+                    )
             elif job.check.begun:
                 attempt.end = _END.NOT_A_STREAM
             else:
-                attempt.body = await _async_read_body(resp)
+                attempt.body = await _async_read_body(resp, self._memory)
                 attempt.end = answer_check.end_by_body(
                     attempt.body, resp.headers, request.route.empty_is_failure
                 )
@@ -159,17 +165,27 @@
                     attempt.end = _END.UNCONFIRMED
 
     async def _async_forward_stream(
-        self, job: Job, attempt: Attempt, resp: aiohttp.ClientResponse
+        self,
+        job: Job,
+        attempt: Attempt,
+        resp: aiohttp.ClientResponse,
+        reservation: response_limits.Reservation,
     ) -> None:
         reported_at = time.monotonic()
         first_offset = job.check.offset
-        buffered = []
+        buffered = bytearray()  # A list would take more for many small events.
         async for data in resp.content.iter_any():
             events = job.check.feed(data)
             if events and job.stream is not None:
                 await job.stream.async_write(resp.headers, events)
             elif events:
-                buffered.append(events)
+                size = len(buffered) + len(events)
+                if size > const.MAX_BUFFERED_BYTES:
+                    raise response_limits.ResponseLimitError(
+                        "stream exceeds the size limit of buffered answers"
+                    )
+                reservation.resize(size)
+                buffered += events
             if job.check.broken or job.check.complete:
                 break
             now = time.monotonic()
@@ -177,32 +193,29 @@
                 reported_at = now
                 tokens = job.check.offset - first_offset
                 job.report_cost(tokens * job.request.service.output_weight)
-        attempt.body = b"".join(buffered)
+        attempt.body = bytes(buffered)
         if job.check.complete:
             attempt.end = _END.COMPLETE
         elif job.check.wrong_request:
             attempt.end = _END.MISMATCHED
 
 
-async def _async_read_body(resp: aiohttp.ClientResponse) -> bytes:
+async def _async_read_body(
+    resp: aiohttp.ClientResponse, memory: response_limits.MemoryBudget
+) -> bytes:
     """Returns the complete body of an answer.
 
     Raises:
-        BackendError: The body exceeds `const.MAX_BUFFERED_BYTES`, or a reset
-            ended it.
+        ResponseLimitError: The body exceeds `const.MAX_BUFFERED_BYTES`, or
+            `memory` has no room for it.
+        BackendError: A reset ended the body.
     """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in resp.content.iter_any():
-        size += len(chunk)
-        if size > const.MAX_BUFFERED_BYTES:
-            raise exceptions.BackendError(
-                "answer exceeds the size limit of buffered answers"
-            )
-        chunks.append(chunk)
+    body = await response_limits.async_read(
+        resp, const.MAX_BUFFERED_BYTES, memory
+    )
     if not _is_marked(resp) and client.ended_by_reset(resp):
         raise exceptions.BackendError("connection was reset during the body")
-    return b"".join(chunks)
+    return body
 
 
 def _is_marked(resp: aiohttp.ClientResponse) -> bool:
