Limit the answers of the object API that a router reads

Callers saw: nothing; found in review.

Cause: the product's own router read each answer of the platform's object API whole, however large.

Fix: one object is limited to the stated size of a value, the answer to a write to twice that, as it lists the value in Base64, and a listing, for which nothing is stated, to 64 MB. One memory budget counts all while they are read. An excess is a payload error: the call ends as unknown and its connection is closed.

The largest values are read as before.

Not covered: bytes that the parser skips in a head or between chunks; this client's connections aren't bound by response_limits.bind.

--- a/tamarackbridge/components/object_api/http.py
+++ b/tamarackbridge/components/object_api/http.py
@@ -9,7 +9,7 @@
 from tamarackbridge import core
 from tamarackbridge.components.object_api import messages
 from tamarackbridge.components.settings import models as settings
-from tamarackbridge.helpers import send_once
+from tamarackbridge.helpers import response_limits, send_once
 
 HEADER_VERSION = "X-Store-Version"
 WATCH_WAIT_S = 1.0
@@ -18,6 +18,18 @@
 MAX_CONNECTIONS = 16
 MAX_VALUE_BYTES = 1024 * 1024
 
+MAX_CONFLICT_BYTES = 2 * MAX_VALUE_BYTES
+"""Largest answer to a write. It has at most the value in force, whose Base64
+takes four thirds of it."""
+
+MAX_LISTING_BYTES = 64 * MAX_VALUE_BYTES
+"""Largest listing: of 47 of the largest values in Base64, or of far more of the
+usual ones. The platform states no limit."""
+
+MAX_MEMORY_BYTES = 3 * MAX_LISTING_BYTES // 2
+"""Memory budget of all answers while they are read; the least that admits a
+listing of the largest size."""
+
 _STATUS = {
     200: messages.StoreStatus.OK,
     404: messages.StoreStatus.NOT_FOUND,
@@ -56,6 +68,7 @@
         self._cfg = cfg
         self._base = cfg.object_api.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
+        self._memory = response_limits.MemoryBudget(MAX_MEMORY_BYTES)
 
     async def on_start(self) -> None:
         """Opens the connection pool."""
@@ -104,7 +117,7 @@
 
     async def _async_get(self, call: messages.StoreGet) -> messages.StoreReply:
         async with self._request("GET", self._url(call.key)) as resp:
-            body = await resp.read()
+            body = await self._async_read(resp, MAX_VALUE_BYTES)
             if resp.status != 200:
                 return self._reply(call.tag, resp, ())
             obj = messages.StoredObject(call.key, _etag_version(resp), body)
@@ -115,7 +128,7 @@
     ) -> messages.StoreReply:
         url = f"{self._base}/objects?{parse.urlencode(query)}"
         async with self._request("GET", url, wait_s) as resp:
-            body = await resp.read()
+            body = await self._async_read(resp, MAX_LISTING_BYTES)
             objects = _LISTING.decode(body).objects
             return self._reply(tag, resp, objects)
 
@@ -123,7 +136,7 @@
         url = self._url(call.key)
         headers = _precondition(call.expect)
         async with self._request("PUT", url, 0.0, headers, call.value) as resp:
-            body = await resp.read()
+            body = await self._async_read(resp, MAX_CONFLICT_BYTES)
             if resp.status != 200:
                 return self._reply(
                     call.tag, resp, _conflicting_objects(resp, body)
@@ -139,9 +152,14 @@
         url = self._url(call.key)
         headers = _precondition(call.expect)
         async with self._request("DELETE", url, 0.0, headers) as resp:
-            body = await resp.read()
+            body = await self._async_read(resp, MAX_CONFLICT_BYTES)
             return self._reply(call.tag, resp, _conflicting_objects(resp, body))
 
+    async def _async_read(
+        self, resp: aiohttp.ClientResponse, max_bytes: int
+    ) -> bytes:
+        return await response_limits.async_read(resp, max_bytes, self._memory)
+
     def _request(
         self,
         method: str,
