Log why nobody confirmed the end of a stream, and how its caller sees it

SendingEnded says why an attempt is not followed by another (denied), Answered whether the answer is whole or unconfirmed (end), whether its caller sees only the end of the connection (unmarked), and why no server confirmed it (unconfirmed); Cut has the last two as well.

No logic changes: why an attempt is not repeated is returned in place of whether.

--- a/tamarackbridge/components/gateway/attempt_progress.py
+++ b/tamarackbridge/components/gateway/attempt_progress.py
@@ -1,6 +1,7 @@
 """What the attempts of a job have come to."""
 
 import dataclasses
+import enum
 
 from tamarackbridge.components.gateway import forward, jobs, relay
 
@@ -19,6 +20,26 @@
 }
 
 
+class RetryDenial(enum.Enum):
+    """Why a failed attempt is not followed by another.
+
+    Attributes:
+        DEADLINE: The deadline of the request has passed.
+        ROUTE: A server may have run the request, and it may run only once.
+        EVENTS: No other server can go on after the events that were forwarded.
+        UNREACHABLE: Too many servers could not be reached.
+        ATTEMPTS: The route allows no further attempt.
+        BUDGET: The retry budget is used up.
+    """
+
+    DEADLINE = "deadline"
+    ROUTE = "route"
+    EVENTS = "events"
+    UNREACHABLE = "unreachable"
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnconfirmedEnd:
     """End of a stream that its server has not marked.
@@ -46,12 +67,14 @@
             part of the request was sent.
         connect_failures: Number of the latter.
         last: Last attempt without a final response; None if there was none.
+        denial: Why that one is not followed by another; None if it is.
     """
 
     may_have_run: bool = False
     attempts: int = 0
     connect_failures: int = 0
     last: forward.Attempt | None = None
+    denial: RetryDenial | None = None
     _unconfirmed: UnconfirmedEnd | None = None
 
     def record_attempt(
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -5,6 +5,7 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
+    attempt_progress,
     forward,
     jobs,
     metrics,
@@ -45,9 +46,16 @@
         job: jobs.Job,
         attempt: forward.Attempt,
         server: str,
-        again: bool,
+        denial: attempt_progress.RetryDenial | None,
     ) -> None:
-        """Records a failed attempt and whether the request is retried."""
+        """Records a failed attempt.
+
+        Args:
+            job: The job.
+            attempt: The attempt.
+            server: Its server.
+            denial: Why the request is not sent again; None if it is.
+        """
         self._metrics.count_attempt(attempt.end.value, _logged_framing(attempt))
         since_head_s = -1.0
         if attempt.head_at is not None:
@@ -58,7 +66,8 @@
                 server=server,
                 end=attempt.end.value,
                 detail=attempt.detail,
-                again=again,
+                again=denial is None,
+                denied="" if denial is None else denial.value,
                 seconds=round(attempt.ended_at - attempt.sent_at, 4),
                 since_head_s=round(since_head_s, 4),
                 events=attempt.events,
@@ -104,6 +113,7 @@
         attempt: forward.Attempt,
         server: str,
         attempts: int,
+        unconfirmed: str = "",
     ) -> None:
         """Records the response of an attempt whose end is recorded already.
 
@@ -113,6 +123,8 @@
             attempt: The attempt.
             server: Server of the attempt.
             attempts: Number of attempts, including later ones.
+            unconfirmed: Why no other server confirmed an unmarked end of the
+                attempt; empty if none was asked.
         """
         now = self._clock.monotonic()
         first_at = (
@@ -137,6 +149,9 @@
                 attempts=attempts,
                 last_events=attempt.events,
                 framing=_logged_framing(attempt),
+                end=attempt.end.value,
+                unmarked=stream.is_unmarked,
+                unconfirmed=unconfirmed,
                 seconds=round(now - job.arrived, 4),
             )
         )
@@ -223,13 +238,32 @@
         route: str,
         arrived: float,
         by: str,
-        forwarded: int,
+        stream: response_stream.ResponseStream | None = None,
+        unconfirmed: str = "",
     ) -> None:
-        """Records a response that was aborted after some events."""
+        """Records a response that was aborted.
+
+        Args:
+            request_id: Identifier of the request.
+            route: Name of its route.
+            arrived: Time at which it arrived.
+            by: What cut the response off.
+            stream: The response, if it had begun to be streamed.
+            unconfirmed: Why no other server confirmed its unmarked end; empty
+                if that is not what cut it off.
+        """
         self._metrics.count_cut(by)
         seconds = self._clock.monotonic() - arrived
         events.write(
-            events.Cut(request_id, route, by, forwarded, round(seconds, 4))
+            events.Cut(
+                request=request_id,
+                route=route,
+                by=by,
+                events=0 if stream is None else stream.event_count,
+                unmarked=stream is not None and stream.is_unmarked,
+                unconfirmed=unconfirmed,
+                seconds=round(seconds, 4),
+            )
         )
 
     def record_caller_left(
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -35,7 +35,11 @@
 """Time for which another server may leave it open whether a stream goes on.
 Callers abandon a stream after a pause of two seconds at the earliest."""
 
+_OUT_OF_TIME = "time"
+"""Logged if no server confirmed the end of a stream in time."""
+
 _End = forward.AttemptEnd
+_Denial = attempt_progress.RetryDenial
 _Outcome = jobs.Outcome
 _Reason = rejections.Reason
 
@@ -122,7 +126,7 @@
             # A server may run what is being sent.
             run.progress.may_have_run |= run.is_sending
             return await self._async_give_up(
-                job, stream, run.progress, run.rejection
+                job, stream, run.progress, run.rejection, _OUT_OF_TIME
             )
         finally:
             self._runs.discard(run)
@@ -142,8 +146,9 @@
                     self._log.record_left_undecided()
                 raise
             if isinstance(admitted, result.Err):
+                rejection = admitted.err_value
                 return await self._async_give_up(
-                    job, stream, progress, admitted.err_value
+                    job, stream, progress, rejection, rejection.reason.value
                 )
             if response_stream.has_left(req):
                 admitted.ok_value.finish(_Outcome.UNSENT)
@@ -174,17 +179,17 @@
                 )
                 return await self._async_respond(stream, attempt)
             progress.record_attempt(job, attempt, server, events)
-            will_retry = (
-                events is None or events.resumable
-            ) and self._may_retry(job, progress, attempt)
-            self._log.record_attempt_end(job, attempt, server, will_retry)
-            if will_retry:
+            progress.denial = self._retry_denial(job, progress, attempt, events)
+            self._log.record_attempt_end(job, attempt, server, progress.denial)
+            if progress.denial is None:
                 if may_go_on and events is not None:
                     self._limit_confirmation(run, events)
                 continue
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
-            return await self._async_give_up(job, stream, progress, None)
+            return await self._async_give_up(
+                job, stream, progress, None, progress.denial.value
+            )
 
     def _limit_confirmation(self, run: _Run, events: relay.EventRelay) -> None:
         """Limits the time in which other servers confirm a stream's end."""
@@ -251,22 +256,27 @@
                 outcome = _Outcome.CRASHED
         return outcome
 
-    def _may_retry(
+    def _retry_denial(
         self,
         job: jobs.Job,
         progress: attempt_progress.Progress,
         attempt: forward.Attempt,
-    ) -> bool:
-        """Returns whether a failed job may be sent to another server."""
+        events: relay.EventRelay | None,
+    ) -> attempt_progress.RetryDenial | None:
+        """Returns why a failed job is not sent again; None if it is."""
+        if events is not None and not events.resumable:
+            return _Denial.EVENTS
         if self._clock.monotonic() >= job.deadline:
-            return False
+            return _Denial.DEADLINE
         if progress.may_have_run and not job.route.is_retryable:
-            return False
+            return _Denial.ROUTE
         if attempt.end is _End.NOT_SENT:
-            return progress.connect_failures < MAX_CONNECT_FAILURES
+            if progress.connect_failures < MAX_CONNECT_FAILURES:
+                return None
+            return _Denial.UNREACHABLE
         if job.attempts >= job.route.max_attempts:
-            return False
-        return self._controller.take_retry(job)
+            return _Denial.ATTEMPTS
+        return None if self._controller.take_retry(job) else _Denial.BUDGET
 
     async def _async_respond(
         self, stream: response_stream.ResponseStream, attempt: forward.Attempt
@@ -292,11 +302,19 @@
         stream: response_stream.ResponseStream,
         progress: attempt_progress.Progress,
         rejection: rejections.Rejection | None,
+        reason: str,
     ) -> web.StreamResponse:
         """Ends a job that is not sent to a server again.
 
         A stream that may be complete ends without a mark, if it has none;
         otherwise its caller would take it for complete.
+
+        Args:
+            job: The job.
+            stream: Stream of its response.
+            progress: Its progress.
+            rejection: Rejection for the caller, if there is one already.
+            reason: Why it is not sent again, for the log.
         """
         unconfirmed = progress.unconfirmed_end()
         if unconfirmed is not None and stream.may_end_unmarked:
@@ -306,9 +324,16 @@
                 unconfirmed.attempt,
                 unconfirmed.server,
                 progress.attempts,
+                reason,
             )
             return await self._async_respond(stream, unconfirmed.attempt)
-        return self._reject_or_cut(job, stream, progress, rejection)
+        return self._reject_or_cut(
+            job,
+            stream,
+            progress,
+            rejection,
+            "" if unconfirmed is None else reason,
+        )
 
     def _reject_or_cut(
         self,
@@ -316,6 +341,7 @@
         stream: response_stream.ResponseStream,
         progress: attempt_progress.Progress,
         rejection: rejections.Rejection | None,
+        unconfirmed: str,
     ) -> web.StreamResponse:
         if stream.response is not None:
             last = progress.last
@@ -325,7 +351,8 @@
                 job.route.name,
                 job.arrived,
                 by,
-                stream.event_count,
+                stream,
+                unconfirmed,
             )
             stream.abort()
             raise exceptions.ResponseAbortedError(by)
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -362,9 +362,7 @@
         route = self._validator.route_name(request)
         now = self._clock.monotonic()
         if self.shutdown is not None and now >= self.shutdown.end:
-            self._log.record_cut(
-                request.request_id, route, arrived, "shutdown", 0
-            )
+            self._log.record_cut(request.request_id, route, arrived, "shutdown")
         else:
             self._log.record_caller_left(request.request_id, route, arrived)
 
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -352,7 +352,9 @@
 class SendingEnded(Event, frozen=True):
     """An attempt ended without an answer that is passed on.
 
-    `end` is how it ended, and `again` whether the request is tried again.
+    `end` is how it ended, and `again` whether the request is tried again; if
+    not, `denied` is why: `deadline`, `route` (it may run only once), `events`
+    (those passed on have no numbers), `unreachable`, `attempts` or `budget`.
     `seconds` is the time since it was sent, and `since_head_s` that since the
     head of the answer, -1 without one; `events` of it were passed on. `framing`
     is what marks the end of its body: `length`, `chunked` or `close` (nothing
@@ -365,6 +367,7 @@
     end: str
     detail: str
     again: bool
+    denied: str
     seconds: float
     since_head_s: float
     events: int
@@ -373,12 +376,16 @@
 
 
 class Answered(Event, frozen=True):
-    """A server's complete answer was passed on.
+    """A server's answer was passed on to its end.
 
     `first_event_s` and `longest_pause_s` are measured; `target_s` and
     `allowed_pause_s` are the limits of the route. `attempts` were made, of
     which the last passed on `last_events` of the `events`; `framing` is as in
-    `SendingEnded`. `seconds` is the time since the request arrived.
+    `SendingEnded`. `end` is `whole`, or `unconfirmed` if nothing says so;
+    `unmarked` is whether the caller sees only its connection's end, and
+    `unconfirmed` why no other server confirmed an unmarked one: as `denied` in
+    `SendingEnded`, `time`, or the reason of a refusal. `seconds` is the time
+    since the request arrived.
     """
 
     request: str
@@ -393,6 +400,9 @@
     attempts: int
     last_events: int
     framing: str
+    end: str
+    unmarked: bool
+    unconfirmed: str
     seconds: float
 
 
@@ -450,12 +460,15 @@
     """An answer was cut off, so that the caller sees that it is incomplete.
 
     `by` is the cause, and `events` the number of events passed on before.
+    `unmarked` and `unconfirmed` are as in `Answered`.
     """
 
     request: str
     route: str
     by: str
     events: int
+    unmarked: bool
+    unconfirmed: str
     seconds: float
 
 
--- a/tests/components/gateway/test_request_log.py
+++ b/tests/components/gateway/test_request_log.py
@@ -4,11 +4,12 @@
 
 import pytest
 
-from standins import platform_server
+from standins import platform_server, server_faults
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.platform import const
-from tests.components.gateway import rig
+from tests.components.gateway import raw_caller, rig
 
+EarlyEnd = server_faults.EarlyEnd
 Fault = platform_server.Fault
 
 
@@ -108,6 +109,38 @@
     assert lost.since_head_s == -1
 
 
+@pytest.mark.parametrize(
+    ("path", "second", "reason"),
+    [
+        ("/stream/1", Fault.NONE, "route"),
+        ("/stream/r/1", Fault.FAIL, "attempts"),
+        ("/stream/r/1", EarlyEnd.UNFRAMED_CUT_BETWEEN, "attempts"),
+        ("/stream/r/1", Fault.HANG, "time"),
+    ],
+)
+async def test_unconfirmed_end_logs_why_no_server_confirmed_it(
+    path: str,
+    second: platform_server.AnyFault,
+    reason: str,
+    log: list[events.Event],
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(EarlyEnd.UNFRAMED_CUT_BETWEEN, second)
+        await raw_caller.async_send(env, path)
+    last = _of_request(log, "q1")[-1]
+    assert isinstance(last, events.Answered | events.Cut)
+    assert (last.unmarked, last.unconfirmed) == (True, reason)
+
+
+async def test_confirmed_end_logs_no_reason(log: list[events.Event]) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(Fault.UNFRAMED)
+        await raw_caller.async_send(env, "/stream/r/1")
+    last = _of_request(log, "q1")[-1]
+    assert isinstance(last, events.Answered)
+    assert (last.end, last.unmarked, last.unconfirmed) == ("whole", True, "")
+
+
 async def test_lost_response_logs_that_the_request_may_have_run(
     log: list[events.Event],
 ) -> None:
