Reset an unmarked stream whose end nothing confirms

To the caller of an answer without length or chunks, that close is the end; the router passed it on wherever no other server confirmed the end, as the caller was to know what the router knows.

Such a stream is reset now, on all routes. On a route that may be resumed its caller then resumes it, which costs one request; on others a whole stream without a mark is lost to a caller that reads the close. That error is the smaller one: its caller has all events and sees that the end is open, while a caller of a cut stream is told nothing. Where another server may be asked, two have to agree.

Replaced by stricter ones, as they asserted the fault: test_confirmations.py expected an orderly close of three kinds of unconfirmed streams. It expects a reset, and that the log names the reason, which tells apart what the close told: that a failed check, a comment and a repeat neither lose nor confirm.

--- a/tamarackbridge/components/gateway/attempt_progress.py
+++ b/tamarackbridge/components/gateway/attempt_progress.py
@@ -42,19 +42,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnconfirmedEnd:
-    """End of a stream that its server has not marked.
+    """Place where servers have ended a stream without a mark.
 
     Attributes:
-        attempt: Attempt that ended so.
+        attempt: First attempt that ended there.
         server: Server of the attempt.
         events: Relay of the stream's events.
-        position: Its position then.
+        position: Its position there.
+        servers: Number of servers that ended the stream there.
     """
 
     attempt: forward.Attempt
     server: str
     events: relay.EventRelay
     position: int
+    servers: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +70,7 @@
         connect_failures: Number of the latter.
         last: Last attempt without a final response; None if there was none.
         denial: Why that one is not followed by another; None if it is.
+        was_cut: Whether any server is known to have cut the stream.
     """
 
     may_have_run: bool = False
@@ -75,6 +78,7 @@
     connect_failures: int = 0
     last: forward.Attempt | None = None
     denial: RetryDenial | None = None
+    was_cut: bool = False
     _unconfirmed: UnconfirmedEnd | None = None
 
     def record_attempt(
@@ -82,7 +86,6 @@
         job: jobs.Job,
         attempt: forward.Attempt,
         server: str,
-        events: relay.EventRelay | None,
     ) -> None:
         """Records an attempt that did not produce the final response.
 
@@ -90,7 +93,6 @@
             job: The job.
             attempt: The attempt.
             server: Server of the attempt.
-            events: Relay of the events; None on routes without streams.
         """
         self.last = attempt
         job.excluded_servers.add(server)
@@ -100,21 +102,47 @@
             job.attempts += 1
         if attempt.end not in forward.PROVED_NOT_RUN:
             self.may_have_run = True
-        if (
-            attempt.end is _End.UNCONFIRMED
-            and attempt.streamed
-            and events is not None
-        ):
-            self._unconfirmed = UnconfirmedEnd(
-                attempt, server, events, events.position
+
+    def record_stream_end(
+        self, attempt: forward.Attempt, server: str, events: relay.EventRelay
+    ) -> bool:
+        """Records how a server ended a stream.
+
+        Args:
+            attempt: The attempt, which has streamed.
+            server: Server of the attempt.
+            events: Relay of the events.
+
+        Returns:
+            Whether it shows that this server or one before has cut the stream.
+        """
+        shows_cut = self._is_refuted
+        if shows_cut:
+            self._unconfirmed = None
+        # Nothing but a close where the stream is to go on says that it ends.
+        is_end = attempt.end is _End.UNCONFIRMED or (
+            attempt.is_unmarked_and_empty and events.resume_after != ""
+        )
+        if is_end:
+            earlier = self._unconfirmed
+            self._unconfirmed = (
+                UnconfirmedEnd(attempt, server, events, events.position)
+                if earlier is None
+                else dataclasses.replace(earlier, servers=earlier.servers + 1)
             )
+        elif attempt.end is _End.LOST:
+            shows_cut = True
+        self.was_cut |= shows_cut
+        return shows_cut
+
+    @property
+    def _is_refuted(self) -> bool:
+        end = self._unconfirmed
+        return end is not None and end.position != end.events.position
 
     def unconfirmed_end(self) -> UnconfirmedEnd | None:
         """Returns the unconfirmed end at which the stream still is."""
-        end = self._unconfirmed
-        if end is None or end.position != end.events.position:
-            return None
-        return end
+        return None if self._is_refuted else self._unconfirmed
 
 
 def outcome(attempt: forward.Attempt) -> jobs.Outcome:
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -71,6 +71,8 @@
             received.
         body: Body of a response that is not streamed.
         streamed: Whether events are forwarded as they arrive.
+        is_unmarked_and_empty: Whether a stream had no event, and nothing but
+            its connection's orderly close marks its end.
         events: Number of events that were forwarded.
         sent_at: Loop time at which the attempt began.
         head_at: Loop time at which the head was received; None before.
@@ -83,6 +85,7 @@
     framing: message_framing.Framing | None = None
     body: bytes = b""
     streamed: bool = False
+    is_unmarked_and_empty: bool = False
     events: int = 0
     sent_at: float = 0.0
     head_at: float | None = None
@@ -261,6 +264,7 @@
             attempt.detail = "stream ended in the middle of an event"
         elif events.is_empty and framing is _UNMARKED:
             attempt.detail = "connection closed before the first event"
+            attempt.is_unmarked_and_empty = True
         elif not events.may_end:
             attempt.detail = "stream ended before the last event the caller has"
         else:
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -10,6 +10,7 @@
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
     attempt_progress,
+    end_marks,
     exceptions,
     forward,
     jobs,
@@ -18,15 +19,12 @@
     relay,
     request_log,
     response_stream,
+    retries,
     servers,
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.telemetry import spans
 
-MAX_CONNECT_FAILURES = 3
-"""Failed connection attempts after which a job is rejected. Two unreachable
-servers at once are what the loss of a zone causes."""
-
 REJECTED_RETRY_MIN_S = 0.3
 """Minimum Retry-After when servers rejected the request: one step of a server's
 queue takes this long."""
@@ -39,7 +37,6 @@
 """Logged if no server confirmed the end of a stream in time."""
 
 _End = forward.AttemptEnd
-_Denial = attempt_progress.RetryDenial
 _Outcome = jobs.Outcome
 _Reason = rejections.Reason
 
@@ -78,9 +75,12 @@
         clock: core.Clock,
         is_last: Callable[[], bool],
         log: request_log.RequestLog,
+        stream_ends: end_marks.StreamEndPolicy,
     ) -> None:
         self._log = log
+        self._stream_ends = stream_ends
         self._controller = controller
+        self._retries = retries.RetryPolicy(controller, clock)
         self._forwarder = forwarder
         self._dialect = dialect
         self._clock = clock
@@ -163,6 +163,8 @@
                 )
             run.is_sending = False
             server = admitted.ok_value.server.name
+            if attempt.streamed and events is not None:
+                self._stream_ends.record(job, attempt, server, events, progress)
             if attempt.head is not None and attempt.head.invalid_headers:
                 self._log.record_invalid_headers(
                     server, attempt.head.invalid_headers
@@ -178,8 +180,10 @@
                     job, stream, attempt, server, progress.attempts
                 )
                 return await self._async_respond(stream, attempt)
-            progress.record_attempt(job, attempt, server, events)
-            progress.denial = self._retry_denial(job, progress, attempt, events)
+            progress.record_attempt(job, attempt, server)
+            progress.denial = self._retries.denial(
+                job, progress, attempt, events
+            )
             self._log.record_attempt_end(job, attempt, server, progress.denial)
             if progress.denial is None:
                 if may_go_on and events is not None:
@@ -256,28 +260,6 @@
                 outcome = _Outcome.CRASHED
         return outcome
 
-    def _retry_denial(
-        self,
-        job: jobs.Job,
-        progress: attempt_progress.Progress,
-        attempt: forward.Attempt,
-        events: relay.EventRelay | None,
-    ) -> attempt_progress.RetryDenial | None:
-        """Returns why a failed job is not sent again; None if it is."""
-        if events is not None and not events.resumable:
-            return _Denial.EVENTS
-        if self._clock.monotonic() >= job.deadline:
-            return _Denial.DEADLINE
-        if progress.may_have_run and not job.route.is_retryable:
-            return _Denial.ROUTE
-        if attempt.end is _End.NOT_SENT:
-            if progress.connect_failures < MAX_CONNECT_FAILURES:
-                return None
-            return _Denial.UNREACHABLE
-        if job.attempts >= job.route.max_attempts:
-            return _Denial.ATTEMPTS
-        return None if self._controller.take_retry(job) else _Denial.BUDGET
-
     async def _async_respond(
         self, stream: response_stream.ResponseStream, attempt: forward.Attempt
     ) -> web.StreamResponse:
@@ -306,9 +288,6 @@
     ) -> web.StreamResponse:
         """Ends a job that is not sent to a server again.
 
-        A stream that may be complete ends without a mark, if it has none;
-        otherwise its caller would take it for complete.
-
         Args:
             job: The job.
             stream: Stream of its response.
@@ -317,7 +296,11 @@
             reason: Why it is not sent again, for the log.
         """
         unconfirmed = progress.unconfirmed_end()
-        if unconfirmed is not None and stream.may_end_unmarked:
+        if (
+            unconfirmed is not None
+            and stream.may_end_unmarked
+            and self._stream_ends.may_be_unmarked(job, unconfirmed, progress)
+        ):
             self._log.record_unconfirmed(
                 job,
                 stream,
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -29,6 +29,7 @@
 from tamarackbridge.components.fleet import messages as fleet
 from tamarackbridge.components.gateway import (
     drain,
+    end_marks,
     event_loop_lag,
     forward,
     headroom,
@@ -178,6 +179,7 @@
                 self._clock,
                 service.is_last_response,
                 log,
+                end_marks.StreamEndPolicy(self._clock),
             )
         )
         return service
--- a/tests/components/gateway/test_confirmations.py
+++ b/tests/components/gateway/test_confirmations.py
@@ -7,6 +7,7 @@
 
 from standins import platform_server, server_faults
 from tamarackbridge.components.gateway import runner, servers
+from tamarackbridge.components.telemetry import events
 from tests.components.gateway import raw_caller, rig
 
 _Fault = platform_server.Fault
@@ -17,9 +18,27 @@
 """Pause after each event of a slow server."""
 
 
-@pytest.mark.parametrize("path", ["/pay/1", "/stream/1"])
+@pytest.fixture
+def log(monkeypatch: pytest.MonkeyPatch) -> list[events.Event]:
+    written: list[events.Event] = []
+    monkeypatch.setattr(events, "write", written.append)
+    return written
+
+
+def _unconfirmed(log: list[events.Event]) -> str:
+    """Returns why the end at which the only stream was cut is unconfirmed."""
+    (cut,) = (event for event in log if isinstance(event, events.Cut))
+    return cut.unconfirmed
+
+
+@pytest.mark.parametrize(
+    ("path", "end"), [("/pay/1", _End.CLOSED), ("/stream/1", _End.RESET)]
+)
 async def test_failed_connection_check_tells_nothing_about_a_server(
-    path: str, monkeypatch: pytest.MonkeyPatch
+    path: str,
+    end: raw_caller.End,
+    log: list[events.Event],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A live server whose queue of new connections is full drops them."""
 
@@ -32,16 +51,19 @@
         env.set_faults(_Fault.UNFRAMED)
         answer = await raw_caller.async_send(env, path)
         assert answer.status == 200
-        assert (answer.is_unmarked, answer.end) == (True, _End.CLOSED)
+        assert (answer.is_unmarked, answer.end) == (True, end)
         assert env.ran() == ["q1"]
+    if end is _End.RESET:
+        assert _unconfirmed(log) == "route"
 
 
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize(
-    "second", [_EarlyEnd.COMMENT_RESET, _EarlyEnd.COMMENT_HANG]
+    ("second", "reason"),
+    [(_EarlyEnd.COMMENT_RESET, "attempts"), (_EarlyEnd.COMMENT_HANG, "time")],
 )
 async def test_comment_does_not_continue_a_stream(
-    second: _EarlyEnd, version: str
+    second: _EarlyEnd, reason: str, version: str, log: list[events.Event]
 ) -> None:
     """The first server's stream is whole, and unmarked."""
     async with rig.async_environment() as env:
@@ -50,12 +72,13 @@
         answer = await raw_caller.async_send(env, "/stream/r/1", version)
         seconds = time.monotonic() - started_at
         assert answer.body.count(b"data:") == platform_server.EVENTS
-        assert (answer.is_unmarked, answer.end) == (True, _End.CLOSED)
+        assert (answer.is_unmarked, answer.end) == (True, _End.RESET)
         assert seconds < 2 * runner.CONFIRMATION_S
+    assert _unconfirmed(log) == reason
 
 
 async def test_confirmation_is_limited_over_all_attempts(
-    monkeypatch: pytest.MonkeyPatch,
+    log: list[events.Event], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Servers that repeat a stream, unmarked, confirm nothing."""
     routes = [
@@ -78,6 +101,7 @@
         answer = await raw_caller.async_send(env, "/stream/r/1")
         seconds = time.monotonic() - started_at
         assert answer.body.count(b"data:") == platform_server.EVENTS
-        assert answer.end is _End.CLOSED
+        assert answer.end is _End.RESET
         run_s = platform_server.EVENTS * PAUSE_S
         assert run_s < seconds < run_s + 1.5 * runner.CONFIRMATION_S
+    assert _unconfirmed(log) == "time"
