Leave half of the retry budget to requests that have no answer yet

After many streams without a mark, failing requests got no second server: each confirmation of a stream's end drew on the same retry budget, first come, first served.

A confirmation may spend the budget up to half of it only. A request that failed has nothing without its retry, while the caller of a stream that nothing confirms has its events and may resume. The sum stays within the fleet's bound, as both draw on the same counts. The test fails without the fraction: 200 confirmations left no retry.

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -170,14 +170,20 @@
         finally:
             self._waiting.remove(waiter)
 
-    def take_retry(self, job: jobs.Job) -> bool:
+    def take_retry(self, job: jobs.Job, is_confirmation: bool) -> bool:
         """Spends one retry from the budget of the job's service.
 
-        Returns whether the budget had one left.
+        Returns whether the budget had one left; a part of it is kept from
+        confirmations.
         """
         now = self._clock.monotonic()
         routers = len(self._peers.routers())
-        return self._retry_budget.try_spend(job.service.name, routers, now)
+        fraction = (
+            retry_budget.CONFIRMATIONS_FRACTION if is_confirmation else 1.0
+        )
+        return self._retry_budget.try_spend(
+            job.service.name, routers, now, fraction
+        )
 
     def available_in_s(self, job: jobs.Job) -> float:
         """Returns the time until a server accepts a new attempt; 0 for now."""
--- a/tamarackbridge/components/admission/retry_budget.py
+++ b/tamarackbridge/components/admission/retry_budget.py
@@ -18,6 +18,11 @@
 """Fraction of the budget that is spent, so that the fleet stays within its
 bound when routers that were just lost spent theirs in the same window."""
 
+CONFIRMATIONS_FRACTION = 0.5
+"""Fraction of what may be spent up to which confirmations of a stream's end may
+spend it. A request that failed has nothing without its retry; the caller of a
+stream without confirmation has all events that came, and may resume."""
+
 
 @dataclasses.dataclass(slots=True)
 class _ServiceUse:
@@ -44,14 +49,23 @@
         use = self._current(service, now)
         use.requests.append(now)
 
-    def try_spend(self, service: str, routers: int, now: float) -> bool:
-        """Spends one retry and returns True, if the budget has one left."""
+    def try_spend(
+        self, service: str, routers: int, now: float, fraction: float = 1.0
+    ) -> bool:
+        """Spends one retry and returns True, if the budget has one left.
+
+        Args:
+            service: Name of the service.
+            routers: Number of routers that share the budget.
+            now: The present time.
+            fraction: Fraction of the budget that may be spent for this purpose.
+        """
         use = self._current(service, now)
         bounds = self._bounds
-        allowed = SPENT_FRACTION * (
-            bounds.retry_ratio * len(use.requests)
-            + bounds.retry_slack / max(routers, 1)
-        )
+        budget = bounds.retry_ratio * len(
+            use.requests
+        ) + bounds.retry_slack / max(routers, 1)
+        allowed = fraction * SPENT_FRACTION * budget
         if len(use.retries) + 1 > allowed + use.rounding:
             return False
         use.retries.append(now)
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -88,8 +88,14 @@
         """Waits until a job may be sent; returns a rejection if it may not."""
         ...
 
-    def take_retry(self, job: Job) -> bool:
-        """Takes a retry from the budget of the service; False if used up."""
+    def take_retry(self, job: Job, is_confirmation: bool) -> bool:
+        """Takes a retry from the budget of the service; False if used up.
+
+        Args:
+            job: The job.
+            is_confirmation: Whether the job has a response already, of which
+                only the end is to be confirmed.
+        """
         ...
 
     def available_in_s(self, job: Job) -> float:
--- a/tamarackbridge/components/gateway/retries.py
+++ b/tamarackbridge/components/gateway/retries.py
@@ -50,4 +50,7 @@
             return _Denial.UNREACHABLE
         if job.attempts >= job.route.max_attempts:
             return _Denial.ATTEMPTS
-        return None if self._controller.take_retry(job) else _Denial.BUDGET
+        is_confirmation = attempt.end is _End.UNCONFIRMED and attempt.streamed
+        if self._controller.take_retry(job, is_confirmation):
+            return None
+        return _Denial.BUDGET
--- a/tests/components/admission/test_shares.py
+++ b/tests/components/admission/test_shares.py
@@ -121,3 +121,26 @@
             for _ in range(requests)
         )
     assert spent_retries[58] >= 0.9 * spent_retries[1]
+
+
+def test_confirmations_leave_half_of_the_budget_to_other_retries() -> None:
+    """Many servers end streams at once, then requests fail."""
+    spent = {}
+    for confirmations in (0, 200):
+        router_budget = retry_budget.RetryBudget(
+            builders.BOUNDS, random.Random(1)
+        )
+        for _ in range(100):
+            router_budget.record_request("lm", 0.0)
+        confirmed = sum(
+            router_budget.try_spend(
+                "lm", 7, 1.0, retry_budget.CONFIRMATIONS_FRACTION
+            )
+            for _ in range(confirmations)
+        )
+        retried = sum(router_budget.try_spend("lm", 7, 1.0) for _ in range(200))
+        spent[confirmations] = (confirmed, retried)
+    (_, without), (confirmed, beside) = spent[0], spent[200]
+    assert 0 < confirmed <= without / 2 + 1
+    assert beside >= without / 2 - 1
+    assert confirmed + beside == without
