Count a stream that repeats its events with other content as lost

What callers saw: a server that sent events 0 1 2 1 2 and its final chunk gave them events 0 1 2 and a final chunk, also if the second 1 and 2 were others than the first. They took half of one answer for a whole one, on every kind of streaming route.

Cause: EventRelay drops events whose numbers were forwarded, without looking at them, as it has to for a second server that ignores Last-Event-Id. For the current server's own events that hides that it has started another answer; may_end only asks for the last number.

Evidence: by stand-ins (server_faults.REPEAT_OTHER), on the code before: the caller's answer on /stream/r/1 and /stream/1 was events 0 1 2 with a final chunk.

Now an event at or below the highest number of the current server must be one of its last 64, byte for byte, by digest; else the attempt is lost, another server goes on where the route allows, and the caller's stream is cut where not. An event that comes out of order and was never sent is an error for the same reason: it was dropped in silence.

Ruled out: that numbers must only increase. It would make a true repeat lost, which does callers no harm, and the test that a stream which starts over with the same events may end at its last one is right. The events of an earlier server are not compared: a second server may write another answer, and its early events are dropped as before.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -357,8 +357,13 @@
                 await asyncio.Event().wait()
             return await self._async_leave(fault, writer)
         try:
-            for number in range(first_event, _EVENT_LIMITS.get(fault, EVENTS)):
+            numbers = range(first_event, _EVENT_LIMITS.get(fault, EVENTS))
+            repeated = server_faults.REPEATS.get(fault, ())
+            for place, number in enumerate(repeated or numbers):
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                is_repeated = place + first_event != number
+                if fault is server_faults.EarlyEnd.REPEAT_OTHER and is_repeated:
+                    event = event.replace(b"piece", b"other")
                 if fault in (Fault.NO_NUMBERS, Fault.CUT_NO_NUMBERS):
                     event = event.partition(b"\n")[2]
                 if cut is not None and number == first_event + cut.events:
--- a/standins/server_faults.py
+++ b/standins/server_faults.py
@@ -48,6 +48,10 @@
     """Resets a chunked stream after a comment."""
     COMMENT_HANG = "comment_hang"
     """Sends nothing after a comment in a chunked stream."""
+    REPEAT_SAME = "repeat_same"
+    """Starts a chunked stream over from its second event."""
+    REPEAT_OTHER = "repeat_other"
+    """Like REPEAT_SAME, but with other content and an early final chunk."""
     EMPTY_END = "empty_end"
     """Sends a chunked stream without any event, with its final chunk."""
 
@@ -76,6 +80,12 @@
 }
 """Part that is sent of a stream without a length."""
 
+REPEATS: dict[object, tuple[int, ...]] = {
+    EarlyEnd.REPEAT_SAME: (0, 1, 2, 1, 2, 3, 4, 5),
+    EarlyEnd.REPEAT_OTHER: (0, 1, 2, 1, 2),
+}
+"""Numbers of the events of a stream that repeats some."""
+
 COMMENTS: frozenset[object] = frozenset(
     (EarlyEnd.COMMENT_RESET, EarlyEnd.COMMENT_HANG)
 )
--- a/tamarackbridge/components/gateway/relay.py
+++ b/tamarackbridge/components/gateway/relay.py
@@ -2,8 +2,10 @@
 
 An event is forwarded only when it is complete and its ID is higher than the
 previous one, so that the caller never receives a duplicate or partial event.
+A server that repeats events of its own must repeat their content.
 """
 
+import array
 import re
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -14,6 +16,10 @@
 MAX_DIGITS = 18
 """Maximum number of digits in an event ID, so that it fits into 64 bits."""
 
+REMEMBERED_EVENTS = 64
+"""Number of a server's last events that it may repeat, with the same content.
+Their digests take 512 bytes for each stream."""
+
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _BOUNDARY_BYTES = 4
 """Length of the longest boundary between two events."""
@@ -47,19 +53,17 @@
         self.position = 0
         self.error = ""
         self.resumable = True
-        self.is_empty = True
-        self.drop_partial_event()
-        self._long_event = bytearray()
-        self._server_last_id = -1
         self._has_forwarded = False
-        self._is_continuation = False
-        self._bytes_since_new = 0
+        self.switch_server()
 
     def switch_server(self) -> None:
         """Starts the stream of another server; drops a partial event."""
         self.is_empty = True
         self.drop_partial_event()
         self._server_last_id = -1
+        self._server_highest_id = -1
+        self._digests = array.array("q")
+        self._digest_count = 0
         self._is_continuation = self._has_forwarded
         self._bytes_since_new = 0
         self.error = ""
@@ -136,6 +140,9 @@
             self.error = f"event ID has more than {MAX_DIGITS} digits"
             return False
         self._server_last_id = number
+        if not self._agrees(number, event):
+            self.error = "event repeats an earlier one with other content"
+            return False
         if number <= self.last_id:
             self._count_stale(event)
             return False
@@ -146,6 +153,19 @@
         self.position += 1
         return True
 
+    def _agrees(self, number: int, event: bytes) -> bool:
+        """Remembers an event; returns whether it is new or a true repeat."""
+        digest = hash(event)
+        if number <= self._server_highest_id:
+            return digest in self._digests
+        self._server_highest_id = number
+        if self._digest_count < REMEMBERED_EVENTS:
+            self._digests.append(digest)
+        else:
+            self._digests[self._digest_count % REMEMBERED_EVENTS] = digest
+        self._digest_count += 1
+        return True
+
     def _accept_unnumbered(self, event: bytes) -> bool:
         if _DATA.search(event) is None:
             return True
--- a/tests/components/gateway/test_relay.py
+++ b/tests/components/gateway/test_relay.py
@@ -10,8 +10,8 @@
 from tamarackbridge.components.gateway import relay
 
 
-def event(number: int) -> bytes:
-    return f"id: {number}\ndata: x\n\n".encode()
+def event(number: int, text: str = "x") -> bytes:
+    return f"id: {number}\ndata: {text}\n\n".encode()
 
 
 def test_partial_event_is_buffered_until_complete() -> None:
@@ -73,6 +73,52 @@
     assert events.may_end
 
 
+def test_stream_that_repeats_events_with_other_content_is_unusable() -> None:
+    """It would end as whole after the last of the repeated events."""
+    events = relay.EventRelay("")
+    events.feed(event(0) + event(1) + event(2))
+    assert events.feed(event(1, "y") + event(2, "y")) == b""
+    assert events.error
+    events.switch_server()
+    assert events.feed(event(0) + event(3)) == event(3)
+    assert not events.error
+
+
+def test_stream_that_repeats_events_the_caller_had_is_held_to_them() -> None:
+    """The first server's events are not compared, the second's own are."""
+    events = relay.EventRelay("")
+    events.feed(event(0) + event(1) + event(2))
+    events.switch_server()
+    assert events.feed(event(0, "y") + event(1, "y")) == b""
+    assert not events.error
+    events.feed(event(0, "z"))
+    assert events.error
+
+
+@pytest.mark.parametrize("step", [1, 1000])
+def test_long_stream_that_starts_over_is_held_to_its_last_events(
+    step: int,
+) -> None:
+    """Older ones are not remembered: none can be shown to be the same."""
+    whole = [event(step * number) for number in range(1000)]
+    recent = whole[-relay.REMEMBERED_EVENTS :]
+    events = relay.EventRelay("")
+    events.feed(b"".join(whole))
+    assert events.feed(b"".join(recent)) == b""
+    assert not events.error
+    assert events.may_end
+    events.feed(whole[-relay.REMEMBERED_EVENTS - 1])
+    assert events.error
+
+
+def test_event_that_comes_out_of_order_is_not_dropped_in_silence() -> None:
+    """The caller never got it, and would take the stream for whole."""
+    events = relay.EventRelay("")
+    events.feed(event(0) + event(2))
+    assert events.feed(event(1) + event(2)) == b""
+    assert events.error
+
+
 def test_comment_is_not_compared_with_an_event_that_the_caller_named() -> None:
     events = relay.EventRelay("9")
     events.switch_server()
