Log why an attempt of the product's own interface failed

What operators saw: nothing. An answer for which there was no room in memory, an event that was too large, a response limit or a connection that broke ended an attempt, the caller got "truncated" or the answer of another server, and no line of the log said which server or why. Only a counter by kind of end rose.

Cause: Forwarder.async_run drops the error's text; the gateway keeps it (forward.Attempt.detail) and logs it in SendingEnded.

Now the attempt keeps the text, streams that end early get one, and one warning line names request, server, end and text, in the product's own log. An answer that the server itself refused or failed by its status has no error and no line, as before. A text is cut at 300 characters, since a server's bytes may be part of it. Lines are bounded by attempts, which the retry budget bounds; a service that is down writes one for each attempt.

Ruled out: the events of telemetry/events.py, which are those of a router on the platform and would put another kind of line into this log.

--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -34,6 +34,7 @@
 
     Attributes:
         end: How the attempt ended; `TRUNCATED` until it ends otherwise.
+        detail: Error text for the log; empty if there is no error.
         cost: Cost so far, in the unit of the service's cost rule.
         first_byte_s: Time from the start to the first byte of the answer; 0 if
             there is no answer.
@@ -44,6 +45,7 @@
     """
 
     end: attempts.End = _END.TRUNCATED
+    detail: str = ""
     cost: float = 0.0
     first_byte_s: float = 0.0
     status: int = 0
@@ -114,10 +116,10 @@
         try:
             async with asyncio.timeout(limit_s) as timer:
                 await self._async_exchange(job, attempt, started, timer)
-        except exceptions.NotSentError:
-            attempt.end = _END.NOT_SENT
-        except exceptions.BackendError:
-            attempt.end = _END.TRUNCATED
+        except exceptions.NotSentError as exc:
+            attempt.end, attempt.detail = _END.NOT_SENT, str(exc)
+        except exceptions.BackendError as exc:
+            attempt.end, attempt.detail = _END.TRUNCATED, str(exc)
         except TimeoutError:
             attempt.end = _END.CUT_OFF if attempt.is_stream else _END.TIMED_OUT
         finally:
@@ -198,6 +200,10 @@
             attempt.end = _END.COMPLETE
         elif job.check.wrong_request:
             attempt.end = _END.MISMATCHED
+        elif job.check.broken:
+            attempt.detail = "stream has an event that can't be passed on"
+        else:
+            attempt.detail = "stream ended without its end marker"
 
 
 async def _async_read_body(
--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -187,6 +187,13 @@
         self._telemetry.record_attempt(
             request.service.name, attempt.end.value, attempt.first_byte_s
         )
+        if attempt.detail:
+            self._telemetry.log_failure(
+                request.request_id,
+                server.name,
+                attempt.end.value,
+                attempt.detail,
+            )
 
 
 def buffered_response(
--- a/tamarackbridge/components/entry/telemetry.py
+++ b/tamarackbridge/components/entry/telemetry.py
@@ -1,7 +1,12 @@
-"""Metrics and traces of requests of callers."""
+"""Metrics, traces and log lines of requests of callers."""
+
+from absl import logging
 
 from tamarackbridge.components.telemetry import metrics, spans
 
+MAX_DETAIL_CHARS = 300
+"""Longest error text that is logged; a server's answer may be part of it."""
+
 
 class RequestTelemetry:
     """Counters and latencies of requests, and the tracer of their spans.
@@ -52,6 +57,18 @@
         if first_byte_s > 0:
             self._first_byte_times.observe(first_byte_s, service)
 
+    def log_failure(
+        self, request_id: str, server: str, end: str, detail: str
+    ) -> None:
+        """Logs an attempt that an error ended."""
+        logging.warning(
+            "attempt of request %s on server %s ended, %s: %s",
+            request_id,
+            server,
+            end,
+            detail[:MAX_DETAIL_CHARS],
+        )
+
 
 def null() -> RequestTelemetry:
     """Returns telemetry that is neither exported nor traced."""
