Check the server behind an unmarked answer of the product's interface

What callers saw: a server that crashed while it sent a plain answer with neither length nor chunks gave them the part that had come, with status 200 and a connection closed in good order. On an idempotent route another server could have answered.

Cause: the kernel closes the connections of a dead process in good order, so the attempt counted as UNCONFIRMED, which is passed on. The gateway opens a connection to the server then and counts the answer as lost if it is refused; the product's own entry did not.

Now it does: refused means TRUNCATED, so that idempotent requests are retried and others get outcome_unknown. A check that fails for another reason tells nothing, nor does a refusal by a server that drains or whose zone is out, as it may finish its answers after it has stopped listening; both have a test.

Price: 0.25 s at most for an unmarked answer whose server can't be reached, and one connection for each other.

--- a/standins/base.py
+++ b/standins/base.py
@@ -52,6 +52,7 @@
         self.rng = random.Random(seed)
         self.port = 0
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
         self._handling: set[asyncio.Task[Any]] = set()
 
     @property
@@ -92,12 +93,17 @@
             app, access_log=None, shutdown_timeout=SHUTDOWN_S
         )
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = web.TCPSite(
             self._runner, "127.0.0.1", port, backlog=LISTEN_BACKLOG
         )
-        await site.start()
+        await self._site.start()
         self.port = self._runner.addresses[0][1]
 
+    async def async_stop_listening(self) -> None:
+        """Closes the listener, but no connection."""
+        if self._site is not None:
+            await self._site.stop()
+
     async def async_stop(self) -> None:
         """Closes the listener and all connections."""
         if self._runner is not None:
--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -6,10 +6,17 @@
 import aiohttp
 
 from tamarackbridge import core
-from tamarackbridge.components.backend import exceptions, sockets
+from tamarackbridge.components.backend import (
+    connection_check,
+    exceptions,
+    sockets,
+)
 from tamarackbridge.helpers import response_limits, send_once
 
 CONNECT_TIMEOUT_S = 1.0
+CHECK_TIMEOUT_S = 0.25
+"""Timeout for checking a connection: a whole answer waits for it."""
+
 MAX_LINE_BYTES = 1024 * 1024
 
 
@@ -79,3 +86,10 @@
             raise exceptions.NotSentError("connect timed out") from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise exceptions.BackendError(str(exc)) from exc
+
+    async def async_check_connection(
+        self, address: str
+    ) -> connection_check.Check:
+        """Returns whether a backend server accepts connections."""
+        check, _ = await connection_check.async_check(address, CHECK_TIMEOUT_S)
+        return check
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -9,7 +9,11 @@
 import msgspec
 
 from tamarackbridge import const as core_const
-from tamarackbridge.components.backend import client, exceptions
+from tamarackbridge.components.backend import (
+    client,
+    connection_check,
+    exceptions,
+)
 from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.entry import (
     answer_check,
@@ -125,6 +129,12 @@
         finally:
             _record_cost(job, attempt, time.monotonic() - started)
 
+    async def async_check_connection(
+        self, address: str
+    ) -> connection_check.Check:
+        """Returns whether a backend server accepts connections."""
+        return await self._backend.async_check_connection(address)
+
     async def _async_exchange(
         self,
         job: Job,
--- a/tamarackbridge/components/entry/permits.py
+++ b/tamarackbridge/components/entry/permits.py
@@ -80,6 +80,12 @@
             return None
         return server
 
+    def is_usable(self, server: str) -> bool:
+        """Returns whether new work may go to a server, permits aside."""
+        snapshot = self._decider.snapshot
+        known = snapshot.servers.get(server)
+        return known is not None and snapshot.is_usable(known)
+
     def report_cost(self, request_id: str, cost: float) -> None:
         """Reports the cost of a running attempt so far to the dispatcher."""
         self._inject(dispatch.Used(request_id, cost))
--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from tamarackbridge import core
+from tamarackbridge.components.backend import connection_check
 from tamarackbridge.components.dispatch import messages as dispatch
 from tamarackbridge.components.entry import (
     attempts,
@@ -19,6 +20,7 @@
     telemetry,
 )
 from tamarackbridge.components.entry import models as entry_models
+from tamarackbridge.components.records import models
 from tamarackbridge.helpers import unmarked_response
 
 
@@ -180,6 +182,7 @@
             )
             try:
                 await self._forwarder.async_run(job, attempt)
+                await self._async_check_server(server, attempt)
                 cancelled = False
             finally:
                 self._permits.release(request.request_id, attempt, cancelled)
@@ -195,6 +198,23 @@
                 attempt.detail,
             )
 
+    async def _async_check_server(
+        self, server: models.BackendServer, attempt: forward.Attempt
+    ) -> None:
+        """Counts an unmarked answer as cut if its server is gone.
+
+        A refusal tells nothing about a server that drains: it may finish its
+        answers after it has stopped listening. Nor does a check that fails.
+        """
+        if attempt.end is not attempts.End.UNCONFIRMED:
+            return
+        if not self._permits.is_usable(server.name):
+            return
+        check = await self._forwarder.async_check_connection(server.address)
+        if check is connection_check.Check.REFUSED:
+            attempt.end = attempts.End.TRUNCATED
+            attempt.detail = "unmarked answer ended, server is gone"
+
 
 def buffered_response(
     request: entry_models.Request, attempt: forward.Attempt
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -3,16 +3,15 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
-import enum
 import select
-from typing import Any, cast
+from typing import Any, TypeAlias, cast
 
 import aiohttp
 from aiohttp import hdrs
 import yarl
 
 from tamarackbridge import core
-from tamarackbridge.components.backend import sockets
+from tamarackbridge.components.backend import connection_check, sockets
 from tamarackbridge.components.gateway import exceptions, models
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import loop_limit, response_limits, send_once
@@ -42,18 +41,8 @@
 )
 
 
-class ConnectionCheck(enum.Enum):
-    """Result of opening a connection to a server.
-
-    Attributes:
-        ACCEPTED: The server accepted the connection.
-        REFUSED: The server refused it, as after a crash.
-        FAILED: The server can't be reached, or not in time.
-    """
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    FAILED = "failed"
+ConnectionCheck: TypeAlias = connection_check.Check
+"""Result of opening a connection to a server."""
 
 
 class ServerProtocol(response_limits.BoundedProtocol):
@@ -190,17 +179,12 @@
 
 
 async def _async_check_connection(address: str) -> ConnectionCheck:
-    host, _, port = address.rpartition(":")
-    try:
-        async with loop_limit.async_limit(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return ConnectionCheck.REFUSED
-    except (OSError, TimeoutError) as exc:
-        events.write(events.ConnectionCheckFailed(address, _describe(exc)))
-        return ConnectionCheck.FAILED
-    writer.transport.abort()
-    return ConnectionCheck.ACCEPTED
+    check, error = await connection_check.async_check(
+        address, CONNECT_TIMEOUT_S
+    )
+    if check is ConnectionCheck.FAILED:
+        events.write(events.ConnectionCheckFailed(address, error))
+    return check
 
 
 def close_after_response(resp: aiohttp.ClientResponse) -> None:
--- a/tests/components/entry/rig.py
+++ b/tests/components/entry/rig.py
@@ -136,6 +136,16 @@
     async def __aexit__(self, *exc: object) -> None:
         await self._stack.aclose()
 
+    def drain_servers(self) -> None:
+        """Marks all servers as draining in the configuration in force."""
+        snapshot = self._snapshot()
+        servers = {
+            name: dataclasses.replace(server, draining=True)
+            for name, server in snapshot.servers.items()
+        }
+        drained = dataclasses.replace(snapshot, servers=servers)
+        self.inject(configuration.SnapshotInForce(drained))
+
     def inject(self, msg: core.Message) -> None:
         self._group.handle(core.Delivery("r", msg), self._clock.monotonic())
 
--- a/tests/components/entry/test_unmarked_answers.py
+++ b/tests/components/entry/test_unmarked_answers.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 import pytest
 
 from standins import backend, plain_service
+from tamarackbridge.components.backend import connection_check
 from tamarackbridge.components.claims import messages as claims
 from tamarackbridge.components.entry import const
 from tamarackbridge.components.records import models
@@ -26,12 +28,17 @@
 
     Attributes:
         runs: Number of requests received.
+        on_part_sent: Called before the connection is closed.
     """
 
-    def __init__(self, resets_connection: bool = False) -> None:
+    def __init__(
+        self, resets_connection: bool = False, crashes: bool = False
+    ) -> None:
         super().__init__(backend.BackendFaults())
         self.runs = 0
+        self.on_part_sent: Callable[[], None] = lambda: None
         self._resets_connection = resets_connection
+        self._crashes = crashes
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         super().add_routes(router)
@@ -49,6 +56,10 @@
             % (backend.ATTR_REQUEST_ID.encode(), request_id.encode(), PART)
         )
         await asyncio.sleep(0.05)
+        self.on_part_sent()
+        if self._crashes:
+            # The kernel closes the connections of a dead process in order.
+            await self.async_stop_listening()
         if self._resets_connection:
             resets.reset_on_close(transport)
         transport.close()
@@ -124,3 +135,58 @@
 
     assert reply.problem["reason"] == const.Reason.OUTCOME_UNKNOWN.value
     assert servers[1].state()["runs"] == {}
+
+
+async def test_unmarked_answer_of_a_server_that_crashed_is_retried() -> None:
+    """Guards against half an answer that passes for a whole one.
+
+    The kernel closes the connections of a dead process in good order.
+    """
+    servers = [_Unmarked(crashes=True), plain_service.PlainService()]
+    async with rig_lib.Rig(servers, LOOKUP) as rig:
+        reply = await rig.async_request()
+
+    assert reply.status == 200
+    assert not reply.body.startswith(PART)
+    assert [done.outcome.value for done in rig.granter.done] == ["failed", "ok"]
+
+
+async def test_unmarked_answer_of_a_server_that_crashed_is_unknown() -> None:
+    """A payment may have run, so that it runs nowhere else."""
+    servers = [_Unmarked(crashes=True), plain_service.PlainService()]
+    async with rig_lib.Rig(servers, PAYMENT) as rig:
+        reply = await rig.async_request("POST", "/s/pay")
+
+    assert reply.problem["reason"] == const.Reason.OUTCOME_UNKNOWN.value
+    assert servers[1].state()["runs"] == {}
+    assert [closed.state for closed in rig.granter.closed] == [
+        claims.ClaimState.UNKNOWN
+    ]
+
+
+async def test_unmarked_answer_of_a_draining_server_is_passed_on() -> None:
+    """It may finish its answers after it has stopped listening."""
+    server = _Unmarked(crashes=True)
+    async with rig_lib.Rig([server], LOOKUP) as rig:
+        server.on_part_sent = rig.drain_servers
+        head, body = await _async_raw(rig, "GET", "/s/x")
+
+    assert head[0].split()[1] == b"200"
+    assert body == PART
+    assert not _is_marked(head)
+
+
+async def test_failed_connection_check_tells_nothing_about_a_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A live server whose queue of new connections is full drops them."""
+
+    async def _async_fail(*_: object) -> tuple[connection_check.Check, str]:
+        await asyncio.sleep(0)
+        return connection_check.Check.FAILED, "timed out"
+
+    monkeypatch.setattr(connection_check, "async_check", _async_fail)
+    async with rig_lib.Rig([_Unmarked()], LOOKUP) as rig:
+        head, body = await _async_raw(rig, "GET", "/s/x")
+
+    assert (head[0].split()[1], body) == (b"200", PART)
