Count unfinished events of the product's interface in its memory budget

What callers and operators saw: each stream could hold an event of 1 MB that never ends, for as long as its permit lives, and nothing bounded them together. Listeners accept thousands of requests, so servers that send such events could take all memory of the machine, and with it all requests of the router.

Cause: StreamCheck keeps the bytes of an unfinished event, and only the events that are buffered for callers without a stream were reserved in the budget of 32 MB.

Now both are, as in the gateway: a response that needs more than twice what it would leave is cut, and retried where it may be. The bytes are dropped when the attempt ends, not when the next begins.

Evidence: both new tests failed before (the second stream was held too).

--- a/tamarackbridge/components/entry/const.py
+++ b/tamarackbridge/components/entry/const.py
@@ -18,8 +18,9 @@
 stream for a caller that can't receive one."""
 
 MAX_ALL_BUFFERED_BYTES: Final = 2 * MAX_BUFFERED_BYTES
-"""Memory budget of all such answers while they are received. It admits one of
-the largest size while all others have half of that size together."""
+"""Memory budget of all such answers while they are received, and of incomplete
+events of streams. It admits one of the largest size while all others have half
+of that size together."""
 
 COST_REPORT_INTERVAL_S: Final = 0.2
 """Seconds between two cost reports of a running stream to the dispatcher."""
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -127,6 +127,7 @@
         except TimeoutError:
             attempt.end = _END.CUT_OFF if attempt.is_stream else _END.TIMED_OUT
         finally:
+            job.check.drop_incomplete()
             _record_cost(job, attempt, time.monotonic() - started)
 
     async def async_check_connection(
@@ -196,8 +197,9 @@
                     raise response_limits.ResponseLimitError(
                         "stream exceeds the size limit of buffered answers"
                     )
-                reservation.resize(size)
+                reservation.resize(size + job.check.incomplete_bytes)
                 buffered += events
+            reservation.resize(len(buffered) + job.check.incomplete_bytes)
             if job.check.broken or job.check.complete:
                 break
             now = time.monotonic()
--- a/tamarackbridge/components/entry/stream_check.py
+++ b/tamarackbridge/components/entry/stream_check.py
@@ -58,9 +58,18 @@
         self._next_index = 0
         self._position: int | None = 0
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Returns the number of bytes that are held of an incomplete event."""
+        return len(self._incomplete)
+
+    def drop_incomplete(self) -> None:
+        """Drops an incomplete event and frees its memory."""
+        self._incomplete = b""
+
     def begin(self) -> None:
         """Starts a new attempt; drops the previous one's incomplete event."""
-        self._incomplete = b""
+        self.drop_incomplete()
         self._position = None if self.begun else 0
         self.broken = False
         self.wrong_request = False
--- a/tests/components/entry/rig.py
+++ b/tests/components/entry/rig.py
@@ -21,6 +21,7 @@
 from tamarackbridge.components.entry import forward, service, telemetry
 from tamarackbridge.components.records import models
 from tamarackbridge.components.settings import models as settings_models
+from tamarackbridge.helpers import response_limits
 
 KEY = "plain-key"
 DRAIN_NOTICE_S = 0.3
@@ -120,6 +121,7 @@
         self._clock = core.SystemClock()
         self._stack = contextlib.AsyncExitStack()
         self.entry: service.EntryService
+        self.memory: response_limits.MemoryBudget
         self.session: aiohttp.ClientSession
 
     async def __aenter__(self) -> "Rig":
@@ -201,6 +203,8 @@
         self, client: backend_client.BackendClient
     ) -> service.EntryService:
         listen = settings_models.ListenSettings()
+        forwarder = forward.Forwarder(client)
+        self.memory = forwarder._memory
         return service.EntryService(
             settings_models.Settings(
                 node="r",
@@ -215,7 +219,7 @@
             ),
             self._clock,
             self.decider,
-            forward.Forwarder(client),
+            forwarder,
             random.Random(1),
             self.inject,
             telemetry.null(),
--- a/tests/components/entry/test_endless_answers.py
+++ b/tests/components/entry/test_endless_answers.py
@@ -30,6 +30,8 @@
     "comments": b": %b\n\n" % (b"y" * 1000),
 }
 
+UNFINISHED = b'data: {"text": "' + b"y" * (12 * BLOCK_BYTES)
+
 
 class _Large(backend.Backend):
     """Sends large answers.
@@ -82,6 +84,37 @@
         return resp
 
 
+class _Unfinished(backend.Backend):
+    """Sends most of a stream's only event, and the rest when told to.
+
+    Attributes:
+        runs: Number of requests received.
+        goes_on: Set when the rest may be sent.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(backend.BackendFaults())
+        self.runs = 0
+        self.goes_on = asyncio.Event()
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        super().add_routes(router)
+        router.add_route("*", "/{path:.*}", self._async_serve)
+
+    async def _async_serve(self, req: web.Request) -> web.StreamResponse:
+        self.runs += 1
+        await req.read()
+        resp = web.StreamResponse()
+        resp.content_type = "text/event-stream"
+        request_id = req.headers[backend.ATTR_REQUEST_ID]
+        resp.headers[backend.ATTR_REQUEST_ID] = request_id
+        await resp.prepare(req)
+        await resp.write(UNFINISHED)
+        await self.goes_on.wait()
+        await resp.write(b'"}\n\ndata: [DONE]\n\n')
+        return resp
+
+
 async def _async_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(5):
         while not condition():  # noqa: ASYNC110
@@ -128,3 +161,25 @@
         assert len(after.body) == largest
     outcomes = [done.outcome.value for done in rig.granter.done]
     assert outcomes.count("failed") == MANY - len(whole)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_incomplete_events_share_one_limit(
+    method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each stream alone may hold an event of 1 MB, and there are many."""
+    monkeypatch.setattr(const, "MAX_ALL_BUFFERED_BYTES", 20 * BLOCK_BYTES)
+    path = "/s/x" if method == "GET" else "/s/pay"
+    server = _Unfinished()
+    async with rig_lib.Rig([server], LOOKUP, PAYMENT) as rig:
+        all_left = rig.memory.left
+        held = asyncio.create_task(rig.async_request(method, path))
+        await _async_until(
+            lambda: all_left - rig.memory.left > 0.9 * len(UNFINISHED)
+        )
+        beside = await asyncio.wait_for(rig.async_request(method, path), 5.0)
+        assert beside.problem
+
+        server.goes_on.set()
+        assert (await held).status == 200
+        assert rig.memory.left == all_left
