--- a/tests/components/gateway/raw_caller.py
+++ b/tests/components/gateway/raw_caller.py
@@ -47,12 +47,21 @@
 
 
 async def async_send(
-    env: rig.Environment, path: str, version: str = "1.1"
+    env: rig.Environment,
+    path: str,
+    version: str = "1.1",
+    begun: asyncio.Event | None = None,
 ) -> Answer:
     """Sends a request over a connection of its own and reads the answer.
 
     It reads from the socket, since a stream reader drops what it has not yet
     returned when the connection is reset.
+
+    Args:
+        env: Environment of the router.
+        path: Path of the request.
+        version: HTTP version of the request.
+        begun: Set once the answer has a body.
     """
     loop = asyncio.get_running_loop()
     request = (
@@ -73,6 +82,8 @@
                 return _parse(received, End.RESET)
             received += data
             answer = _parse(received, End.CLOSED)
+            if answer.body and begun is not None:
+                begun.set()
             if not data or answer.end is not End.CLOSED:
                 return answer
 
