Abort responses in progress before the connections to servers are closed

Cause: the gateway's stop asked aiohttp to shut down within 0.0 s, which aiohttp reads as "without limit". It waited for the streams until the stop of all services was cut short after 0.4 s, closed no caller's connection, and the next services closed the connections to servers in good order. The library ends a body without length or chunks with its connection, so each attempt counted as unconfirmed, and where nobody was left to confirm it the router ended the response in good order. Evidence: test_unmarked_stream_is_cut_when_its_router_stops, 4 red before, 4 green now. Ruled out: SIGTERM itself and the drain; the same streams ended in good order after SIGINT and when the router was frozen over the end of its grace. Why it works: all connections are closed before the stop's first await, so neither a stop that is cut short nor a later service comes first. A response whose end is not written resets on close; one that is whole is flushed as before. Handlers then have 0.1 s to end, a quarter of what the stop of all services may take.

--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -45,6 +45,10 @@
 """Time given to a caller that is still sending to read its last response: a
 hundred round trips."""
 
+CANCEL_S = 0.1
+"""Time for the handlers of aborted responses to end. aiohttp takes 0 for no
+limit."""
+
 SUMMARY_INTERVAL_S = 1.0
 """Interval at which totals of shed and offloaded requests are logged."""
 
@@ -177,12 +181,19 @@
         )
 
     async def on_stop(self) -> None:
-        """Closes the listeners and all remaining connections."""
+        """Closes the listeners and all remaining connections.
+
+        Responses in progress are aborted before the first await: the stop of
+        a late router may be cut short, and the next services close the
+        connections to servers.
+        """
         self.close_listener()
         if self._offload_proxy is not None:
             self._offload_proxy.close()
         if self._server is not None:
-            await self._server.shutdown(0.0)
+            for conn in list(self._server.connections):
+                conn.force_close()
+            await self._server.shutdown(CANCEL_S)
 
     def close_listener(self) -> None:
         """Accepts the connections in the backlog, then closes the listeners."""
