Show that a client's own close passes for the server's end

A body without length or chunks ends with its connection. If the client itself closes that, as the stop of the router's server client does, `ended_by_reset` is false: the response counts as ended by its server in good order. This is what turned a grace that ran out into an end.

--- a/tests/helpers/test_response_limits.py
+++ b/tests/helpers/test_response_limits.py
@@ -95,3 +95,26 @@
             reservation.resize(2_100_000)
         reservation.resize(100)
         assert budget.left == 3_000_000
+
+
+async def test_own_close_is_no_end_of_an_unmarked_response() -> None:
+    """Guards against a client that takes its own close for the server's."""
+
+    async def async_answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 X\r\n\r\na part")
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(async_answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connector = aiohttp.TCPConnector()
+    response_limits.bind(connector)
+    async with server, aiohttp.ClientSession(connector=connector) as session:
+        resp = await session.get(f"http://127.0.0.1:{port}/")
+        assert await resp.content.readany() == b"a part"
+        await session.close()
+        assert await resp.content.read() == b""
+        assert response_limits.ended_by_reset(resp)
