Count no close by this side as the server's end of a response

What callers saw: with the stop's order before, streams in progress at the end of a grace ended in good order. Cause: the client library ends a body without length or chunks with its connection, whoever closes it, and `ended_by_reset` asked for an error alone. The router's own close has none. Ruled out: bodies whose mark has arrived. Their connections are closed by this side too, after their end, and stay complete. Why it works: within a body, only a close that came from the server (its end of file) is in good order. All readers of unmarked bodies ask `ended_by_reset`: streams and plain bodies of the gateway, plain bodies of the product's own interface.

--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -59,8 +59,8 @@
     """A client connection that closes when it gets too many bytes.
 
     Attributes:
-        failure: Error that ended the connection; None if it is open or was
-            closed in good order.
+        failure: Error that ended the connection, or its close by this side
+            within a body; None if it is open or was closed in good order.
         is_chunked: Whether the parser reads the response in chunks. What it
             accepts as such can't be told from the decoded headers.
     """
@@ -72,6 +72,7 @@
         self._received = 0
         self._body: streams.StreamReader | None = None
         self._is_unrequested = False
+        self._is_closed_by_server = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits the size of one read."""
@@ -79,9 +80,17 @@
             transport.max_size = RECEIVE_BYTES
         super().connection_made(transport)
 
+    def eof_received(self) -> None:
+        """Records that the server closed the connection in good order."""
+        self._is_closed_by_server = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Records the error."""
+        """Records the error, or that this side closed it within a body."""
         self.failure = exc
+        is_within_body = self._body is not None and not self._body.is_eof()
+        if exc is None and is_within_body and not self._is_closed_by_server:
+            self.failure = ConnectionAbortedError("closed by this side")
         super().connection_lost(exc)
 
     def set_response_params(self, **params: Any) -> None:
@@ -220,7 +229,7 @@
 
 
 def ended_by_reset(resp: aiohttp.ClientResponse) -> bool:
-    """Returns whether an error ended the connection of a response.
+    """Returns whether an error, or this side, ended a response's connection.
 
     A response with neither a length nor chunks can otherwise look complete.
     """
