--- a/tests/components/gateway/raw_caller.py
+++ b/tests/components/gateway/raw_caller.py
@@ -52,11 +52,20 @@
     version: str = "1.1",
     request_id: str = "q1",
     resume_after: str = "",
+    begun: asyncio.Event | None = None,
 ) -> Answer:
     """Sends a request over a connection of its own and reads the answer.
 
     It reads from the socket, since a stream reader drops what it has not yet
     returned when the connection is reset.
+
+    Args:
+        env: Environment of the router.
+        path: Path of the request.
+        version: HTTP version of the request.
+        request_id: Its identifier.
+        resume_after: ID of the last event that the caller has; empty if none.
+        begun: Set once the answer has a body.
     """
     loop = asyncio.get_running_loop()
     resumed = f"Last-Event-Id: {resume_after}\r\n" if resume_after else ""
@@ -78,6 +87,8 @@
                 return _parse(received, End.RESET)
             received += data
             answer = _parse(received, End.CLOSED)
+            if answer.body and begun is not None:
+                begun.set()
             if not data or answer.end is not End.CLOSED:
                 return answer
 
