Let callers of the soak resume broken streams, some over HTTP/1.0

A caller of the route `resumed` whose stream breaks now asks for the rest with Last-Event-Id, under a new identifier and in the time that is left, at any router in rotation, until the stream is whole or the time is over. The events of all its answers together must be 0 to 5, each once. Four of the sixteen callers send HTTP/1.0, to which every stream is unmarked.

The report counts the ends that callers saw: whole, cut, whole but told cut (all events arrived, and the connection broke), resumed to the end.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import cyclopts
 
-from soak import run
+from soak import run, stream_counts
 
 app = cyclopts.App(
     name="soak", help="Injects faults into real router processes."
@@ -42,6 +42,8 @@
             )
         )
     broken = [result for result in results if result.broken]
+    total = stream_counts.total(result.streams for result in results)
+    print(f"all streams: {total}")
     print(f"{len(results)} seeds, {len(broken)} with a broken promise")
     return 1 if broken else 0
 
@@ -65,7 +67,7 @@
 def _print_result(result: run.Result) -> None:
     print(
         f"seed {result.seed}: {result.served} of {result.attempts} served,"
-        f" {len(result.broken)} broken",
+        f" {len(result.broken)} broken; streams: {result.streams}",
         flush=True,
     )
     for line in result.broken[:10]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,12 @@
 FAILED_PROBES_LIMIT = 2
 """Consecutive failed probes after which a router gets no new connections."""
 
+RESUME_PAUSE_S = 0.1
+"""Pause before a caller resumes a broken stream."""
+
+MIN_RESUME_S = 0.3
+"""Remaining time below which a caller gives a broken stream up."""
+
 _EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+)\n\n")
 
 
@@ -47,6 +53,7 @@
         status: HTTP status of the answer; 0 without one.
         answer_id: X-Request-Id of the answer; empty without one.
         body: Bytes of the answer's body that arrived.
+        resumes: Request whose broken stream it is to go on with, if any.
         complete: Whether the answer ended where its HTTP framing says: without
             a length or chunks, where the connection is closed in good order.
         unmarked: Whether the answer has neither a length nor chunks.
@@ -64,6 +71,7 @@
     status: int = 0
     answer_id: str = ""
     body: bytes = b""
+    resumes: "ClientRequest | None" = None
     complete: bool = False
     unmarked: bool = False
     abandoned: bool = False
@@ -79,6 +87,27 @@
         """Numbers of the events that arrived in full, in order."""
         return [int(number) for number, _ in _EVENT.findall(self.body)]
 
+    @property
+    def joined_events(self) -> list[int]:
+        """Numbers of the events of the streams that it resumes, and its own."""
+        earlier = self.resumes.joined_events if self.resumes else []
+        return earlier + (self.events if self.status == 200 else [])
+
+    @property
+    def is_whole_stream(self) -> bool:
+        """Whether the answer is a stream that ended as if complete."""
+        return self.is_stream and self.status == 200 and self.complete
+
+    @property
+    def is_broken_stream(self) -> bool:
+        """Whether the answer is a stream that broke before its end."""
+        return (
+            self.is_stream
+            and self.status == 200
+            and not self.complete
+            and not self.abandoned
+        )
+
 
 class Balancer:
     """Probes the readiness of routers, as the platform's load balancer does."""
@@ -130,7 +159,17 @@
 
 
 class Caller:
-    """Sends requests one after another, many over each connection."""
+    """Sends requests one after another, many over each connection.
+
+    Args:
+        env: Links to the routers, and the routes.
+        balancer: Names the routers that get new connections.
+        requests: List that gets the requests.
+        request_numbers: Source of the identifiers of requests.
+        rng: Source of all draws but those for resumed streams.
+        resume_rng: Source of the routers at which streams are resumed.
+        version: HTTP version of the requests.
+    """
 
     def __init__(
         self,
@@ -139,12 +178,16 @@
         requests: list[ClientRequest],
         request_numbers: "itertools.count[int]",
         rng: random.Random,
+        resume_rng: random.Random,
+        version: aiohttp.HttpVersion,
     ) -> None:
         self._env = env
         self._balancer = balancer
         self._requests = requests
         self._request_numbers = request_numbers
         self._rng = rng
+        self._resume_rng = resume_rng
+        self._version = version
 
     async def async_run(self) -> None:
         """Sends requests until cancelled."""
@@ -156,6 +199,7 @@
                 connector=connector,
                 middlewares=(send_once.async_send_once,),
                 timeout=aiohttp.ClientTimeout(total=2 * CALLER_TIMEOUT_S),
+                version=self._version,
             ) as session:
                 await self._async_use_connection(session, router)
 
@@ -167,6 +211,8 @@
             request = self._create_request(router)
             self._requests.append(request)
             await self._async_send_or_abandon(session, request)
+            if request.route == "resumed" and request.is_broken_stream:
+                await self._async_resume(session, request)
             if not request.complete:
                 return
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
@@ -184,13 +230,12 @@
     async def _async_send_or_abandon(
         self, session: aiohttp.ClientSession, request: ClientRequest
     ) -> None:
-        address = self._env.links[f"callers-{request.router}"].address
-        prefix = "/stream" if request.is_stream else ""
-        url = f"http://{address}{prefix}/{request.route}/1"
         abandon_after_s = None
         if self._rng.random() < ABANDONED_FRACTION:
             abandon_after_s = self._rng.uniform(0.0, 0.1)
-        send_task = asyncio.create_task(self._async_send(session, url, request))
+        send_task = asyncio.create_task(
+            self._async_send(session, request, CALLER_TIMEOUT_S)
+        )
         try:
             _, pending = await asyncio.wait(
                 {send_task}, timeout=abandon_after_s
@@ -200,15 +245,47 @@
         request.abandoned = bool(pending)
         request.ended_at = time.monotonic()
 
+    async def _async_resume(
+        self, session: aiohttp.ClientSession, broken: ClientRequest
+    ) -> None:
+        """Resumes a broken stream until it is whole or its time is over."""
+        deadline = broken.sent_at + CALLER_TIMEOUT_S
+        request = broken
+        while not request.is_whole_stream:
+            await asyncio.sleep(RESUME_PAUSE_S)
+            remaining_s = deadline - time.monotonic()
+            if remaining_s < MIN_RESUME_S:
+                return
+            router = self._resume_rng.choice(self._balancer.rotation())
+            request = ClientRequest(
+                request_id=f"q{next(self._request_numbers)}",
+                route=broken.route,
+                key=broken.key,
+                router=router.name,
+                sent_at=time.monotonic(),
+                resumes=request,
+            )
+            self._requests.append(request)
+            await self._async_send(session, request, remaining_s)
+            request.ended_at = time.monotonic()
+
     async def _async_send(
-        self, session: aiohttp.ClientSession, url: str, request: ClientRequest
+        self,
+        session: aiohttp.ClientSession,
+        request: ClientRequest,
+        timeout_s: float,
     ) -> None:
+        address = self._env.links[f"callers-{request.router}"].address
+        prefix = "/stream" if request.is_stream else ""
+        url = f"http://{address}{prefix}/{request.route}/1"
         headers = {
             "Host": environment.HOST,
             "X-Request-Id": request.request_id,
             "X-Api-Key": request.key,
-            "X-Deadline-Ms": str(int(CALLER_TIMEOUT_S * 1000)),
+            "X-Deadline-Ms": str(int(timeout_s * 1000)),
         }
+        if request.joined_events:
+            headers["Last-Event-Id"] = str(request.joined_events[-1])
         method = "GET" if request.route == "read" else "POST"
         data = None if method == "GET" else b"question"
         try:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -81,12 +81,14 @@
 
     Only where a server itself closed a stream early in good order, and lived
     on, may the caller see the same: no router can tell that it was cut.
+    A caller that resumes a broken stream must get all its events, in order,
+    each once.
     """
     name = request.request_id
     if request.answer_id != name:
         yield f"{name}: got the answer to {request.answer_id!r}"
     if request.is_stream:
-        events = request.events
+        events = request.joined_events
         if events != COMPLETE_STREAM[: len(events)]:
             yield f"{name}: got events {events}, expected 0, 1, 2 ..."
         is_as_sent = request.unmarked and len(events) in unmarked_ends.get(
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,11 +6,23 @@
 import pathlib
 import random
 
-from soak import callers, checks, environment, faults, unmarked_ends
+import aiohttp
+
+from soak import (
+    callers,
+    checks,
+    environment,
+    faults,
+    stream_counts,
+    unmarked_ends,
+)
 
 CALLERS = 16
 """Callers that send requests at the same time."""
 
+OLD_CALLERS = 4
+"""Callers among them that send HTTP/1.0."""
+
 ROUTERS = 4
 """Router processes, unless the command line sets another number."""
 
@@ -29,6 +41,7 @@
         served: Number of requests with a complete answer of status 200.
         broken: One line for each broken promise.
         notes: One line for each rare exit that breaks no promise.
+        streams: What callers saw of their streams' ends.
     """
 
     seed: int
@@ -36,6 +49,7 @@
     served: int
     broken: tuple[str, ...]
     notes: tuple[str, ...]
+    streams: stream_counts.StreamCounts
 
 
 async def async_run(
@@ -66,9 +80,11 @@
                     requests,
                     request_numbers,
                     random.Random(rng.random()),
+                    random.Random(f"resumed streams {seed} {number}"),
+                    _version(number),
                 ).async_run()
             )
-            for _ in range(CALLERS)
+            for number in range(CALLERS)
         ]
         broken = (
             []
@@ -90,7 +106,14 @@
         request.status == 200 and request.complete for request in requests
     )
     notes = tuple(line for router in env.routers for line in router.notes)
-    return Result(seed, len(requests), served, tuple(broken), notes)
+    streams = stream_counts.count(requests)
+    return Result(seed, len(requests), served, tuple(broken), notes, streams)
+
+
+def _version(number: int) -> aiohttp.HttpVersion:
+    if number < OLD_CALLERS:
+        return aiohttp.HttpVersion10
+    return aiohttp.HttpVersion11
 
 
 async def _async_wait_until_ready(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak import callers, checks, programs
+from soak import callers, checks, programs, stream_counts
 
 
 def test_further_sigterm_does_not_start_the_shutdown_anew() -> None:
@@ -24,6 +24,22 @@
     ]
 
 
+def _stream(
+    route: str,
+    events: list[int],
+    complete: bool,
+    resumes: callers.ClientRequest | None = None,
+) -> callers.ClientRequest:
+    """Returns a request whose answer is a stream."""
+    request = callers.ClientRequest("q1", route, "key-0", "vm-0", 0.0, 1.0)
+    request.status, request.answer_id = 200, "q1"
+    request.complete, request.resumes = complete, resumes
+    request.body = b"".join(
+        f"id: {number}\ndata: piece {number}\n\n".encode() for number in events
+    )
+    return request
+
+
 @pytest.mark.parametrize(
     ("events", "unmarked", "complete", "broken"),
     [
@@ -40,7 +56,7 @@
     events: int, unmarked: bool, complete: bool, broken: bool
 ) -> None:
     request = callers.ClientRequest("q1", "stream", "key-0", "vm-0", 0.0)
-    request.answer_id = "q1"
+    request.status, request.answer_id = 200, "q1"
     request.unmarked, request.complete = unmarked, complete
     request.body = b"".join(
         f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -48,3 +64,68 @@
     )
     lines = list(checks.check_answer(request, {"q1": {2}, "q2": {3}}))
     assert bool(lines) == broken
+
+
+@pytest.mark.parametrize(
+    ("parts", "complete", "broken"),
+    [
+        ([[0, 1], [2, 3, 4, 5]], True, 0),
+        ([[0, 1], [2, 3], [4, 5]], True, 0),
+        ([[0, 1], [], [2, 3, 4, 5]], True, 0),
+        ([[0, 1, 2, 3, 4, 5], []], True, 0),
+        ([[], [0, 1, 2, 3, 4, 5]], True, 0),
+        ([[0, 1], [2, 3]], False, 0),
+        ([[0, 1], [2, 3]], True, 1),  # Too early.
+        ([[0, 1], []], True, 1),
+        ([[0, 1], [3, 4, 5]], False, 1),  # A gap.
+        ([[0, 1], [3, 4, 5]], True, 2),
+        ([[0, 1], [1, 2, 3, 4, 5]], False, 1),  # A duplicate.
+        ([[0, 1, 2, 3, 4, 5], [5]], False, 1),
+        ([[0, 1], [3, 2, 4, 5]], False, 1),  # Another order.
+        ([[0, 1], [0, 1, 2, 3, 4, 5]], False, 1),
+    ],
+)
+def test_resumed_stream_is_joined_without_gap_or_duplicate(
+    parts: list[list[int]], complete: bool, broken: int
+) -> None:
+    request = None
+    for events in parts[:-1]:
+        request = _stream("resumed", events, False, request)
+    request = _stream("resumed", parts[-1], complete, request)
+    assert len(list(checks.check_answer(request, {}))) == broken
+
+
+def test_events_of_failures_do_not_count_as_resumed() -> None:
+    broken = _stream("resumed", [0, 1], complete=False)
+    refused = _stream("resumed", [2, 3], True, broken)
+    refused.status = 503
+    resumed = _stream("resumed", [2, 3, 4, 5], True, refused)
+    assert not list(checks.check_answer(resumed, {}))
+
+
+def test_stream_ends_are_counted() -> None:
+    all_events = checks.COMPLETE_STREAM
+    broken = _stream("resumed", [0, 1], complete=False)
+    abandoned = _stream("stream", [0], complete=False)
+    abandoned.abandoned = True
+    refused = _stream("stream", [], complete=True)
+    refused.status = 503
+    running = _stream("stream", [0], complete=False)
+    running.ended_at = 0.0
+    counts = stream_counts.count(
+        [
+            _stream("stream", all_events, complete=True),
+            broken,
+            _stream("resumed", [2, 3, 4, 5], True, broken),
+            _stream("stream", all_events, complete=False),
+            abandoned,
+            refused,
+            running,
+        ]
+    )
+    assert counts == stream_counts.StreamCounts(
+        whole=2, cut=1, whole_told_cut=1, resumed=1
+    )
+    assert stream_counts.total([counts, counts]) == stream_counts.StreamCounts(
+        whole=4, cut=2, whole_told_cut=2, resumed=2
+    )
