Let no stream of the soak end as complete before its last event

The check excused a stream that its server had closed early in good order, as no router can tell that it was cut. Now no stream may end as complete before its last event, marked or not, resumable or not; the test that asserted the excuse is replaced by one for each number of events and both routes. The recording of such ends is gone from the soak and the stand-in server.

New faults, drawn from a source of their own, let confirmations fail in each way: a server ends its streams without a mark, each or all at once, and may shut its listener and open it at once, while the servers that are to go on cut, refuse, fail, hang, lose the answer or end without a mark as well.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -56,7 +56,6 @@
         resumes: Request whose broken stream it is to go on with, if any.
         complete: Whether the answer ended where its HTTP framing says: without
             a length or chunks, where the connection is closed in good order.
-        unmarked: Whether the answer has neither a length nor chunks.
         abandoned: Whether the caller closed the connection before the
             answer had ended.
         error: Error of the connection or of the client timeout, if any.
@@ -73,7 +72,6 @@
     body: bytes = b""
     resumes: "ClientRequest | None" = None
     complete: bool = False
-    unmarked: bool = False
     abandoned: bool = False
     error: str = ""
 
@@ -295,10 +293,10 @@
                 request.status = resp.status
                 request.answer_id = resp.headers.get("X-Request-Id", "")
                 framing = message_framing.of_response(resp)
-                request.unmarked = framing is message_framing.Framing.CLOSE
+                is_unmarked = framing is message_framing.Framing.CLOSE
                 async for chunk in resp.content.iter_any():
                     request.body += chunk
-                if request.unmarked and response_limits.ended_by_reset(resp):
+                if is_unmarked and response_limits.ended_by_reset(resp):
                     request.error = "connection was reset"
                     return
                 request.complete = True
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -47,7 +47,7 @@
     lines = [
         line
         for request in ended_requests
-        for line in _check_request(request, runs, env.unmarked_ends)
+        for line in _check_request(request, runs)
     ]
     lines.extend(_check_revocations(env, ended_requests, runs))
     lines.extend(_check_drains(env))
@@ -59,11 +59,7 @@
     return lines
 
 
-def _check_request(
-    request: callers.ClientRequest,
-    runs: Runs,
-    unmarked_ends: environment.UnmarkedEnds,
-) -> Iterator[str]:
+def _check_request(request: callers.ClientRequest, runs: Runs) -> Iterator[str]:
     run_count = len(runs.get(request.request_id, ()))
     not_retried = request.route in ("pay", "stream")
     if run_count > (1 if not_retried else 2):
@@ -71,18 +67,16 @@
     if request.status in NOT_RUN_STATUSES and run_count:
         yield f"{request.request_id}: status {request.status}, but it ran"
     if request.status == 200:
-        yield from check_answer(request, unmarked_ends)
+        yield from check_answer(request)
 
 
-def check_answer(
-    request: callers.ClientRequest, unmarked_ends: environment.UnmarkedEnds
-) -> Iterator[str]:
+def check_answer(request: callers.ClientRequest) -> Iterator[str]:
     """Checks the bytes of an answer of status 200, and what its end says.
 
-    Only where a server itself closed a stream early in good order, and lived
-    on, may the caller see the same: no router can tell that it was cut.
-    A caller that resumes a broken stream must get all its events, in order,
-    each once.
+    No stream may end as if complete before its last event, whatever its server
+    did, and whether its end is marked or not: its caller would take it for
+    whole. A caller that resumes a broken stream must get all its events, in
+    order, each once.
     """
     name = request.request_id
     if request.answer_id != name:
@@ -91,11 +85,11 @@
         events = request.joined_events
         if events != COMPLETE_STREAM[: len(events)]:
             yield f"{name}: got events {events}, expected 0, 1, 2 ..."
-        is_as_sent = request.unmarked and len(events) in unmarked_ends.get(
-            name, ()
-        )
-        if request.complete and events != COMPLETE_STREAM and not is_as_sent:
-            yield f"{name}: stream of events {events} ended as if complete"
+        if request.complete and events != COMPLETE_STREAM:
+            yield (
+                f"{name} {request.route}: stream of events {events} ended as if"
+                " complete"
+            )
     elif request.complete and request.body != f"answer to {name}".encode():
         yield f"{name}: unexpected answer {request.body[:60]!r}"
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -5,7 +5,7 @@
 import pathlib
 import random
 import time
-from typing import Any, TypeAlias
+from typing import Any
 
 from soak import programs, proxy
 from standins import platform_server, platform_store
@@ -18,6 +18,9 @@
 
 ZONES = ("z1", "z2")
 
+EVENT_INTERVAL_S = 0.02
+"""Pause of a server after each event of a stream."""
+
 RETRY_AFTER_S = 3
 """Value of the Retry-After header of a full server."""
 
@@ -61,11 +64,6 @@
     at: float
 
 
-UnmarkedEnds: TypeAlias = dict[str, set[int]]
-"""Streams that servers closed early as if they were whole: by the identifier of
-the request, the number of the first event that was not sent."""
-
-
 class Server(platform_server.PlatformServer):
     """A server that records the requests that it receives and runs.
 
@@ -73,6 +71,9 @@
         zone: Its availability zone.
         state: State in its registration.
         incarnation: Incarnation in its registration.
+        stream_fault: Fault in streams that begin with their first event, where
+            `faults` has none for them.
+        continued_fault: The same for streams that continue after an event.
     """
 
     def __init__(
@@ -81,21 +82,34 @@
         zone: str,
         runs: list[RequestRecord],
         arrivals: list[RequestRecord],
-        unmarked_ends: UnmarkedEnds,
     ) -> None:
         super().__init__(name)
         self.zone = zone
         self.state = "ready"
         self.incarnation = 1
+        self.stream_fault: platform_server.AnyFault = platform_server.Fault.NONE
+        self.continued_fault: platform_server.AnyFault = self.stream_fault
         self._runs = runs
         self._arrivals = arrivals
-        self._unmarked_ends = unmarked_ends
 
     @property
     def is_normal(self) -> bool:
         """Whether the server is neither shutting down nor full."""
         return self.state == "ready" and not self.extra_headers
 
+    def draw_fault(
+        self, seen: platform_server.ReceivedRequest
+    ) -> platform_server.AnyFault:
+        """Returns the fault in the answer to a request that arrived."""
+        fault = super().draw_fault(seen)
+        if fault is not platform_server.Fault.NONE:
+            return fault
+        if "/stream/" not in seen.target:
+            return fault
+        if "Last-Event-Id" in seen.headers:
+            return self.continued_fault
+        return self.stream_fault
+
     def record_arrival(self, request_id: str) -> None:
         """Records a request that arrived."""
         now = time.monotonic()
@@ -109,10 +123,6 @@
         now = time.monotonic()
         self._runs.append(RequestRecord(request_id, self.name, self.zone, now))
 
-    def record_unmarked_end(self, request_id: str, next_event: int) -> None:
-        """Records a stream that was closed early, as if it were whole."""
-        self._unmarked_ends.setdefault(request_id, set()).add(next_event)
-
 
 class Environment:
     """The router processes, and everything that they communicate with.
@@ -120,7 +130,6 @@
     Attributes:
         runs: Requests that servers ran, in order.
         arrivals: Requests that servers received, in order.
-        unmarked_ends: Streams that servers closed early in good order.
         changes: Changes by operators and servers, in order.
         routers: The router processes.
         servers: The servers by name.
@@ -138,7 +147,6 @@
         self.rng = rng
         self.runs: list[RequestRecord] = []
         self.arrivals: list[RequestRecord] = []
-        self.unmarked_ends: UnmarkedEnds = {}
         self.changes: list[Change] = []
         self.routers: list[programs.RouterProcess] = []
         self.servers: dict[str, Server] = {}
@@ -176,10 +184,8 @@
 
     async def async_add_server(self, name: str, zone: str) -> None:
         """Starts a server and registers it behind a proxy."""
-        server = Server(
-            name, zone, self.runs, self.arrivals, self.unmarked_ends
-        )
-        server.event_interval_s = 0.02
+        server = Server(name, zone, self.runs, self.arrivals)
+        server.event_interval_s = EVENT_INTERVAL_S
         await self._stack.enter_async_context(server)
         link = proxy.Proxy(server.address)
         await self._stack.enter_async_context(link)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 import random
 import signal
 from typing import TypeAlias
@@ -50,12 +50,31 @@
         rng: Source of the faults and of their start times.
         seconds: Time during which new faults start.
     """
+    await async_start_actions(_ACTIONS, MEAN_GAP_S, env, rng, seconds)
+
+
+async def async_start_actions(
+    actions: Sequence[Action],
+    mean_gap_s: float,
+    env: environment.Environment,
+    rng: random.Random,
+    seconds: float,
+) -> None:
+    """Starts faults for a time, and returns when the last has ended.
+
+    Args:
+        actions: Faults that are drawn.
+        mean_gap_s: Mean time between the starts of two of them.
+        env: Store, servers, links and routers.
+        rng: Source of the faults and of their start times.
+        seconds: Time during which new faults start.
+    """
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
     async with asyncio.TaskGroup() as group:
         while loop.time() < end:
-            await asyncio.sleep(rng.expovariate(1 / MEAN_GAP_S))
-            action = rng.choice(_ACTIONS)
+            await asyncio.sleep(rng.expovariate(1 / mean_gap_s))
+            action = rng.choice(actions)
             own_rng = random.Random(rng.randrange(2**32))
             group.create_task(async_run_action(action, env, own_rng))
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -91,6 +91,10 @@
         The kernel does so for a process that has died.
         """
         self._stop_listening()
+        self.close_connections()
+
+    def close_connections(self) -> None:
+        """Closes all open connections in good order."""
         for writer in list(self._writers):
             writer.close()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
     environment,
     faults,
     stream_counts,
+    unconfirmed_ends,
     unmarked_ends,
 )
 
@@ -91,11 +92,15 @@
             if became_ready
             else ["not all routers became ready after the start"]
         )
-        # A generator of its own leaves the draws of earlier seeds unchanged.
+        # Generators of their own leave the draws of earlier seeds unchanged.
         own_rng = random.Random(f"unmarked ends {seed}")
+        cut_rng = random.Random(f"unconfirmed ends {seed}")
         async with asyncio.TaskGroup() as group:
             group.create_task(faults.async_inject(env, rng, seconds))
             group.create_task(unmarked_ends.async_inject(env, own_rng, seconds))
+            group.create_task(
+                unconfirmed_ends.async_inject(env, cut_rng, seconds)
+            )
         if not await _async_wait_until_ready(balancer, RECOVERY_S):
             broken.append("not all routers became ready after the last fault")
         for task in tasks:
--- a/soak/unmarked_ends.py
+++ b/soak/unmarked_ends.py
@@ -39,14 +39,7 @@
         rng: Source of the faults and of their start times.
         seconds: Time during which new faults start.
     """
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    async with asyncio.TaskGroup() as group:
-        while loop.time() < end:
-            await asyncio.sleep(rng.expovariate(1 / MEAN_GAP_S))
-            action = rng.choice(_ACTIONS)
-            own_rng = random.Random(rng.randrange(2**32))
-            group.create_task(faults.async_run_action(action, env, own_rng))
+    await faults.async_start_actions(_ACTIONS, MEAN_GAP_S, env, rng, seconds)
 
 
 async def _async_end_streams(
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -201,13 +201,10 @@
         """Records a request that begins to run."""
         self.ran.append(request_id)
 
-    def record_unmarked_end(self, request_id: str, next_event: int) -> None:
-        """Records a stream that was closed early, as if it were whole.
-
-        Args:
-            request_id: Identifier of the request.
-            next_event: Number of the first event that was not sent.
-        """
+    def draw_fault(self, seen: ReceivedRequest) -> AnyFault:
+        """Returns the fault in the answer to a request that arrived."""
+        del seen
+        return self.faults.pop(0) if self.faults else Fault.NONE
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -236,8 +233,7 @@
         seen = ReceivedRequest(method, target, headers, body)
         self.seen.append(seen)
         self.record_arrival(headers["X-Request-Id"])
-        fault = self.faults.pop(0) if self.faults else Fault.NONE
-        return await self._async_answer(seen, fault, writer)
+        return await self._async_answer(seen, self.draw_fault(seen), writer)
 
     async def _async_answer(
         self,
@@ -363,8 +359,6 @@
                     event = event.partition(b"\n")[2]
                 if cut is not None and number == first_event + cut.events:
                     writer.write(event[: cut.part])
-                    if fault is server_faults.EarlyEnd.UNFRAMED_CUT_BETWEEN:
-                        self.record_unmarked_end(request_id, number)
                     return await self._async_leave(fault, writer)
                 if fault in _CUT_BETWEEN and number == first_event + 2:
                     return False
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -58,7 +58,7 @@
 
 
 async def test_broken_stream_is_resumed_in_the_remaining_time() -> None:
-    async with environment.Server("i-0", "z1", [], [], {}) as server:
+    async with environment.Server("i-0", "z1", [], []) as server:
         server.faults = [Fault.CUT_BETWEEN, Fault.REFUSE, Fault.CUT_BETWEEN]
         requests = await _async_call(server)
         headers = [seen.headers for seen in server.seen[:4]]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -40,30 +40,31 @@
     return request
 
 
+@pytest.mark.parametrize("route", ["stream", "resumed"])
+@pytest.mark.parametrize("events", range(6))
+def test_short_stream_may_not_end_as_if_complete(
+    events: int, route: str
+) -> None:
+    """Whatever its server did: the caller would take it for whole."""
+    request = _stream(route, list(range(events)), complete=True)
+    (line,) = checks.check_answer(request)
+    assert line.endswith("ended as if complete")
+
+
 @pytest.mark.parametrize(
-    ("events", "unmarked", "complete", "broken"),
+    ("events", "complete"),
     [
-        (6, False, True, False),
-        (6, True, True, False),
-        (2, False, False, False),
-        (2, True, False, False),
-        (2, False, True, True),
-        (2, True, True, False),
-        (3, True, True, True),
+        ([0, 1, 2, 3, 4, 5], True),
+        ([0, 1, 2, 3, 4, 5], False),
+        ([0, 1], False),
+        ([], False),
     ],
 )
-def test_short_stream_may_end_in_good_order_only_where_its_server_closed_it(
-    events: int, unmarked: bool, complete: bool, broken: bool
+def test_stream_may_be_whole_or_told_as_cut(
+    events: list[int], complete: bool
 ) -> None:
-    request = callers.ClientRequest("q1", "stream", "key-0", "vm-0", 0.0)
-    request.status, request.answer_id = 200, "q1"
-    request.unmarked, request.complete = unmarked, complete
-    request.body = b"".join(
-        f"id: {number}\ndata: piece {number}\n\n".encode()
-        for number in range(events)
-    )
-    lines = list(checks.check_answer(request, {"q1": {2}, "q2": {3}}))
-    assert bool(lines) == broken
+    request = _stream("stream", events, complete)
+    assert not list(checks.check_answer(request))
 
 
 @pytest.mark.parametrize(
@@ -92,7 +93,7 @@
     for events in parts[:-1]:
         request = _stream("resumed", events, False, request)
     request = _stream("resumed", parts[-1], complete, request)
-    assert len(list(checks.check_answer(request, {}))) == broken
+    assert len(list(checks.check_answer(request))) == broken
 
 
 def test_events_of_failures_do_not_count_as_resumed() -> None:
@@ -100,7 +101,7 @@
     refused = _stream("resumed", [2, 3], True, broken)
     refused.status = 503
     resumed = _stream("resumed", [2, 3, 4, 5], True, refused)
-    assert not list(checks.check_answer(resumed, {}))
+    assert not list(checks.check_answer(resumed))
 
 
 def test_stream_ends_are_counted() -> None:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -41,6 +41,21 @@
         writer.close()
 
 
+async def test_connections_are_closed_in_good_order_while_it_listens() -> None:
+    server = await asyncio.start_server(_async_wait_for_close, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server, proxy.Proxy(f"127.0.0.1:{port}") as link:
+        host, _, front = link.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(front))
+        await rig.async_wait_until(lambda: link.connections == 1)
+        link.close_connections()
+        assert await reader.read() == b""
+        writer.close()
+        reader, writer = await asyncio.open_connection(host, int(front))
+        await rig.async_wait_until(lambda: link.connections == 1)
+        writer.close()
+
+
 async def test_crash_closes_in_good_order_and_refuses_connections() -> None:
     server = await asyncio.start_server(_async_wait_for_close, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -14,6 +14,7 @@
 
 SEEDS = (
     3,  # Has been run with each kind of fault for the time of this test.
+    13002,  # Unmarked streams that were cut ended as if complete (issue 50).
 )
 
 
