Show that a close_notify within a stream is answered with one

What callers saw, product's own interface with TLS: an HTTP/1.0 caller that ends its sending side by a close_notify while its stream is in progress gets a close_notify at once, before the last event and `[DONE]`, and then a reset: 12 of 12. TLS thereby marks the end of a body that nothing else frames. Without TLS, or with a FIN in place of the close_notify, the same caller gets a reset (12 of 12 each).

--- a/tests/components/entry/test_service.py
+++ b/tests/components/entry/test_service.py
@@ -9,6 +9,8 @@
 import dataclasses
 import json
 import pathlib
+import socket
+import ssl
 from typing import Any
 
 import aiohttp
@@ -326,3 +328,37 @@
                 await reader.read()
         finally:
             writer.transport.abort()
+
+
+async def test_caller_that_ends_its_tls_data_is_not_told_that_a_stream_ended(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against the answer of the TLS library to a caller's close_notify.
+
+    The router's own close_notify would mark the end of the stream's data.
+    """
+    authority = certificates.Authority(tmp_path, "ours")
+    server_context, caller_context = authority.contexts("server")
+    head = (
+        f"POST /s/v1/completions HTTP/1.0\r\nX-Api-Key: {rig_lib.KEY}\r\n"
+        f"Content-Length: {len(STREAM)}\r\n\r\n"
+    )
+
+    def end_data_within_stream(port: int) -> None:
+        address = ("127.0.0.1", port)
+        with (
+            socket.create_connection(address, 5) as conn,
+            caller_context.wrap_socket(
+                conn, server_hostname="127.0.0.1"
+            ) as caller,
+        ):
+            caller.sendall(head.encode() + STREAM)
+            received = b""
+            while b"\n\n" not in received:
+                received += caller.recv(65_536)
+            with pytest.raises((ConnectionResetError, ssl.SSLEOFError)):
+                caller.unwrap()  # Returns once the router ends its data, too.
+
+    servers = [_engine(token_s=60.0)]
+    async with rig_lib.Rig(servers, DRAFT, ssl_context=server_context) as rig:
+        await asyncio.to_thread(end_data_within_stream, rig.entry.port)
