Abort a stream whose caller ends its TLS data

What callers saw: an HTTP/1.0 caller of the product's own interface that sends a close_notify within its stream got one back before the last event, which marks the end of the data. Cause: asyncio's TLS answers a close_notify by itself, after it has told the protocol, and the connection's only guard was at its own close. Evidence: test_caller_that_ends_its_tls_data_is_not_told_that_a_stream_ended, red before, green now; the tests of the entry pass. A router as a process with TLS, 24 callers: 12 of 12 HTTP/1.0 streams are reset without a close_notify (0 of 12 before); whole ones end by a close_notify and then a FIN, 12 of 12. Ruled out: a FIN in place of the close_notify, SIGKILL, SIGSTOP before it, SIGKILL after SIGTERM, the stop of the services, an unexpected error of the handler: reset, without a close_notify, 12 of 12 HTTP/1.0 streams each, before this change. Why it works: the protocol is told of the caller's end before the library answers it; if the connection is to reset, it is aborted there. One whose answer has a mark, or has been written in full, closes as before.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -142,14 +142,23 @@
             self._counts.open -= 1
         super().connection_lost(exc)
 
-    def force_close(self) -> None:
-        """Closes the connection; aborts it if closing is to reset it.
+    def eof_received(self) -> None:
+        """Aborts the connection if closing is to reset it.
 
-        Over TLS, a regular close would first mark the end of the data.
+        The TLS library closes the connection when the caller ends its data.
         """
+        self._abort_if_close_resets()
+        super().eof_received()
+
+    def force_close(self) -> None:
+        """Closes the connection; aborts it if closing is to reset it."""
+        self._abort_if_close_resets()
+        super().force_close()
+
+    def _abort_if_close_resets(self) -> None:
+        """Over TLS, a regular close would first mark the end of the data."""
         if self.transport is not None and resets.will_reset(self.transport):
             self.transport.abort()
-        super().force_close()
 
     def data_received(self, data: bytes) -> None:
         """Processes bytes; a request's first ones start its header timer."""
