Hold the memory of an answer of the product's interface until it is sent

What operators saw: answers of up to 16 MB were counted in the budget of 32 MB while they were received, and no more from then on. Callers that read slowly, or not at all for up to 60 s, kept them in memory without any bound on their sum.

Cause: the reservation ended with the reading of the body; the library writes a response after its handler has returned, and does not tell when it has.

What a failed attempt held is released at once, and so is an answer that nobody takes any more: the work of a payment goes on when its caller has left or was told to ask again.

Still open: what the client has read ahead of a slow caller's stream.

--- a/tamarackbridge/components/entry/at_most_once.py
+++ b/tamarackbridge/components/entry/at_most_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import hashlib
 
 from aiohttp import web
@@ -19,6 +20,7 @@
 )
 from tamarackbridge.components.entry import decider as entry_decider
 from tamarackbridge.components.entry import models as entry_models
+from tamarackbridge.helpers import held_response
 
 _STATE = claims.ClaimState
 
@@ -53,18 +55,25 @@
     ) -> web.StreamResponse:
         """Answers a request by its deadline, finished or not."""
         history = self._attempt_runner.start(request)
-        task = asyncio.create_task(self._async_run_claimed(request, history))
+        caller = _Caller()
+        task = asyncio.create_task(
+            self._async_run_claimed(request, history, caller)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         left_s = request.deadline - self._clock.monotonic()
         try:
             await asyncio.wait({task}, timeout=left_s + _ANSWER_GRACE_S)
         except asyncio.CancelledError:
+            caller.waits = False
             if not history.in_flight:
                 task.cancel()
+            if caller.response is not None:
+                held_response.release(caller.response)
             raise
         if task.done():
             return task.result()
+        caller.waits = False
         return problem.Problem(
             const.Reason.DEADLINE,
             problem.NotRun.UNKNOWN,
@@ -74,7 +83,10 @@
         ).response()
 
     async def _async_run_claimed(
-        self, request: entry_models.Request, history: attempts.AttemptHistory
+        self,
+        request: entry_models.Request,
+        history: attempts.AttemptHistory,
+        caller: "_Caller",
     ) -> web.StreamResponse:
         claim = await self._async_claim(request)
         if claim.answer is claims.ClaimAnswer.REPLAY:
@@ -96,7 +108,10 @@
             if isinstance(outcome, problem.Problem):
                 return outcome.response()
             completed = outcome
-            return runner.buffered_response(request, outcome)
+            caller.response = runner.buffered_response(request, outcome)
+            if not caller.waits:
+                held_response.release(caller.response)
+            return caller.response
         finally:
             self._close_claim(request, history, completed)
 
@@ -145,6 +160,19 @@
         self._inject(close)
 
 
+@dataclasses.dataclass(slots=True)
+class _Caller:
+    """The caller of a request, whose work may outlast its connection.
+
+    Attributes:
+        waits: Whether it still waits for the answer.
+        response: The answer of a server, once there is one.
+    """
+
+    waits: bool = True
+    response: web.StreamResponse | None = None
+
+
 _ANSWER_GRACE_S = 0.05
 """Seconds past the deadline to wait for a rejection that was decided at it."""
 
--- a/tamarackbridge/components/entry/const.py
+++ b/tamarackbridge/components/entry/const.py
@@ -18,7 +18,7 @@
 stream for a caller that can't receive one."""
 
 MAX_ALL_BUFFERED_BYTES: Final = 2 * MAX_BUFFERED_BYTES
-"""Memory budget of all such answers while they are received, and of incomplete
+"""Memory budget of all such answers until they are sent, and of incomplete
 events of streams. It admits one of the largest size while all others have half
 of that size together."""
 
--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -46,6 +46,7 @@
         headers: Headers of the answer.
         body: Body of an answer that is not streamed to the caller.
         is_stream: Whether the answer is a stream of events.
+        reservation: Memory of the body; None before the attempt runs.
     """
 
     end: attempts.End = _END.TRUNCATED
@@ -56,12 +57,19 @@
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
     is_stream: bool = False
+    reservation: response_limits.Reservation | None = None
 
     @property
     def outcome(self) -> dispatch.Outcome:
         """The outcome that is reported to the dispatcher."""
         return _OUTCOMES.get(self.end, dispatch.Outcome.FAILED)
 
+    def drop_body(self) -> None:
+        """Drops the body and frees its memory."""
+        self.body = b""
+        if self.reservation is not None:
+            self.reservation.resize(0)
+
 
 _OUTCOMES = {
     _END.COMPLETE: dispatch.Outcome.OK,
@@ -109,6 +117,9 @@
     async def async_run(self, job: Job, attempt: Attempt) -> None:
         """Runs one attempt and records its progress and end in `attempt`.
 
+        The body of the answer stays reserved until `Attempt.drop_body`, or
+        until the response that is made of it has been sent.
+
         Raises:
             CallerGoneError: The caller disconnected during a stream. The
                 connection to the backend server is closed, which cancels the
@@ -116,10 +127,14 @@
         """
         started = time.monotonic()
         job.check.begin()
+        reservation = response_limits.Reservation(self._memory)
+        attempt.reservation = reservation
         limit_s = min(job.limit_s, job.permit.life_s)
         try:
             async with asyncio.timeout(limit_s) as timer:
-                await self._async_exchange(job, attempt, started, timer)
+                await self._async_exchange(
+                    job, attempt, started, timer, reservation
+                )
         except exceptions.NotSentError as exc:
             attempt.end, attempt.detail = _END.NOT_SENT, str(exc)
         except exceptions.BackendError as exc:
@@ -128,6 +143,7 @@
             attempt.end = _END.CUT_OFF if attempt.is_stream else _END.TIMED_OUT
         finally:
             job.check.drop_incomplete()
+            reservation.resize(len(attempt.body))
             _record_cost(job, attempt, time.monotonic() - started)
 
     async def async_check_connection(
@@ -142,6 +158,7 @@
         attempt: Attempt,
         started: float,
         timer: asyncio.Timeout,
+        reservation: response_limits.Reservation,
     ) -> None:
         request = job.request
         async with self._backend.async_open(
@@ -163,14 +180,13 @@
                 attempt.is_stream = True
                 now = asyncio.get_running_loop().time()
                 timer.reschedule(now + job.permit.life_s)
-                with self._memory.reserve() as reservation:
-                    await self._async_forward_stream(
-                        job, attempt, resp, reservation
-                    )
+                await self._async_forward_stream(
+                    job, attempt, resp, reservation
+                )
             elif job.check.begun:
                 attempt.end = _END.NOT_A_STREAM
             else:
-                attempt.body = await _async_read_body(resp, self._memory)
+                attempt.body = await _async_read_body(resp, reservation)
                 attempt.end = answer_check.end_by_body(
                     attempt.body, resp.headers, request.route.empty_is_failure
                 )
@@ -219,17 +235,17 @@
 
 
 async def _async_read_body(
-    resp: aiohttp.ClientResponse, memory: response_limits.MemoryBudget
+    resp: aiohttp.ClientResponse, reservation: response_limits.Reservation
 ) -> bytes:
     """Returns the complete body of an answer.
 
     Raises:
         ResponseLimitError: The body exceeds `const.MAX_BUFFERED_BYTES`, or
-            `memory` has no room for it.
+            memory has no room for it.
         BackendError: A reset ended the body.
     """
-    body = await response_limits.async_read(
-        resp, const.MAX_BUFFERED_BYTES, memory
+    body = await response_limits.async_read_reserved(
+        resp, const.MAX_BUFFERED_BYTES, reservation
     )
     if not _is_marked(resp) and response_limits.ended_by_reset(resp):
         raise exceptions.BackendError("connection was reset during the body")
--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -21,7 +21,7 @@
 )
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
-from tamarackbridge.helpers import unmarked_response
+from tamarackbridge.helpers import held_response, unmarked_response
 
 
 class AttemptRunner:
@@ -129,6 +129,7 @@
             if decision.step is attempts.Step.FINISH:
                 self.duplicate_events += check.duplicates
                 return attempt
+            attempt.drop_body()
             if decision.step is not attempts.Step.RETRY:
                 return rejections.from_decision(decision, request.request_id)
             await asyncio.sleep(decision.pause_s)
@@ -186,6 +187,8 @@
                 cancelled = False
             finally:
                 self._permits.release(request.request_id, attempt, cancelled)
+                if cancelled:
+                    attempt.drop_body()
                 span.set("end", attempt.end.value)
         self._telemetry.record_attempt(
             request.service.name, attempt.end.value, attempt.first_byte_s
@@ -221,15 +224,21 @@
 ) -> web.StreamResponse:
     """Returns the answer of an attempt that was buffered.
 
-    It has no mark of its end if the answer of the backend server had none.
+    It has no mark of its end if the answer of the backend server had none, and
+    holds the memory reserved for its body.
     """
     headers = caller_stream.returned_headers(
         attempt.headers, request.request_id
     )
+    resp: web.StreamResponse
     if attempt.end is attempts.End.UNCONFIRMED:
-        return unmarked_response.UnmarkedResponse(
+        resp = unmarked_response.UnmarkedResponse(
             attempt.body, status=attempt.status, headers=headers
         )
-    return web.Response(
-        status=attempt.status, headers=headers, body=attempt.body
-    )
+    else:
+        resp = web.Response(
+            status=attempt.status, headers=headers, body=attempt.body
+        )
+    if attempt.reservation is not None:
+        held_response.hold(resp, attempt.reservation)
+    return resp
--- a/tamarackbridge/components/entry/service.py
+++ b/tamarackbridge/components/entry/service.py
@@ -24,6 +24,7 @@
 from tamarackbridge.components.entry import decider as entry_decider
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.settings import models as settings_models
+from tamarackbridge.helpers import held_response
 
 SHUTDOWN_TIMEOUT_S = 1.0
 """Seconds for requests that are still in flight when the listener stops."""
@@ -154,6 +155,7 @@
             conn.end_request()
         if self.draining and not resp.prepared:
             resp.force_close()
+        await held_response.async_send(req, resp)
         return resp
 
     async def _async_process(self, req: web.Request) -> web.StreamResponse:
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -199,18 +199,37 @@
     """
     if room is None:
         room = MemoryBudget((MAX_PART_OF_LEFT + 1) * max_bytes)
+    with room.reserve() as reservation:
+        return await async_read_reserved(resp, max_bytes, reservation)
+
+
+async def async_read_reserved(
+    resp: aiohttp.ClientResponse, max_bytes: int, reservation: Reservation
+) -> bytes:
+    """Reads the whole body of a response; it stays reserved.
+
+    After an error, the caller must close the response.
+
+    Args:
+        resp: The response.
+        max_bytes: Largest body that is accepted.
+        reservation: Grows with the body.
+
+    Raises:
+        ResponseLimitError: The body is larger, or the budget is exhausted.
+        ClientError: The body is incomplete.
+    """
     chunks: list[bytes] = []
     size = 0
-    with room.reserve() as reservation:
-        async for chunk in resp.content.iter_any():
-            size += len(chunk)
-            if size > max_bytes:
-                raise ResponseLimitError(
-                    f"response body is larger than {max_bytes} bytes"
-                )
-            reservation.resize(size)
-            chunks.append(chunk)
-        return b"".join(chunks)
+    async for chunk in resp.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            raise ResponseLimitError(
+                f"response body is larger than {max_bytes} bytes"
+            )
+        reservation.resize(size)
+        chunks.append(chunk)
+    return b"".join(chunks)
 
 
 def is_chunked(resp: aiohttp.ClientResponse) -> bool:
