Read less ahead of a caller that does not read its stream

What operators saw: with callers that read their streams slowly, each stream held up to 2 MB of what its server had sent, in addition to what the kernel holds, and nothing bounds these together. The gateway holds 32 KB at most.

Cause: read_bufsize was 1 MB, and the library pauses a connection at twice that. The value is of a time when lines were read; nothing reads lines any more, so it is 16 KB now, as in the gateway.

--- a/tamarackbridge/components/backend/client.py
+++ b/tamarackbridge/components/backend/client.py
@@ -17,7 +17,9 @@
 CHECK_TIMEOUT_S = 0.25
 """Timeout for checking a connection: a whole answer waits for it."""
 
-MAX_LINE_BYTES = 1024 * 1024
+READ_BUFFER_BYTES = 16 * 1024
+"""Half of the unread bytes at which a connection is no longer read. They are
+held for each caller that does not read its stream."""
 
 
 class BackendClient(core.Service):
@@ -41,7 +43,7 @@
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
-            read_bufsize=MAX_LINE_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
             middlewares=(send_once.async_send_once,),
             **response_limits.LIMITS,
         )
