Hold the memory of a plain answer until its caller has taken it

Answers that came one after the other had no bound at all: each was counted while it was read, and then no more, although the router kept it for up to 10 s without a read.

Cause: async_read released the reservation with the last byte from the server; the library writes a response after its handler has returned.

Now the attempt keeps its reservation.

Evidence: the two tests of answers that nobody reads failed before (the third answer of 4 MB was let through, in memory for two), and so did the one of a caller that leaves while its answer's server is checked, which needs the new reservation. 27 more check that no kind of end keeps one; they passed before.

Ruled out: counting what the kernel holds for a caller, up to 0.5 MB; it is no memory of the process.

--- a/tamarackbridge/components/entry/runner.py
+++ b/tamarackbridge/components/entry/runner.py
@@ -239,6 +239,5 @@
         resp = web.Response(
             status=attempt.status, headers=headers, body=attempt.body
         )
-    if attempt.reservation is not None:
-        held_response.hold(resp, attempt.reservation)
+    held_response.hold(resp, attempt.reservation)
     return resp
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -70,6 +70,7 @@
         framing: What marks the end of the body; None until the head is
             received.
         body: Body of a response that is not streamed.
+        reservation: Memory of the body; None before the attempt runs.
         streamed: Whether events are forwarded as they arrive.
         is_unmarked_and_empty: Whether a stream had no event, and nothing but
             its connection's orderly close marks its end.
@@ -84,6 +85,7 @@
     head: models.ResponseHead | None = None
     framing: message_framing.Framing | None = None
     body: bytes = b""
+    reservation: response_limits.Reservation | None = None
     streamed: bool = False
     is_unmarked_and_empty: bool = False
     events: int = 0
@@ -96,6 +98,12 @@
         """Returns whether the server responded with a server error."""
         return self.head is not None and self.head.status >= 500
 
+    def drop_body(self) -> None:
+        """Drops the body and frees its memory."""
+        self.body = b""
+        if self.reservation is not None:
+            self.reservation.resize(0)
+
 
 class ResponseSink(Protocol):
     """Receiver of a response in progress."""
@@ -162,12 +170,17 @@
         self._response_memory = response_limits.MemoryBudget(max_response_bytes)
 
     async def async_send(self, params: AttemptParameters) -> Attempt:
-        """Runs one attempt until it ends or reaches its time limit."""
+        """Runs one attempt until it ends or reaches its time limit.
+
+        The body stays reserved until `Attempt.drop_body`, or until the response
+        that is made of it has been sent.
+        """
         loop = asyncio.get_running_loop()
-        attempt = Attempt(sent_at=loop.time())
+        reservation = response_limits.Reservation(self._response_memory)
+        attempt = Attempt(sent_at=loop.time(), reservation=reservation)
         try:
             async with asyncio.timeout(params.metadata.remaining_s):
-                await self._async_exchange(params, attempt)
+                await self._async_exchange(params, attempt, reservation)
         except exceptions.NotSentError as exc:
             attempt.end, attempt.detail = AttemptEnd.NOT_SENT, str(exc)
         except exceptions.LostError as exc:
@@ -177,9 +190,13 @@
                 AttemptEnd.TIMED_OUT,
                 _missing_part(attempt),
             )
+        except BaseException:
+            attempt.drop_body()
+            raise
         finally:
             if params.events is not None:
                 params.events.drop_partial_event()
+            reservation.resize(len(attempt.body))
         attempt.ended_at = loop.time()
         return attempt
 
@@ -190,7 +207,10 @@
         return await self._client.async_check_connection(address)
 
     async def _async_exchange(
-        self, params: AttemptParameters, attempt: Attempt
+        self,
+        params: AttemptParameters,
+        attempt: Attempt,
+        reservation: response_limits.Reservation,
     ) -> None:
         headers = _with_trace(
             self._dialect.write_request(params.request, params.metadata),
@@ -221,13 +241,12 @@
             events = params.events
             is_stream = resp.content_type == _STREAM_TYPE and head.sealed
             if events is not None and resp.status == 200 and is_stream:
-                with self._response_memory.reserve() as reservation:
-                    await self._async_stream(
-                        params, attempt, resp, events, reservation
-                    )
+                await self._async_stream(
+                    params, attempt, resp, events, reservation
+                )
                 return
-            attempt.body = await response_limits.async_read(
-                resp, MAX_BUFFERED_BYTES, self._response_memory
+            attempt.body = await response_limits.async_read_reserved(
+                resp, MAX_BUFFERED_BYTES, reservation
             )
             attempt.end, attempt.detail = _buffered_end(
                 head, resp, attempt.framing
--- a/tamarackbridge/components/gateway/in_flight_limit.py
+++ b/tamarackbridge/components/gateway/in_flight_limit.py
@@ -10,7 +10,7 @@
 
 RESPONSE_FRACTION = 1 / 3
 """Part of the memory beyond `BASE_MEMORY_MB` that responses may use together
-while they are read. The rest is for requests, and for copies of what is passed
+until they are sent. The rest is for requests, and for copies of what is passed
 on."""
 
 MIN_RESPONSE_MB = 1.0
@@ -30,7 +30,7 @@
 
 
 def max_response_bytes(memory_mb: float) -> int:
-    """Returns the memory for responses that are being read, in bytes."""
+    """Returns the memory for responses until they are sent, in bytes."""
     return int(_max_response_mb(memory_mb) * _MB)
 
 
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -24,6 +24,7 @@
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.telemetry import spans
+from tamarackbridge.helpers import held_response
 
 REJECTED_RETRY_MIN_S = 0.3
 """Minimum Retry-After when servers rejected the request: one step of a server's
@@ -188,9 +189,11 @@
             if progress.denial is None:
                 if may_go_on and events is not None:
                     self._limit_confirmation(run, events)
+                attempt.drop_body()
                 continue
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
+            attempt.drop_body()
             return await self._async_give_up(
                 job, stream, progress, None, progress.denial.value
             )
@@ -231,7 +234,13 @@
         outcome = _Outcome.CANCELLED
         try:
             attempt = await self._forwarder.async_send(params)
-            outcome = await self._async_outcome(job, attempt, params.address)
+            try:
+                outcome = await self._async_outcome(
+                    job, attempt, params.address
+                )
+            except BaseException:
+                attempt.drop_body()
+                raise
             attempt_span.set("end", attempt.end.value)
         finally:
             permit.finish(outcome)
@@ -266,16 +275,17 @@
         head, framing = attempt.head, attempt.framing
         assert head is not None
         assert framing is not None
-        if stream.response is not None or attempt.streamed:
-            return await stream.async_end(head, framing)
-        if attempt.end is _End.UNCONFIRMED:
-            return await stream.async_end(head, framing, attempt.body)
-        if not attempt.body and head.status == 200 and _is_stream(head):
-            return await stream.async_end(head, framing)
+        is_empty = not attempt.body and head.status == 200 and _is_stream(head)
+        if attempt.streamed or is_empty or attempt.end is _End.UNCONFIRMED:
+            try:
+                return await stream.async_end(head, framing, attempt.body)
+            finally:
+                attempt.drop_body()
         resp = web.Response(status=head.status, body=attempt.body)
         resp.headers.popall("Content-Type", None)
         for name, value in head.headers:
             resp.headers.add(name, value)
+        held_response.hold(resp, attempt.reservation)
         return resp
 
     async def _async_give_up(
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -26,6 +26,7 @@
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.telemetry import processor, spans
+from tamarackbridge.helpers import held_response
 
 RESERVED_DESCRIPTORS = 600
 """File descriptors reserved for servers, peers, the store and files."""
@@ -301,6 +302,7 @@
             conn.end_request()
         if self.is_last_response() and not resp.prepared:
             resp.force_close()
+        await held_response.async_send(req, resp)
         return resp
 
     def is_last_response(self) -> bool:
--- a/tamarackbridge/helpers/held_response.py
+++ b/tamarackbridge/helpers/held_response.py
@@ -10,10 +10,11 @@
 
 
 def hold(
-    resp: web.StreamResponse, reservation: response_limits.Reservation
+    resp: web.StreamResponse, reservation: response_limits.Reservation | None
 ) -> None:
-    """Makes a response hold the reservation of its body."""
-    resp[_RESERVATION] = reservation
+    """Makes a response hold the reservation of its body, if there is one."""
+    if reservation is not None:
+        resp[_RESERVATION] = reservation
 
 
 def release(resp: web.StreamResponse) -> None:
