Hold no lack of memory against servers while slow callers cause it

What callers saw: with two callers that did not read 4 MB each (memory for two), the answers of both sound servers to six further requests were refused for lack of memory, which counted as lost: BreakerOpened for both, for 0.5 s, so that their other requests had to wait.

Cause: an attempt without room is LOST (TRUNCATED there), which counts against its server. That is right for a server that floods, and wrong where others' callers take the room.

Now the budget knows which bytes wait for callers, and if there would be room without them the attempt counts as cancelled for its server. The request is answered and retried as before.

Evidence: the new test of the breaker and the three cases of the entry's (outcome "cancelled") failed before; that a flood with nobody slow still opens a breaker held before and holds now. Price: a server that floods while slow callers hold most of the memory is not blamed until they have left. Unmarked answers that wait for their callers are not among the bytes told apart: they are counted, and a server may be blamed for them.

--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -46,6 +46,7 @@
         headers: Headers of the answer.
         body: Body of an answer that is not streamed to the caller.
         is_stream: Whether the answer is a stream of events.
+        lacks_room: Whether slow callers took the memory for the answer.
         reservation: Memory of the body; None before the attempt runs.
     """
 
@@ -57,11 +58,14 @@
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
     is_stream: bool = False
+    lacks_room: bool = False
     reservation: response_limits.Reservation | None = None
 
     @property
     def outcome(self) -> dispatch.Outcome:
         """The outcome that is reported to the dispatcher."""
+        if self.lacks_room:
+            return dispatch.Outcome.CANCELLED
         return _OUTCOMES.get(self.end, dispatch.Outcome.FAILED)
 
     def drop_body(self) -> None:
@@ -139,6 +143,7 @@
             attempt.end, attempt.detail = _END.NOT_SENT, str(exc)
         except exceptions.BackendError as exc:
             attempt.end, attempt.detail = _END.TRUNCATED, str(exc)
+            attempt.lacks_room = response_limits.is_held_by_callers(exc)
         except TimeoutError:
             attempt.end = _END.CUT_OFF if attempt.is_stream else _END.TIMED_OUT
         finally:
--- a/tamarackbridge/components/gateway/attempt_progress.py
+++ b/tamarackbridge/components/gateway/attempt_progress.py
@@ -149,4 +149,6 @@
     """Returns the outcome of an attempt for its server."""
     if attempt.end in forward.WITH_RESPONSE and attempt.is_server_error:
         return _Outcome.FAILED
+    if attempt.lacks_room:
+        return _Outcome.CANCELLED
     return _OUTCOME_OF_END[attempt.end]
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -71,6 +71,7 @@
             received.
         body: Body of a response that is not streamed.
         reservation: Memory of the body; None before the attempt runs.
+        lacks_room: Whether slow callers took the memory for the response.
         streamed: Whether events are forwarded as they arrive.
         is_unmarked_and_empty: Whether a stream had no event, and nothing but
             its connection's orderly close marks its end.
@@ -86,6 +87,7 @@
     framing: message_framing.Framing | None = None
     body: bytes = b""
     reservation: response_limits.Reservation | None = None
+    lacks_room: bool = False
     streamed: bool = False
     is_unmarked_and_empty: bool = False
     events: int = 0
@@ -185,6 +187,7 @@
             attempt.end, attempt.detail = AttemptEnd.NOT_SENT, str(exc)
         except exceptions.LostError as exc:
             attempt.end, attempt.detail = AttemptEnd.LOST, str(exc)
+            attempt.lacks_room = response_limits.is_held_by_callers(exc)
         except TimeoutError:
             attempt.end, attempt.detail = (
                 AttemptEnd.TIMED_OUT,
--- a/tamarackbridge/helpers/held_response.py
+++ b/tamarackbridge/helpers/held_response.py
@@ -14,6 +14,7 @@
 ) -> None:
     """Makes a response hold the reservation of its body, if there is one."""
     if reservation is not None:
+        reservation.begin_sending()
         resp[_RESERVATION] = reservation
 
 
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -55,6 +55,19 @@
     """A response, or what was received for one, exceeds a limit."""
 
 
+class NoRoomError(ResponseLimitError):
+    """The shared memory budget has no room for a response.
+
+    Attributes:
+        is_held_by_callers: Whether there would be room if callers had taken the
+            responses that wait for them, so that the server is not to blame.
+    """
+
+    def __init__(self, reason: str, is_held_by_callers: bool) -> None:
+        super().__init__(reason)
+        self.is_held_by_callers = is_held_by_callers
+
+
 class BoundedProtocol(client_proto.ResponseHandler):
     """A client connection that closes when it gets too many bytes.
 
@@ -135,10 +148,12 @@
 
     Attributes:
         left: Bytes that are still available.
+        held_by_callers: Bytes of responses that wait for their callers.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.left = max_bytes
+        self.held_by_callers = 0
 
     @contextlib.contextmanager
     def reserve(self) -> Iterator["Reservation"]:
@@ -160,25 +175,41 @@
     def __init__(self, budget: MemoryBudget) -> None:
         self.size = 0
         self._budget = budget
+        self._is_held_by_caller = False
+
+    def begin_sending(self) -> None:
+        """Counts the response as one that waits for its caller."""
+        self._is_held_by_caller = True
+        self._budget.held_by_callers += self.size
 
     def resize(self, held: int) -> None:
         """Adjusts the reservation to the bytes that are held now.
 
         Raises:
-            ResponseLimitError: Too little of the budget would be left.
+            NoRoomError: Too little of the budget would be left.
         """
         wanted = max(held - UNCOUNTED_BYTES, 0)
         if wanted == self.size:
             return
         left = self._budget.left - (wanted - self.size)
         if wanted > self.size and wanted > MAX_PART_OF_LEFT * left:
-            raise ResponseLimitError(
-                f"no room in memory for {held} bytes of a response"
+            left_without_callers = left + self._budget.held_by_callers
+            raise NoRoomError(
+                f"no room in memory for {held} bytes of a response",
+                wanted <= MAX_PART_OF_LEFT * left_without_callers,
             )
+        if self._is_held_by_caller:
+            self._budget.held_by_callers += wanted - self.size
         self._budget.left = left
         self.size = wanted
 
 
+def is_held_by_callers(exc: BaseException) -> bool:
+    """Returns whether slow callers caused an error of a request."""
+    cause = exc.__cause__
+    return isinstance(cause, NoRoomError) and cause.is_held_by_callers
+
+
 async def async_read(
     resp: aiohttp.ClientResponse,
     max_bytes: int,
--- a/tests/components/entry/test_slow_callers.py
+++ b/tests/components/entry/test_slow_callers.py
@@ -113,6 +113,8 @@
             assert all_left - rig.memory.left > 1.9 * LARGE_BYTES
             beside = await rig.async_request(method, path)
             assert beside.problem
+            # The server is sound: slow callers take the room.
+            assert rig.granter.done[-1].outcome.value == "cancelled"
 
             # What was reserved is free again, read or not.
             assert await _async_read_all(first) > 0.9 * LARGE_BYTES
--- a/tests/components/gateway/test_slow_callers.py
+++ b/tests/components/gateway/test_slow_callers.py
@@ -13,6 +13,7 @@
 
 from standins import floods, platform_server, server_faults
 from tamarackbridge.components.gateway import in_flight_limit, servers
+from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import response_limits
 from tests.components.gateway import raw_caller, rig
 
@@ -95,6 +96,47 @@
         after = await env.async_send(path, request_id="q4")
         assert len(after.body) == LARGE_BYTES
         await rig.async_wait_until(lambda: memory.left == all_left)
+        assert memory.held_by_callers == 0
+
+
+async def test_answers_without_room_open_no_breaker(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It is others' callers that take the room, and the servers are sound."""
+    log: list[events.Event] = []
+    monkeypatch.setattr(events, "write", log.append)
+    async with rig.async_environment(
+        memory_mb=in_flight_limit.BASE_MEMORY_MB + SPARE_MB
+    ) as env:
+        memory = _memory(env)
+        all_left = memory.left
+        env.set_faults(*[LARGE] * 8)
+        async with (
+            _async_call(env, "/pay/1", 1),
+            _async_call(env, "/pay/1", 2),
+        ):
+            await rig.async_wait_until(
+                lambda: all_left - memory.left > 1.9 * LARGE_BYTES
+            )
+            for number in range(6):
+                got = await env.async_send("/pay/1", request_id=f"q{number}")
+                assert got.status == 502
+        assert not any(isinstance(each, events.BreakerOpened) for each in log)
+
+
+async def test_answer_that_takes_the_room_itself_opens_a_breaker(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nobody else takes any: the server floods."""
+    log: list[events.Event] = []
+    monkeypatch.setattr(events, "write", log.append)
+    async with rig.async_environment(
+        servers=1, memory_mb=in_flight_limit.BASE_MEMORY_MB + SPARE_MB
+    ) as env:
+        env.set_faults(*[floods.IN_BODY["no_length"]] * 4)
+        for number in range(4):
+            await env.async_send("/pay/1", request_id=f"q{number}")
+        assert any(isinstance(each, events.BreakerOpened) for each in log)
 
 
 @pytest.mark.parametrize("path", ["/pay/1", "/read/1", "/stream/1"])
@@ -125,6 +167,7 @@
         answer = await raw_caller.async_send(env, path)
         assert answer.status
         await rig.async_wait_until(lambda: memory.left == all_left)
+        assert memory.held_by_callers == 0
 
 
 async def test_answer_for_a_caller_that_left_during_a_check_is_not_held(
