--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -127,6 +127,7 @@
         extra_headers: Headers that are added to answers.
         rejects_all: Whether every request is rejected with 503.
         event_interval_s: Pause after each event of a stream.
+        event_padding: Text at the end of each event of a stream.
         connections: Number of connections accepted.
         deadly_block: Prompt block on which the server crashes when it begins
             to answer; empty for none.
@@ -145,6 +146,7 @@
         self.extra_headers: dict[str, str] = {}
         self.rejects_all = False
         self.event_interval_s = 0.0
+        self.event_padding = ""
         self.connections = 0
         self.deadly_block = ""
         self.crash_after_head = True
@@ -360,7 +362,8 @@
             numbers = range(first_event, _EVENT_LIMITS.get(fault, EVENTS))
             repeated = server_faults.REPEATS.get(fault, ())
             for place, number in enumerate(repeated or numbers):
-                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                data = f"piece {number}{self.event_padding}"
+                event = f"id: {number}\ndata: {data}\n\n".encode()
                 is_repeated = place + first_event != number
                 if fault is server_faults.EarlyEnd.REPEAT_OTHER and is_repeated:
                     event = event.replace(b"piece", b"other")
--- a/standins/server_faults.py
+++ b/standins/server_faults.py
@@ -26,6 +26,8 @@
     """Like CUT_HEAD, with a TCP reset."""
     UNFRAMED_EMPTY = "unframed_empty"
     """Sends the head of a stream without a length, and closes."""
+    UNFRAMED_EMPTY_CRASH = "unframed_empty_crash"
+    """Like UNFRAMED_EMPTY, because the server crashes."""
     UNFRAMED_CUT_EVENT = "unframed_cut_event"
     """Closes a stream without a length within an event."""
     UNFRAMED_CUT_LINE = "unframed_cut_line"
@@ -97,6 +99,7 @@
     EarlyEnd.CUT_HEAD: lambda head: len(head) - 2,
     EarlyEnd.CUT_HEAD_RESET: lambda head: len(head) - 2,
     EarlyEnd.UNFRAMED_EMPTY: len,
+    EarlyEnd.UNFRAMED_EMPTY_CRASH: len,
 }
 """Length of the part of an answer's head that is sent."""
 
@@ -117,6 +120,7 @@
 
 CRASHES: frozenset[object] = frozenset(
     (
+        EarlyEnd.UNFRAMED_EMPTY_CRASH,
         EarlyEnd.UNFRAMED_CRASH_BETWEEN,
         EarlyEnd.UNFRAMED_CRASH_END,
         EarlyEnd.UNFRAMED_CRASH_BODY,
--- a/tests/components/gateway/raw_caller.py
+++ b/tests/components/gateway/raw_caller.py
@@ -52,9 +52,12 @@
     version: str = "1.1",
     request_id: str = "q1",
     resume_after: str = "",
+    may_read: asyncio.Event | None = None,
 ) -> Answer:
     """Sends a request over a connection of its own and reads the answer.
 
+    Until `may_read` is set it reads nothing, and its kernel takes a few KB.
+
     It reads from the socket, since a stream reader drops what it has not yet
     returned when the connection is reset.
     """
@@ -67,9 +70,13 @@
     )
     with socket.socket() as sock:
         sock.setblocking(False)
+        if may_read is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         address = env.cfg.callers
         await loop.sock_connect(sock, (address.host, address.port))
         await loop.sock_sendall(sock, request.encode())
+        if may_read is not None:
+            await may_read.wait()
         received = b""
         while True:
             try:
--- a/tests/components/gateway/test_confirmations.py
+++ b/tests/components/gateway/test_confirmations.py
@@ -6,7 +6,8 @@
 import pytest
 
 from standins import platform_server, server_faults
-from tamarackbridge.components.gateway import runner, servers
+from tamarackbridge.components.admission import controller
+from tamarackbridge.components.gateway import jobs, runner, servers
 from tamarackbridge.components.telemetry import events
 from tests.components.gateway import raw_caller, rig
 
@@ -105,3 +106,40 @@
         run_s = platform_server.EVENTS * PAUSE_S
         assert run_s < seconds < run_s + 1.5 * runner.CONFIRMATION_S
     assert _unconfirmed(log) == "time"
+
+
+async def test_further_confirmations_leave_half_of_the_budget_too(
+    log: list[events.Event], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A second server that fails to confirm an end is followed by a third."""
+    routes = [
+        rig.route(
+            "resumed",
+            "streaming",
+            attempts=4,
+            path_prefix="/stream/r/",
+            resumable=True,
+        )
+    ]
+    monkeypatch.setattr(
+        rig, "CONFIGURATION", {**rig.CONFIGURATION, "routes": routes}
+    )
+    kinds: list[bool] = []
+    take_retry = controller.AdmissionController.take_retry
+
+    def _take_retry(
+        taker: controller.AdmissionController,
+        job: jobs.Job,
+        is_confirmation: bool,
+    ) -> bool:
+        kinds.append(is_confirmation)
+        return take_retry(taker, job, is_confirmation)
+
+    monkeypatch.setattr(
+        controller.AdmissionController, "take_retry", _take_retry
+    )
+    async with rig.async_environment(servers=4) as env:
+        env.set_faults(_Fault.UNFRAMED, _Fault.FAIL, _Fault.LOSE, _Fault.FAIL)
+        answer = await raw_caller.async_send(env, "/stream/r/1")
+    assert answer.end is _End.RESET
+    assert kinds == [True, True, True]
--- a/tests/components/gateway/test_end_marks.py
+++ b/tests/components/gateway/test_end_marks.py
@@ -17,6 +17,7 @@
 UNMARKED = platform_server.Fault.UNFRAMED
 UNMARKED_EMPTY = server_faults.EarlyEnd.UNFRAMED_EMPTY
 END = str(platform_server.EVENTS - 1)
+UNMARKED_EMPTY_CRASH = server_faults.EarlyEnd.UNFRAMED_EMPTY_CRASH
 UNMARKED_CUT = server_faults.EarlyEnd.UNFRAMED_CUT_BETWEEN
 UNMARKED_CUT_EVENT = server_faults.EarlyEnd.UNFRAMED_CUT_EVENT
 SETTLED = end_marks.DISTRUST_S
@@ -75,6 +76,8 @@
         ([UNMARKED, platform_server.Fault.HANG], "", End.RESET),
         # The first one has begun another event.
         ([UNMARKED_CUT_EVENT, UNMARKED_EMPTY], "", End.RESET),
+        # The second one has crashed.
+        ([UNMARKED_CUT, UNMARKED_EMPTY_CRASH], "", End.RESET),
     ],
 )
 async def test_two_servers_of_a_service_that_marks_none_agree_on_an_end(
--- a/tests/components/gateway/test_request_log.py
+++ b/tests/components/gateway/test_request_log.py
@@ -132,6 +132,31 @@
     assert (last.unmarked, last.unconfirmed) == (True, reason)
 
 
+@pytest.mark.parametrize(
+    ("path", "fault", "version", "unmarked"),
+    [
+        ("/read/1", Fault.UNFRAMED, "1.1", True),
+        ("/read/1", Fault.NONE, "1.1", False),
+        ("/read/1", Fault.NONE, "1.0", False),
+        ("/stream/1", EarlyEnd.EMPTY_END, "1.1", False),
+        ("/stream/1", EarlyEnd.EMPTY_END, "1.0", True),
+    ],
+)
+async def test_answer_without_events_logs_whether_its_end_is_marked(
+    path: str,
+    fault: platform_server.AnyFault,
+    version: str,
+    unmarked: bool,
+    log: list[events.Event],
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(fault)
+        answer = await raw_caller.async_send(env, path, version)
+    last = _of_request(log, "q1")[-1]
+    assert isinstance(last, events.Answered)
+    assert (last.unmarked, answer.is_unmarked) == (unmarked, unmarked)
+
+
 async def test_confirmed_end_logs_no_reason(log: list[events.Event]) -> None:
     async with rig.async_environment() as env:
         env.set_faults(Fault.UNFRAMED)
