--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -147,6 +147,7 @@
                 raise
             if isinstance(admitted, result.Err):
                 rejection = admitted.err_value
+                _end_time_limit(run)
                 return await self._async_give_up(
                     job, stream, progress, rejection, rejection.reason.value
                 )
@@ -179,6 +180,7 @@
                 self._log.record_response(
                     job, stream, attempt, server, progress.attempts
                 )
+                _end_time_limit(run)
                 return await self._async_respond(stream, attempt)
             progress.record_attempt(job, attempt, server)
             progress.denial = self._retries.denial(
@@ -189,6 +191,7 @@
                 if may_go_on and events is not None:
                     self._limit_confirmation(run, events)
                 continue
+            _end_time_limit(run)
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
             return await self._async_give_up(
@@ -369,6 +372,12 @@
         return rejections.Rejection(_Reason.SERVER_REJECTED, retry_after_s)
 
 
+def _end_time_limit(run: _Run) -> None:
+    """Ends the limit for a confirmation: only the caller is waited for now."""
+    if not run.time_limit.expired():
+        run.time_limit.reschedule(None)
+
+
 def _is_crash_suspect(job: jobs.Job, attempt: forward.Attempt) -> bool:
     """Returns whether a lost request may have crashed its server.
 
