Reset a stream that may be whole after its caller has all events

A caller that reads late, or is far away, lost the last events of an unmarked stream that nothing confirms: the reset discards what its kernel has not acknowledged.

The router now waits up to a second until the kernel has no unacknowledged byte (SIOCOUTQ), and resets then. Ends that are known to be cut reset at once, as before; what they discard, a retry of the caller gets again.

--- a/tamarackbridge/components/gateway/response_stream.py
+++ b/tamarackbridge/components/gateway/response_stream.py
@@ -15,7 +15,18 @@
     models,
     relay,
 )
-from tamarackbridge.helpers import message_framing, unmarked_response
+from tamarackbridge.helpers import (
+    message_framing,
+    resets,
+    unmarked_response,
+)
+
+TAKE_EVENTS_CHECK_S = 0.02
+"""Time between two checks whether a caller has taken all events."""
+
+TAKE_EVENTS_CHECKS = 50
+"""Number of checks before the events left are discarded: a second in all, many
+times what the way to a caller takes."""
 
 _CLOSE_EVENTS = select.POLLRDHUP
 """poll() always reports POLLERR and POLLHUP, so they need not be requested."""
@@ -175,6 +186,29 @@
         if self._req.transport is not None:
             self._req.transport.abort()
 
+    async def async_abort(self, may_be_whole: bool) -> None:
+        """Aborts the connection as `abort` does.
+
+        Args:
+            may_be_whole: Whether the caller is given time to take all events:
+                a reset discards those that are on their way.
+        """
+        try:
+            for _ in range(TAKE_EVENTS_CHECKS if may_be_whole else 0):
+                if not self._has_unsent():
+                    break
+                await asyncio.sleep(TAKE_EVENTS_CHECK_S)
+        finally:
+            self.abort()
+
+    def _has_unsent(self) -> bool:
+        transport = self._req.transport
+        return (
+            transport is not None
+            and not has_left(self._req)
+            and resets.has_unsent(transport)
+        )
+
     async def _async_begin(
         self, head: models.ResponseHead, framing: message_framing.Framing
     ) -> None:
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -313,7 +313,7 @@
                 reason,
             )
             return await self._async_respond(stream, unconfirmed.attempt)
-        return self._reject_or_cut(
+        return await self._async_reject_or_cut(
             job,
             stream,
             progress,
@@ -321,7 +321,7 @@
             "" if unconfirmed is None else reason,
         )
 
-    def _reject_or_cut(
+    async def _async_reject_or_cut(
         self,
         job: jobs.Job,
         stream: response_stream.ResponseStream,
@@ -340,7 +340,7 @@
                 stream,
                 unconfirmed,
             )
-            stream.abort()
+            await stream.async_abort(may_be_whole=unconfirmed != "")
             raise exceptions.ResponseAbortedError(by)
         rejection = self._final_rejection(job, progress, rejection)
         self._log.record_rejection(
--- a/tamarackbridge/helpers/resets.py
+++ b/tamarackbridge/helpers/resets.py
@@ -7,12 +7,15 @@
 """
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 _LINGER = struct.Struct("ii")
 _RESET = (1, 0)
 _ORDERLY = (0, 0)
+_QUEUE_SIZE = struct.Struct("i")
 
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
@@ -36,6 +39,21 @@
     return bool(_LINGER.unpack(linger) == _RESET)
 
 
+def has_unsent(transport: asyncio.WriteTransport) -> bool:
+    """Returns whether a reset would discard bytes that were written.
+
+    Those are all that the peer's kernel has not acknowledged yet.
+    """
+    conn = transport.get_extra_info("socket")
+    if conn is None or transport.is_closing():
+        return False
+    if transport.get_write_buffer_size() > 0:
+        return True
+    # For a TCP socket this is SIOCOUTQ (tcp(7)).
+    size = fcntl.ioctl(conn.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size))
+    return bool(_QUEUE_SIZE.unpack(size)[0])
+
+
 def allow_orderly_close(transport: asyncio.BaseTransport) -> None:
     """Makes closing a connection send what is unsent and end it in order.
 
