Don't let a server that crashed agree on the end of a stream

The caller of a service that marks none of its streams got 2 of 6 events and an orderly close: the first server had cut the stream, and the second crashed behind the head of its answer. The kernel closes a dead process's connections in good order, and only streams with events were checked against their server's death. Empty ones are now, too; one whose server is gone shows a cut.

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -72,7 +72,8 @@
         body: Body of a response that is not streamed.
         streamed: Whether events are forwarded as they arrive.
         is_unmarked_and_empty: Whether a stream had no event, and nothing but
-            its connection's orderly close marks its end.
+            its connection's orderly close marks its end. False if its server
+            is gone.
         events: Number of events that were forwarded.
         sent_at: Loop time at which the attempt began.
         head_at: Loop time at which the head was received; None before.
@@ -91,6 +92,11 @@
     head_at: float | None = None
     ended_at: float = 0.0
 
+    @property
+    def may_end_by_crash(self) -> bool:
+        """Returns whether a crash of the server would have looked the same."""
+        return self.end is AttemptEnd.UNCONFIRMED or self.is_unmarked_and_empty
+
     @property
     def is_server_error(self) -> bool:
         """Returns whether the server responded with a server error."""
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -251,10 +251,11 @@
         new connections may be full. Nor does a refusal by a server that shuts
         down, as it finishes its responses after it has stopped listening.
         """
-        if attempt.end is _End.UNCONFIRMED and not _shuts_down(attempt):
+        if attempt.may_end_by_crash and not _shuts_down(attempt):
             check = await self._forwarder.async_check_connection(address)
             if check is servers.ConnectionCheck.REFUSED:
                 attempt.end = _End.LOST
+                attempt.is_unmarked_and_empty = False
                 attempt.detail = "unmarked response ended, server is gone"
         outcome = attempt_progress.outcome(attempt)
         if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
