Log of answers without events whether anything marks their end

Answered had unmarked=False for each plain unmarked answer and for each stream without an event, though its caller sees only the connection's end: the field was read before the answer had begun.

--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -150,7 +150,7 @@
                 last_events=attempt.events,
                 framing=_logged_framing(attempt),
                 end=attempt.end.value,
-                unmarked=stream.is_unmarked,
+                unmarked=stream.ends_unmarked(attempt),
                 unconfirmed=unconfirmed,
                 seconds=round(now - job.arrived, 4),
             )
--- a/tamarackbridge/components/gateway/response_stream.py
+++ b/tamarackbridge/components/gateway/response_stream.py
@@ -11,6 +11,7 @@
 
 from tamarackbridge.components.gateway import (
     exceptions,
+    forward,
     jobs,
     models,
     relay,
@@ -28,6 +29,7 @@
 """Number of checks before the events left are discarded: a second in all, many
 times what the way to a caller takes."""
 
+_UNCONFIRMED = forward.AttemptEnd.UNCONFIRMED
 _CLOSE_EVENTS = select.POLLRDHUP
 """poll() always reports POLLERR and POLLHUP, so they need not be requested."""
 
@@ -89,6 +91,30 @@
         """Returns whether the response may end without a mark."""
         return self.response is None or self.is_unmarked
 
+    def ends_unmarked(self, attempt: forward.Attempt) -> bool:
+        """Returns whether nothing marks the end of a response to the caller.
+
+        Args:
+            attempt: Attempt whose end is that of the response, which may not
+                have begun yet.
+        """
+        if self.response is not None:
+            return self.is_unmarked
+        # Other plain bodies get a length.
+        is_passed_on = attempt.streamed or attempt.end is _UNCONFIRMED
+        return (
+            is_passed_on
+            and attempt.framing is not None
+            and self._would_be_unmarked(attempt.framing)
+        )
+
+    def _would_be_unmarked(self, framing: message_framing.Framing) -> bool:
+        # HTTP/1.0 has no chunks.
+        return (
+            framing is message_framing.Framing.CLOSE
+            or self._req.version < aiohttp.HttpVersion11
+        )
+
     def set_placement(self, placement: jobs.Permit) -> None:
         """Sets the placement to which server activity is reported from now."""
         self._placement = placement
@@ -212,11 +238,7 @@
     async def _async_begin(
         self, head: models.ResponseHead, framing: message_framing.Framing
     ) -> None:
-        # HTTP/1.0 has no chunks.
-        self.is_unmarked = (
-            framing is message_framing.Framing.CLOSE
-            or self._req.version < aiohttp.HttpVersion11
-        )
+        self.is_unmarked = self._would_be_unmarked(framing)
         kind = (
             unmarked_response.UnmarkedResponse
             if self.is_unmarked
