Count each attempt to confirm an end as a confirmation

Only the attempt right after an unmarked end counted as a confirmation.

Evidence: the new test in test_confirmations.py failed before and passes.

--- a/tamarackbridge/components/gateway/retries.py
+++ b/tamarackbridge/components/gateway/retries.py
@@ -50,7 +50,12 @@
             return _Denial.UNREACHABLE
         if job.attempts >= job.route.max_attempts:
             return _Denial.ATTEMPTS
-        is_confirmation = attempt.end is _End.UNCONFIRMED and attempt.streamed
+        # Whatever became of the servers that were asked to confirm it.
+        unconfirmed = progress.unconfirmed_end()
+        is_confirmation = (
+            unconfirmed is not None
+            and unconfirmed.attempt.end is _End.UNCONFIRMED
+        )
         if self._controller.take_retry(job, is_confirmation):
             return None
         return _Denial.BUDGET
