Show that the hop between routers loses events before a reset

The caller of an offloaded request that reads late got 32,768 of 100,118 bytes of a stream that nothing confirms: the peer resets after its last event has arrived, and the proxy passes the reset on at once, which discards what the caller's kernel has not acknowledged.

The proxy's end of a request would have to wait until nothing is unacknowledged, as the gateway's does; not mended here.

--- a/tests/components/gateway/test_offload_ends.py
+++ b/tests/components/gateway/test_offload_ends.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tamarackbridge.components.gateway import offload_proxy
+from tamarackbridge.helpers import resets
 from tests.components.gateway import test_offload_proxy as proxy_tests
 
 HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -141,3 +142,28 @@
         with pytest.raises(ConnectionResetError):
             await scene.async_read()
         assert scene.ends == [offload_proxy.End.CALLER_LEFT]
+
+
+async def test_peer_that_resets_ends_the_response_after_its_last_event() -> (
+    None
+):
+    """A peer resets a stream that nothing confirms; all of it has arrived."""
+    response = HEAD + 10 * (b"data: %b\n\n" % (b"x" * 10_000))
+
+    async def _async_serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        while resets.has_unsent(writer.transport):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        resets.reset_on_close(writer.transport)
+        writer.transport.abort()
+
+    async with proxy_tests.async_scene(_async_serve) as scene:
+        scene.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await asyncio.sleep(0.3)
+        received = await _async_read(scene.caller, len(response))
+        assert received == response
+        with pytest.raises(ConnectionResetError):
+            await asyncio.get_running_loop().sock_recv(scene.caller, 1)
