--- a/tamarackbridge/components/gateway/response_stream.py
+++ b/tamarackbridge/components/gateway/response_stream.py
@@ -11,12 +11,25 @@
 
 from tamarackbridge.components.gateway import (
     exceptions,
+    forward,
     jobs,
     models,
     relay,
 )
-from tamarackbridge.helpers import message_framing, unmarked_response
+from tamarackbridge.helpers import (
+    message_framing,
+    resets,
+    unmarked_response,
+)
+
+TAKE_EVENTS_CHECK_S = 0.02
+"""Time between two checks whether a caller has taken all events."""
+
+TAKE_EVENTS_CHECKS = 50
+"""Number of checks before the events left are discarded: a second in all, many
+times what the way to a caller takes."""
 
+_UNCONFIRMED = forward.AttemptEnd.UNCONFIRMED
 _CLOSE_EVENTS = select.POLLRDHUP
 """poll() always reports POLLERR and POLLHUP, so they need not be requested."""
 
@@ -78,6 +91,30 @@
         """Returns whether the response may end without a mark."""
         return self.response is None or self.is_unmarked
 
+    def ends_unmarked(self, attempt: forward.Attempt) -> bool:
+        """Returns whether nothing marks the end of a response to the caller.
+
+        Args:
+            attempt: Attempt whose end is that of the response, which may not
+                have begun yet.
+        """
+        if self.response is not None:
+            return self.is_unmarked
+        # Other plain bodies get a length.
+        is_passed_on = attempt.streamed or attempt.end is _UNCONFIRMED
+        return (
+            is_passed_on
+            and attempt.framing is not None
+            and self._would_be_unmarked(attempt.framing)
+        )
+
+    def _would_be_unmarked(self, framing: message_framing.Framing) -> bool:
+        # HTTP/1.0 has no chunks.
+        return (
+            framing is message_framing.Framing.CLOSE
+            or self._req.version < aiohttp.HttpVersion11
+        )
+
     def set_placement(self, placement: jobs.Permit) -> None:
         """Sets the placement to which server activity is reported from now."""
         self._placement = placement
@@ -175,14 +212,33 @@
         if self._req.transport is not None:
             self._req.transport.abort()
 
+    async def async_abort(self, may_be_whole: bool) -> None:
+        """Aborts the connection as `abort` does.
+
+        Args:
+            may_be_whole: Whether the caller is given time to take all events:
+                a reset discards those that are on their way.
+        """
+        try:
+            for _ in range(TAKE_EVENTS_CHECKS if may_be_whole else 0):
+                if not self._has_unsent():
+                    break
+                await asyncio.sleep(TAKE_EVENTS_CHECK_S)
+        finally:
+            self.abort()
+
+    def _has_unsent(self) -> bool:
+        transport = self._req.transport
+        return (
+            transport is not None
+            and not has_left(self._req)
+            and resets.has_unsent(transport)
+        )
+
     async def _async_begin(
         self, head: models.ResponseHead, framing: message_framing.Framing
     ) -> None:
-        # HTTP/1.0 has no chunks.
-        self.is_unmarked = (
-            framing is message_framing.Framing.CLOSE
-            or self._req.version < aiohttp.HttpVersion11
-        )
+        self.is_unmarked = self._would_be_unmarked(framing)
         kind = (
             unmarked_response.UnmarkedResponse
             if self.is_unmarked
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -148,6 +148,7 @@
                 raise
             if isinstance(admitted, result.Err):
                 rejection = admitted.err_value
+                _end_time_limit(run)
                 return await self._async_give_up(
                     job, stream, progress, rejection, rejection.reason.value
                 )
@@ -180,6 +181,7 @@
                 self._log.record_response(
                     job, stream, attempt, server, progress.attempts
                 )
+                _end_time_limit(run)
                 return await self._async_respond(stream, attempt)
             progress.record_attempt(job, attempt, server)
             progress.denial = self._retries.denial(
@@ -191,6 +193,7 @@
                     self._limit_confirmation(run, events)
                 attempt.drop_body()
                 continue
+            _end_time_limit(run)
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
             attempt.drop_body()
@@ -257,10 +260,11 @@
         new connections may be full. Nor does a refusal by a server that shuts
         down, as it finishes its responses after it has stopped listening.
         """
-        if attempt.end is _End.UNCONFIRMED and not _shuts_down(attempt):
+        if attempt.may_end_by_crash and not _shuts_down(attempt):
             check = await self._forwarder.async_check_connection(address)
             if check is servers.ConnectionCheck.REFUSED:
                 attempt.end = _End.LOST
+                attempt.is_unmarked_and_empty = False
                 attempt.detail = "unmarked response ended, server is gone"
         outcome = attempt_progress.outcome(attempt)
         if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
@@ -320,7 +324,7 @@
                 reason,
             )
             return await self._async_respond(stream, unconfirmed.attempt)
-        return self._reject_or_cut(
+        return await self._async_reject_or_cut(
             job,
             stream,
             progress,
@@ -328,7 +332,7 @@
             "" if unconfirmed is None else reason,
         )
 
-    def _reject_or_cut(
+    async def _async_reject_or_cut(
         self,
         job: jobs.Job,
         stream: response_stream.ResponseStream,
@@ -347,7 +351,7 @@
                 stream,
                 unconfirmed,
             )
-            stream.abort()
+            await stream.async_abort(may_be_whole=unconfirmed != "")
             raise exceptions.ResponseAbortedError(by)
         rejection = self._final_rejection(job, progress, rejection)
         self._log.record_rejection(
@@ -379,6 +383,12 @@
         return rejections.Rejection(_Reason.SERVER_REJECTED, retry_after_s)
 
 
+def _end_time_limit(run: _Run) -> None:
+    """Ends the limit for a confirmation: only the caller is waited for now."""
+    if not run.time_limit.expired():
+        run.time_limit.reschedule(None)
+
+
 def _is_crash_suspect(job: jobs.Job, attempt: forward.Attempt) -> bool:
     """Returns whether a lost request may have crashed its server.
 
