--- a/tamarackbridge/components/gateway/offload_proxy.py
+++ b/tamarackbridge/components/gateway/offload_proxy.py
@@ -49,6 +49,10 @@
 LIMIT_CHECK_S = 0.1
 """Interval at which the time limits of all connections are checked."""
 
+TAKE_EVENTS_S = 1.0
+"""Time without progress in which a caller takes what came before the reset of
+the peer; a reset discards what is on its way."""
+
 CHUNK_BYTES = 65_536
 
 _CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -114,6 +118,8 @@
         has_response: Whether the peer sent any byte of a response.
         has_body: Whether the response body has begun; assumed once received
             data does not end with an empty line.
+        left_by_reset: Bytes that the caller had not taken yet when last looked
+            at after the peer's reset; None before that.
         times_out_at: Time at which the present phase times out.
     """
 
@@ -131,6 +137,7 @@
         self.connecting = True
         self.has_response = False
         self.has_body = False
+        self.left_by_reset: int | None = None
         self.times_out_at = now + CONNECT_TIMEOUT_S
 
 
@@ -215,6 +222,8 @@
                 request,
                 End.COMPLETE if _is_peer_done(request) else End.CALLER_LEFT,
             )
+        elif request.left_by_reset is not None:
+            self._await_taken(request, now)
         elif request.unsent_response:
             if caller_events:
                 self._send_to_caller(request, now)
@@ -251,9 +260,10 @@
         except _WOULD_BLOCK:
             return
         except OSError:
-            self._finish(
-                request, End.INCOMPLETE if request.has_response else End.LOST
-            )
+            if not request.has_response:
+                self._finish(request, End.LOST)
+                return
+            self._await_taken(request, now)
             return
         if not data:
             self._finish(
@@ -298,6 +308,17 @@
             group.watch_caller(request, writable=False)
             request.times_out_at = request.offload.deadline + GRACE_S
 
+    def _await_taken(self, request: _ProxiedRequest, now: float) -> None:
+        """Passes the peer's reset on once the caller has taken the rest."""
+        unsent = resets.socket_unsent(request.caller)
+        if request.left_by_reset is None or unsent < request.left_by_reset:
+            request.left_by_reset = unsent
+            request.times_out_at = min(
+                now + TAKE_EVENTS_S, request.offload.deadline + GRACE_S
+            )
+        if not unsent or now >= request.times_out_at:
+            self._finish(request, End.INCOMPLETE)
+
     def _time_out(self, request: _ProxiedRequest) -> None:
         if request.connecting:
             self._finish(request, End.NOT_SENT)
--- a/tamarackbridge/helpers/resets.py
+++ b/tamarackbridge/helpers/resets.py
@@ -47,11 +47,15 @@
     conn = transport.get_extra_info("socket")
     if conn is None or transport.is_closing():
         return False
-    if transport.get_write_buffer_size() > 0:
-        return True
+    return transport.get_write_buffer_size() > 0 or socket_unsent(conn) > 0
+
+
+def socket_unsent(conn: socket.socket) -> int:
+    """Returns how many bytes a reset of a socket would discard."""
     # For a TCP socket this is SIOCOUTQ (tcp(7)).
-    size = fcntl.ioctl(conn.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size))
-    return bool(_QUEUE_SIZE.unpack(size)[0])
+    data = fcntl.ioctl(conn.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size))
+    (unsent,) = _QUEUE_SIZE.unpack(data)
+    return int(unsent)
 
 
 def allow_orderly_close(transport: asyncio.BaseTransport) -> None:
