Count an unmarked event stream of another status as lost

An event stream of status 206, or on a route without streams, is read whole and passed on as a plain answer. Without length and chunks it ended in good order at its caller also if its server had cut it within an event: to the caller it is a stream like any other, and nobody is asked about its end.

Such an answer is lost now, so that it is retried where that is allowed and gets 502 elsewhere. Plain bodies of other types stay as they are (docs/design/stream-ends.md).

--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -338,4 +338,7 @@
         return AttemptEnd.LOST, "connection was reset during the body"
     if resp.status < 300 and not head.sealed:
         return AttemptEnd.LOST, "response has no signature"
+    # To its caller it is a stream, and no other server can confirm its end.
+    if framing is _UNMARKED and resp.content_type == _STREAM_TYPE:
+        return AttemptEnd.LOST, "nothing marks the end of the event stream"
     return _end_of_body(framing), ""
