Let all servers that were asked agree on the end of an unmarked stream

Two servers had to agree, and half of the retry budget pays for that; with one server, or events without numbers, nobody else can be asked at all.

Such a stream ends in order now if no server that was asked disagreed or gave no answer; where none could be asked, the first one's word counts. That is for services that are trusted alone: no mark for ten minutes, no cut for one.

Found beside it, each with its test: one marked stream held for the life of the router, now for ten minutes; streams that time out counted as ends in good order; a stream cut after a failure of the second server was logged as cut by whole.

--- a/tamarackbridge/components/gateway/attempt_progress.py
+++ b/tamarackbridge/components/gateway/attempt_progress.py
@@ -49,14 +49,12 @@
         server: Server of the attempt.
         events: Relay of the stream's events.
         position: Its position there.
-        servers: Number of servers that ended the stream there.
     """
 
     attempt: forward.Attempt
     server: str
     events: relay.EventRelay
     position: int
-    servers: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +69,8 @@
         last: Last attempt without a final response; None if there was none.
         denial: Why that one is not followed by another; None if it is.
         was_cut: Whether any server is known to have cut the stream.
+        was_unanswered: Whether a server was asked about an unmarked end and did
+            not agree.
     """
 
     may_have_run: bool = False
@@ -79,6 +79,7 @@
     last: forward.Attempt | None = None
     denial: RetryDenial | None = None
     was_cut: bool = False
+    was_unanswered: bool = False
     _unconfirmed: UnconfirmedEnd | None = None
 
     def record_attempt(
@@ -102,6 +103,8 @@
             job.attempts += 1
         if attempt.end not in forward.PROVED_NOT_RUN:
             self.may_have_run = True
+        if self._unconfirmed is not None and not _is_end(attempt):
+            self.was_unanswered = True
 
     def record_stream_end(
         self, attempt: forward.Attempt, server: str, events: relay.EventRelay
@@ -120,16 +123,11 @@
         if shows_cut:
             self._unconfirmed = None
         # Nothing but a close where the stream is to go on says that it ends.
-        is_end = attempt.end is _End.UNCONFIRMED or (
-            attempt.is_unmarked_and_empty and events.resume_after != ""
-        )
-        if is_end:
-            earlier = self._unconfirmed
-            self._unconfirmed = (
-                UnconfirmedEnd(attempt, server, events, events.position)
-                if earlier is None
-                else dataclasses.replace(earlier, servers=earlier.servers + 1)
-            )
+        if _is_end(attempt) and (not events.is_empty or events.resume_after):
+            if self._unconfirmed is None:
+                self._unconfirmed = UnconfirmedEnd(
+                    attempt, server, events, events.position
+                )
         elif attempt.end is _End.LOST:
             shows_cut = True
         self.was_cut |= shows_cut
@@ -145,6 +143,11 @@
         return None if self._is_refuted else self._unconfirmed
 
 
+def _is_end(attempt: forward.Attempt) -> bool:
+    """Returns whether a stream ended without a mark and without a cut."""
+    return attempt.end is _End.UNCONFIRMED or attempt.is_unmarked_and_empty
+
+
 def outcome(attempt: forward.Attempt) -> jobs.Outcome:
     """Returns the outcome of an attempt for its server."""
     if attempt.end in forward.WITH_RESPONSE and attempt.is_server_error:
@@ -152,3 +155,9 @@
     if attempt.lacks_room:
         return _Outcome.CANCELLED
     return _OUTCOME_OF_END[attempt.end]
+
+
+def cut_by(last: forward.Attempt) -> str:
+    """Returns for the log what cut a stream off, by its last attempt."""
+    is_failure = last.end in forward.WITH_RESPONSE and last.is_server_error
+    return "failed" if is_failure else last.end.value
--- a/tamarackbridge/components/gateway/end_marks.py
+++ b/tamarackbridge/components/gateway/end_marks.py
@@ -29,19 +29,25 @@
 which no unmarked end is trusted: cuts come in series while servers crash or are
 replaced, and the first ones of a series can't be told."""
 
+MARKED_S = 600.0
+"""Time after a stream with a length or chunks for which its service counts as
+one that marks its streams: longer than servers of another version take to
+replace the last of those before."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Service:
     """How the servers of a service have ended their streams.
 
     Attributes:
-        marks: Whether any stream had a length or chunks.
-        unmarked: Number of streams with neither that ended in good order.
+        marked_at: Time of the last stream with a length or chunks.
+        unmarked: Number of streams with neither since then that ended in good
+            order.
         doubted_at: Time of its first stream, or at which an unmarked one was
             last found to be cut.
     """
 
-    marks: bool = False
+    marked_at: float = -math.inf
     unmarked: int = 0
     doubted_at: float = math.inf
 
@@ -70,7 +76,8 @@
         seen = self._of(service)
         seen.doubted_at = min(seen.doubted_at, now)
         if framing is not message_framing.Framing.CLOSE:
-            seen.marks = True
+            seen.marked_at = now
+            seen.unmarked = 0
         elif shows_cut:
             seen.doubted_at = now
         else:
@@ -78,9 +85,10 @@
 
     def may_trust(self, service: str, now: float) -> bool:
         """Returns whether an unmarked end of a stream counts as its end."""
-        seen = self._of(service)
+        seen = self._services.get(service)
         return (
-            not seen.marks
+            seen is not None
+            and now - seen.marked_at >= MARKED_S
             and seen.unmarked >= MIN_STREAMS
             and now - seen.doubted_at >= DISTRUST_S
         )
@@ -122,6 +130,8 @@
         """
         shows_cut = progress.record_stream_end(attempt, server, events)
         assert attempt.framing is not None
+        if attempt.end is forward.AttemptEnd.TIMED_OUT and not shows_cut:
+            return
         self._marks.record_end(
             job.service.name,
             attempt.framing,
@@ -132,16 +142,14 @@
     def may_be_unmarked(
         self,
         job: jobs.Job,
-        end: attempt_progress.UnconfirmedEnd,
         progress: attempt_progress.Progress,
     ) -> bool:
         """Returns whether an end that nothing confirms counts as the end.
 
-        Where another server can be asked, two have to agree on it.
+        All servers that were asked have to agree on it.
         """
-        may_ask = job.route.is_retryable and job.route.max_attempts > 1
         return (
             not progress.was_cut
-            and end.servers >= (2 if may_ask else 1)
+            and not progress.was_unanswered
             and self._marks.may_trust(job.service.name, self._clock.monotonic())
         )
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -104,9 +104,9 @@
             attempts: Number of attempts, including the last one.
         """
         self._metrics.count_attempt(attempt.end.value, _logged_framing(attempt))
-        self.record_unconfirmed(job, stream, attempt, server, attempts)
+        self.record_answer(job, stream, attempt, server, attempts)
 
-    def record_unconfirmed(
+    def record_answer(
         self,
         job: jobs.Job,
         stream: response_stream.ResponseStream,
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -126,6 +126,7 @@
                 raise
             # A server may run what is being sent.
             run.progress.may_have_run |= run.is_sending
+            run.progress.was_unanswered |= run.is_sending
             return await self._async_give_up(
                 job, stream, run.progress, run.rejection, _OUT_OF_TIME
             )
@@ -313,9 +314,9 @@
         if (
             unconfirmed is not None
             and stream.may_end_unmarked
-            and self._stream_ends.may_be_unmarked(job, unconfirmed, progress)
+            and self._stream_ends.may_be_unmarked(job, progress)
         ):
-            self._log.record_unconfirmed(
+            self._log.record_answer(
                 job,
                 stream,
                 unconfirmed.attempt,
@@ -342,7 +343,7 @@
     ) -> web.StreamResponse:
         if stream.response is not None:
             last = progress.last
-            by = last.end.value if last is not None else "router"
+            by = "router" if last is None else attempt_progress.cut_by(last)
             self._log.record_cut(
                 job.request.request_id,
                 job.route.name,
