Measure what callers are told of unmarked streams' ends

script/measure stream_ends plays 480 ways in which a stream ends, each on a service of its own behind one real router process, and reads the answers from raw sockets: a cut stream told as whole (orderly close or final chunk before the last of 12 events) is one error, a whole stream told as cut the other. On the resumable route each caller of a broken stream resumes it itself. Then 48 streams are cut at once, and 30 reads fail after 60 whole streams, three times each.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,7 +26,14 @@
     """Returns the names of the measurements: modules that are not helpers."""
     folder = pathlib.Path(__file__).parent
     modules = {path.stem for path in folder.glob("*.py")} - HELPER_MODULES
-    helper_prefixes = ("_", "fake_", "fairness_", "one_router_", "slopes_")
+    helper_prefixes = (
+        "_",
+        "fake_",
+        "fairness_",
+        "one_router_",
+        "slopes_",
+        "stream_ends_",
+    )
     return sorted(
         name for name in modules if not name.startswith(helper_prefixes)
     )
--- /dev/null
+++ b/bench/stream_ends.py
@@ -0,0 +1,197 @@
+"""What callers are told of the ends of streams that no server has marked.
+
+Counts both errors on the wire: cut streams that are told as whole, and whole
+streams that are told as cut; what resuming broken streams costs their callers;
+and what confirmations take of the retry budget. Each case has a service of its
+own, so that no case teaches the router anything about another.
+"""
+
+import argparse
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import enum
+import itertools
+import json
+import pathlib
+import time
+
+from bench import (
+    stream_ends_budget,
+    stream_ends_caller,
+    stream_ends_scene,
+    stream_ends_tables,
+)
+from standins import platform_server
+
+OUTPUT = pathlib.Path("build/measure/stream_ends.json")
+CUT_AT = 5
+PRIMERS = 8
+"""Streams that a service sends whole before its case."""
+
+CONCURRENT_CASES = 12
+
+_Ending = stream_ends_scene.Ending
+_Framing = stream_ends_scene.Framing
+_Reply = stream_ends_scene.Reply
+
+
+class Second(enum.Enum):
+    """What the server answers that is to go on."""
+
+    MARKED = "goes on to the end, marked"
+    UNMARKED = "goes on to the end, unmarked"
+    TWO = "goes on for 2 events, closes unmarked"
+    FAIL = "500"
+    NOT_RUN = "503, not run"
+    SILENT = "no answer"
+    EMPTY = "empty, unmarked"
+
+
+_SECOND_REPLIES = {
+    Second.MARKED: _Reply(),
+    Second.UNMARKED: _Reply(_Framing.UNMARKED_11),
+    Second.TWO: _Reply(_Framing.UNMARKED_11, _Ending.BETWEEN, CUT_AT + 2),
+    Second.FAIL: _Reply(status=500),
+    Second.NOT_RUN: _Reply(status=503),
+    Second.SILENT: _Reply(status=0),
+    Second.EMPTY: _Reply(_Framing.UNMARKED_11, _Ending.BETWEEN, 0),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """One way in which a stream ends.
+
+    Attributes:
+        marks: Whether the service otherwise marks its ends.
+        route: `again` if the route is resumable, else `once`.
+        version: HTTP version of the caller.
+        framing: Framing of the first server's stream.
+        ending: Its end.
+        second: Answer to the next request.
+    """
+
+    marks: bool
+    route: str
+    version: str
+    framing: stream_ends_scene.Framing
+    ending: stream_ends_scene.Ending
+    second: Second
+
+    @property
+    def usual(self) -> stream_ends_scene.Reply:
+        """How the service answers when nothing is wrong."""
+        return _Reply(_Framing.CHUNKED if self.marks else _Framing.UNMARKED_11)
+
+
+class _Script:
+    """Answers of one case's servers, in order of the requests."""
+
+    def __init__(self, case: Case) -> None:
+        first = _Reply(case.framing, case.ending, CUT_AT)
+        self._replies = [first, _SECOND_REPLIES[case.second]]
+        self._usual = case.usual
+
+    def __call__(
+        self, seen: platform_server.ReceivedRequest
+    ) -> stream_ends_scene.Reply:
+        is_primer = seen.headers["X-Request-Id"].startswith("primer")
+        if is_primer or not self._replies:
+            return self._usual
+        return self._replies.pop(0)
+
+
+def all_cases() -> list[Case]:
+    """Returns all cases; without a resumption nobody asks a second server."""
+    return [
+        Case(*each)
+        for each in itertools.product(
+            (True, False),
+            ("again", "once"),
+            ("1.1", "1.0"),
+            _Framing,
+            _Ending,
+            Second,
+        )
+        if each[1] == "again" or each[-1] is Second.MARKED
+    ]
+
+
+async def _async_run_case(
+    case: Case, service: stream_ends_scene.Service, address: str
+) -> stream_ends_tables.Outcome:
+    caller = stream_ends_caller.Caller(
+        address, stream_ends_scene.HOST, stream_ends_scene.KEY, case.version
+    )
+    primers = [
+        await caller.async_send(
+            service.path("once"), f"primer-{service.name}-{number}"
+        )
+        for number in range(PRIMERS)
+    ]
+    primed = service.arrivals
+    path, request_id = service.path(case.route), f"case-{service.name}"
+    began = time.monotonic()
+    answer = await caller.async_send(path, request_id)
+    took_s = time.monotonic() - began
+    own = service.arrivals - primed
+    resumption = None
+    if case.route == "again" and not answer.says_whole:
+        resumption = await caller.async_resume(path, request_id, answer)
+    return stream_ends_tables.Outcome(
+        case.marks,
+        case.route,
+        case.version,
+        case.framing.value,
+        case.ending.value,
+        case.second.value,
+        tuple(each.says_whole for each in primers),
+        answer.status,
+        answer.events,
+        answer.end,
+        took_s,
+        own,
+        service.arrivals - primed,
+        resumption,
+    )
+
+
+async def _async_run_cases(
+    cases: Sequence[Case],
+) -> list[stream_ends_tables.Outcome]:
+    services = [
+        stream_ends_scene.Service(f"s{number}", _Script(case))
+        for number, case in enumerate(cases)
+    ]
+    running = asyncio.Semaphore(CONCURRENT_CASES)
+    async with stream_ends_scene.async_router(services) as address:
+
+        async def _async_run(number: int) -> stream_ends_tables.Outcome:
+            async with running:
+                return await _async_run_case(
+                    cases[number], services[number], address
+                )
+
+        return await asyncio.gather(*map(_async_run, range(len(cases))))
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs all cases, prints tables in Markdown and writes the figures."""
+    parser = argparse.ArgumentParser(prog="stream_ends")
+    parser.add_argument("--only", choices=["", "ends", "budget"], default="")
+    args = parser.parse_args(argv)
+    figures: dict[str, object] = {}
+    if args.only != "budget":
+        outcomes = []
+        cases = all_cases()
+        for _, group in itertools.groupby(
+            cases, lambda case: (case.marks, case.route, case.version)
+        ):
+            outcomes += asyncio.run(_async_run_cases(list(group)))
+        figures["ends"] = [each.to_json() for each in outcomes]
+        stream_ends_tables.print_all(outcomes)
+    if args.only != "ends":
+        figures["budget"] = asyncio.run(stream_ends_budget.async_measure())
+    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    OUTPUT.write_text(json.dumps(figures, indent=1), encoding="utf-8")
