--- a/bench/stream_ends.py
+++ b/bench/stream_ends.py
@@ -19,6 +19,7 @@
 from bench import (
     stream_ends_budget,
     stream_ends_caller,
+    stream_ends_outcomes,
     stream_ends_scene,
     stream_ends_tables,
 )
@@ -120,7 +121,7 @@
 
 async def _async_run_case(
     case: Case, service: stream_ends_scene.Service, address: str
-) -> stream_ends_tables.Outcome:
+) -> stream_ends_outcomes.Outcome:
     caller = stream_ends_caller.Caller(
         address, stream_ends_scene.HOST, stream_ends_scene.KEY, case.version
     )
@@ -139,7 +140,7 @@
     resumption = None
     if case.route == "again" and not answer.says_whole:
         resumption = await caller.async_resume(path, request_id, answer)
-    return stream_ends_tables.Outcome(
+    return stream_ends_outcomes.Outcome(
         case.marks,
         case.route,
         case.version,
@@ -159,7 +160,7 @@
 
 async def _async_run_cases(
     cases: Sequence[Case],
-) -> list[stream_ends_tables.Outcome]:
+) -> list[stream_ends_outcomes.Outcome]:
     services = [
         stream_ends_scene.Service(f"s{number}", _Script(case))
         for number, case in enumerate(cases)
@@ -167,7 +168,7 @@
     running = asyncio.Semaphore(CONCURRENT_CASES)
     async with stream_ends_scene.async_router(services) as address:
 
-        async def _async_run(number: int) -> stream_ends_tables.Outcome:
+        async def _async_run(number: int) -> stream_ends_outcomes.Outcome:
             async with running:
                 return await _async_run_case(
                     cases[number], services[number], address
@@ -180,7 +181,13 @@
     """Runs all cases, prints tables in Markdown and writes the figures."""
     parser = argparse.ArgumentParser(prog="stream_ends")
     parser.add_argument("--only", choices=["", "ends", "budget"], default="")
+    parser.add_argument("--before", help="figures of an earlier run")
     args = parser.parse_args(argv)
+    before: list[stream_ends_outcomes.Outcome] = []
+    if args.before:
+        text = pathlib.Path(args.before).read_text(encoding="utf-8")
+        ends = json.loads(text)["ends"]
+        before = [stream_ends_outcomes.from_json(each) for each in ends]
     figures: dict[str, object] = {}
     if args.only != "budget":
         outcomes = []
@@ -190,7 +197,7 @@
         ):
             outcomes += asyncio.run(_async_run_cases(list(group)))
         figures["ends"] = [each.to_json() for each in outcomes]
-        stream_ends_tables.print_all(outcomes)
+        stream_ends_tables.print_all(outcomes, before)
     if args.only != "ends":
         figures["budget"] = asyncio.run(stream_ends_budget.async_measure())
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
--- a/tests/bench/test_stream_ends.py
+++ b/tests/bench/test_stream_ends.py
@@ -1,8 +1,11 @@
 """Tests of what the measurement of streams' ends counts as which error."""
 
+import dataclasses
+import json
+
 import pytest
 
-from bench import stream_ends_caller, stream_ends_tables
+from bench import stream_ends_caller, stream_ends_outcomes
 
 _End = stream_ends_caller.End
 _Verdict = stream_ends_caller.Verdict
@@ -66,7 +69,7 @@
     outcome = _outcome(status=status, events=events, end=end)
     assert outcome.verdict is verdict
     is_cut = verdict in (_Verdict.CUT, _Verdict.CUT_AS_WHOLE)
-    assert stream_ends_tables.count_errors([outcome, outcome]) == (
+    assert stream_ends_outcomes.count_errors([outcome, outcome]) == (
         f"{2 * (verdict is _Verdict.CUT_AS_WHOLE)} of {2 * is_cut}",
         f"{2 * (verdict is _Verdict.WHOLE_AS_CUT)} of {2 * (not is_cut)}",
     )
@@ -76,7 +79,7 @@
     cut = _outcome(events=5, end=_End.CLOSED)
     reset = _outcome(events=5)
     other = _outcome(events=12, version="1.0")
-    merge = stream_ends_tables.merge_cells
+    merge = stream_ends_outcomes.merge_cells
     assert merge([cut, cut]) == "**5 closed**"
     assert merge([cut, other]) == "HTTP/1.1: **5 closed**; HTTP/1.0: _12 reset_"
     assert merge([cut, reset, other]) == (
@@ -84,13 +87,23 @@
     )
 
 
+def test_written_figures_are_read_again() -> None:
+    done = stream_ends_caller.Resumption(1, 12, True, 0.2)
+    for outcome in (
+        _outcome(),
+        dataclasses.replace(_outcome(events=5), resumption=done),
+    ):
+        written = json.loads(json.dumps(outcome.to_json()))
+        assert stream_ends_outcomes.from_json(written) == outcome
+
+
 def _outcome(
     status: int = 200,
     events: int = 12,
     end: stream_ends_caller.End = _End.RESET,
     version: str = "1.1",
-) -> stream_ends_tables.Outcome:
-    return stream_ends_tables.Outcome(
+) -> stream_ends_outcomes.Outcome:
+    return stream_ends_outcomes.Outcome(
         marks=True,
         route="again",
         version=version,
