--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -10,6 +10,7 @@
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
     attempt_progress,
+    end_marks,
     exceptions,
     forward,
     jobs,
@@ -18,15 +19,12 @@
     relay,
     request_log,
     response_stream,
+    retries,
     servers,
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.telemetry import spans
 
-MAX_CONNECT_FAILURES = 3
-"""Failed connection attempts after which a job is rejected. Two unreachable
-servers at once are what the loss of a zone causes."""
-
 REJECTED_RETRY_MIN_S = 0.3
 """Minimum Retry-After when servers rejected the request: one step of a server's
 queue takes this long."""
@@ -35,6 +33,9 @@
 """Time for which another server may leave it open whether a stream goes on.
 Callers abandon a stream after a pause of two seconds at the earliest."""
 
+_OUT_OF_TIME = "time"
+"""Logged if no server confirmed the end of a stream in time."""
+
 _End = forward.AttemptEnd
 _Outcome = jobs.Outcome
 _Reason = rejections.Reason
@@ -74,9 +75,12 @@
         clock: core.Clock,
         is_last: Callable[[], bool],
         log: request_log.RequestLog,
+        stream_ends: end_marks.StreamEndPolicy,
     ) -> None:
         self._log = log
+        self._stream_ends = stream_ends
         self._controller = controller
+        self._retries = retries.RetryPolicy(controller, clock)
         self._forwarder = forwarder
         self._dialect = dialect
         self._clock = clock
@@ -122,7 +126,7 @@
             # A server may run what is being sent.
             run.progress.may_have_run |= run.is_sending
             return await self._async_give_up(
-                job, stream, run.progress, run.rejection
+                job, stream, run.progress, run.rejection, _OUT_OF_TIME
             )
         finally:
             self._runs.discard(run)
@@ -142,8 +146,9 @@
                     self._log.record_left_undecided()
                 raise
             if isinstance(admitted, result.Err):
+                rejection = admitted.err_value
                 return await self._async_give_up(
-                    job, stream, progress, admitted.err_value
+                    job, stream, progress, rejection, rejection.reason.value
                 )
             if response_stream.has_left(req):
                 admitted.ok_value.finish(_Outcome.UNSENT)
@@ -158,6 +163,8 @@
                 )
             run.is_sending = False
             server = admitted.ok_value.server.name
+            if attempt.streamed and events is not None:
+                self._stream_ends.record(job, attempt, server, events, progress)
             if attempt.head is not None and attempt.head.invalid_headers:
                 self._log.record_invalid_headers(
                     server, attempt.head.invalid_headers
@@ -173,18 +180,20 @@
                     job, stream, attempt, server, progress.attempts
                 )
                 return await self._async_respond(stream, attempt)
-            progress.record_attempt(job, attempt, server, events)
-            will_retry = (
-                events is None or events.resumable
-            ) and self._may_retry(job, progress, attempt)
-            self._log.record_attempt_end(job, attempt, server, will_retry)
-            if will_retry:
+            progress.record_attempt(job, attempt, server)
+            progress.denial = self._retries.denial(
+                job, progress, attempt, events
+            )
+            self._log.record_attempt_end(job, attempt, server, progress.denial)
+            if progress.denial is None:
                 if may_go_on and events is not None:
                     self._limit_confirmation(run, events)
                 continue
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
-            return await self._async_give_up(job, stream, progress, None)
+            return await self._async_give_up(
+                job, stream, progress, None, progress.denial.value
+            )
 
     def _limit_confirmation(self, run: _Run, events: relay.EventRelay) -> None:
         """Limits the time in which other servers confirm a stream's end."""
@@ -251,23 +260,6 @@
                 outcome = _Outcome.CRASHED
         return outcome
 
-    def _may_retry(
-        self,
-        job: jobs.Job,
-        progress: attempt_progress.Progress,
-        attempt: forward.Attempt,
-    ) -> bool:
-        """Returns whether a failed job may be sent to another server."""
-        if self._clock.monotonic() >= job.deadline:
-            return False
-        if progress.may_have_run and not job.route.is_retryable:
-            return False
-        if attempt.end is _End.NOT_SENT:
-            return progress.connect_failures < MAX_CONNECT_FAILURES
-        if job.attempts >= job.route.max_attempts:
-            return False
-        return self._controller.take_retry(job)
-
     async def _async_respond(
         self, stream: response_stream.ResponseStream, attempt: forward.Attempt
     ) -> web.StreamResponse:
@@ -292,23 +284,39 @@
         stream: response_stream.ResponseStream,
         progress: attempt_progress.Progress,
         rejection: rejections.Rejection | None,
+        reason: str,
     ) -> web.StreamResponse:
         """Ends a job that is not sent to a server again.
 
-        A stream that may be complete ends without a mark, if it has none;
-        otherwise its caller would take it for complete.
+        Args:
+            job: The job.
+            stream: Stream of its response.
+            progress: Its progress.
+            rejection: Rejection for the caller, if there is one already.
+            reason: Why it is not sent again, for the log.
         """
         unconfirmed = progress.unconfirmed_end()
-        if unconfirmed is not None and stream.may_end_unmarked:
+        if (
+            unconfirmed is not None
+            and stream.may_end_unmarked
+            and self._stream_ends.may_be_unmarked(job, unconfirmed, progress)
+        ):
             self._log.record_unconfirmed(
                 job,
                 stream,
                 unconfirmed.attempt,
                 unconfirmed.server,
                 progress.attempts,
+                reason,
             )
             return await self._async_respond(stream, unconfirmed.attempt)
-        return self._reject_or_cut(job, stream, progress, rejection)
+        return self._reject_or_cut(
+            job,
+            stream,
+            progress,
+            rejection,
+            "" if unconfirmed is None else reason,
+        )
 
     def _reject_or_cut(
         self,
@@ -316,6 +324,7 @@
         stream: response_stream.ResponseStream,
         progress: attempt_progress.Progress,
         rejection: rejections.Rejection | None,
+        unconfirmed: str,
     ) -> web.StreamResponse:
         if stream.response is not None:
             last = progress.last
@@ -325,7 +334,8 @@
                 job.route.name,
                 job.arrived,
                 by,
-                stream.event_count,
+                stream,
+                unconfirmed,
             )
             stream.abort()
             raise exceptions.ResponseAbortedError(by)
