--- a/bench/stream_ends.py
+++ b/bench/stream_ends.py
@@ -18,7 +18,6 @@
 
 from bench import (
     stream_ends_budget,
-    stream_ends_caller,
     stream_ends_outcomes,
     stream_ends_scene,
     stream_ends_tables,
@@ -30,6 +29,13 @@
 PRIMERS = 8
 """Streams that a service sends whole before its case."""
 
+SETTLED_PRIMERS = 2
+"""The same after the time in which a router settles its opinion."""
+
+SETTLE_S = 63.0
+"""Time after the first streams of a service that never marks its ends until its
+case, longer than a router distrusts a service that it has just seen."""
+
 CONCURRENT_CASES = 12
 
 _Ending = stream_ends_scene.Ending
@@ -65,7 +71,9 @@
     """One way in which a stream ends.
 
     Attributes:
-        marks: Whether the service otherwise marks its ends.
+        habit: How the service otherwise ends its streams: `marks` them,
+            `never` marks them, or the same in a `new` router, which has just
+            seen its first streams.
         route: `again` if the route is resumable, else `once`.
         version: HTTP version of the caller.
         framing: Framing of the first server's stream.
@@ -73,7 +81,7 @@
         second: Answer to the next request.
     """
 
-    marks: bool
+    habit: str
     route: str
     version: str
     framing: stream_ends_scene.Framing
@@ -83,7 +91,9 @@
     @property
     def usual(self) -> stream_ends_scene.Reply:
         """How the service answers when nothing is wrong."""
-        return _Reply(_Framing.CHUNKED if self.marks else _Framing.UNMARKED_11)
+        return _Reply(
+            _Framing.CHUNKED if self.habit == "marks" else _Framing.UNMARKED_11
+        )
 
 
 class _Script:
@@ -108,7 +118,7 @@
     return [
         Case(*each)
         for each in itertools.product(
-            (True, False),
+            stream_ends_outcomes.HABITS,
             ("again", "once"),
             ("1.1", "1.0"),
             _Framing,
@@ -119,18 +129,27 @@
     ]
 
 
-async def _async_run_case(
-    case: Case, service: stream_ends_scene.Service, address: str
-) -> stream_ends_outcomes.Outcome:
-    caller = stream_ends_caller.Caller(
-        address, stream_ends_scene.HOST, stream_ends_scene.KEY, case.version
-    )
-    primers = [
+async def _async_prime(
+    service: stream_ends_scene.Service, address: str, streams: int
+) -> list[bool]:
+    """Lets a service send whole streams; returns which were told as whole."""
+    caller = stream_ends_scene.caller(address)
+    answers = [
         await caller.async_send(
-            service.path("once"), f"primer-{service.name}-{number}"
+            service.path("once"), f"primer-{service.name}-{service.arrivals}"
         )
-        for number in range(PRIMERS)
+        for _ in range(streams)
     ]
+    return [each.says_whole for each in answers]
+
+
+async def _async_run_case(
+    case: Case,
+    service: stream_ends_scene.Service,
+    address: str,
+    primers: Sequence[bool],
+) -> stream_ends_outcomes.Outcome:
+    caller = stream_ends_scene.caller(address, case.version)
     primed = service.arrivals
     path, request_id = service.path(case.route), f"case-{service.name}"
     began = time.monotonic()
@@ -141,13 +160,13 @@
     if case.route == "again" and not answer.says_whole:
         resumption = await caller.async_resume(path, request_id, answer)
     return stream_ends_outcomes.Outcome(
-        case.marks,
+        case.habit,
         case.route,
         case.version,
         case.framing.value,
         case.ending.value,
         case.second.value,
-        tuple(each.says_whole for each in primers),
+        tuple(primers),
         answer.status,
         answer.events,
         answer.end,
@@ -159,8 +178,14 @@
 
 
 async def _async_run_cases(
-    cases: Sequence[Case],
+    cases: Sequence[Case], settles: bool
 ) -> list[stream_ends_outcomes.Outcome]:
+    """Runs cases at one router.
+
+    Args:
+        cases: The cases.
+        settles: Whether the router has seen their services for some time.
+    """
     services = [
         stream_ends_scene.Service(f"s{number}", _Script(case))
         for number, case in enumerate(cases)
@@ -168,13 +193,30 @@
     running = asyncio.Semaphore(CONCURRENT_CASES)
     async with stream_ends_scene.async_router(services) as address:
 
+        async def _async_prime_one(number: int, streams: int) -> list[bool]:
+            async with running:
+                return await _async_prime(services[number], address, streams)
+
         async def _async_run(number: int) -> stream_ends_outcomes.Outcome:
             async with running:
                 return await _async_run_case(
-                    cases[number], services[number], address
+                    cases[number], services[number], address, primers[number]
                 )
 
-        return await asyncio.gather(*map(_async_run, range(len(cases))))
+        numbers = range(len(cases))
+        primers = await asyncio.gather(
+            *(_async_prime_one(number, PRIMERS) for number in numbers)
+        )
+        if settles:
+            await asyncio.sleep(SETTLE_S)
+            settled = await asyncio.gather(
+                *(_async_prime_one(each, SETTLED_PRIMERS) for each in numbers)
+            )
+            primers = [
+                first + last
+                for first, last in zip(primers, settled, strict=True)
+            ]
+        return await asyncio.gather(*map(_async_run, numbers))
 
 
 def main(argv: Sequence[str]) -> None:
@@ -192,13 +234,15 @@
     if args.only != "budget":
         outcomes = []
         cases = all_cases()
-        for _, group in itertools.groupby(
-            cases, lambda case: (case.marks, case.route, case.version)
-        ):
-            outcomes += asyncio.run(_async_run_cases(list(group)))
+        for habit in stream_ends_outcomes.HABITS:
+            group = [case for case in cases if case.habit == habit]
+            settles = habit == "never"
+            outcomes += asyncio.run(_async_run_cases(group, settles))
         figures["ends"] = [each.to_json() for each in outcomes]
         stream_ends_tables.print_all(outcomes, before)
     if args.only != "ends":
-        figures["budget"] = asyncio.run(stream_ends_budget.async_measure())
+        figures["budget"] = asyncio.run(
+            stream_ends_budget.async_measure(SETTLE_S)
+        )
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     OUTPUT.write_text(json.dumps(figures, indent=1), encoding="utf-8")
--- a/bench/stream_ends_budget.py
+++ b/bench/stream_ends_budget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 
@@ -87,22 +88,30 @@
         )
 
 
-async def async_measure() -> dict[str, Any]:
-    """Measures bursts and reads; prints their tables, returns the figures."""
+async def async_measure(settle_s: float) -> dict[str, Any]:
+    """Measures bursts and reads; prints their tables, returns the figures.
+
+    Args:
+        settle_s: Time between the first streams of the services and the rest.
+    """
     return {
-        "bursts": await _async_measure_bursts(),
-        "reads": await _async_measure_reads(),
+        "bursts": await _async_measure_bursts(settle_s),
+        "reads": await _async_measure_reads(settle_s),
     }
 
 
 async def _async_prime(
-    service: stream_ends_scene.Service, caller: stream_ends_caller.Caller
+    services: Sequence[stream_ends_scene.Service],
+    caller: stream_ends_caller.Caller,
+    settle_s: float,
 ) -> None:
-    for number in range(PRIMERS):
-        await caller.async_send(service.path("once"), f"primer-{number}")
+    for service in services:
+        for number in range(PRIMERS):
+            await caller.async_send(service.path("once"), f"primer-{number}")
+    await asyncio.sleep(settle_s)
 
 
-async def _async_measure_bursts() -> list[dict[str, Any]]:
+async def _async_measure_bursts(settle_s: float) -> list[dict[str, Any]]:
     usuals = [_Framing.CHUNKED, _Framing.UNMARKED_11] * REPEATS
     scripts, services = [], []
     for number, usual in enumerate(usuals):
@@ -114,13 +123,11 @@
         )
     figures = []
     async with stream_ends_scene.async_router(services) as address:
-        caller = stream_ends_caller.Caller(
-            address, stream_ends_scene.HOST, stream_ends_scene.KEY
-        )
+        caller = stream_ends_scene.caller(address)
+        await _async_prime(services, caller, settle_s)
         for usual, script, service in zip(
             usuals, scripts, services, strict=True
         ):
-            await _async_prime(service, caller)
             path = service.path("again")
             names = [f"stream-{number}" for number in range(BURST)]
             primed = service.arrivals
@@ -171,7 +178,7 @@
     return figures
 
 
-async def _async_measure_reads() -> list[dict[str, Any]]:
+async def _async_measure_reads(settle_s: float) -> list[dict[str, Any]]:
     plans = [plan for plan in PLANS for _ in range(REPEATS)]
     scripts = [
         _Script(plan.usual, _Reply(plan.before) if plan.before else None)
@@ -183,11 +190,9 @@
     ]
     figures = []
     async with stream_ends_scene.async_router(services) as address:
-        caller = stream_ends_caller.Caller(
-            address, stream_ends_scene.HOST, stream_ends_scene.KEY
-        )
+        caller = stream_ends_scene.caller(address)
+        await _async_prime(services, caller, settle_s)
         for plan, script, service in zip(plans, scripts, services, strict=True):
-            await _async_prime(service, caller)
             answers = await _async_send_streams(plan, service, caller)
             reads = [
                 await caller.async_send(service.path("read"), f"read-{number}")
--- a/bench/stream_ends_outcomes.py
+++ b/bench/stream_ends_outcomes.py
@@ -7,6 +7,13 @@
 
 from bench import stream_ends_caller
 
+HABITS = {
+    "marks": "marks its ends",
+    "never": "never marks its ends",
+    "new": "never marks its ends, new to the router",
+}
+"""How services end their streams when nothing is wrong."""
+
 _Verdict = stream_ends_caller.Verdict
 
 
@@ -15,7 +22,7 @@
     """What one case came to.
 
     Attributes:
-        marks: Whether the service otherwise marks its ends.
+        habit: How the service otherwise ends its streams, a key of HABITS.
         route: `again` if the route is resumable, else `once`.
         version: HTTP version of the caller.
         framing: Framing of the first server's stream.
@@ -31,7 +38,7 @@
         resumption: What they came to; None if there were none.
     """
 
-    marks: bool
+    habit: str
     route: str
     version: str
     framing: str
--- a/bench/stream_ends_scene.py
+++ b/bench/stream_ends_scene.py
@@ -204,6 +204,11 @@
         ]
 
 
+def caller(address: str, version: str = "1.1") -> stream_ends_caller.Caller:
+    """Returns a caller of a router of `async_router`."""
+    return stream_ends_caller.Caller(address, HOST, KEY, version)
+
+
 async def _async_store(services: list[Service]) -> platform_store.PlatformStore:
     store = platform_store.PlatformStore()
     configuration = {
--- a/bench/stream_ends_tables.py
+++ b/bench/stream_ends_tables.py
@@ -9,7 +9,7 @@
 _Verdict = stream_ends_caller.Verdict
 _EVENTS = stream_ends_caller.EVENTS
 _Outcomes: TypeAlias = Sequence[stream_ends_outcomes.Outcome]
-_HABITS = {True: "marks its ends", False: "never marks its ends"}
+_HABITS = stream_ends_outcomes.HABITS
 _ROUTES = {"again": "resumable", "once": "not resumable"}
 
 
@@ -40,12 +40,12 @@
     print("events)" + (", before -> now" if before else ""))
     print()
     count = stream_ends_outcomes.count_errors
-    names = ("marks", "route", "framing_group", "version")
+    names = ("habit", "route", "framing_group", "version")
     earlier = stream_ends_outcomes.group(before, *names)
     rows = []
     for key, found in stream_ends_outcomes.group(outcomes, *names).items():
-        marks, route, framing, version = key
-        first = (_HABITS[marks], _ROUTES[route], framing, version)
+        habit, route, framing, version = key
+        first = (_HABITS[habit], _ROUTES[route], framing, version)
         counts = map(_change, count(earlier.get(key, [])), count(found))
         rows.append((*first, *counts))
     total = map(_change, count(before), count(outcomes))
@@ -80,7 +80,7 @@
 
 
 def _print_cells(outcomes: _Outcomes, before: _Outcomes) -> None:
-    earlier = stream_ends_outcomes.group(before, "route", "marks")
+    earlier = stream_ends_outcomes.group(before, "route", "habit")
     for (route,), of_route in stream_ends_outcomes.group(
         outcomes, "route"
     ).items():
@@ -88,10 +88,10 @@
         names = [second for (second,) in seconds]
         if route == "once":
             names = ["caller sees"]
-        habits = stream_ends_outcomes.group(of_route, "marks")
+        habits = stream_ends_outcomes.group(of_route, "habit")
         tables = {
-            _HABITS[marks]: _cell_rows(found, earlier.get((route, marks), []))
-            for (marks,), found in habits.items()
+            _HABITS[habit]: _cell_rows(found, earlier.get((route, habit), []))
+            for (habit,), found in habits.items()
         }
         if len({str(rows) for rows in tables.values()}) == 1:
             tables = {" or ".join(tables): next(iter(tables.values()))}
@@ -121,15 +121,15 @@
     print()
     rows = []
     resumable = [each for each in outcomes if each.route == "again"]
-    for (marks, framing, ending), found in stream_ends_outcomes.group(
-        resumable, "marks", "framing_group", "ending"
+    for (habit, framing, ending), found in stream_ends_outcomes.group(
+        resumable, "habit", "framing_group", "ending"
     ).items():
         done = [each.resumption for each in found if each.resumption]
         extra = [each.extra_s for each in done]
         early = sum(each.verdict is _Verdict.CUT_AS_WHOLE for each in found)
         rows.append(
             (
-                _HABITS[marks],
+                _HABITS[habit],
                 framing,
                 ending,
                 len(found),
@@ -164,8 +164,8 @@
     print("Whole streams before each case, not resumable route: told as cut")
     print()
     rows = []
-    for (marks,), found in stream_ends_outcomes.group(
-        outcomes, "marks"
+    for (habit,), found in stream_ends_outcomes.group(
+        outcomes, "habit"
     ).items():
         primers = [each.primers for each in found]
         by_place = [
@@ -173,5 +173,5 @@
             for place in zip(*primers, strict=True)
         ]
         total = sum(len(each) for each in primers)
-        rows.append((_HABITS[marks], f"{sum(by_place)} of {total}", by_place))
+        rows.append((_HABITS[habit], f"{sum(by_place)} of {total}", by_place))
     print_table(("service", "told as cut", "first to last stream"), rows)
--- a/tests/bench/test_stream_ends.py
+++ b/tests/bench/test_stream_ends.py
@@ -104,7 +104,7 @@
     version: str = "1.1",
 ) -> stream_ends_outcomes.Outcome:
     return stream_ends_outcomes.Outcome(
-        marks=True,
+        habit="marks",
         route="again",
         version=version,
         framing="chunked",
