Count refused streams apart; figures before and now

An answer of another status than 200 is neither error and counted as refused. Routers' logs are kept in build/measure/stream_ends.

--- a/bench/stream_ends.py
+++ b/bench/stream_ends.py
@@ -14,6 +14,7 @@
 import itertools
 import json
 import pathlib
+import shutil
 import time
 
 from bench import (
@@ -178,20 +179,20 @@
 
 
 async def _async_run_cases(
-    cases: Sequence[Case], settles: bool
+    habit: str, cases: Sequence[Case]
 ) -> list[stream_ends_outcomes.Outcome]:
     """Runs cases at one router.
 
     Args:
+        habit: How their services otherwise end their streams.
         cases: The cases.
-        settles: Whether the router has seen their services for some time.
     """
     services = [
         stream_ends_scene.Service(f"s{number}", _Script(case))
         for number, case in enumerate(cases)
     ]
     running = asyncio.Semaphore(CONCURRENT_CASES)
-    async with stream_ends_scene.async_router(services) as address:
+    async with stream_ends_scene.async_router(habit, services) as address:
 
         async def _async_prime_one(number: int, streams: int) -> list[bool]:
             async with running:
@@ -207,7 +208,7 @@
         primers = await asyncio.gather(
             *(_async_prime_one(number, PRIMERS) for number in numbers)
         )
-        if settles:
+        if habit == "never":
             await asyncio.sleep(SETTLE_S)
             settled = await asyncio.gather(
                 *(_async_prime_one(each, SETTLED_PRIMERS) for each in numbers)
@@ -230,19 +231,19 @@
         text = pathlib.Path(args.before).read_text(encoding="utf-8")
         ends = json.loads(text)["ends"]
         before = [stream_ends_outcomes.from_json(each) for each in ends]
+    shutil.rmtree(stream_ends_scene.FOLDER, ignore_errors=True)
+    stream_ends_scene.FOLDER.mkdir(parents=True)
     figures: dict[str, object] = {}
     if args.only != "budget":
         outcomes = []
         cases = all_cases()
         for habit in stream_ends_outcomes.HABITS:
             group = [case for case in cases if case.habit == habit]
-            settles = habit == "never"
-            outcomes += asyncio.run(_async_run_cases(group, settles))
+            outcomes += asyncio.run(_async_run_cases(habit, group))
         figures["ends"] = [each.to_json() for each in outcomes]
         stream_ends_tables.print_all(outcomes, before)
     if args.only != "ends":
         figures["budget"] = asyncio.run(
             stream_ends_budget.async_measure(SETTLE_S)
         )
-    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     OUTPUT.write_text(json.dumps(figures, indent=1), encoding="utf-8")
--- a/bench/stream_ends_budget.py
+++ b/bench/stream_ends_budget.py
@@ -122,7 +122,7 @@
             stream_ends_scene.Service(f"burst{number}", scripts[-1], SERVERS)
         )
     figures = []
-    async with stream_ends_scene.async_router(services) as address:
+    async with stream_ends_scene.async_router("bursts", services) as address:
         caller = stream_ends_scene.caller(address)
         await _async_prime(services, caller, settle_s)
         for usual, script, service in zip(
@@ -142,8 +142,7 @@
                 )
             )
             verdicts = collections.Counter(
-                stream_ends_caller.judge(len(each.events), each.says_whole)
-                for each in answers
+                stream_ends_caller.judge(each) for each in answers
             )
             figures.append(
                 {
@@ -151,9 +150,6 @@
                     if usual is _Framing.CHUNKED
                     else "never marks",
                     "another server asked": script.asked_again("stream"),
-                    "status other than 200": sum(
-                        each.status != 200 for each in answers
-                    ),
                     **{each.value: verdicts[each] for each in _Verdict},
                     "resumed by their callers": len(resumed),
                     "with all events then": sum(
@@ -189,7 +185,7 @@
         for number, script in enumerate(scripts)
     ]
     figures = []
-    async with stream_ends_scene.async_router(services) as address:
+    async with stream_ends_scene.async_router("reads", services) as address:
         caller = stream_ends_scene.caller(address)
         await _async_prime(services, caller, settle_s)
         for plan, script, service in zip(plans, scripts, services, strict=True):
--- a/bench/stream_ends_caller.py
+++ b/bench/stream_ends_caller.py
@@ -46,6 +46,8 @@
     CUT = "cut told as cut"
     CUT_AS_WHOLE = "cut told as whole"
     WHOLE_AS_CUT = "whole told as cut"
+    REFUSED = "refused"
+    """No stream began, so that no end could be told."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,11 +72,13 @@
         return self.status == 200 and self.end in (End.MARKED, End.CLOSED)
 
 
-def judge(received: int, says_whole: bool) -> Verdict:
+def judge(answer: Answer) -> Verdict:
     """Compares what a caller received with what the end told it."""
-    if received == EVENTS:
-        return Verdict.WHOLE if says_whole else Verdict.WHOLE_AS_CUT
-    return Verdict.CUT_AS_WHOLE if says_whole else Verdict.CUT
+    if answer.status != 200:
+        return Verdict.REFUSED
+    if len(set(answer.events)) == EVENTS:
+        return Verdict.WHOLE if answer.says_whole else Verdict.WHOLE_AS_CUT
+    return Verdict.CUT_AS_WHOLE if answer.says_whole else Verdict.CUT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bench/stream_ends_outcomes.py
+++ b/bench/stream_ends_outcomes.py
@@ -53,16 +53,12 @@
     requests_resumed: int
     resumption: stream_ends_caller.Resumption | None
 
-    @property
-    def says_whole(self) -> bool:
-        """Whether the caller takes the answer for a whole stream."""
-        answer = stream_ends_caller.Answer(self.status, self.events, self.end)
-        return answer.says_whole
-
     @property
     def verdict(self) -> stream_ends_caller.Verdict:
         """What the end told the caller, and whether it was true."""
-        return stream_ends_caller.judge(len(set(self.events)), self.says_whole)
+        return stream_ends_caller.judge(
+            stream_ends_caller.Answer(self.status, self.events, self.end)
+        )
 
     @property
     def cell(self) -> str:
@@ -124,12 +120,16 @@
     return "; ".join(parts)
 
 
-def count_errors(outcomes: Sequence[Outcome]) -> tuple[str, str]:
-    """Returns how many cut streams were told as whole, and the reverse."""
+def count_errors(outcomes: Sequence[Outcome]) -> tuple[str, str, str]:
+    """Returns how many cut streams were told as whole, and the reverse.
+
+    The third entry is the number of streams that were refused.
+    """
     verdicts = collections.Counter(each.verdict for each in outcomes)
     cut = verdicts[_Verdict.CUT] + verdicts[_Verdict.CUT_AS_WHOLE]
     whole = verdicts[_Verdict.WHOLE] + verdicts[_Verdict.WHOLE_AS_CUT]
     return (
         f"{verdicts[_Verdict.CUT_AS_WHOLE]} of {cut}",
         f"{verdicts[_Verdict.WHOLE_AS_CUT]} of {whole}",
+        str(verdicts[_Verdict.REFUSED]),
     )
--- a/bench/stream_ends_scene.py
+++ b/bench/stream_ends_scene.py
@@ -7,7 +7,6 @@
 import enum
 import pathlib
 import socket
-import tempfile
 from typing import Any
 
 import aiohttp
@@ -16,6 +15,9 @@
 from soak import programs
 from standins import platform_server, platform_store
 
+FOLDER = pathlib.Path("build/measure/stream_ends")
+"""Settings and logs of the routers."""
+
 HOST = "a.example"
 KEY = "key-1"
 READY_S = 30.0
@@ -237,17 +239,25 @@
 
 
 @contextlib.asynccontextmanager
-async def async_router(services: list[Service]) -> AsyncIterator[str]:
-    """Runs a router process for services; yields its address for callers."""
+async def async_router(
+    name: str, services: list[Service]
+) -> AsyncIterator[str]:
+    """Runs a router process for services; yields its address for callers.
+
+    Its log is kept in FOLDER, which exists.
+
+    Args:
+        name: Name of the router.
+        services: The services.
+    """
     async with contextlib.AsyncExitStack() as stack:
         for service in services:
             for server in service.servers:
                 await stack.enter_async_context(server)
         store = await _async_store(services)
         await stack.enter_async_context(store)
-        folder = stack.enter_context(tempfile.TemporaryDirectory())
         router = programs.RouterProcess(
-            "vm-1", "z1", store.address, pathlib.Path(folder)
+            f"vm-{name}", "z1", store.address, FOLDER
         )
         stack.push_async_callback(router.async_close)
         router.write_settings([])
--- a/bench/stream_ends_tables.py
+++ b/bench/stream_ends_tables.py
@@ -51,7 +51,8 @@
     total = map(_change, count(before), count(outcomes))
     rows.append(("all", "", "", "", *total))
     head = ("service", "route", "first server", "caller HTTP")
-    print_table((*head, "cut told as whole", "whole told as cut"), rows)
+    errors = ("cut told as whole", "whole told as cut", "refused")
+    print_table((*head, *errors), rows)
 
 
 def _change(before: str, now: str) -> str:
--- a/tests/bench/test_stream_ends.py
+++ b/tests/bench/test_stream_ends.py
@@ -57,10 +57,12 @@
         (200, 11, _End.CLOSED, _Verdict.CUT_AS_WHOLE),
         (200, 11, _End.RESET, _Verdict.CUT),
         (200, 0, _End.SILENT, _Verdict.CUT),
-        (502, 0, _End.MARKED, _Verdict.CUT),
+        (200, 0, _End.CLOSED, _Verdict.CUT_AS_WHOLE),
+        (502, 0, _End.MARKED, _Verdict.REFUSED),
+        (503, 12, _End.RESET, _Verdict.REFUSED),
     ],
 )
-def test_each_answer_counts_as_one_of_four(
+def test_each_answer_counts_as_one_of_five(
     status: int,
     events: int,
     end: stream_ends_caller.End,
@@ -69,9 +71,11 @@
     outcome = _outcome(status=status, events=events, end=end)
     assert outcome.verdict is verdict
     is_cut = verdict in (_Verdict.CUT, _Verdict.CUT_AS_WHOLE)
+    is_whole = verdict in (_Verdict.WHOLE, _Verdict.WHOLE_AS_CUT)
     assert stream_ends_outcomes.count_errors([outcome, outcome]) == (
         f"{2 * (verdict is _Verdict.CUT_AS_WHOLE)} of {2 * is_cut}",
-        f"{2 * (verdict is _Verdict.WHOLE_AS_CUT)} of {2 * (not is_cut)}",
+        f"{2 * (verdict is _Verdict.WHOLE_AS_CUT)} of {2 * is_whole}",
+        str(2 * (verdict is _Verdict.REFUSED)),
     )
 
 
