--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -24,6 +24,7 @@
 )
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.telemetry import spans
+from tamarackbridge.helpers import held_response
 
 REJECTED_RETRY_MIN_S = 0.3
 """Minimum Retry-After when servers rejected the request: one step of a server's
@@ -147,6 +148,7 @@
                 raise
             if isinstance(admitted, result.Err):
                 rejection = admitted.err_value
+                _end_time_limit(run)
                 return await self._async_give_up(
                     job, stream, progress, rejection, rejection.reason.value
                 )
@@ -179,6 +181,7 @@
                 self._log.record_response(
                     job, stream, attempt, server, progress.attempts
                 )
+                _end_time_limit(run)
                 return await self._async_respond(stream, attempt)
             progress.record_attempt(job, attempt, server)
             progress.denial = self._retries.denial(
@@ -188,9 +191,12 @@
             if progress.denial is None:
                 if may_go_on and events is not None:
                     self._limit_confirmation(run, events)
+                attempt.drop_body()
                 continue
+            _end_time_limit(run)
             if has_response and not may_go_on:
                 return await self._async_respond(stream, attempt)
+            attempt.drop_body()
             return await self._async_give_up(
                 job, stream, progress, None, progress.denial.value
             )
@@ -231,7 +237,13 @@
         outcome = _Outcome.CANCELLED
         try:
             attempt = await self._forwarder.async_send(params)
-            outcome = await self._async_outcome(job, attempt, params.address)
+            try:
+                outcome = await self._async_outcome(
+                    job, attempt, params.address
+                )
+            except BaseException:
+                attempt.drop_body()
+                raise
             attempt_span.set("end", attempt.end.value)
         finally:
             permit.finish(outcome)
@@ -248,10 +260,11 @@
         new connections may be full. Nor does a refusal by a server that shuts
         down, as it finishes its responses after it has stopped listening.
         """
-        if attempt.end is _End.UNCONFIRMED and not _shuts_down(attempt):
+        if attempt.may_end_by_crash and not _shuts_down(attempt):
             check = await self._forwarder.async_check_connection(address)
             if check is servers.ConnectionCheck.REFUSED:
                 attempt.end = _End.LOST
+                attempt.is_unmarked_and_empty = False
                 attempt.detail = "unmarked response ended, server is gone"
         outcome = attempt_progress.outcome(attempt)
         if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
@@ -266,16 +279,17 @@
         head, framing = attempt.head, attempt.framing
         assert head is not None
         assert framing is not None
-        if stream.response is not None or attempt.streamed:
-            return await stream.async_end(head, framing)
-        if attempt.end is _End.UNCONFIRMED:
-            return await stream.async_end(head, framing, attempt.body)
-        if not attempt.body and head.status == 200 and _is_stream(head):
-            return await stream.async_end(head, framing)
+        is_empty = not attempt.body and head.status == 200 and _is_stream(head)
+        if attempt.streamed or is_empty or attempt.end is _End.UNCONFIRMED:
+            try:
+                return await stream.async_end(head, framing, attempt.body)
+            finally:
+                attempt.drop_body()
         resp = web.Response(status=head.status, body=attempt.body)
         resp.headers.popall("Content-Type", None)
         for name, value in head.headers:
             resp.headers.add(name, value)
+        held_response.hold(resp, attempt.reservation)
         return resp
 
     async def _async_give_up(
@@ -310,7 +324,7 @@
                 reason,
             )
             return await self._async_respond(stream, unconfirmed.attempt)
-        return self._reject_or_cut(
+        return await self._async_reject_or_cut(
             job,
             stream,
             progress,
@@ -318,7 +332,7 @@
             "" if unconfirmed is None else reason,
         )
 
-    def _reject_or_cut(
+    async def _async_reject_or_cut(
         self,
         job: jobs.Job,
         stream: response_stream.ResponseStream,
@@ -337,7 +351,7 @@
                 stream,
                 unconfirmed,
             )
-            stream.abort()
+            await stream.async_abort(may_be_whole=unconfirmed != "")
             raise exceptions.ResponseAbortedError(by)
         rejection = self._final_rejection(job, progress, rejection)
         self._log.record_rejection(
@@ -369,6 +383,12 @@
         return rejections.Rejection(_Reason.SERVER_REJECTED, retry_after_s)
 
 
+def _end_time_limit(run: _Run) -> None:
+    """Ends the limit for a confirmation: only the caller is waited for now."""
+    if not run.time_limit.expired():
+        run.time_limit.reschedule(None)
+
+
 def _is_crash_suspect(job: jobs.Job, attempt: forward.Attempt) -> bool:
     """Returns whether a lost request may have crashed its server.
 
--- a/tests/components/gateway/raw_caller.py
+++ b/tests/components/gateway/raw_caller.py
@@ -53,6 +53,7 @@
     request_id: str = "q1",
     resume_after: str = "",
     begun: asyncio.Event | None = None,
+    may_read: asyncio.Event | None = None,
 ) -> Answer:
     """Sends a request over a connection of its own and reads the answer.
 
@@ -66,6 +67,8 @@
         request_id: Its identifier.
         resume_after: ID of the last event that the caller has; empty if none.
         begun: Set once the answer has a body.
+        may_read: Until it is set, the caller reads nothing, and its kernel
+            takes a few KB.
     """
     loop = asyncio.get_running_loop()
     resumed = f"Last-Event-Id: {resume_after}\r\n" if resume_after else ""
@@ -76,9 +79,13 @@
     )
     with socket.socket() as sock:
         sock.setblocking(False)
+        if may_read is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         address = env.cfg.callers
         await loop.sock_connect(sock, (address.host, address.port))
         await loop.sock_sendall(sock, request.encode())
+        if may_read is not None:
+            await may_read.wait()
         received = b""
         while True:
             try:
