--- a/tamarackbridge/components/admission/retry_budget.py
+++ b/tamarackbridge/components/admission/retry_budget.py
@@ -62,9 +62,8 @@
         """
         use = self._current(service, now)
         bounds = self._bounds
-        budget = bounds.retry_ratio * len(
-            use.requests
-        ) + bounds.retry_slack / max(routers, 1)
+        budget = bounds.retry_ratio * len(use.requests)
+        budget += bounds.retry_slack / max(routers, 1)
         allowed = fraction * SPENT_FRACTION * budget
         if len(use.retries) + 1 > allowed + use.rounding:
             return False
