--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -98,7 +98,13 @@
 
     @property
     def may_end_by_crash(self) -> bool:
-        """Returns whether a crash of the server would have looked the same."""
+        """Returns whether a crash of the server would have looked the same.
+
+        A server that shuts down ends its responses after it has stopped
+        listening, so that a new connection does not tell.
+        """
+        if self.head is not None and self.head.announces_shutdown:
+            return False
         return self.end is AttemptEnd.UNCONFIRMED or self.is_unmarked_and_empty
 
     @property
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -142,6 +142,14 @@
     invalid_headers: tuple[str, ...] = ()
     has_request_id: bool = True
 
+    @property
+    def begins_stream(self) -> bool:
+        """Returns whether a stream of events follows."""
+        return self.status == 200 and any(
+            name.lower() == "content-type" and "event-stream" in value
+            for name, value in self.headers
+        )
+
     @property
     def closed_s(self) -> float:
         """Time for which the server asks for no requests; 0 if none."""
--- a/tamarackbridge/components/gateway/runner.py
+++ b/tamarackbridge/components/gateway/runner.py
@@ -261,7 +261,7 @@
         new connections may be full. Nor does a refusal by a server that shuts
         down, as it finishes its responses after it has stopped listening.
         """
-        if attempt.may_end_by_crash and not _shuts_down(attempt):
+        if attempt.may_end_by_crash:
             check = await self._forwarder.async_check_connection(address)
             if check is servers.ConnectionCheck.REFUSED:
                 attempt.end = _End.LOST
@@ -280,7 +280,7 @@
         head, framing = attempt.head, attempt.framing
         assert head is not None
         assert framing is not None
-        is_empty = not attempt.body and head.status == 200 and _is_stream(head)
+        is_empty = not attempt.body and head.begins_stream
         if attempt.streamed or is_empty or attempt.end is _End.UNCONFIRMED:
             try:
                 return await stream.async_end(head, framing, attempt.body)
@@ -396,14 +396,3 @@
     Only what it shares with other requests can be held against those.
     """
     return len(job.request.prompt_blocks) > 1 and attempt.events <= 1
-
-
-def _shuts_down(attempt: forward.Attempt) -> bool:
-    return attempt.head is not None and attempt.head.announces_shutdown
-
-
-def _is_stream(head: models.ResponseHead) -> bool:
-    return any(
-        name.lower() == "content-type" and "event-stream" in value
-        for name, value in head.headers
-    )
