--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -31,6 +31,7 @@
         "fake_",
         "fairness_",
         "one_router_",
+        "planned_stops_",
         "slopes_",
         "stream_ends_",
     )
