Log when a request came that a shutdown cuts off, and how late a signal was seen

Nothing told apart a request that was taken too late, one that was taken in time by a router that had noticed its signal late, and one that came at the end of a stop that was over early: `Cut` by shutdown had no time, and the last of the three was logged as left by its caller. Now `Cut` says how long after the signal the request had come, `Draining` how late the stop began, and whatever is cut once the services stop says so. No decision changes.

--- a/tamarackbridge/components/gateway/drain.py
+++ b/tamarackbridge/components/gateway/drain.py
@@ -66,6 +66,7 @@
     clock: core.Clock,
     shutdown_s: float,
     deregister: Deregister,
+    signalled_at: float,
 ) -> None:
     """Stops accepting requests and waits for those in flight.
 
@@ -74,10 +75,13 @@
         clock: Clock for the steps of the shutdown.
         shutdown_s: Time after which the process would be killed.
         deregister: Removes this router from the list of routers in the store.
+        signalled_at: Time of the signal.
     """
-    schedule = shutdown.begin(clock.monotonic(), shutdown_s)
+    now = clock.monotonic()
+    schedule = shutdown.begin(now, shutdown_s)
     gateway.shutdown = schedule
-    events.write(events.Draining(gateway.in_flight))
+    late_s = round(now - signalled_at, 4)
+    events.write(events.Draining(gateway.in_flight, late_s))
     deregistration = asyncio.create_task(deregister())
     remaining_s = max(schedule.answer_by - clock.monotonic(), 0.0)
     await asyncio.sleep(min(BALANCER_NOTICE_S, remaining_s))
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -246,6 +246,7 @@
         stream: response_stream.ResponseStream | None = None,
         unconfirmed: str = "",
         instance: str = "",
+        after_signal_s: float | None = None,
     ) -> None:
         """Records a response that was aborted.
 
@@ -258,6 +259,8 @@
             unconfirmed: Why no other server confirmed its unmarked end; empty
                 if that is not what cut it off.
             instance: What is known about the server of such an end.
+            after_signal_s: Time from the signal of the shutdown that cut it
+                off to its arrival; None if no shutdown did.
         """
         self._metrics.count_cut(by)
         seconds = self._clock.monotonic() - arrived
@@ -271,6 +274,7 @@
                 unconfirmed=unconfirmed,
                 instance=instance,
                 seconds=round(seconds, 4),
+                after_signal_s=after_signal_s,
             )
         )
 
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -104,6 +104,7 @@
         self._tracer = tracer
         self._open_requests = 0
         self.shutdown: shutdown.ShutdownSchedule | None = None
+        self._is_stopping = False
         self.port = port
         self.connections = connection.CallerCounts()
         self._host = host
@@ -188,6 +189,7 @@
         a late router may be cut short, and the next services close the
         connections to servers.
         """
+        self._is_stopping = True
         self.close_listener()
         if self._offload_proxy is not None:
             self._offload_proxy.close()
@@ -373,9 +375,14 @@
     def _log_unfinished(self, request: models.Request, arrived: float) -> None:
         """Logs a request that ended before its response was complete."""
         route = self._validator.route_name(request)
-        now = self._clock.monotonic()
-        if self.shutdown is not None and now >= self.shutdown.end:
-            self._log.record_cut(request.request_id, route, arrived, "shutdown")
+        if self.shutdown is not None and self._is_stopping:
+            self._log.record_cut(
+                request.request_id,
+                route,
+                arrived,
+                "shutdown",
+                after_signal_s=round(arrived - self.shutdown.started, 4),
+            )
         else:
             self._log.record_caller_left(request.request_id, route, arrived)
 
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -23,9 +23,13 @@
 
 
 class Draining(Event, frozen=True):
-    """The router drains after a signal; `held` requests are in flight."""
+    """The router drains after a signal; `held` requests are in flight.
+
+    `late_s` is the time from the signal to the start of the shutdown.
+    """
 
     held: int
+    late_s: float
 
 
 class Stopped(Event, frozen=True):
@@ -468,7 +472,9 @@
     """An answer was cut off, so that the caller sees that it is incomplete.
 
     `by` is the cause, and `events` the number of events passed on before.
-    `unmarked`, `unconfirmed` and `instance` are as in `Answered`.
+    `unmarked`, `unconfirmed` and `instance` are as in `Answered`. If a shutdown
+    cut it off, `after_signal_s` is the time from the shutdown's signal to the
+    arrival of the request, below 0 if it came before; else None.
     """
 
     request: str
@@ -479,6 +485,7 @@
     unconfirmed: str
     instance: str
     seconds: float
+    after_signal_s: float | None
 
 
 class ServerLimited(Event, frozen=True):
--- a/tamarackbridge/helpers/loop_signals.py
+++ b/tamarackbridge/helpers/loop_signals.py
@@ -15,12 +15,23 @@
     loop: asyncio.AbstractEventLoop,
     number: signal.Signals,
     callback: Callable[[], object],
+    on_arrival: Callable[[], object] | None = None,
 ) -> None:
-    """Calls back in a loop on a signal; ignores it once the loop is closed."""
+    """Calls back in a loop on a signal; ignores it once the loop is closed.
+
+    Args:
+        loop: The loop.
+        number: The signal.
+        callback: Called by the loop, which may be late.
+        on_arrival: Called at once, wherever the main thread is; it must only
+            record something.
+    """
 
     def on_signal(number: int, frame: types.FrameType | None) -> None:
         del number, frame
         if not loop.is_closed():
+            if on_arrival is not None:
+                on_arrival()
             loop.call_soon_threadsafe(callback)
 
     signal.signal(number, on_signal)
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -95,6 +95,7 @@
         self._tracer = tracer
         self._exit_code = 0
         self._stop = asyncio.Event()
+        self._signalled_at: float | None = None
         self._local_copy_changed = asyncio.Event()
         self._boot = secrets.randbits(BOOT_BITS)
         self._clock = core.SystemClock()
@@ -388,15 +389,20 @@
         """Serves until a signal stops the router; returns the exit code."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop_signals.set_handler(loop, number, self._stop.set)
+            loop_signals.set_handler(
+                loop, number, self._stop.set, self._record_signal
+            )
         loop_signals.set_handler(loop, signal.SIGHUP, self._reload)
         await self.async_start()
         await self._stop.wait()
+        if self._signalled_at is None:  # A service has crashed.
+            self._signalled_at = self._clock.monotonic()
         await drain.async_drain(
             self._gateway,
             self._clock,
             self._cfg.bounds.shutdown_s,
             self._sharing.async_leave,
+            self._signalled_at,
         )
         await self.async_stop()
         return self._exit_code
@@ -422,6 +428,10 @@
         self._admission_controller.update_bounds(cfg.bounds)
         events.write(events.Reloaded(tuple(changed)))
 
+    def _record_signal(self) -> None:
+        if self._signalled_at is None:
+            self._signalled_at = self._clock.monotonic()
+
     def _on_crash(self) -> None:
         self._exit_code = 1
         self._stop.set()
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -236,6 +236,7 @@
             env.router._clock,
             8.0,
             env.router._sharing.async_leave,
+            env.router._clock.monotonic(),
         )
         with pytest.raises(ConnectionRefusedError):
             await _async_connect(env)
--- a/tests/components/gateway/test_offload.py
+++ b/tests/components/gateway/test_offload.py
@@ -212,7 +212,13 @@
             """Does nothing; the test has no list of routers."""
 
         draining = asyncio.create_task(
-            drain.async_drain(gateway, env.router._clock, HIGH, async_leave)
+            drain.async_drain(
+                gateway,
+                env.router._clock,
+                HIGH,
+                async_leave,
+                env.router._clock.monotonic(),
+            )
         )
         done, _ = await asyncio.wait(
             (request, draining), return_when=asyncio.FIRST_COMPLETED
--- a/tests/components/gateway/test_shutdown.py
+++ b/tests/components/gateway/test_shutdown.py
@@ -92,7 +92,7 @@
         """Does nothing: the router is not in a list."""
 
     monkeypatch.setattr(drain.asyncio, "sleep", async_sleep)
-    await drain.async_drain(listener, clock, 8.0, async_leave)
+    await drain.async_drain(listener, clock, 8.0, async_leave, clock.now)
     assert listener.closed_at is not None
     assert listener.closed_at >= 100.0 + shutdown.ACCEPT_ALL_S + drain.QUIET_S
     assert clock.now < 100.0 + 8.0
@@ -106,7 +106,11 @@
     """Shuts the router down; all requests must be answered before it stops."""
     router = env.router
     await drain.async_drain(
-        router._gateway, router._clock, SHUTDOWN_S, _async_leave
+        router._gateway,
+        router._clock,
+        SHUTDOWN_S,
+        _async_leave,
+        router._clock.monotonic(),
     )
     assert router._gateway.in_flight == 0
     await router.async_stop()
--- a/tests/helpers/test_loop_signals.py
+++ b/tests/helpers/test_loop_signals.py
@@ -10,6 +10,7 @@
 def test_signal_calls_back_and_is_ignored_once_the_loop_is_closed() -> None:
     """The signal's default action would kill the test process."""
     callbacks = []
+    arrivals = []
 
     async def async_main() -> None:
         loop = asyncio.get_running_loop()
@@ -19,8 +20,12 @@
             callbacks.append(asyncio.get_running_loop() is loop)
             called.set()
 
-        loop_signals.set_handler(loop, signal.SIGUSR1, on_signal)
+        loop_signals.set_handler(
+            loop, signal.SIGUSR1, on_signal, lambda: arrivals.append(1)
+        )
         os.kill(os.getpid(), signal.SIGUSR1)
+        assert arrivals == [1]
+        assert callbacks == []
         await called.wait()
 
     before = signal.getsignal(signal.SIGUSR1)
@@ -33,3 +38,4 @@
     finally:
         signal.signal(signal.SIGUSR1, before)
     assert callbacks == [True]
+    assert arrivals == [1]
