--- a/tests/components/gateway/rig.py
+++ b/tests/components/gateway/rig.py
@@ -102,10 +102,18 @@
         registered = self.router._local_copy.servers
         await async_wait_until(lambda: registered[name].server.draining)
 
-    def begin_shutdown(self) -> None:
-        """Puts the router into the first phase of a shutdown."""
-        now = self.router._clock.monotonic()
-        self.router._gateway.shutdown = shutdown.begin(now, 8.0)
+    def begin_shutdown(
+        self, ago_s: float = 0.0, shutdown_s: float = 8.0
+    ) -> None:
+        """Puts the router into the phase of a shutdown that began a while ago.
+
+        Args:
+            ago_s: Time since the signal.
+            shutdown_s: Time from the signal to the end.
+        """
+        signalled_at = self.router._clock.monotonic() - ago_s
+        schedule = shutdown.begin(signalled_at, shutdown_s)
+        self.router._gateway.shutdown = schedule
 
     def set_faults(
         self,
