Refuse late requests at a stopping router unless their own deadline ends them

Callers whose requests a router had taken later than 3 s after its SIGTERM got the beginning of a stream and then a closed connection, as the process ended.

Cause: such a request was taken if an estimate from its announced tokens and its route's pace said that it would end in time. Nothing makes a server keep to it: one that is loaded, short of memory or queues the request takes longer. Class: an estimate taken for a promise.

Why it works: what is taken late now ends by its own deadline before the stop does, whatever its server does. All else gets 503, which says that it has not run, and another router takes it after 0.1 s.

One row of test_shutdown.py asserted the fault, that a late stream of 70 tokens is taken; it and two new rows now assert the refusal, or a deadline in time.

--- a/tamarackbridge/components/gateway/shutdown.py
+++ b/tamarackbridge/components/gateway/shutdown.py
@@ -19,14 +19,6 @@
 """Time at the end of the schedule that is reserved for answering the requests
 that have no answer by then: several round trips to the farthest caller."""
 
-TOKEN_S = 0.012
-"""Time to generate one token on a busy engine, at least; a route may allow
-more."""
-
-START_S = 0.8
-"""Time until a request starts on a server: one to two times the target latency
-of any route."""
-
 RETRY_S = 0.1
 """Retry-After of rejected requests: another router accepts a retry at once."""
 
@@ -49,22 +41,14 @@
         return self.end - ANSWER_MARGIN_S
 
     def accepts(self, job: jobs.Job, now: float) -> bool:
-        """Returns whether a request that arrives now is answered in time.
+        """Returns whether a request that arrives now is accepted.
 
-        It is if its own deadline comes first, or if it has finished by then at
-        the slowest pace that its route allows.
+        A late one is if it ends by its own deadline, whatever its server does.
+        A server's pace is no promise: it may queue or preempt the request.
         """
         if now - self.started <= ACCEPT_ALL_S:
             return True
-        if job.deadline <= self.answer_by:
-            return True
-        tokens = job.request.output_tokens
-        if not tokens:
-            return False
-        token_s = max(
-            TOKEN_S, job.route.target_gap_s / max(job.service.event_tokens, 1)
-        )
-        return now + START_S + token_s * tokens <= self.answer_by
+        return job.deadline <= self.answer_by
 
 
 def begin(now: float, shutdown_s: float) -> ShutdownSchedule:
--- a/tests/components/gateway/test_shutdown.py
+++ b/tests/components/gateway/test_shutdown.py
@@ -34,11 +34,11 @@
         (0.0, 1_120, 12.0, True),
         (2.9, 1_120, 12.0, True),
         (3.1, 1_120, 12.0, False),
-        # The route allows 0.3 s for an event of seven tokens.
-        (3.1, 70, 12.0, True),
-        (3.1, 84, 12.0, False),
+        # However short its stream is, its server may take as long as it has.
+        (3.1, 7, 12.0, False),
+        (3.1, 70, 12.0, False),
+        (3.1, 70, 3.9, True),
         (6.0, 0, 0.8, True),
-        # A server may take as long as the request has.
         (6.0, 0, 12.0, False),
         (6.0, 0, 1.5, False),
         (6.9, 0, 0.8, False),
