Refuse requests once a shutdown has found nothing in flight

A caller whose request came in the last moments of a stop could get a closed connection, though a server had got the request.

Cause: a shutdown that finds nothing in flight closes the idle connections and then stops its services one after the other. A connection on which a request is being received, or waits unread, is not idle; the request that came on it was still accepted if its own deadline lay within the shutdown's time, forwarded, and cut as the services stopped. Class: a check whose result is used after what it checked may have changed.

Evidence: test_request_after_the_end_of_a_shutdown_is_not_forwarded got 200 from a router whose shutdown had returned; it gets 503 now and the server sees nothing. That it happened to the users is not shown: the moment is some milliseconds long.

Why it works: the schedule is marked as over in the same step in which nothing was in flight, and from then on nothing is accepted, so nothing can be in flight at a server when the services stop, but what the shutdown's time has run out for.

--- a/tamarackbridge/components/gateway/drain.py
+++ b/tamarackbridge/components/gateway/drain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import dataclasses
 from typing import Any, Protocol
 
 from tamarackbridge import core
@@ -92,6 +93,7 @@
     await _async_wait_until_idle(
         gateway, clock, schedule.started, schedule.answer_by
     )
+    gateway.shutdown = dataclasses.replace(schedule, is_over=True)
     gateway.answer_unanswered()
     await _async_wait_until_idle(gateway, clock, schedule.started, schedule.end)
     gateway.close_idle()
--- a/tamarackbridge/components/gateway/shutdown.py
+++ b/tamarackbridge/components/gateway/shutdown.py
@@ -34,10 +34,13 @@
     Attributes:
         started: Time of the signal.
         end: Deadline for the requests in flight.
+        is_over: Whether the services may stop at any moment, so that nothing
+            is accepted any more.
     """
 
     started: float
     end: float
+    is_over: bool = False
 
     @property
     def answer_by(self) -> float:
@@ -50,6 +53,8 @@
         A late one is if it ends by its own deadline, whatever its server does.
         A server's pace is no promise: it may queue or preempt the request.
         """
+        if self.is_over:
+            return False
         if now - self.started <= ACCEPT_ALL_S:
             return True
         return job.deadline <= self.answer_by
