Believe a server that accepts connections and closes them to be alive

Callers on routes that may run once, or where no other server could be asked, got whole unmarked streams and then a reset if the server had as many connections as it takes.

Cause: whether the process that closed a stream still lives is asked on a connection of its own, and a full server resets that. One reset counted as no answer, and no answer as a dead process.

Evidence: test_server_without_room_for_connections_is_believed, with a server that resets one connection, and one that resets each: reset before (instance no_answer), whole now. Servers limit their connections, and more so while their queues are long, which is when streams take longest. That it happened to the users is not shown.

Why it works: the report is asked for on three connections, 0.1 s apart, within the same half second. A dead process accepts none, also if its kernel had reset one in the moment of its death (the third case of the test, a cut told as cut before and now); one that has just started has no reason to close them all. A server that accepts and stays silent still counts as no answer: a silent machine looks the same.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -142,6 +142,9 @@
         has_report: Whether it has a report; otherwise it answers 404.
         hangs_report: Whether it never answers a request for its report.
         report_delay_s: Time that its report takes.
+        report_resets: Number of connections that it resets when it is asked
+            for its report, as one does that has as many as it takes.
+        dies_of_reset: Whether it stops to listen after the first of them.
         reports: Number of reports that were asked for.
     """
 
@@ -165,6 +168,8 @@
         self.has_report = True
         self.hangs_report = False
         self.report_delay_s = 0.0
+        self.report_resets = 0
+        self.dies_of_reset = False
         self.reports = 0
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -260,6 +265,12 @@
             self.reports += 1
             if self.hangs_report:
                 await asyncio.Event().wait()
+            if self.report_resets:
+                self.report_resets -= 1
+                _reset_connection(writer)
+                if self.dies_of_reset:
+                    self._stop_listening()
+                return False
             await asyncio.sleep(self.report_delay_s)
             self._write_report(writer)
             return True
--- a/tamarackbridge/components/gateway/exceptions.py
+++ b/tamarackbridge/components/gateway/exceptions.py
@@ -15,6 +15,10 @@
     """The request may have run; its response is missing or incomplete."""
 
 
+class ConnectionRejectedError(LostError):
+    """A server accepts connections, and closes each without a response."""
+
+
 class CallerGoneError(GatewayError):
     """The caller closed its connection."""
 
--- a/tamarackbridge/components/gateway/instance_check.py
+++ b/tamarackbridge/components/gateway/instance_check.py
@@ -19,14 +19,22 @@
 
     Attributes:
         SAME: It answers, and does not say that it is another.
+        REJECTING: It accepts connections and closes them, as one that has too
+            many. A process that has just started has few.
         OTHER: Another process answers.
         NO_ANSWER: It does not answer.
     """
 
     SAME = "same"
+    REJECTING = "rejecting"
     OTHER = "other"
     NO_ANSWER = "no_answer"
 
+    @property
+    def is_alive(self) -> bool:
+        """Returns whether the process that got the request is alive."""
+        return self in (Instance.SAME, Instance.REJECTING)
+
 
 class InstanceChecker:
     """Asks servers for their reports of themselves.
@@ -61,6 +69,8 @@
             report = await self._client.async_get_report(
                 server.address, self._dialect.report_path, ended_at
             )
+        except exceptions.ConnectionRejectedError:
+            return Instance.REJECTING
         except (
             exceptions.NotSentError,
             exceptions.LostError,
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -38,6 +38,12 @@
 REPORT_S = 0.5
 """Time for a server's report of itself, for which it needs no free slot."""
 
+REPORT_TRIES = 3
+"""Connections on which a report is asked for, if the server closes each."""
+
+REPORT_PAUSE_S = 0.1
+"""Pause between them. A process that dies has stopped listening by then."""
+
 MAX_REPORT_BYTES = 256 * 1024
 """Largest report that is read: one of hundreds of requests."""
 
@@ -194,6 +200,7 @@
 
         Raises:
             NotSentError: The server can't be reached.
+            ConnectionRejectedError: It closes all connections unanswered.
             LostError: There is no complete answer.
             TimeoutError: There is none in time.
         """
@@ -217,18 +224,27 @@
             task.exception()  # Those who asked may have left.
 
     async def _async_get_report(self, address: str, path: str) -> bytes:
+        async with loop_limit.async_limit(REPORT_S):
+            for _ in range(REPORT_TRIES - 1):
+                try:
+                    return await self._async_try_report(address, path)
+                except exceptions.ConnectionRejectedError:
+                    # A server with too many connections resets new ones.
+                    await asyncio.sleep(REPORT_PAUSE_S)
+            return await self._async_try_report(address, path)
+
+    async def _async_try_report(self, address: str, path: str) -> bytes:
         if self._session is None:
             raise exceptions.NotSentError("server client is not started")
         try:
-            async with (
-                loop_limit.async_limit(REPORT_S),
-                self._session.get(
-                    yarl.URL(f"http://{address}{path}"), allow_redirects=False
-                ) as resp,
-            ):
+            async with self._session.get(
+                yarl.URL(f"http://{address}{path}"), allow_redirects=False
+            ) as resp:
                 body = await response_limits.async_read(resp, MAX_REPORT_BYTES)
         except aiohttp.ClientConnectorError as exc:
             raise exceptions.NotSentError(_describe(exc)) from exc
+        except send_once.ConnectionLostError as exc:
+            raise exceptions.ConnectionRejectedError(_describe(exc)) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise exceptions.LostError(_describe(exc)) from exc
         return body if resp.status == 200 else b""
--- a/tamarackbridge/components/gateway/stream_ends.py
+++ b/tamarackbridge/components/gateway/stream_ends.py
@@ -172,7 +172,7 @@
         if self._early.is_suspect(job.service.name, self._clock.monotonic()):
             return False, SUSPECT
         instance = await self._async_check(end)
-        if instance is not instance_check.Instance.SAME:
+        if not instance.is_alive:
             return False, instance.value
         if self._early.is_suspect(job.service.name, self._clock.monotonic()):
             return False, SUSPECT
@@ -204,7 +204,7 @@
     async def _async_judge(self, end: attempt_progress.UnconfirmedEnd) -> None:
         """Withdraws an early end if the server's process had died."""
         instance = await self._async_check(end)
-        if instance is not instance_check.Instance.SAME:
+        if not instance.is_alive:
             self._early.withdraw(end.server)
         log_events.write(
             log_events.StreamEndedEarly(end.server.name, instance.value)
--- a/tests/components/gateway/test_confirmations.py
+++ b/tests/components/gateway/test_confirmations.py
@@ -101,6 +101,41 @@
     assert (ended.unconfirmed, ended.instance) == ("route", instance)
 
 
+@pytest.mark.parametrize(
+    ("resets", "dies", "end", "instance"),
+    [
+        (1, False, _End.CLOSED, "same"),
+        (99, False, _End.CLOSED, "rejecting"),
+        (1, True, _End.RESET, "no_answer"),
+    ],
+)
+async def test_server_without_room_for_connections_is_believed(
+    resets: int,
+    dies: bool,
+    end: raw_caller.End,
+    instance: str,
+    log: list[events.Event],
+) -> None:
+    """Guards against whole streams that a full server makes look cut.
+
+    A process that is about to die may reset a connection too, but not accept
+    another one.
+    """
+    async with rig.async_environment(1, started_ms=STARTED_MS) as env:
+        (server,) = env.servers
+        server.report_resets = resets
+        server.dies_of_reset = dies
+        env.set_faults(_Fault.UNFRAMED)
+        answer = await raw_caller.async_send(env, "/stream/1")
+        assert answer.end is end
+    (ended,) = (
+        event
+        for event in log
+        if isinstance(event, events.Answered | events.Cut)
+    )
+    assert ended.instance == instance
+
+
 async def test_ends_at_the_same_time_share_one_report(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
