Don't wait for peers to close their links when a router stops

Cause: the web runner of the links was given a shutdown timeout of 0, which aiohttp takes for no limit; a cleanup with one open link took 2.25 s.

--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -12,6 +12,10 @@
 from tamarackbridge import core, exceptions, messages
 from tamarackbridge.components.transport import age, const, link
 
+CLOSE_S = 0.05
+"""Time for peers to close their links when this router stops. aiohttp takes 0
+for no limit."""
+
 _Opened = contextlib.AbstractAsyncContextManager[
     aiohttp.ClientWebSocketResponse
 ]
@@ -78,7 +82,9 @@
         )
         app = web.Application()
         app.router.add_get(const.PEERS_PATH, self._async_receive)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=CLOSE_S
+        )
         await self._runner.setup()
         context = self._credentials.server() if self._credentials else None
         site = web.TCPSite(
--- a/tests/components/transport/test_service.py
+++ b/tests/components/transport/test_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tamarackbridge import core
+from tamarackbridge import core, platform_router
 from tamarackbridge import messages as codec
 from tamarackbridge.components.fleet import messages
 from tamarackbridge.components.transport import const, service
@@ -61,6 +61,19 @@
             assert await restarted.async_receive() == report("s2")
 
 
+async def test_stop_does_not_wait_for_peers_to_close() -> None:
+    """Guards against stops that are cut short while a peer's link is open."""
+    sending, receiving = Peer("a"), Peer("b")
+    async with sending.service:
+        await receiving.service.start()
+        address = f"127.0.0.1:{receiving.service.port}"
+        sending.service.set_addresses({"b": address})
+        sending.service.post("b", report("s1"))
+        await receiving.async_receive()
+        async with asyncio.timeout(5 * platform_router.STOP_S):
+            await receiving.service.stop()
+
+
 async def test_link_reconnects_to_a_peer_that_accepts_but_does_not_answer() -> (
     None
 ):
