Hold all services of a stopping router to its time limit

Cause: the time limit cancelled the service that was stopping when it ran out; the stop went on with the next one, and from then on without a limit. Class: a limit on a loop that swallows its own cancellation.

Evidence: test_services_that_hang_do_not_outlast_the_limit timed out after 10 s with the former code, and passes.

Why it works: each service's stop is a task of its own that is waited for until the common end, and at least for its first step, in which the gateway aborts responses in progress before the connections to servers are closed.

--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -1,16 +1,12 @@
 """Composition root of a router process on the users' platform."""
 
 import asyncio
-import contextlib
 import dataclasses
 import os
 import random
 import secrets
 import signal
 
-from absl import logging
-import mode
-
 from tamarackbridge import (
     core,
     crash_watch,
@@ -62,7 +58,7 @@
     spans,
 )
 from tamarackbridge.components.transport import service as transport
-from tamarackbridge.helpers import loop_signals
+from tamarackbridge.helpers import loop_signals, service_stop
 from tamarackbridge.platform import const as platform_const
 from tamarackbridge.platform import (
     dialect,
@@ -371,8 +367,7 @@
 
     async def async_stop(self) -> None:
         """Stops all services; gives up after `STOP_S`."""
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(_async_stop(self._services), STOP_S)
+        await service_stop.async_stop(self._services, STOP_S)
         events.write(events.Stopped(self._gateway.in_flight))
 
     async def async_wait_ready(self) -> None:
@@ -437,14 +432,6 @@
         self._stop.set()
 
 
-async def _async_stop(services: list[mode.Service]) -> None:
-    for svc in reversed(services):
-        try:
-            await svc.stop()
-        except asyncio.CancelledError:
-            logging.info({"event": "StopCutShort", "service": str(svc)})
-
-
 def run(cfg: platform_settings.Settings, tracer: spans.Tracer) -> int:
     """Runs a router; returns the exit code of the process."""
     log = queue_log.QueuedLog(cfg.node)
