Count a plain answer as in flight until its caller has taken it

A caller that reads a large plain answer slowly got a part of it and a closed connection, if its router was stopped meanwhile.

Cause: a request counted as in flight until its answer was made, not until it was sent; so a shutdown found nothing in flight, the process ended, and what waited in its memory for the caller was gone. Class: an answer taken for delivered once it is made; streams are counted until their end.

Evidence: test_shutdown_waits_for_a_caller_that_reads_its_answer_slowly, 4 MB to a caller that does not read at first: the shutdown ended within 0.3 s, and now ends when the caller has all of it.

Why it works: sending is within the span that counts; its time is bounded, as a caller that reads nothing for 10 s is aborted, and the shutdown has an end of its own. The limit on requests in flight counts such answers now too, whose memory it stands for.

--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -306,6 +306,9 @@
         arrived = self._clock.monotonic()
         try:
             resp = await self._async_respond(req, arrived)
+            if self.is_last_response() and not resp.prepared:
+                resp.force_close()
+            await held_response.async_send(req, resp)
         except exceptions.GatewayError as exc:
             conn.force_close()
             raise asyncio.CancelledError from exc
@@ -313,9 +316,6 @@
             self._open_requests -= 1
             self._shedder.record_completion()
             conn.end_request()
-        if self.is_last_response() and not resp.prepared:
-            resp.force_close()
-        await held_response.async_send(req, resp)
         return resp
 
     def is_last_response(self) -> bool:
--- a/tests/components/gateway/test_slow_callers.py
+++ b/tests/components/gateway/test_slow_callers.py
@@ -12,7 +12,7 @@
 import pytest
 
 from standins import floods, platform_server, server_faults
-from tamarackbridge.components.gateway import in_flight_limit, servers
+from tamarackbridge.components.gateway import drain, in_flight_limit, servers
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import response_limits
 from tests.components.gateway import raw_caller, rig
@@ -190,3 +190,39 @@
             await asyncio.wait_for(checking.wait(), 5.0)
             assert memory.left < all_left
         await rig.async_wait_until(lambda: memory.left == all_left)
+
+
+async def test_shutdown_waits_for_a_caller_that_reads_its_answer_slowly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an answer that is cut as the process ends."""
+    monkeypatch.setattr(drain, "BALANCER_NOTICE_S", 0.01)
+    monkeypatch.setattr(drain, "QUIET_S", 0.01)
+    monkeypatch.setattr(drain, "MIN_LISTEN_S", 0.01)
+
+    async def async_leave() -> None:
+        """Does nothing: the router is not in a list."""
+
+    async with rig.async_environment(servers=1) as env:
+        memory = _memory(env)
+        all_left = memory.left
+        env.set_faults(LARGE)
+        async with _async_call(env, "/read/1", 0) as sock:
+            await rig.async_wait_until(lambda: memory.left < all_left)
+            await rig.async_wait_until(
+                lambda: all_left - memory.left < LARGE_BYTES
+            )
+            clock = env.router._clock
+            draining = asyncio.create_task(
+                drain.async_drain(
+                    env.router._gateway,
+                    clock,
+                    8.0,
+                    async_leave,
+                    clock.monotonic(),
+                )
+            )
+            await asyncio.sleep(0.3)
+            assert not draining.done()
+            assert await _async_read_all(sock) > LARGE_BYTES
+            await draining
