Look whether the server of a lost plain request is gone, and log it

A crash caused by a request without prompt blocks could not be told from a lost answer: only requests with blocks opened a connection to their server. Placement and quarantine decide as before: a crash and a loss count the same for a server's breaker, and a request without blocks is no evidence.

--- a/tamarackbridge/components/gateway/attempt_sender.py
+++ b/tamarackbridge/components/gateway/attempt_sender.py
@@ -89,9 +89,7 @@
                 before_last is not None or resume_after != ""
             )
             try:
-                outcome = await self._async_outcome(
-                    job, attempt, params.address
-                )
+                outcome = await self._async_outcome(attempt, params.address)
             except BaseException:
                 attempt.drop_body()
                 raise
@@ -127,7 +125,7 @@
             stream.forget_watch(watch)
 
     async def _async_outcome(
-        self, job: jobs.Job, attempt: forward.Attempt, address: str
+        self, attempt: forward.Attempt, address: str
     ) -> jobs.Outcome:
         """Returns the outcome of an attempt, by the state of its server.
 
@@ -146,16 +144,14 @@
                 attempt.ended_in_order = False
                 attempt.detail = "unmarked response ended, server is gone"
         outcome = attempt_progress.outcome(attempt)
-        if outcome is _Outcome.LOST and _is_crash_suspect(job, attempt):
+        if outcome is _Outcome.LOST and _is_crash_suspect(attempt):
             check = await self._forwarder.async_check_connection(address)
+            attempt.connection_check = check.value
             if check is servers.ConnectionCheck.REFUSED:
                 outcome = _Outcome.CRASHED
         return outcome
 
 
-def _is_crash_suspect(job: jobs.Job, attempt: forward.Attempt) -> bool:
-    """Returns whether a lost request may have crashed its server.
-
-    Only what it shares with other requests can be held against those.
-    """
-    return len(job.request.prompt_blocks) > 1 and attempt.events <= 1
+def _is_crash_suspect(attempt: forward.Attempt) -> bool:
+    """Returns whether a lost request may have crashed its server."""
+    return attempt.events <= 1
