--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -136,6 +136,8 @@
         connections: Number of connections accepted.
         deadly_block: Prompt block on which the server crashes when it begins
             to answer; empty for none.
+        deadly_body: Body of requests on which the server crashes as it does on
+            `deadly_block`; empty for none.
         crash_after_head: Whether it sends the head of its answer first.
         has_crashed: Whether it has crashed.
         started_ms: Time of its start in its report, in ms; 0 for none.
@@ -162,6 +164,7 @@
         self.event_padding = ""
         self.connections = 0
         self.deadly_block = ""
+        self.deadly_body = b""
         self.crash_after_head = True
         self.has_crashed = False
         self.started_ms = 0
@@ -301,7 +304,7 @@
             self._write(writer, 421, request_id, b"")
             return True
         self.record_run(request_id)
-        if self.deadly_block and self.deadly_block in _block_names(seen):
+        if self._is_deadly(seen):
             if self.crash_after_head:
                 writer.write(self._stream_head(request_id, 200).encode())
                 await writer.drain()
@@ -344,6 +347,14 @@
             return await self._async_stream(seen, fault, writer)
         return await self._async_plain(request_id, fault, writer)
 
+    def _is_deadly(self, seen: ReceivedRequest) -> bool:
+        """Returns whether the server crashes when it answers a request."""
+        if self.deadly_body and self.deadly_body == seen.body:
+            return True
+        return bool(self.deadly_block) and (
+            self.deadly_block in _block_names(seen)
+        )
+
     async def _async_plain(
         self,
         request_id: str,
--- a/tests/components/gateway/test_crashing_requests.py
+++ b/tests/components/gateway/test_crashing_requests.py
@@ -10,6 +10,11 @@
 
 DEADLY = "dd"
 
+REPEATS = 3
+"""Repeats of a request that may reach servers after it crashed three."""
+
+DEADLY_BODY = b"deadly"
+
 
 async def _async_stream(
     env: rig.Environment, number: int, *shared: str, path: str = "/stream/r/1"
@@ -84,3 +89,68 @@
         assert got.status == 503
         assert float(got.headers["Retry-After"]) > 1.0
         assert env.ran() == ran
+
+
+async def _async_send_deadly(
+    env: rig.Environment, number: int, path: str, *shared: str
+) -> int:
+    """Sends the same request again; returns the status, 0 if it is cut."""
+    headers = {}
+    if shared:
+        blocks = ",".join(f"{block}:10" for block in (*shared, "own"))
+        headers = {"X-Token-Usage": "30,9", "X-Prompt-Prefix": blocks}
+    try:
+        got = await env.async_send(
+            path,
+            request_id=f"d{number}",
+            body=DEADLY_BODY,
+            extra_headers=headers,
+        )
+    except rig.STREAM_CUT:
+        return 0
+    return got.status
+
+
+@pytest.mark.parametrize("crash_after_head", [True, False])
+@pytest.mark.parametrize("path", ["/stream/r/1", "/stream/1", "/read/1"])
+async def test_one_request_does_not_crash_server_after_server(
+    path: str, crash_after_head: bool
+) -> None:
+    """Guards against a repeated request of which nothing is remembered."""
+    async with rig.async_environment(servers=16) as env:
+        for server in env.servers:
+            server.deadly_body = DEADLY_BODY
+            server.crash_after_head = crash_after_head
+        statuses = [
+            await _async_send_deadly(env, number, path) for number in range(14)
+        ]
+        assert _crashed(env) <= 3 + REPEATS
+        assert statuses[-1] == 503
+        assert (await env.async_send(path, request_id="q1")).status == 200
+
+
+async def test_payment_does_not_crash_server_after_server() -> None:
+    """A route that may run once has no repeats but its callers'."""
+    async with rig.async_environment(servers=16) as env:
+        for server in env.servers:
+            server.deadly_body = DEADLY_BODY
+        statuses = [
+            await _async_send_deadly(env, number, "/pay/1")
+            for number in range(14)
+        ]
+        assert _crashed(env) <= 3 + REPEATS
+        assert statuses[-1] == 503
+        assert (await env.async_send("/pay/1", request_id="q1")).status == 200
+
+
+async def test_requests_that_share_blocks_with_a_deadly_one_are_served() -> (
+    None
+):
+    """Guards against a quarantine of all that a deadly request shares."""
+    async with rig.async_environment(servers=16) as env:
+        for server in env.servers:
+            server.deadly_body = DEADLY_BODY
+        for number in range(14):
+            await _async_send_deadly(env, number, "/stream/1", "a1", "b2")
+        assert _crashed(env) <= 3 + REPEATS
+        assert await _async_stream(env, 100, "a1", "b2") == 200
