Quarantine requests that crash their servers, not prompt blocks alone

One request, sent again by its caller, crashed up to 14 servers one after the other on routes whose requests name no prompt blocks, and broke off what ran on each.

Cause: what is remembered of a crash was chosen by what prompts share with others. A request that is sent again shares everything with itself, and nothing remembered it. Class: a lesson that is kept for one kind of input only.

Why it works: a request is known by a digest of workspace, method, host, target, body and shared blocks, the same at each repeat and each router. It is in all suspects of its own crashes, so the evidence that quarantines a block quarantines it: two crashes after the head of an answer, four before it. An answer to it clears it.

Not mended: sound requests that share all uncleared prompt blocks of a deadly request are refused meanwhile, as before.

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -517,7 +517,7 @@
             + costs.expected_output_tokens(request),
             sent_at=now,
             cost=costs.request_cost(request),
-            blocks=crash_evidence.shared_blocks(request.prompt_blocks),
+            blocks=crash_evidence.parts(job),
         )
         self._deps.work.begin(reservation)
         self._quarantine_gate.record_sent(reservation)
--- a/tamarackbridge/components/admission/quarantine_gate.py
+++ b/tamarackbridge/components/admission/quarantine_gate.py
@@ -1,4 +1,4 @@
-"""Applies the quarantine of prompt blocks to the requests of this router."""
+"""Applies the quarantine to the requests of this router."""
 
 import random
 
@@ -12,7 +12,7 @@
 
 
 class QuarantineGate:
-    """Rejects requests with quarantined blocks, and reports crashes."""
+    """Rejects quarantined requests, and reports crashes."""
 
     def __init__(
         self,
@@ -30,9 +30,9 @@
     def rejection(
         self, job: jobs.Job, now: float
     ) -> rejections.Rejection | None:
-        """Returns the rejection of a request with a quarantined block."""
+        """Returns the rejection of a request with a quarantined part."""
         remaining_s = self._evidence.remaining_s(
-            lambda: crash_evidence.shared_blocks(job.request.prompt_blocks),
+            lambda: crash_evidence.parts(job),
             self._peers.routers,
             now,
         )
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -23,6 +23,8 @@
         deadline: Time by which the final response must have been sent.
         excluded_servers: Servers that already rejected or failed the request.
         attempts: Number of attempts that reached a server.
+        parts: Identifiers of the request and of its prompt's shared blocks;
+            empty until they are needed.
     """
 
     request: models.Request
@@ -33,6 +35,7 @@
     deadline: float
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    parts: frozenset[str] = frozenset()
 
 
 class Outcome(enum.Enum):
--- a/tamarackbridge/components/placement/crash_evidence.py
+++ b/tamarackbridge/components/placement/crash_evidence.py
@@ -1,7 +1,8 @@
-"""Evidence that a prompt block crashes the engines that generate on it.
+"""Evidence that a request, or a block of its prompt, crashes servers.
 
 Load pattern: a poison pill among other requests. Many requests are lost at each
-crash, and only what their prompts have in common tells which one caused it.
+crash, and only what they have in common tells which one caused it: they are the
+same request, sent again, or their prompts share a block.
 """
 
 from collections.abc import Iterable
@@ -9,7 +10,7 @@
 import hashlib
 import math
 
-from tamarackbridge.components.gateway import models
+from tamarackbridge.components.gateway import jobs, models
 
 BEGUN_EVIDENCE = 1.0
 """Evidence of a crash after the head of an answer. Few requests are in this
@@ -32,6 +33,12 @@
 """Longest block name that is kept as it is; longer ones are replaced by a
 hash."""
 
+REQUEST_PREFIX = "="
+"""Begins the identifier of a request, and no block name: names are hexadecimal
+numbers."""
+
+_DIGEST_BYTES = 15
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspect:
@@ -40,7 +47,7 @@
     Attributes:
         server: Name of the server.
         started_ms: Unix milliseconds of the server's start; 0 where not stated.
-        blocks: Shared blocks of the request's prompt.
+        blocks: Parts of the request: itself, and its prompt's shared blocks.
         has_begun: Whether the head of the answer had been received.
         sent_at: Time at which the request was sent.
         crashed_at: Time at which the crash was noticed.
@@ -73,7 +80,43 @@
 def _identifier(name: str) -> str:
     if len(name) <= MAX_NAME_CHARS:
         return name
-    return hashlib.blake2b(name.encode(), digest_size=15).hexdigest()
+    digest = hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES)
+    return digest.hexdigest()
+
+
+def parts(job: jobs.Job) -> frozenset[str]:
+    """Returns what a crash may be held against: the request and its blocks."""
+    if not job.parts:
+        # The request takes the place of its own, last block.
+        blocks = shared_blocks(job.request.prompt_blocks[-MAX_BLOCKS:])
+        job.parts = blocks | {request_identifier(job, blocks)}
+    return job.parts
+
+
+def is_request(name: str) -> bool:
+    """Returns whether an identifier is that of a request."""
+    return name.startswith(REQUEST_PREFIX)
+
+
+def request_identifier(job: jobs.Job, blocks: frozenset[str]) -> str:
+    """Returns an identifier that a request has whenever it is sent again.
+
+    Requests of other workspaces have another one, so that none can make theirs
+    be refused.
+
+    Args:
+        job: Job of the request.
+        blocks: Shared blocks of its prompt.
+    """
+    request = job.request
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    fields = (job.workspace, request.method, request.host, request.target)
+    for field in (*fields, *sorted(blocks), ""):
+        data = field.encode("utf-8", "surrogateescape")
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    digest.update(request.body)
+    return REQUEST_PREFIX + digest.hexdigest()
 
 
 def independent_suspects(suspects: Iterable[Suspect]) -> list[Suspect]:
--- a/tamarackbridge/components/placement/quarantine.py
+++ b/tamarackbridge/components/placement/quarantine.py
@@ -1,12 +1,13 @@
-"""Quarantine of prompt blocks that crash the engines that generate on them.
+"""Quarantine of requests and prompt blocks that crash servers.
 
-An engine crash is evidence against the prompt blocks of the requests that it
-had barely begun to answer. An answer that gets further clears all blocks of its
-prompt. A block with enough evidence and no such answer is quarantined: requests
-with it are rejected instead of crashing the next engine.
+A crash is evidence against the requests that the server had barely begun to
+answer, and against the blocks of their prompts. An answer that gets further
+clears its request and all blocks of the prompt. What has enough evidence and no
+such answer is quarantined: requests with it are rejected instead of crashing
+the next server. In this module a request counts as one of its own blocks.
 
 Load pattern: a poison pill. Callers and routers retry a request that crashes
-its engine, and others with the same content follow, at any router.
+its server, and others with the same content follow, at any router.
 """
 
 import collections
@@ -43,8 +44,8 @@
 """Suspects that are kept, those with the strongest evidence first."""
 
 MAX_ANSWERED_BLOCKS = 8_192
-"""Blocks whose last answer is remembered: the shared blocks in use within the
-time that a report of a crash takes."""
+"""Blocks whose last answer is remembered: the requests and shared blocks that
+are answered within the time that a report of a crash takes."""
 
 _Key: TypeAlias = tuple[tuple[str, int], frozenset[str]]
 """Crash and blocks of a suspect. Suspects of one crash with the same blocks are
@@ -58,7 +59,8 @@
     Attributes:
         companions: Blocks that were in all suspects with the block and were not
             cleared, itself included. Any of them may be the cause, so only
-            requests with all of them are rejected.
+            requests with all of them are rejected. A request has none, and is
+            none.
         until: Time at which the quarantine ends.
         forget_at: Time at which the evidence is dropped.
     """
@@ -330,8 +332,19 @@
             MAX_QUARANTINE_S,
         )
         last_at = max(suspect.crashed_at for suspect in independent)
+        if crash_evidence.is_request(block):
+            companions = frozenset((block,))
+        else:
+            # All crashes may be due to one request that was sent again. Others
+            # with its blocks are rejected even so: a crash costs more.
+            common = frozenset.intersection(
+                *(each.blocks for each in independent)
+            )
+            companions = frozenset(
+                each for each in common if not crash_evidence.is_request(each)
+            )
         return _Quarantine(
-            frozenset.intersection(*(each.blocks for each in independent)),
+            companions,
             until=last_at + seconds,
             forget_at=last_at + 2 * seconds,
         )
--- a/tests/components/placement/test_quarantine.py
+++ b/tests/components/placement/test_quarantine.py
@@ -1,13 +1,15 @@
 """Which prompt blocks are quarantined after crashes of servers."""
 
+import dataclasses
 import random
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
-from tamarackbridge.components.gateway import models
+from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.placement import crash_evidence, quarantine
+from tests.components.knowledge import builders
 
 ROUTERS = ("r1", "r2", "r3")
 SYSTEM, SUBJECT, DEADLY = "a", "b", "dd"
@@ -194,6 +196,70 @@
     assert len(suspect.blocks) == crash_evidence.MAX_BLOCKS
 
 
+def _job(workspace: str = "w", **fields: object) -> jobs.Job:
+    request = models.Request(
+        request_id="q1",
+        method="POST",
+        host="a",
+        target="/x/1",
+        headers=(),
+        key="k",
+        caller_timeout_s=None,
+        prompt_tokens=0,
+        output_tokens=0,
+        output_hint=0,
+        prompt_blocks=(),
+        resume_after="",
+        body=b"question",
+    )
+    return jobs.Job(
+        dataclasses.replace(request, **fields),  # type: ignore[arg-type]
+        builders.route(),
+        builders.model_service(),
+        workspace,
+        0.0,
+        1.0,
+    )
+
+
+def test_request_has_one_identifier_whenever_it_is_sent() -> None:
+    (first,) = crash_evidence.parts(_job())
+    again = _job(request_id="q2", resume_after="7", caller_timeout_s=2.0)
+    assert crash_evidence.parts(again) == {first}
+    others = [
+        _job(workspace="v"),
+        _job(method="PUT"),
+        _job(host="b"),
+        _job(target="/x/1?"),
+        _job(body=b"question "),
+        _job(method="POSTa", host=""),
+    ]
+    found = {crash_evidence.parts(job) for job in others}
+    assert len(found | {frozenset((first,))}) == 1 + len(others)
+
+
+def test_requests_with_other_shared_blocks_are_others() -> None:
+    def parts(*names: str) -> frozenset[str]:
+        blocks = tuple(models.PromptBlock(name, 1) for name in names)
+        return crash_evidence.parts(_job(prompt_blocks=blocks))
+
+    assert parts("a", "own") == parts("a", "new")
+    assert len(parts("a", "own") | parts("b", "own")) == 4
+    assert len(parts("a", "b", "own") & parts("ab", "own")) == 0
+
+
+def test_quarantined_request_is_no_companion_of_its_blocks() -> None:
+    """Others with the blocks may be as deadly, and the request without them."""
+    evidence = quarantine.BlockQuarantine("r1")
+    (name,) = crash_evidence.parts(_job())
+    _crash(evidence, 1, 2, blocks=(DEADLY, name))
+    assert _remaining_s(evidence, 3.0, DEADLY) > 0
+    assert _remaining_s(evidence, 3.0, name) > 0
+    evidence.record_answer([DEADLY], 3.5)
+    assert _remaining_s(evidence, 4.0, DEADLY) == 0
+    assert _remaining_s(evidence, 4.0, name) > 0
+
+
 def test_long_names_of_callers_are_replaced_by_a_hash() -> None:
     names = ("ab" * 500, "ab" * 500 + "c", "short", "own")
     blocks = tuple(models.PromptBlock(name, 1) for name in names)
