Forward encoded request bodies byte for byte

Servers got another body than the caller had sent if it was compressed: the router decoded gzip and deflate, and passed Content-Encoding on all the same; a body in another encoding got 400, and one that was no gzip data 500. Any such payment ran with a changed body.

Cause: the server side of aiohttp decodes bodies unless it is told not to. The client side had been told. Class: a default of a library that changes what only passes through.

Why it works: the parser of callers' connections on the gateway leaves bodies as they are, so limits count the bytes of the connection. The product's own interface reads its bodies itself and keeps decoding them. Offloaded requests pass as bytes in any case.

--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -90,8 +90,9 @@
         idle_timeout_s: float | None = None,
         screen: Screen | None = None,
         screened: bool = False,
+        decodes_bodies: bool = True,
     ) -> None:
-        options: dict[str, Any] = {}
+        options: dict[str, Any] = {"auto_decompress": decodes_bodies}
         if idle_timeout_s is not None:
             options["keepalive_timeout"] = idle_timeout_s
         super().__init__(
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -269,6 +269,7 @@
             limits.idle_timeout_s,
             self._screen_kept_alive,
             screened is listener.ScreenResult.ADMITTED,
+            decodes_bodies=False,
         )
 
     def _screen_kept_alive(self, data: bytes) -> bytes | bool:
--- a/tests/components/gateway/test_callers.py
+++ b/tests/components/gateway/test_callers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+import gzip
 import socket
 import types
 from typing import cast
+import zlib
 
 from aiohttp import web
 import pytest
@@ -45,6 +47,40 @@
     return Caller(*await asyncio.open_connection(cfg.host, cfg.port))
 
 
+@pytest.mark.parametrize(
+    ("encoding", "body"),
+    [
+        ("gzip", gzip.compress(b"question")),
+        ("deflate", zlib.compress(b"question")),
+        ("gzip", b"no gzip data"),
+        ("br", b"unknown to the library"),
+        ("gzip", gzip.compress(bytes(1_000_000))),
+    ],
+)
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_encoded_body_is_forwarded_as_it_is(
+    encoding: str, body: bytes, chunked: bool
+) -> None:
+    """Guards against servers that get another body than the caller sent.
+
+    The limit counts the bytes of the connection.
+    """
+    framing, sent = f"Content-Length: {len(body)}", body
+    if chunked:
+        framing = "Transfer-Encoding: chunked"
+        sent = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    async with rig.async_environment(servers=1) as env:
+        caller = await _async_connect(env)
+        head = f"POST /pay/1 HTTP/1.1\r\n{HEAD}Content-Encoding: {encoding}"
+        caller.writer.write(f"{head}\r\n{framing}\r\n\r\n".encode() + sent)
+        status, _, _ = await caller.async_response()
+        assert status == 200
+        (seen,) = env.servers[0].seen
+        assert seen.body == body
+        assert seen.headers["Content-Encoding"] == encoding
+        caller.writer.close()
+
+
 async def test_chunked_body_reaches_server_complete() -> None:
     async with rig.async_environment(servers=1) as env:
         caller = await _async_connect(env)
