Answer 400 to token counts in digits that are not ASCII

A caller whose X-Token-Usage, X-Length-Hint or X-Deadline-Ms had a superscript digit got 500, and a log without a reason. In the screening of an overloaded router the same value raised an exception.

Cause: str.isdigit() is true for digits that int() does not read. Class: a check that is wider than what it guards.

Why it works: a count is read only from ASCII digits.

--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -28,15 +28,21 @@
         host: str,
         raw_headers: Sequence[tuple[bytes, bytes]],
     ) -> models.Request | None:
-        """Parses a request; returns None if it has no request identifier."""
+        """Parses a request.
+
+        Returns:
+            The request; None if it has no identifier, or token counts that are
+            not written in ASCII.
+        """
         headers = _decode_headers(raw_headers)
         values = {name.lower(): value for name, value in headers}
         request_id = values.get(const.HEADER_REQUEST_ID.lower(), "")
         if not request_id:
             return None
-        prompt_tokens, output_tokens = _token_counts(
-            values.get(const.HEADER_TOKENS.lower(), "")
-        )
+        usage = values.get(const.HEADER_TOKENS.lower(), "")
+        if not usage.isascii():
+            return None
+        prompt_tokens, output_tokens = _token_counts(usage)
         timeout_ms = _parse_count(values.get(const.HEADER_DEADLINE.lower(), ""))
         return models.Request(
             request_id=request_id,
@@ -251,7 +257,8 @@
 def _parse_count(text: str) -> int:
     """Returns a number; 0 if the text is none or has too many digits."""
     text = text.strip()
-    if not text.isdigit() or len(text) > _MAX_DIGITS:
+    # int() does not read all digits of Unicode, as superscripts.
+    if not (text.isascii() and text.isdigit()) or len(text) > _MAX_DIGITS:
         return 0
     return int(text)
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -71,6 +71,33 @@
     assert {"X-Request-Id", "X-Model", "X-Prompt-Prefix"} <= names
 
 
+@pytest.mark.parametrize("usage", ["²,9", "9,²", "٣,1", "\uff19,1"])
+def test_token_count_of_other_digits_is_malformed(usage: str) -> None:
+    """Guards against a 500: some digits of Unicode are no numbers to `int`."""
+    raw = (*RAW, (b"X-Token-Usage", usage.encode()))
+    assert DIALECT.read_request("POST", "/x/1", "a.example", raw) is None
+
+
+@pytest.mark.parametrize(
+    ("header", "timeout_s", "hint"),
+    [("X-Deadline-Ms", None, 33), ("X-Length-Hint", 12.0, 0)],
+)
+def test_other_digits_are_no_number(
+    header: str, timeout_s: float | None, hint: int
+) -> None:
+    raw = (*RAW, (header.encode(), "²".encode()))
+    call = DIALECT.read_request("POST", "/x/1", "a.example", raw)
+    assert call is not None
+    assert (call.caller_timeout_s, call.output_hint) == (timeout_s, hint)
+
+
+def test_preview_of_other_digits_is_no_preview_of_a_number() -> None:
+    head = b"GET /x HTTP/1.1\r\nX-Request-Id: q1\r\nX-Token-Usage: \xb2,1"
+    preview = DIALECT.preview(head + b"\r\n\r\n")
+    assert preview is not None
+    assert (preview.prompt_tokens, preview.output_tokens) == (0, 1)
+
+
 def test_resumes_after_the_last_event() -> None:
     attempt = models.AttemptMetadata("i-1", "w", 1.5, "41")
     assert ("Last-Event-Id", "41") in DIALECT.write_request(_call(), attempt)
