Let one entry with an unreadable string hide no other entry

Requests went to a server that was leaving until it exited, and a new one got none, from the moment another writer stored an entry with half of a surrogate pair.

Cause: a list is decoded with its entries left undecoded, so that one malformed entry does not matter; but the decoder checks the escapes of strings there too, and rejected the whole answer, which read as an unreachable store. Class: a value that one layer leaves to the next and still judges.

Why it works: if the answer as a whole can't be decoded, strings that can't be are replaced by a number that every decoder rejects, and a key by such a number under an empty key, so the entry that holds it is unreadable by itself; values that are nested too deeply are replaced in the same step. Only an answer that fails pays for it.

--- a/tamarackbridge/platform/entries.py
+++ b/tamarackbridge/platform/entries.py
@@ -2,7 +2,7 @@
 
 Other writers share the store. An entry that can't be decoded must not prevent
 the others from being decoded, however deeply it is nested and whatever numbers
-it holds.
+and strings it holds.
 """
 
 import re
@@ -14,9 +14,18 @@
 """Nesting depth that is decoded; the platform's objects have a few levels."""
 
 _INVALID_NUMBER = b"1e999"
-"""A number that every decoder rejects; replaces values nested deeper."""
+"""A number that every decoder rejects; replaces values nested deeper, and
+strings that can't be decoded."""
+
+_INVALID_KEY = b'"":' + _INVALID_NUMBER + b',""'
+"""Replaces the key of an object that can't be decoded."""
 
 _TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_PLAIN_STRING = re.compile(rb'"[ !#-\[\]-~]*"')
+"""A string that every decoder accepts."""
+
+_COLON = re.compile(rb"\s*:")
+
 _OPENING = frozenset((b"[", b"{"))
 _CLOSING = frozenset((b"]", b"}"))
 
@@ -39,22 +48,52 @@
 
 
 def page(data: bytes, decoder: msgspec.json.Decoder[Any]) -> Any:
-    """Decodes a list of entries, even if some are nested too deeply.
+    """Decodes a list of entries, even if some can't be decoded.
 
     Raises:
         MsgspecError: The list as a whole does not match the decoder's type.
     """
     try:
         return decoder.decode(data)
-    except RecursionError:
+    except (msgspec.MsgspecError, RecursionError):
         pass
     try:
-        return decoder.decode(_without_deep_values(data))
+        return decoder.decode(
+            _without_deep_values(_without_invalid_strings(data))
+        )
     except RecursionError as exc:
         # A list that is cut within a deep value has no end to replace it by.
         raise msgspec.DecodeError("nested too deeply") from exc
 
 
+def _without_invalid_strings(data: bytes) -> bytes:
+    """Returns JSON in which strings that can't be decoded are invalid numbers.
+
+    The decoder checks escapes, such as those of half a surrogate pair, also
+    where it leaves a value undecoded.
+    """
+    kept = []
+    position = 0
+    for token in _TOKENS.finditer(data):
+        if token[0] in _OPENING or token[0] in _CLOSING:
+            continue
+        if _PLAIN_STRING.fullmatch(token[0]) or _is_decodable(token[0]):
+            continue
+        is_key = _COLON.match(data, token.end()) is not None
+        replacement = _INVALID_KEY if is_key else _INVALID_NUMBER
+        kept += [data[position : token.start()], replacement]
+        position = token.end()
+    return b"".join((*kept, data[position:]))
+
+
+def _is_decodable(string: bytes) -> bool:
+    try:
+        msgspec.json.decode(string)
+    except msgspec.MsgspecError:
+        return False
+    return True
+
+
 def _without_deep_values(data: bytes) -> bytes:
     """Returns JSON in which values nested too deeply are invalid numbers."""
     kept = []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -214,14 +214,18 @@
 
 @contextlib.asynccontextmanager
 async def _async_responding(body: str) -> AsyncIterator[store.Store]:
-    """Yields a client of a store that sends one response."""
+    """Yields a client of a store that sends one response.
+
+    Surrogates from U+DC80 on in its body stand for bytes that are no UTF-8.
+    """
+    data = body.encode(errors="surrogateescape")
 
     async def async_serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        head = HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode()
-        writer.write(head.replace(b" X", b" OK", 1) + body.encode())
+        head = HEAD + f"Content-Length: {len(data)}\r\n\r\n".encode()
+        writer.write(head.replace(b" X", b" OK", 1) + data)
         await reader.read()
         writer.close()
 
@@ -239,6 +243,14 @@
     '{"slots":1e999}',
     '{"slots":' + "9" * 5_000 + "}",
     '{"text":"[[[[\\"","deep":' + "[" * 5_000 + "]" * 5_000 + "}",
+    # Half of a surrogate pair, no escape, no UTF-8, and a control character.
+    '{"service":"backup-\\ud800agent"}',
+    '{"backup-\\ud800agent" : 1}',
+    '{"service":"\\q"}',
+    '{"service":"\udcff"}',
+    '{"\udcff":{"a":["\udcff"]}}',
+    '{"service":"\x01"}',
+    '{"service":"\\ud800","deep":' + "[" * 5_000 + "]" * 5_000 + "}",
 )
 
 
@@ -276,6 +288,24 @@
     ]
 
 
+@pytest.mark.parametrize("order", [(0, 5, 6), (6, 5, 0)])
+async def test_entries_that_are_malformed_in_different_ways(
+    order: tuple[int, ...],
+) -> None:
+    entries = [_entry(f"odd{each}", MALFORMED[each]) for each in order]
+    items = ",".join((*entries, _entry("b", "{}")))
+    async with _async_responding(f'{{"as_of":7,"items":[{items}]}}') as client:
+        page = (await client.async_list("servers")).ok_value
+    assert [item.spec for item in page.objects] == [None, None, None, {}]
+
+
+async def test_name_that_cant_be_decoded_hides_its_entry_alone() -> None:
+    items = ",".join(_entry(name, "{}") for name in ("a", "\\ud800", "b"))
+    async with _async_responding(f'{{"as_of":7,"items":[{items}]}}') as client:
+        page = (await client.async_list("servers")).ok_value
+    assert [item.name for item in page.objects] == ["a", "b"]
+
+
 async def test_entry_without_a_name_is_skipped() -> None:
     items = f'[{{"metadata":{{}}}},3,{_entry("b", "{}")}]'
     async with _async_responding(f'{{"as_of":7,"items":{items}}}') as client:
