Reject registrations with negative numbers

After another writer had stored an entry whose `born` is below -2^63, a link to a router that lacked a change ended for good, so cold servers got more requests than they bear.

Cause: such a number was decoded, kept, and could not be encoded for another router (OverflowError in transport/link.py). Class: a value that one layer accepts and a later one can't encode.

Evidence: four rows of test_malformed_registration_is_rejected failed and pass.

Why it works: the three numbers of a registration are bounded from both sides where they are decoded, and none of them has a meaning below 0. That a link which ends by an exception is not started again is not changed.

--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -84,10 +84,10 @@
     address: str
     zone: str
     state: str
-    slots: Annotated[int, msgspec.Meta(le=MAX_NUMBER)] = 0
-    cold_remaining_ms: Annotated[float, msgspec.Meta(le=MAX_NUMBER)] = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
     # Unix time of the server's start, in milliseconds.
-    born: Annotated[int, msgspec.Meta(le=MAX_NUMBER)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
 
 
 def configuration(spec: Any) -> models.Configuration:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -134,6 +134,11 @@
         {**SERVER, "slots": 10**30},
         {**SERVER, "born": 10**30},
         {**SERVER, "cold_remaining_ms": 1e300},
+        # A link between routers can't encode it (below -2**63).
+        {**SERVER, "born": -(10**30)},
+        {**SERVER, "born": -1},
+        {**SERVER, "slots": -(10**30)},
+        {**SERVER, "cold_remaining_ms": -1e300},
     ],
 )
 def test_malformed_registration_is_rejected(spec: Any) -> None:
