Tell prompt blocks from requests in the quarantine, however they are named

A caller could name a prompt block like the identifier of another workspace's request. Crashes of its own would then have counted against that request, and its answers would have cleared it. Found when the diff was reread; the identifier holds the workspace, so it would have had to be known.

Evidence: test_block_can_not_be_named_like_a_request failed and passes. Why it works: such names are replaced by a hash, as long ones are.

--- a/tamarackbridge/components/placement/crash_evidence.py
+++ b/tamarackbridge/components/placement/crash_evidence.py
@@ -30,12 +30,11 @@
 requests share."""
 
 MAX_NAME_CHARS = 32
-"""Longest block name that is kept as it is; longer ones are replaced by a
-hash."""
+"""Longest block name that is kept as it is; longer ones, and those that look
+like the identifier of a request, are replaced by a hash."""
 
 REQUEST_PREFIX = "="
-"""Begins the identifier of a request, and no block name: names are hexadecimal
-numbers."""
+"""Begins the identifier of a request, and that of no block."""
 
 _DIGEST_BYTES = 15
 
@@ -78,7 +77,7 @@
 
 
 def _identifier(name: str) -> str:
-    if len(name) <= MAX_NAME_CHARS:
+    if len(name) <= MAX_NAME_CHARS and not is_request(name):
         return name
     digest = hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES)
     return digest.hexdigest()
--- a/tests/components/placement/test_quarantine.py
+++ b/tests/components/placement/test_quarantine.py
@@ -248,6 +248,13 @@
     assert len(parts("a", "b", "own") & parts("ab", "own")) == 0
 
 
+def test_block_can_not_be_named_like_a_request() -> None:
+    """Guards against callers who let requests of others be refused, or run."""
+    (name,) = crash_evidence.parts(_job())
+    blocks = (models.PromptBlock(name, 1), models.PromptBlock("own", 1))
+    assert name not in crash_evidence.shared_blocks(blocks)
+
+
 def test_quarantined_request_is_no_companion_of_its_blocks() -> None:
     """Others with the blocks may be as deadly, and the request without them."""
     evidence = quarantine.BlockQuarantine("r1")
