Look for a crash only where the server ended the connection

The check for a crash, which all lost attempts make since, also opened a connection to servers whose response this side had rejected as malformed or too large.

Why it works: an attempt says whether its response was rejected here, and only others are checked.

--- a/tamarackbridge/components/gateway/attempt_sender.py
+++ b/tamarackbridge/components/gateway/attempt_sender.py
@@ -153,5 +153,8 @@
 
 
 def _is_crash_suspect(attempt: forward.Attempt) -> bool:
-    """Returns whether a lost request may have crashed its server."""
-    return attempt.events <= 1
+    """Returns whether a lost request may have crashed its server.
+
+    One whose response this side has rejected has not.
+    """
+    return attempt.events <= 1 and not attempt.is_malformed
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -73,6 +73,8 @@
         body: Body of a response that is not streamed.
         reservation: Memory of the body; None before the attempt runs.
         lacks_room: Whether slow callers took the memory for the response.
+        is_malformed: Whether the response was not HTTP, or too large, so that
+            this side closed the connection.
         streamed: Whether events are forwarded as they arrive.
         is_unmarked_and_empty: Whether a stream had no event, and nothing but
             its connection's orderly close marks its end. False if its server
@@ -99,6 +101,7 @@
     body: bytes = b""
     reservation: response_limits.Reservation | None = None
     lacks_room: bool = False
+    is_malformed: bool = False
     streamed: bool = False
     is_unmarked_and_empty: bool = False
     ended_in_order: bool = False
@@ -224,6 +227,7 @@
         except exceptions.LostError as exc:
             attempt.end, attempt.detail = AttemptEnd.LOST, str(exc)
             attempt.lacks_room = response_limits.is_held_by_callers(exc)
+            attempt.is_malformed = response_limits.is_malformed(exc)
         except TimeoutError:
             attempt.end, attempt.detail = (
                 AttemptEnd.TIMED_OUT,
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -219,6 +219,13 @@
     return isinstance(cause, NoRoomError) and cause.is_held_by_callers
 
 
+def is_malformed(exc: BaseException) -> bool:
+    """Returns whether a response was rejected by this side."""
+    return isinstance(
+        exc.__cause__, aiohttp.ClientResponseError | ResponseLimitError
+    )
+
+
 async def async_read(
     resp: aiohttp.ClientResponse,
     max_bytes: int,
