--- a/standins/engine.py
+++ b/standins/engine.py
@@ -98,7 +98,7 @@
                 return base.abort_connection(req)
             self.cancelled += 1
             raise
-        except ConnectionResetError:
+        except ConnectionError:
             self.cancelled += 1
             raise
         finally:
