Count routers that are known by name alone while a router is new

After all routers were killed, cold servers got up to 37 requests in a second where 29 are allowed, and crash at a rate well above.

Cause: only routers that had been heard from counted in the division of a cold server's rate and of the retry budget. A router that has just started has heard from none, and took the whole rate for itself, as did the 72 others. Class: what is not known yet taken for what is not there.

The new test of test_sharing.py failed and passes.

Why it works: the directory in the store names all routers, also those that were just killed, and is read at the start. Each name counts for 6 s, in which a router or its hub sends a message, and from then on by its messages alone. Price: for that time names of routers that are gone take a part of the rate and of the retry budget.

--- a/tamarackbridge/components/fleet/peers.py
+++ b/tamarackbridge/components/fleet/peers.py
@@ -22,6 +22,11 @@
 message or listing, so that the others do not use the budget of a router that
 is only cut off from them."""
 
+NEW_S = 6.0
+"""A router that is only known by name counts there for this long, in which it
+or its hub sends a message: a router that has just started knows the others from
+the directory alone, and all may have started with it."""
+
 GONE_S = 300.0
 """A router without a message or listing for this long has been replaced:
 zone outages last minutes."""
@@ -126,6 +131,7 @@
             address
             for address, peer in self._peers.items()
             if now - peer.last_sign_of_life < BUDGET_S
+            or now - peer.known_since < NEW_S
         )
         return (self._address, *found)
 
--- a/tests/components/fleet/test_sharing.py
+++ b/tests/components/fleet/test_sharing.py
@@ -50,6 +50,19 @@
     assert router.sharing.routers() == ("r1",)
 
 
+def test_routers_that_are_known_by_name_count_in_budgets_at_first() -> None:
+    """Guards against cold servers that all new routers send to at once.
+
+    After all routers were killed, each knows the others from the directory
+    alone, and took the whole rate of a cold server.
+    """
+    router = rig.Router()
+    router.sharing.view.peers.add("r2", "z2", router.clock.now)
+    assert router.sharing.routers() == ("r1", "r2")
+    router.clock.now += peers.NEW_S + 1.0
+    assert router.sharing.routers() == ("r1",)
+
+
 def test_work_of_a_router_that_reported_no_use_is_dropped_too() -> None:
     router = rig.Router()
     router.receive(
