Accept servers that name a warm-up time below 0

A server that has been warm for a while may well name a remaining time below 0; it would not have been used at all. The time is bounded far below 0 now, which is all that encoding it needs; starts and slots have no meaning below 0 and stay bounded there.

--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -85,7 +85,9 @@
     zone: str
     state: str
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    cold_remaining_ms: Annotated[
+        float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)
+    ] = 0
     # Unix time of the server's start, in milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -144,3 +144,8 @@
 def test_malformed_registration_is_rejected(spec: Any) -> None:
     with pytest.raises(exceptions.RecordError):
         records.server("i-1", spec)
+
+
+def test_server_that_has_been_warm_for_a_while_is_accepted() -> None:
+    spec = {**SERVER, "cold_remaining_ms": -3.0}
+    assert records.server("i-1", spec).cold_s <= 0
