--- a/bench/planned_stops_scene.py
+++ b/bench/planned_stops_scene.py
@@ -255,9 +255,14 @@
                 for number in range(self._callers)
             ]
             await asyncio.sleep(self._signalled - time.monotonic())
+            late_s = time.monotonic() - self._signalled
             await router.async_terminate()
             took_s = time.monotonic() - self._signalled
             await asyncio.gather(*calls)
+        self._signalled += late_s
+        for sent in self._sent.values():
+            sent.sent_s -= late_s
+            sent.ended_s -= late_s
         for server in self._servers:
             for request_id, ended in server.work_ended.items():
                 self._sent[request_id].work_ended_s = ended - self._signalled
