Let engines copy cached prompt blocks from each other

The order of engines for a block counts less there, since the second one gets the block without a prefill.

Ruled out: waiting for the holder, and a look-up among all engines for each request.

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -532,7 +532,9 @@
         self._deps.server_selector.record_sent(
             job, option.registered, self._peers.routers(), now
         )
-        return permit.Permit(self, reservation, option.tokens_ahead)
+        return permit.Permit(
+            self, reservation, option.tokens_ahead, option.copy_from
+        )
 
     def _with_jitter(
         self, rejection: rejections.Rejection
--- a/tamarackbridge/components/admission/permit.py
+++ b/tamarackbridge/components/admission/permit.py
@@ -47,14 +47,21 @@
 
 
 class Permit:
-    """Permit for one attempt; implements `jobs.Permit`."""
+    """Permit for one attempt; implements `jobs.Permit`.
+
+    Attributes:
+        copy_from: Address of the server from which this one is to copy cached
+            prompt blocks; empty if none.
+    """
 
     def __init__(
         self,
         issuer: PermitIssuer,
         reservation: ledger.Reservation,
         tokens_ahead: int,
+        copy_from: str = "",
     ) -> None:
+        self.copy_from = copy_from
         self._issuer = issuer
         self._reservation = reservation
         self._tokens_ahead = tokens_ahead
--- a/tamarackbridge/components/gateway/attempt_sender.py
+++ b/tamarackbridge/components/gateway/attempt_sender.py
@@ -75,6 +75,7 @@
                 remaining_s=job.deadline - self._clock.monotonic(),
                 resume_after=resume_after,
                 trace=attempt_span.headers(),
+                copy_from=permit.copy_from,
             ),
             events,
             stream,
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -64,6 +64,11 @@
         """Server that the job may be sent to."""
         ...
 
+    @property
+    def copy_from(self) -> str:
+        """Address of the server to copy cached prompt blocks from, if any."""
+        ...
+
     def record_activity(self) -> None:
         """Records data from the server; only the first call has an effect."""
         ...
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -92,6 +92,8 @@
         resume_after: ID of the last event that was forwarded; empty if none.
         trace: Trace headers of this hop; they replace the caller's headers of
             the same names.
+        copy_from: Address of the server from which this one is to copy cached
+            prompt blocks; empty if it is to prefill what it lacks.
     """
 
     server: str
@@ -99,6 +101,7 @@
     remaining_s: float
     resume_after: str
     trace: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    copy_from: str = ""
 
 
 class Disposition(enum.Enum):
--- a/tamarackbridge/components/knowledge/models.py
+++ b/tamarackbridge/components/knowledge/models.py
@@ -76,6 +76,9 @@
         memory_tokens: Capacity of a model engine's memory in tokens; 0 for a
             service without model engines.
         event_tokens: Tokens in one event of a stream.
+        token_bytes: Size of one token in a model engine's prefix cache; 0 if
+            engines don't copy cached prompt blocks from each other.
+        link_bytes_per_s: Rate at which an engine copies them.
     """
 
     name: str
@@ -85,12 +88,19 @@
     slots: int
     memory_tokens: int
     event_tokens: int
+    token_bytes: int = 0
+    link_bytes_per_s: float = 0.0
 
     @property
     def is_model(self) -> bool:
         """Whether the servers are model engines."""
         return self.slots > 0
 
+    @property
+    def copies_blocks(self) -> bool:
+        """Whether engines copy cached prompt blocks from each other."""
+        return self.token_bytes > 0 and self.link_bytes_per_s > 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
--- a/tamarackbridge/components/placement/scheduling_view.py
+++ b/tamarackbridge/components/placement/scheduling_view.py
@@ -13,7 +13,7 @@
 
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
-from tamarackbridge.components.placement import pool
+from tamarackbridge.components.placement import block_copies, pool
 from tamarackbridge.helpers import rendezvous
 
 MAX_CACHED_ORDERS = 4_096
@@ -67,6 +67,8 @@
 
     Attributes:
         now: Time of the scheduling pass.
+        holders: Engines that hold shared prompt blocks, by the key of the
+            blocks, as far as they were looked up in this pass.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         now: float,
     ) -> None:
         self.now = now
+        self.holders: dict[str, block_copies.Holder | None] = {}
         self._pool = servers
         self._is_model = is_model
         self._make_state = make_state
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -19,6 +19,7 @@
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
+    block_copies,
     estimate,
     health,
     ledger,
@@ -38,6 +39,10 @@
 """Cost of each shared token that is prefilled again: it takes the engine's time
 and delays other requests as well."""
 
+COPY_WEIGHT = 0.2
+"""Cost of each shared token that is copied from another engine: it takes none
+of the engine's time, but room in a second engine's memory."""
+
 LATENESS_SPREAD = 0.3
 """Fraction of the target time over which the expected lateness grows from 0 to
 1: the error of an estimate under load."""
@@ -55,6 +60,10 @@
 """Fraction of the shared tokens that each rank in the order of engines costs:
 routers that don't know yet which engine holds a block still agree on one."""
 
+COPIED_RANK_WEIGHT = 0.1
+"""The same where engines copy blocks from each other: an engine that ranks
+second gets the blocks without a prefill."""
+
 FULL_ENGINE_TOKENS = 1_500.0
 """Additional cost of a full engine over an empty one; spreads requests evenly
 over engines that are otherwise equal."""
@@ -87,6 +96,8 @@
         tokens_ahead_s: Time that their prefill takes.
         prefill_tokens: Prompt tokens of the request that it has to prefill.
         is_full: Whether its slots or its memory are taken.
+        copy_from: Address of the engine from which it is to copy cached prompt
+            blocks; empty if none.
     """
 
     registered: state.RegisteredServer
@@ -96,6 +107,7 @@
     tokens_ahead_s: float
     prefill_tokens: int
     is_full: bool
+    copy_from: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,7 +219,7 @@
             return sorted(plain, key=_cost)
         return sorted(
             (
-                self._score_engine(job, profile, server, rank, now)
+                self._score_engine(job, profile, servers, server, rank, now)
                 for server, rank in ranked
             ),
             key=_cost,
@@ -248,6 +260,7 @@
                     self._score_engine(
                         job,
                         profile,
+                        servers,
                         servers.state_of(registered),
                         rank,
                         servers.now,
@@ -268,7 +281,7 @@
         """Returns the best engine with room; None if there is none."""
         best: ScoredServer | None = None
         least = math.inf
-        rank_cost = _rank_cost(profile)
+        rank_cost = _rank_cost(job, profile)
         for registered, rank in candidates:
             if rank * rank_cost >= least:
                 break
@@ -276,7 +289,9 @@
             cost = server.cost + rank * rank_cost
             if cost >= least or _is_full(job, profile, server):
                 continue
-            option = self._score_engine(job, profile, server, rank, servers.now)
+            option = self._score_engine(
+                job, profile, servers, server, rank, servers.now
+            )
             if option.cost < least:
                 best, least = option, option.cost
         return best
@@ -403,11 +418,15 @@
         self,
         job: jobs.Job,
         profile: request_profile.RequestProfile,
+        servers: scheduling_view.ServiceView,
         server: scheduling_view.ServerState,
         rank: int,
         now: float,
     ) -> ScoredServer:
         """Scores an engine for a request."""
+        copy_from = ""
+        copy_s = 0.0
+        copied_tokens = 0
         prefill_tokens = own_tokens = profile.tokens
         if profile.hashed_blocks:
             name = server.registered.server.name
@@ -415,8 +434,18 @@
                 name, profile.hashed_blocks, now
             )
             own_tokens = min(profile.own_tokens, prefill_tokens)
+            copy = self._block_copy(
+                job, profile, servers, server, prefill_tokens - own_tokens
+            )
+            if copy is not None:
+                copy_from = copy.address
+                copy_s = copy.seconds
+                copied_tokens = copy.tokens
+                prefill_tokens -= copied_tokens
         first_event_s = (
-            server.first_event_s + prefill_tokens / server.prefill_tokens_per_s
+            server.first_event_s
+            + copy_s
+            + prefill_tokens / server.prefill_tokens_per_s
         )
         lateness = (
             now - job.arrived + first_event_s
@@ -427,8 +456,9 @@
         cost = (
             server.cost
             + (profile.cross_zone_cost if server.is_in_other_zone else 0.0)
-            + rank * _rank_cost(profile)
+            + rank * _rank_cost(job, profile)
             + REPEATED_PREFILL_WEIGHT * (prefill_tokens - own_tokens)
+            + COPY_WEIGHT * copied_tokens
             + lateness * LATENESS_WEIGHT * profile.size
         )
         return ScoredServer(
@@ -439,6 +469,38 @@
             server.tokens_ahead_s,
             prefill_tokens,
             _is_full(job, profile, server),
+            copy_from,
+        )
+
+    def _block_copy(
+        self,
+        job: jobs.Job,
+        profile: request_profile.RequestProfile,
+        servers: scheduling_view.ServiceView,
+        server: scheduling_view.ServerState,
+        missing_tokens: int,
+    ) -> block_copies.BlockCopy | None:
+        """Returns the copy that spares an engine a prefill, if one does."""
+        if not missing_tokens or not job.service.copies_blocks:
+            return None
+        if profile.key not in servers.holders:
+            candidates = servers.candidates(profile.key, ())
+            servers.holders[profile.key] = block_copies.find_holder(
+                (
+                    registered.server.address,
+                    self._cache_index.prefill_tokens(
+                        registered.server.name,
+                        profile.hashed_blocks[:-1],
+                        servers.now,
+                    ),
+                )
+                for registered, _ in candidates
+            )
+        return block_copies.plan(
+            job.service,
+            servers.holders[profile.key],
+            missing_tokens,
+            server.prefill_tokens_per_s,
         )
 
     def _score_plain(
@@ -467,9 +529,10 @@
     return server.requests > 0 and server.memory + profile.memory > room
 
 
-def _rank_cost(profile: request_profile.RequestProfile) -> float:
+def _rank_cost(job: jobs.Job, profile: request_profile.RequestProfile) -> float:
     """Returns the cost of each rank in the order of engines."""
-    return 1.0 + RANK_WEIGHT * profile.shared_tokens
+    weight = COPIED_RANK_WEIGHT if job.service.copies_blocks else RANK_WEIGHT
+    return 1.0 + weight * profile.shared_tokens
 
 
 def _long_pause_risk(
--- a/tamarackbridge/platform/const.py
+++ b/tamarackbridge/platform/const.py
@@ -5,6 +5,7 @@
 SETTINGS_VARIABLE: Final = "TAMARACKBRIDGE_SETTINGS"
 SETTINGS_PATH: Final = "/etc/tamarackbridge/settings.conf"
 MS_PER_S: Final = 1_000
+BYTES_PER_MEGABIT: Final = 125_000
 
 READINESS_PATH: Final = "/readiness"
 REPORT_PATH: Final = "/report"
@@ -32,6 +33,7 @@
 HEADER_PROMPT_BLOCKS: Final = "X-Prompt-Prefix"
 HEADER_OUTPUT_HINT: Final = "X-Length-Hint"
 HEADER_RESUME: Final = "Last-Event-Id"
+HEADER_COPY_FROM: Final = "Kv-Fetch"
 
 ROUTER_ONLY_HEADERS: Final = frozenset(
     name.lower()
@@ -44,7 +46,7 @@
         "X-Pin-Ms",
         "X-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        HEADER_COPY_FROM,
     )
 )
 """Headers that only routers may set on requests to backend servers; those of a
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -122,6 +122,8 @@
         headers.append((const.HEADER_TARGET, metadata.server))
         if metadata.workspace:
             headers.append((const.HEADER_WORKSPACE, metadata.workspace))
+        if metadata.copy_from:
+            headers.append((const.HEADER_COPY_FROM, metadata.copy_from))
         if metadata.resume_after != request.resume_after:
             resume = const.HEADER_RESUME.lower()
             headers = [
--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -42,6 +42,8 @@
     slots: int
     kv_capacity_tokens: int
     stride: int = 1  # Tokens per event of a stream.
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -198,6 +200,10 @@
         slots=engine.slots if engine else 0,
         memory_tokens=engine.kv_capacity_tokens if engine else 0,
         event_tokens=engine.stride if engine else 1,
+        token_bytes=engine.kv_token_bytes if engine else 0,
+        link_bytes_per_s=(
+            engine.link_mbps * const.BYTES_PER_MEGABIT if engine else 0.0
+        ),
     )
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -41,6 +41,15 @@
     assert call.prompt_blocks[1] == models.PromptBlock("91", 410)
 
 
+def test_names_the_server_to_copy_prompt_blocks_from() -> None:
+    """Else an engine prefills what another one holds."""
+    attempt = models.AttemptMetadata(
+        "i-1", "w", 1.5, "", copy_from="10.0.0.9:80"
+    )
+    sent = DIALECT.write_request(_call(), attempt)
+    assert dict(sent)["Kv-Fetch"] == "10.0.0.9:80"
+
+
 def test_request_without_identifier_is_rejected() -> None:
     assert DIALECT.read_request("GET", "/", "a", ((b"Host", b"a"),)) is None
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -42,6 +42,8 @@
                 "slots": 64,
                 "kv_capacity_tokens": 668304,
                 "stride": 7,
+                "kv_token_bytes": 35136,
+                "link_mbps": 350000.0,
                 "moves": True,
             },
         },
@@ -68,6 +70,8 @@
     assert cfg.workspaces == {"k1": "w", "k2": "w"}
     assert cfg.services["lm"].slots == 64
     assert cfg.services["lm"].event_tokens == 7
+    assert cfg.services["lm"].token_bytes == 35_136
+    assert cfg.services["lm"].link_bytes_per_s == pytest.approx(43.75e9)
     assert not cfg.services["app"].is_model
     assert cfg.limits.tokens_per_s == 145000
     assert cfg.routes[0].split == (("lm", 1.0),)
