Compress reports to routers of other availability zones

Cause: bytes between zones are paid for, and a report repeats most of the one before it: 12 links between hubs carry some reports of 2 KB a second each.

Change: a link to a router that is known to be in another zone offers the WebSocket's own compression, with a window that holds the last reports. Links within a zone stay uncompressed, as their bytes cost nothing.

Ruled out: sending differences, which needs a history for each receiver.

Measured: 20 equal reports on 70 servers take less than a quarter of the bytes (test).

--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -108,6 +108,10 @@
         """Sets the links to the other routers; called before the start."""
         self._transport = peers
 
+    def is_in_other_zone(self, address: str) -> bool:
+        """Returns whether a router is known to be in another zone."""
+        return self.view.peers.known().get(address, "") not in ("", self._zone)
+
     async def on_start(self) -> None:
         """Starts to send reports and to enter the directory."""
         self._sharing_tasks = [
--- a/tamarackbridge/components/transport/const.py
+++ b/tamarackbridge/components/transport/const.py
@@ -20,6 +20,11 @@
 STABLE_CONNECTION_S: Final = 2.0
 """Lifetime above which a connection resets the pause before reconnecting."""
 
+COMPRESSION_WINDOW_BITS: Final = 15
+"""Window of the compression between availability zones, where bytes are paid
+for: the largest, which holds the last reports. Each repeats most of the one
+before."""
+
 PING_INTERVAL_S: Final = 1.5
 """Interval of pings on a link; the answer must arrive within half of it. A
 silent connection is detected within the 3 s after which a router counts as
--- a/tamarackbridge/components/transport/service.py
+++ b/tamarackbridge/components/transport/service.py
@@ -53,8 +53,24 @@
         receive: Callable[[core.Delivery], None],
         decoder: messages.Decoder,
         credentials: Credentials | None = None,
+        is_remote: Callable[[str], bool] = lambda address: False,
     ) -> None:
+        """Creates the service.
+
+        Args:
+            node: Name of this router.
+            boot: Identifier of its process.
+            host: Address of the listener.
+            port: Port of the listener; 0 for any.
+            clock: The clock.
+            receive: Called with each message.
+            decoder: Decoder of the messages.
+            credentials: TLS contexts; None for connections without TLS.
+            is_remote: Returns whether the router at an address is in another
+                availability zone, so that what is sent to it is compressed.
+        """
         super().__init__()
+        self._is_remote = is_remote
         self._credentials = credentials
         self._decoder = decoder
         self._sent_by_closed_links = (0, 0)
@@ -152,6 +168,9 @@
             f"{scheme}://{address}{const.PEERS_PATH}",
             heartbeat=const.PING_INTERVAL_S,
             max_msg_size=messages.MAX_BATCH_BYTES,
+            compress=const.COMPRESSION_WINDOW_BITS
+            if self._is_remote(address)
+            else 0,
             ssl=context,
         )
 
@@ -164,9 +183,7 @@
         await closing.stop()
 
     async def _async_receive(self, req: web.Request) -> web.WebSocketResponse:
-        socket = web.WebSocketResponse(
-            compress=False, max_msg_size=messages.MAX_BATCH_BYTES
-        )
+        socket = web.WebSocketResponse(max_msg_size=messages.MAX_BATCH_BYTES)
         await socket.prepare(req)
         async for msg in socket:
             if msg.type is aiohttp.WSMsgType.BINARY:
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -244,6 +244,7 @@
                 processor.Purpose.SHARING, self._sharing.receive
             ),
             messages.Decoder(fleet.PEER_MESSAGES),
+            is_remote=self._sharing.is_in_other_zone,
         )
         self._sharing.set_transport(peers)
         return peers
--- a/tests/components/transport/test_service.py
+++ b/tests/components/transport/test_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tamarackbridge import core, platform_router
 from tamarackbridge import messages as codec
 from tamarackbridge.components.fleet import messages
@@ -16,7 +18,9 @@
 
 
 class Peer:
-    def __init__(self, node: str, port: int = 0) -> None:
+    def __init__(
+        self, node: str, port: int = 0, is_remote: bool = False
+    ) -> None:
         self.received: asyncio.Queue[core.Delivery] = asyncio.Queue()
         self.service = service.PeerService(
             node,
@@ -26,6 +30,7 @@
             core.SystemClock(),
             self.received.put_nowait,
             codec.Decoder(messages.PEER_MESSAGES),
+            is_remote=lambda _: is_remote,
         )
 
     async def async_receive(self) -> core.Message:
@@ -45,6 +50,56 @@
         assert receiving.service.received_batches == 1
 
 
+class Link:
+    """Forwards connections to a port and counts the bytes sent there."""
+
+    def __init__(self, port: int) -> None:
+        self.sent_bytes = 0
+        self._port = port
+
+    async def async_handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        to_reader, to_writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+
+        async def async_return() -> None:
+            while data := await to_reader.read(65_536):
+                writer.write(data)
+
+        returning = asyncio.create_task(async_return())
+        while data := await reader.read(65_536):
+            self.sent_bytes += len(data)
+            to_writer.write(data)
+        returning.cancel()
+        to_writer.close()
+        writer.close()
+
+
+@pytest.mark.parametrize("is_remote", [False, True])
+async def test_reports_to_another_zone_are_compressed(is_remote: bool) -> None:
+    """Guards against paying for reports that repeat most of the last one."""
+    sending, receiving = Peer("a", is_remote=is_remote), Peer("b")
+    work = tuple(
+        messages.ServerWork(f"i-{number:08x}", number, 7 * number, 90 * number)
+        for number in range(70)
+    )
+    sent = messages.Report(messages.Direction.ACROSS, work=work)
+    async with receiving.service, sending.service:
+        link = Link(receiving.service.port)
+        server = await asyncio.start_server(link.async_handle, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            sending.service.set_addresses({"b": f"127.0.0.1:{port}"})
+            for _ in range(20):
+                sending.service.post("b", sent)
+                assert await receiving.async_receive() == sent
+            _, plain_bytes = sending.service.sent()
+            assert (link.sent_bytes < plain_bytes / 4) == is_remote
+            await sending.service.stop()
+
+
 async def test_link_reconnects_to_a_restarted_peer() -> None:
     sending, receiving = Peer("a"), Peer("b")
     async with sending.service:
