Weigh a copied prompt token by what it takes from others

Cause: a copy cost more in placement than sending a long request to another zone, so work left its zone although a copy within it was cheaper.

Change: weight 0.08 instead of 0.2 of a prefilled token.

--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -39,7 +39,7 @@
 """Cost of each shared token that is prefilled again: it takes the engine's time
 and delays other requests as well."""
 
-COPY_WEIGHT = 0.2
+COPY_WEIGHT = 0.08
 """Cost of each shared token that is copied from another engine: it takes none
 of the engine's time, but room in a second engine's memory."""
 
