Reject late requests while the engines' slots are full

Cause: under twice the load and more, requests that had missed their target took the slots that became free, so that those that arrived meanwhile were late in turn.

Change: such a request is rejected while more than nine tenths of the slots and memory are in use, unless a server has failed it. A backlog of prompts is no reason, as late requests wait for its end anyway.

--- a/tamarackbridge/components/admission/observed_load.py
+++ b/tamarackbridge/components/admission/observed_load.py
@@ -56,6 +56,11 @@
             self.fill - other.fill,
         )
 
+    @property
+    def mean_fill(self) -> float:
+        """Fraction of slots and memory in use, as all routers observe it."""
+        return self.fill / max(self.routers, 1)
+
     def headroom(self, target_s: float) -> float:
         """Returns the headroom of the engines, from -1 to 1.
 
@@ -71,7 +76,7 @@
         backlog_headroom = 1.0 - self.prefill_backlog_s / count / (
             TARGET_BACKLOG_FRACTION * target_s
         )
-        fill_headroom = (TARGET_FILL - self.fill / count) / (1.0 - TARGET_FILL)
+        fill_headroom = (TARGET_FILL - self.mean_fill) / (1.0 - TARGET_FILL)
         return min(max(min(backlog_headroom, fill_headroom), -1.0), 1.0)
 
 
--- a/tamarackbridge/components/admission/policy.py
+++ b/tamarackbridge/components/admission/policy.py
@@ -39,6 +39,12 @@
 """Weight of the request's own prefill in that time. Short requests are sent
 first, but long ones find room often enough to get half as much in any mix."""
 
+LATE_MAX_FILL = 0.9
+"""Fraction of the engines' slots and memory in use above which requests that
+have missed their target are rejected. Each holds a slot for seconds that a
+request needs which still can be in time. A backlog of prompts is no reason:
+late requests wait for it to end before they are sent."""
+
 NEARLY_IDLE_TOKENS = 6_000
 """Pending prefill tokens up to which an engine counts as nearly idle: half of
 the longest common prompt, 70 ms of prefill."""
@@ -77,6 +83,7 @@
         admitted_fraction: Fraction of the workspace's requests within its
             share.
         headroom: Headroom of the engines, from -1 to 1.
+        fill: Fraction of the engines' slots and memory in use.
     """
 
     served: float
@@ -85,6 +92,7 @@
     is_within_share: bool
     admitted_fraction: float = 1.0
     headroom: float = 0.0
+    fill: float = 0.0
 
     @property
     def limit_ratio(self) -> float:
@@ -143,6 +151,12 @@
         return _decide_plain(job, options)
     waited_s = now - job.arrived
     target_s = job.route.target_s
+    if (
+        waited_s >= target_s
+        and not job.excluded_servers
+        and share_state.fill > LATE_MAX_FILL
+    ):
+        return _reject(rejections.Reason.OVERLOADED, RETRY_MAX_S)
     best = next((option for option in options if not option.is_full), None)
     max_sendable_wait_s = -1.0
     if best is not None:
--- a/tamarackbridge/components/admission/share_tracker.py
+++ b/tamarackbridge/components/admission/share_tracker.py
@@ -54,6 +54,7 @@
         self._expected_retries = expected_retries.ExpectedRetries()
         self._limiter = share_limiter.ShareLimiter(rng)
         self._headroom = 0.0
+        self._fill = 0.0
         self._refreshed_at = -1.0
 
     def record_request(self, workspace: str, cost: float, now: float) -> bool:
@@ -122,6 +123,7 @@
             is_within_share=is_within_share,
             admitted_fraction=self._limiter.admitted_fraction(workspace),
             headroom=self._headroom,
+            fill=self._fill,
         )
 
     def refresh(self, now: float) -> None:
@@ -135,6 +137,7 @@
             total[workspace] = total.get(workspace, shares.NO_USAGE).plus(usage)
         load = self.observed_load(now).plus(self._peers.peers_engine_load())
         self._headroom = load.headroom(observed_load.shortest_target_s(cfg))
+        self._fill = load.mean_fill
         self._limiter.refresh(
             total, self._window_s, cfg.limits.tokens_per_s, self._headroom
         )
--- a/tests/components/admission/test_policy.py
+++ b/tests/components/admission/test_policy.py
@@ -17,6 +17,8 @@
     waited_s: float,
     tokens_ahead: int,
     expected_wait_s: float = 0.0,
+    fill: float = 0.0,
+    excluded_servers: frozenset[str] = frozenset(),
 ) -> policy.Action:
     """Returns the decision on a request of 4,000 prompt tokens.
 
@@ -25,6 +27,8 @@
         waited_s: Time that it has waited.
         tokens_ahead: Prefill backlog of its only engine, in tokens.
         expected_wait_s: Further time that it is expected to wait.
+        fill: Fraction of the engines' slots in use.
+        excluded_servers: Servers that have failed it.
     """
     request = models.Request(
         request_id="q",
@@ -47,6 +51,7 @@
         "w",
         10.0 - waited_s,
         22.0 - waited_s,
+        set(excluded_servers),
     )
     known = state.LocalCopy(builders.BOUNDS)
     known.register(builders.server("i"), 10.0)
@@ -56,7 +61,9 @@
     option = selector.ScoredServer(
         server, 0.0, first_event_s, tokens_ahead, tokens_ahead_s, 4_000, False
     )
-    share_state = policy.ShareState(served, 100.0, WINDOW_S, served < 100.0)
+    share_state = policy.ShareState(
+        served, 100.0, WINDOW_S, served < 100.0, fill=fill
+    )
     return policy.decide(
         job, [option], share_state, 10.0, expected_wait_s
     ).action
@@ -86,3 +93,33 @@
     expected_wait_s = dispatch_rate.DispatchRate().expected_wait_s(0, 10.0)
     action = _decide(50.0, dispatch_rate.WINDOW_S, 9_000, expected_wait_s)
     assert action is not policy.Action.REJECT
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "fill", "excluded_servers", "action"),
+    [
+        (TARGET_S + 0.1, 0.95, frozenset(), policy.Action.REJECT),
+        (TARGET_S + 0.1, 0.85, frozenset(), policy.Action.SEND),
+        (TARGET_S - 0.1, 0.95, frozenset(), policy.Action.SEND),
+        (TARGET_S + 0.1, 0.95, frozenset({"j"}), policy.Action.SEND),
+    ],
+)
+def test_late_request_leaves_slots_of_full_engines_to_others(
+    waited_s: float,
+    fill: float,
+    excluded_servers: frozenset[str],
+    action: policy.Action,
+) -> None:
+    """Load: three times what the engines do, for seconds.
+
+    Late requests took the slots of those that could be in time, so that most
+    were served late. One that a server has failed keeps its place.
+    """
+    decided = _decide(
+        50.0,
+        waited_s,
+        0,
+        fill=fill,
+        excluded_servers=excluded_servers,
+    )
+    assert decided is action
