--- a/soak/programs.py
+++ b/soak/programs.py
@@ -117,7 +117,11 @@
         return {"TAMARACKBRIDGE_SETTINGS": str(self._settings_file)}
 
     def write_settings(
-        self, seeds: list[str], revoke_ms: int = 5_000, memory_mb: int = 256
+        self,
+        seeds: list[str],
+        revoke_ms: int = 5_000,
+        memory_mb: int = 256,
+        max_descriptors: int = 4_096,
     ) -> None:
         """Writes the settings file.
 
@@ -125,6 +129,7 @@
             seeds: Control addresses of the routers to contact first.
             revoke_ms: Time after which a revoked API key is rejected.
             memory_mb: Memory of its VM.
+            max_descriptors: File descriptors that it may open.
         """
         lines = (
             f"node={self.name}",
@@ -141,6 +146,7 @@
             f"bounds.grace_s={GRACE_S}",
             f"bounds.revoke_ms={revoke_ms}",
             f"limits.memory_mb={memory_mb}",
+            f"limits.max_fds={max_descriptors}",
             "metrics.port=0",
         )
         self._settings_file.write_text("\n".join(lines), encoding="utf-8")
