Reset connections in the client tests only while they are open

Aborting a transport whose connection the router had closed raised AttributeError in the test's own process. Clients and bounds are unchanged.

--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -146,6 +146,12 @@
             await program.async_close()
 
 
+def _abort(transport: asyncio.WriteTransport) -> None:
+    """Resets a connection, unless the router has closed it already."""
+    if not transport.is_closing():
+        transport.abort()
+
+
 async def _async_send(
     address: str, crowd: Crowd, open_connections: contextlib.ExitStack
 ) -> None:
@@ -153,7 +159,7 @@
     host, _, port = address.rpartition(":")
     with contextlib.suppress(OSError):
         _, writer = await asyncio.open_connection(host, int(port))
-        open_connections.callback(writer.transport.abort)
+        open_connections.callback(_abort, writer.transport)
         # Nothing reads the responses.
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         for part in crowd.parts:
