Decide which request bodies get memory

Bodies of legal size had no common limit, so many of them at once exceeded limits.memory_mb.

Connections of callers leave at least three quarters of the descriptors to servers and files if fewer than 664 are allowed.

--- a/tamarackbridge/components/gateway/in_flight_limit.py
+++ b/tamarackbridge/components/gateway/in_flight_limit.py
@@ -1,4 +1,8 @@
-"""Limits that follow from the memory of a VM: requests in flight, responses."""
+"""Limits that follow from the memory and the descriptors of a VM.
+
+The memory beyond that of an idle router is shared by responses, request bodies,
+and the rest of requests and connections.
+"""
 
 MAX_IN_FLIGHT = 1_500
 """Upper limit for any VM: the number of requests that one processor finishes
@@ -16,6 +20,24 @@
 MIN_RESPONSE_MB = 1.0
 """Memory for responses on a VM of any size."""
 
+BODY_FRACTION = 2 / 3
+"""Part of the memory for requests that bodies may use until their requests have
+ended. A full number of requests with bodies of 12 KB uses a quarter."""
+
+MIN_BODY_MB = 6.0
+"""Memory for bodies on a VM of any size: one of the largest size fits."""
+
+HEAD_DIVISOR = 16
+"""The incomplete heads of all callers may use the memory for bodies divided by
+this, in addition."""
+
+RESERVED_DESCRIPTORS = 600
+"""File descriptors reserved for servers, peers, the store and files."""
+
+MIN_CONNECTIONS = 64
+"""Connections of callers if fewer than this are left beside the reserved ones,
+but at most a quarter of the descriptors."""
+
 REQUEST_MEMORY_MB = 0.05
 """Memory per request in flight, in MB: three copies of its body, 12 KB in the
 mean, and the buffers of two connections."""
@@ -34,6 +56,23 @@
     return int(_max_response_mb(memory_mb) * _MB)
 
 
+def max_body_bytes(memory_mb: float) -> int:
+    """Returns the memory for request bodies, in bytes."""
+    free_mb = memory_mb - BASE_MEMORY_MB - _max_response_mb(memory_mb)
+    return int(max(free_mb * BODY_FRACTION, MIN_BODY_MB) * _MB)
+
+
+def max_head_bytes(memory_mb: float) -> int:
+    """Returns the memory for incomplete heads of requests, in bytes."""
+    return max_body_bytes(memory_mb) // HEAD_DIVISOR
+
+
+def max_connections(max_descriptors: int) -> int:
+    """Returns the number of connections of callers."""
+    fewest = max(min(MIN_CONNECTIONS, max_descriptors // 4), 1)
+    return max(max_descriptors - RESERVED_DESCRIPTORS, fewest)
+
+
 def _max_response_mb(memory_mb: float) -> float:
     spare_mb = (memory_mb - BASE_MEMORY_MB) * RESPONSE_FRACTION
     return max(spare_mb, MIN_RESPONSE_MB)
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -436,6 +436,23 @@
     seconds: float
 
 
+class ClientLimitsReached(Event, frozen=True):
+    """Callers met limits on memory in the last second.
+
+    Bodies: `waited` for memory, `refused` for want of it, `evicted` to make
+    room, `stalled` without progress; `heads` too large. `bytes` is the memory
+    that bodies hold now, and `waiting` the bodies that wait.
+    """
+
+    waited: int
+    refused: int
+    evicted: int
+    stalled: int
+    heads: int
+    bytes: int
+    waiting: int
+
+
 class RequestsShed(Event, frozen=True):
     """Requests rejected without being parsed since the last such line.
 
