--- a/tamarackbridge/components/entry/connection.py
+++ b/tamarackbridge/components/entry/connection.py
@@ -91,10 +91,13 @@
         screen: Screen | None = None,
         screened: bool = False,
         decodes_bodies: bool = True,
+        read_buffer_bytes: int | None = None,
     ) -> None:
         options: dict[str, Any] = {"auto_decompress": decodes_bodies}
         if idle_timeout_s is not None:
             options["keepalive_timeout"] = idle_timeout_s
+        if read_buffer_bytes is not None:
+            options["read_bufsize"] = read_buffer_bytes
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
