Charge request bodies to the memory budget

Bodies were read without a common limit, and were copied into a bytearray, bytes and the write buffer of a server. Now each is charged before it is read and until its request has ended, retries included, and offloaded requests until the peer's response has ended. A body that finds no room waits unread or gets 503 with Retry-After; one without progress gets 408. A stated length above the maximum gets 413 at once, and 100 Continue is sent only once the route, the key and the room are there. Descriptors are limited by the kernel's limit if it is below the settings'.

ClientLimitsReached, at most one line a second, and gauges of the bytes by use tell operators.

--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -6,7 +6,11 @@
 
 import result
 
-from tamarackbridge.components.gateway import models, rejections
+from tamarackbridge.components.gateway import (
+    body_budget,
+    models,
+    rejections,
+)
 from tamarackbridge.components.knowledge import models as knowledge
 
 
@@ -23,6 +27,7 @@
         deadline: Time by which the final response must have been sent.
         excluded_servers: Servers that already rejected or failed the request.
         attempts: Number of attempts that reached a server.
+        body_memory: Memory of the body; None without a body.
         parts: Identifiers of the request and of its prompt's shared blocks;
             empty until they are needed.
     """
@@ -35,6 +40,7 @@
     deadline: float
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    body_memory: body_budget.Holding | None = None
     parts: frozenset[str] = frozenset()
 
 
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -56,7 +56,7 @@
     output_hint: int
     prompt_blocks: tuple[PromptBlock, ...]
     resume_after: str
-    body: bytes = b""
+    body: bytes | memoryview = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tamarackbridge/components/gateway/offload_proxy.py
+++ b/tamarackbridge/components/gateway/offload_proxy.py
@@ -175,9 +175,7 @@
             request = _ProxiedRequest(caller, offload, self._clock.monotonic())
         except OSError as exc:
             logging.error("cannot offload a request: %s", exc)
-            end = _answer(caller, offload, End.NOT_SENT)
-            caller.close()
-            offload.on_end(end)
+            self.reject(caller, offload)
             return
         try:
             error = request.peer.connect_ex(offload.peer)
@@ -188,6 +186,12 @@
             return
         self._awaiting_response.add(request, select.POLLOUT)
 
+    def reject(self, caller: socket.socket, offload: OffloadedRequest) -> None:
+        """Responds to a request for which there is no room."""
+        end = _answer(caller, offload, End.NOT_SENT)
+        caller.close()
+        offload.on_end(end)
+
     def close(self) -> None:
         """Ends all requests; responds to callers that have no response yet."""
         for group in (self._awaiting_response, self._relaying):
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -6,6 +6,8 @@
 from tamarackbridge import core
 from tamarackbridge.components.gateway import (
     attempt_progress,
+    body_budget,
+    caller_connection,
     forward,
     jobs,
     metrics,
@@ -40,6 +42,7 @@
         self._shed: collections.Counter[str] = collections.Counter()
         self._last_shed_request = ""
         self._offload_ends: collections.Counter[str] = collections.Counter()
+        self._limit_totals = (0, 0, 0, 0, 0)
 
     def record_attempt_end(
         self,
@@ -223,6 +226,39 @@
         if end not in _NORMAL_OFFLOAD_ENDS:
             events.write(events.OffloadFailed(request_id, peer, end.value))
 
+    def write_client_limits(
+        self,
+        bodies: body_budget.BodyBudget,
+        heads: caller_connection.HeadMemory,
+    ) -> None:
+        """Writes which limits callers have met since the last call, if any."""
+        counts = bodies.counts
+        totals = (
+            counts.waited,
+            counts.refused,
+            counts.evicted,
+            counts.stalled,
+            heads.refused,
+        )
+        if totals == self._limit_totals:
+            return
+        waited, refused, evicted, stalled, refused_heads = (
+            now - before
+            for now, before in zip(totals, self._limit_totals, strict=True)
+        )
+        self._limit_totals = totals
+        events.write(
+            events.ClientLimitsReached(
+                waited=waited,
+                refused=refused,
+                evicted=evicted,
+                stalled=stalled,
+                heads=refused_heads,
+                bytes=bodies.total_held,
+                waiting=bodies.waiting,
+            )
+        )
+
     def write_offload_totals(self) -> None:
         """Writes the totals of offloaded requests since the last call."""
         if self._offload_ends:
--- a/tamarackbridge/components/gateway/request_validation.py
+++ b/tamarackbridge/components/gateway/request_validation.py
@@ -1,6 +1,6 @@
 """Validates a caller's HTTP request and turns it into a job."""
 
-import asyncio
+from collections.abc import Callable
 import dataclasses
 import hashlib
 
@@ -8,7 +8,13 @@
 import result
 
 from tamarackbridge import core
-from tamarackbridge.components.gateway import jobs, models, rejections
+from tamarackbridge.components.gateway import (
+    body_budget,
+    body_reader,
+    jobs,
+    models,
+    rejections,
+)
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 
@@ -17,10 +23,6 @@
 is too old: another router may have a current one, and the store answers within
 this time once it is back."""
 
-BODY_TIMEOUT_S = 5.0
-"""Time limit for receiving a request body: the callers' shortest deadline is
-1 s, and 4 MB take far less on their slowest link."""
-
 _Reason = rejections.Reason
 ValidationResult = result.Result[jobs.Job, rejections.Rejection]
 
@@ -33,7 +35,9 @@
         local_copy: state.LocalCopy,
         dialect: models.Dialect,
         clock: core.Clock,
+        bodies: body_budget.BodyBudget,
     ) -> None:
+        self._body_reader = body_reader.BodyReader(bodies)
         self._local_copy = local_copy
         self._dialect = dialect
         self._clock = clock
@@ -59,10 +63,18 @@
         return cfg.route(request.host, request.target.partition("?")[0])
 
     async def async_accept(
-        self, req: web.BaseRequest, request: models.Request
+        self,
+        req: web.BaseRequest,
+        request: models.Request,
+        begin_body: Callable[[], None],
     ) -> ValidationResult:
         """Validates a request and reads its body.
 
+        Args:
+            req: HTTP request of the caller.
+            request: The request without its body.
+            begin_body: Called when the body of a valid request is to be sent.
+
         Returns:
             The job for the request, or the rejection to send to the caller.
         """
@@ -71,17 +83,20 @@
         if isinstance(checked, result.Err):
             return checked
         job = checked.ok_value
-        limit_s = min(BODY_TIMEOUT_S, job.deadline - arrived)
-        try:
-            async with asyncio.timeout(limit_s):
-                body = await req.read()
-                job.request = dataclasses.replace(request, body=body)
-        except TimeoutError:
-            return _reject(_Reason.BODY_TIMEOUT)
-        except web.HTTPRequestEntityTooLarge:
-            return _reject(_Reason.TOO_LARGE)
+        read = await self._body_reader.async_read(
+            req, self._max_body_bytes(), job.deadline - arrived, begin_body
+        )
+        if isinstance(read, result.Err):
+            return read
+        body, job.body_memory = read.ok_value
+        job.request = dataclasses.replace(request, body=body)
         return result.Ok(job)
 
+    def _max_body_bytes(self) -> int:
+        cfg = self._local_copy.configuration
+        limits = knowledge.Limits() if cfg is None else cfg.limits
+        return limits.max_body_bytes
+
     def _check(self, request: models.Request, now: float) -> ValidationResult:
         cfg = self._local_copy.configuration
         if cfg is None:
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -1,6 +1,8 @@
 """HTTP service through which callers send their requests to a router."""
 
 import asyncio
+import dataclasses
+import resource
 import socket
 
 from aiohttp import abc, http_parser, streams, web
@@ -9,9 +11,12 @@
 from tamarackbridge import core
 from tamarackbridge.components.entry import connection
 from tamarackbridge.components.gateway import (
+    body_budget,
+    caller_connection,
     event_loop_lag,
     exceptions,
     in_flight_limit,
+    jobs,
     listener,
     models,
     offload_proxy,
@@ -28,9 +33,6 @@
 from tamarackbridge.components.telemetry import processor, spans
 from tamarackbridge.helpers import held_response
 
-RESERVED_DESCRIPTORS = 600
-"""File descriptors reserved for servers, peers, the store and files."""
-
 BACKLOG = 1024
 """Listen backlog in connections: larger than any burst of one zone."""
 
@@ -70,6 +72,8 @@
 
     Attributes:
         shutdown: Schedule of the shutdown; None while the router is running.
+        bodies: Memory budget of request bodies.
+        heads: Memory of incomplete heads of requests.
     """
 
     def __init__(
@@ -108,13 +112,22 @@
         self.port = port
         self.connections = connection.CallerCounts()
         self._host = host
-        self._max_connections = max(max_descriptors - RESERVED_DESCRIPTORS, 64)
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if allowed != resource.RLIM_INFINITY:
+            max_descriptors = min(max_descriptors, allowed)
+        self._max_connections = in_flight_limit.max_connections(max_descriptors)
+        self.bodies = body_budget.BodyBudget(
+            in_flight_limit.max_body_bytes(memory_mb)
+        )
+        self.heads = caller_connection.HeadMemory(
+            in_flight_limit.max_head_bytes(memory_mb)
+        )
         self._max_open_requests = in_flight_limit.max_in_flight(memory_mb)
         self._local_copy = local_copy
         self._dialect = dialect
         self._clock = clock
         self._validator = request_validation.RequestValidator(
-            local_copy, dialect, clock
+            local_copy, dialect, clock, self.bodies
         )
         self._summary_at = 0.0
         self._runner: runner.Runner | None = None
@@ -172,8 +185,20 @@
     def _offload(
         self, conn: socket.socket, offload: offload_proxy.OffloadedRequest
     ) -> None:
+        """Offloads a request; its bytes are charged until it has ended."""
         assert self._offload_proxy is not None
-        self._offload_proxy.open(conn, offload)
+        holding = body_budget.Holding("", body_budget.Use.OFFLOADED)
+        if not self.bodies.charge_complete(holding, len(offload.request)):
+            self._offload_proxy.reject(conn, offload)
+            return
+
+        def on_end(end: offload_proxy.End) -> None:
+            self.bodies.release(holding)
+            offload.on_end(end)
+
+        self._offload_proxy.open(
+            conn, dataclasses.replace(offload, on_end=on_end)
+        )
 
     @property
     def in_flight(self) -> int:
@@ -233,6 +258,7 @@
             )
         delay_s = max(lag_s, unread_wait_s)
         self._shedder.update_delay(delay_s, now)
+        self.bodies.tick(now)
         if self._offloading is not None:
             self._offloading.headroom.update(now)
         if now - self._summary_at >= SUMMARY_INTERVAL_S:
@@ -241,6 +267,7 @@
                 self._shedder.limit_per_s, self._meter.lag_s
             )
             self._log.write_offload_totals()
+            self._log.write_client_limits(self.bodies, self.heads)
 
     @property
     def headroom_cores(self) -> float:
@@ -262,9 +289,10 @@
             header_timeout_s=limits.header_timeout_s,
             write_stall_s=WRITE_STALL_S,
         )
-        return connection.CallerConnection(
+        return caller_connection.GatewayConnection(
             self._server,
             cfg,
+            self.heads,
             self.connections,
             limits.idle_timeout_s,
             self._screen_kept_alive,
@@ -346,11 +374,6 @@
             resp = self._reject(request.request_id, "", overload, arrived)
             resp.force_close()
             return resp
-        expects_continue = (
-            req.headers.get("Expect", "").lower() == "100-continue"
-        )
-        if expects_continue and req.transport is not None:
-            req.transport.write(_CONTINUE)
         try:
             with self._tracer.start("request", req.headers) as span:
                 span.set("request", request.request_id)
@@ -395,7 +418,9 @@
         span: spans.Span,
     ) -> web.StreamResponse:
         assert self._runner is not None
-        accepted = await self._validator.async_accept(req, request)
+        accepted = await self._validator.async_accept(
+            req, request, lambda: _continue(req)
+        )
         if isinstance(accepted, result.Err):
             route = self._validator.route_name(request)
             resp = self._reject(
@@ -405,11 +430,27 @@
                 resp.force_close()
                 await self._async_send_last(req, resp)
             return resp
-        job = accepted.ok_value
+        try:
+            return await self._async_run_job(
+                req, accepted.ok_value, arrived, span
+            )
+        finally:
+            memory = accepted.ok_value.body_memory
+            if memory is not None:
+                self.bodies.release(memory)
+
+    async def _async_run_job(
+        self,
+        req: web.BaseRequest,
+        job: jobs.Job,
+        arrived: float,
+        span: spans.Span,
+    ) -> web.StreamResponse:
+        assert self._runner is not None
         now = self._clock.monotonic()
         if self.shutdown is not None and not self.shutdown.accepts(job, now):
             return self._reject(
-                request.request_id, job.route.name, _SHUTTING_DOWN, arrived
+                job.request.request_id, job.route.name, _SHUTTING_DOWN, arrived
             )
         return await self._runner.async_run(req, job, span)
 
@@ -447,3 +488,11 @@
             self._log.record_rejection(request_id, route, rejection, arrived)
             headers = dict(self._dialect.rejection_headers(request_id))
             return rejections.response(rejection, headers)
+
+
+def _continue(req: web.BaseRequest) -> None:
+    """Tells a caller that waits for it to send the body."""
+    if req.headers.get("Expect", "").lower() != "100-continue":
+        return
+    if req.transport is not None:
+        req.transport.write(_CONTINUE)
--- a/tamarackbridge/platform_gauges.py
+++ b/tamarackbridge/platform_gauges.py
@@ -2,7 +2,8 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.fleet import sharing
-from tamarackbridge.components.gateway import shedding
+from tamarackbridge.components.gateway import body_budget, shedding
+from tamarackbridge.components.gateway import service as gateway
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import quarantine
 from tamarackbridge.components.telemetry import metrics
@@ -17,8 +18,10 @@
     sharing_service: sharing.SharingService,
     store_client: store.Store,
     block_quarantine: quarantine.BlockQuarantine,
+    gateway_service: gateway.GatewayService,
 ) -> None:
     """Registers the gauges, and counters whose values are kept elsewhere."""
+    _add_memory(registry, gateway_service)
     now = clock.monotonic
 
     def version() -> int:
@@ -71,3 +74,64 @@
         "Requests that were not taken up.",
         lambda: shedder.shed_count,
     )
+
+
+def _add_memory(
+    registry: metrics.Metrics, gateway_service: gateway.GatewayService
+) -> None:
+    """Registers the memory of request bodies by use, and its limits."""
+    bodies, heads = gateway_service.bodies, gateway_service.heads
+    use = body_budget.Use
+    for name, help_text, read in (
+        (
+            "body_reading_bytes",
+            "Memory of bodies that are being read.",
+            lambda: bodies.held(use.READING),
+        ),
+        (
+            "body_held_bytes",
+            "Memory of complete bodies of requests in flight.",
+            lambda: bodies.held(use.HELD),
+        ),
+        (
+            "body_offloaded_bytes",
+            "Memory of offloaded requests.",
+            lambda: bodies.held(use.OFFLOADED),
+        ),
+        (
+            "body_limit_bytes",
+            "Memory that all of these may take.",
+            lambda: bodies.total,
+        ),
+        (
+            "bodies_waiting",
+            "Bodies that wait unread for memory.",
+            lambda: bodies.waiting,
+        ),
+        (
+            "head_bytes",
+            "Memory of incomplete heads.",
+            lambda: heads.used,
+        ),
+    ):
+        registry.gauge(name, help_text, read)
+    counts = bodies.counts
+    for name, help_text, count in (
+        (
+            "bodies_refused",
+            "Bodies refused for want of memory.",
+            lambda: counts.refused,
+        ),
+        (
+            "bodies_evicted",
+            "Unfinished bodies cut off to make room.",
+            lambda: counts.evicted,
+        ),
+        (
+            "bodies_stalled",
+            "Unfinished bodies cut off without progress.",
+            lambda: counts.stalled,
+        ),
+        ("heads_refused", "Heads that were too large.", lambda: heads.refused),
+    ):
+        registry.callback_counter(name, help_text, count)
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -127,6 +127,7 @@
             self._sharing,
             self._store,
             self._dependencies.block_quarantine,
+            self._gateway,
         )
         services = self._kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
