Let callers use three quarters of the descriptors the kernel allows

The kernel's limit had been taken for the settings' one, so that a soft limit of 1,024 would have left 424 connections where about 1,000 were possible. Now it only caps what follows from the settings. Raising the soft limit was ruled out: it belongs to who starts the process.

--- a/tamarackbridge/components/gateway/in_flight_limit.py
+++ b/tamarackbridge/components/gateway/in_flight_limit.py
@@ -38,6 +38,10 @@
 """Connections of callers if fewer than this are left beside the reserved ones,
 but at most a quarter of the descriptors."""
 
+ALLOWED_FRACTION = 0.75
+"""Part of the descriptors allowed by the kernel that connections of callers may
+use, where the kernel allows fewer than the settings say."""
+
 REQUEST_MEMORY_MB = 0.05
 """Memory per request in flight, in MB: three copies of its body, 12 KB in the
 mean, and the buffers of two connections."""
@@ -67,10 +71,16 @@
     return max_body_bytes(memory_mb) // HEAD_DIVISOR
 
 
-def max_connections(max_descriptors: int) -> int:
-    """Returns the number of connections of callers."""
+def max_connections(max_descriptors: int, allowed: int) -> int:
+    """Returns the number of connections of callers.
+
+    Args:
+        max_descriptors: Descriptors of the process by its settings.
+        allowed: Descriptors that the kernel allows it.
+    """
     fewest = max(min(MIN_CONNECTIONS, max_descriptors // 4), 1)
-    return max(max_descriptors - RESERVED_DESCRIPTORS, fewest)
+    most = max(max_descriptors - RESERVED_DESCRIPTORS, fewest)
+    return min(most, max(int(allowed * ALLOWED_FRACTION), 1))
 
 
 def _max_response_mb(memory_mb: float) -> float:
--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -113,9 +113,11 @@
         self.connections = connection.CallerCounts()
         self._host = host
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if allowed != resource.RLIM_INFINITY:
-            max_descriptors = min(max_descriptors, allowed)
-        self._max_connections = in_flight_limit.max_connections(max_descriptors)
+        if allowed == resource.RLIM_INFINITY:
+            allowed = max_descriptors
+        self._max_connections = in_flight_limit.max_connections(
+            max_descriptors, allowed
+        )
         self.bodies = body_budget.BodyBudget(
             in_flight_limit.max_body_bytes(memory_mb)
         )
--- a/tests/components/gateway/test_body_budget.py
+++ b/tests/components/gateway/test_body_budget.py
@@ -172,12 +172,18 @@
 
 
 @pytest.mark.parametrize(
-    ("descriptors", "connections"), [(4_096, 3_496), (600, 64), (128, 32)]
+    ("descriptors", "allowed", "connections"),
+    [
+        (4_096, 20_000, 3_496),
+        (600, 20_000, 64),
+        (128, 128, 32),
+        (4_096, 1_024, 768),
+    ],
 )
 def test_connections_leave_descriptors_for_servers(
-    descriptors: int, connections: int
+    descriptors: int, allowed: int, connections: int
 ) -> None:
-    assert in_flight_limit.max_connections(descriptors) == connections
+    assert in_flight_limit.max_connections(descriptors, allowed) == connections
 
 
 def test_memory_of_a_large_body_grows() -> None:
