Load saved quarantines with stale reads, and delete expired ones once

Each router read the quarantines with a full call at its start, and each deleted all that had expired. They are read with allow_stale=1 now, twice, as such a read may lack the last seconds; expired ones are deleted after the second read, by the router that the caller's predicate names. Evidence is saved from the start on and not only after the first load. Ruled out: one stale read only, which would lose a quarantine that was saved just before a kill of all routers.

The test of expired evidence shortens the pause before the second read.

--- a/tamarackbridge/components/fleet/evidence_keeper.py
+++ b/tamarackbridge/components/fleet/evidence_keeper.py
@@ -1,7 +1,7 @@
 """Keeps the evidence behind quarantines when all routers stop at once."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -13,6 +13,10 @@
 SAVE_INTERVAL_S = 0.25
 """Interval at which new evidence is looked for and saved."""
 
+RELOAD_S = 10.0
+"""Time from the first load to a second one. A load may lack the last seconds
+before it, in which a router that crashed may have saved something."""
+
 MS_PER_S = 1000
 
 RETRY_S = 1.0
@@ -48,14 +52,20 @@
         ...
 
     async def async_load(self) -> list[StoredSuspect] | None:
-        """Returns all evidence; None on failure."""
+        """Returns all evidence, maybe without the last seconds.
+
+        Returns None on failure.
+        """
         ...
 
-    async def async_delete_expired(self, before_ms: int) -> None:
+    async def async_delete_expired(
+        self, before_ms: int, deletes: Callable[[str], bool]
+    ) -> None:
         """Deletes the evidence that was loaded and is from before a time.
 
         Args:
             before_ms: Unix milliseconds; evidence with a later crash is kept.
+            deletes: Returns whether this router deletes the evidence of a name.
         """
         ...
 
@@ -68,28 +78,49 @@
         store: EvidenceStore,
         evidence: quarantine.BlockQuarantine,
         clock: core.Clock,
+        deletes: Callable[[str], bool] = lambda name: True,
     ) -> None:
+        """Initializes the keeper.
+
+        Args:
+            store: The platform's store.
+            evidence: Evidence against prompt blocks.
+            clock: Clock of crashes, and the time of day.
+            deletes: Returns whether it is this router that deletes expired
+                evidence of a name.
+        """
         super().__init__()
+        self._deletes = deletes
         self._store = store
         self._evidence = evidence
         self._clock = clock
-        self._task: asyncio.Task[None] | None = None
+        self._keeper_tasks: list[asyncio.Task[None]] = []
 
     async def on_start(self) -> None:
         """Starts to load and to save."""
-        self._task = asyncio.create_task(self._async_run())
+        self._keeper_tasks = [
+            asyncio.create_task(self._async_keep_loaded()),
+            asyncio.create_task(self._async_save_forever()),
+        ]
 
     async def on_stop(self) -> None:
         """Stops saving."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._keeper_tasks:
+            task.cancel()
 
-    async def _async_run(self) -> None:
+    async def _async_keep_loaded(self) -> None:
+        """Loads the evidence twice; deletes what has expired once."""
+        self._apply(await self._async_load())
+        await asyncio.sleep(RELOAD_S)
         stored = await self._async_load()
         self._apply(stored)
         if stored:
             expired_s = self._clock.wall() - 2 * quarantine.MAX_QUARANTINE_S
-            await self._store.async_delete_expired(int(expired_s * MS_PER_S))
+            await self._store.async_delete_expired(
+                int(expired_s * MS_PER_S), self._deletes
+            )
+
+    async def _async_save_forever(self) -> None:
         while True:
             await asyncio.sleep(SAVE_INTERVAL_S)
             suspects = self._evidence.pop_unsaved()
--- a/tamarackbridge/platform/evidence_store.py
+++ b/tamarackbridge/platform/evidence_store.py
@@ -1,6 +1,6 @@
 """Evidence against prompt blocks, kept in the platform's store."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import result
@@ -35,10 +35,16 @@
     async def async_load(
         self,
     ) -> list[evidence_keeper.StoredSuspect] | None:
-        """Returns all evidence; None on failure. Malformed objects are left."""
-        page = await self._client.async_list(const.KIND_QUARANTINES)
+        """Returns all evidence, maybe without the last seconds.
+
+        Malformed objects are left. Returns None on failure.
+        """
+        page = await self._client.async_list(
+            const.KIND_QUARANTINES, allow_stale=True
+        )
         if isinstance(page, result.Err):
             return None
+        self._crashed_ms.clear()
         found: list[evidence_keeper.StoredSuspect] = []
         for item in page.ok_value.objects:
             try:
@@ -56,10 +62,17 @@
             )
         return found
 
-    async def async_delete_expired(self, before_ms: int) -> None:
-        """Deletes the evidence that was loaded and is from before a time."""
+    async def async_delete_expired(
+        self, before_ms: int, deletes: Callable[[str], bool]
+    ) -> None:
+        """Deletes the evidence that was loaded and is from before a time.
+
+        Args:
+            before_ms: Unix milliseconds; evidence with a later crash is kept.
+            deletes: Returns whether this router deletes the evidence of a name.
+        """
         for name, crashed_ms in list(self._crashed_ms.items()):
-            if crashed_ms < before_ms:
+            if crashed_ms < before_ms and deletes(name):
                 await self._client.async_delete(const.KIND_QUARANTINES, name)
                 del self._crashed_ms[name]
 
--- a/tests/platform/test_evidence_store.py
+++ b/tests/platform/test_evidence_store.py
@@ -110,7 +110,10 @@
     assert evidence.pop_unsaved() == ()
 
 
-async def test_expired_and_malformed_evidence_is_no_obstacle() -> None:
+async def test_expired_and_malformed_evidence_is_no_obstacle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(evidence_keeper, "RELOAD_S", 0.05)
     async with platform_store.PlatformStore() as standin:
         kind = const.KIND_QUARANTINES
         await standin.async_put(kind, "i-8", {"suspects": [{"server": 1}]})
