Start a fleet with few calls to the store

All routers of a fleet start within 0.3 s, and each listed three kinds of data, watched them, listed the directory twice and wrote its entry with two calls: 8 to 11 calls each. Now a router waits for the data of others, at most 0.5 s and drawn from an exponential distribution, so that few read before the first data has spread; it relies on whoever sent the data until the hubs are known (3 s). Hubs that read for the fleet do not wait. A router that has no data yet reports every 0.05 s, and what is sent to a router that was just heard is no longer dropped for want of a link.

The directory is read with allow_stale=1 and entered only by a router that it does not list; an existing entry is not written again. A router that left does not enter again. A list that comes after newer relayed data is dropped.

Ruled out: stale first lists (they confirm nothing, so another call would have to follow at once), equal waits (all would read at the same time), and reading by seeds only (a router does not know that it is one).

--- a/tamarackbridge/components/fleet/groups.py
+++ b/tamarackbridge/components/fleet/groups.py
@@ -75,6 +75,11 @@
     return Role(None, all_hubs - {router}, store_readers)
 
 
+def first_readers(routers: Collection[str]) -> Sequence[str]:
+    """Returns the routers of a small fleet that read the store at its start."""
+    return rendezvous.rank(_HUB_ORDER, routers)[:STORE_READERS]
+
+
 def _store_readers(hubs: Mapping[str, Sequence[str]]) -> frozenset[str]:
     """Returns the hubs that read the store, from as many zones as possible."""
     ranks = itertools.zip_longest(*(hubs[zone] for zone in sorted(hubs)))
--- a/tamarackbridge/components/fleet/peers.py
+++ b/tamarackbridge/components/fleet/peers.py
@@ -103,6 +103,12 @@
         peer = self._peers.get(address)
         return peer is not None and peer.received_at > at
 
+    def has_heard_any(self) -> bool:
+        """Returns whether a message from any router has arrived."""
+        return any(
+            math.isfinite(peer.received_at) for peer in self._peers.values()
+        )
+
     def live(self, now: float) -> dict[str, str]:
         """Returns the zones of the live routers, including this one."""
         found = {
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -4,14 +4,15 @@
 from collections.abc import Callable, Iterable, Mapping
 import contextlib
 import math
-from typing import Any, Protocol
+from typing import Any
 
 from tamarackbridge import core
 from tamarackbridge.components.admission import observed_load, shares
+from tamarackbridge.components.fleet import directory as fleet_directory
 from tamarackbridge.components.fleet import messages, view
 from tamarackbridge.components.gateway import offload
+from tamarackbridge.components.knowledge import first_read, relay, source
 from tamarackbridge.components.knowledge import messages as knowledge
-from tamarackbridge.components.knowledge import relay, source
 from tamarackbridge.components.transport import service as transport
 from tamarackbridge.helpers import rendezvous
 
@@ -28,13 +29,14 @@
 """Longest time between two reports to the same router, also if nothing has
 changed."""
 
-DIRECTORY_RETRY_S = 1.0
-"""Interval between attempts to enter the directory and to read it; a call to
-the store takes that long when it fails."""
+LACKING_INTERVAL_S = 0.05
+"""Longest time between two reports of a router that has just started and lacks
+some data of the store. Routers that have it send it in response."""
 
-DIRECTORY_SETTLED_S = 3.0
-"""Time after the start at which the directory is read again: routers that start
-together enter it within this time."""
+START_S = 3.0
+"""Time after the start in which a router relies on the one that sent it the
+store's data, though that may be no hub. Routers that start together know each
+other and their hubs after it."""
 
 ENTER_AGAIN_SPREAD_S = 5.0
 """Time over which the routers enter the directory again after the store came
@@ -47,26 +49,6 @@
 """Interval at which the list of routers that count in budgets is refreshed."""
 
 
-class Directory(Protocol):
-    """The stored list of routers, read by each router at its start."""
-
-    async def async_enter(self, address: str, zone: str) -> bool:
-        """Adds this router; returns whether it is certain to be listed."""
-        ...
-
-    def era(self) -> int:
-        """Returns the era that the store named last; 0 if it names none."""
-        ...
-
-    async def async_leave(self, address: str) -> None:
-        """Removes a router."""
-        ...
-
-    async def async_routers(self) -> dict[str, str] | None:
-        """Returns the listed routers' zones by address; None on failure."""
-        ...
-
-
 class SharingService(core.Service):
     """Exchanges reports with the other routers.
 
@@ -79,12 +61,28 @@
         address: str,
         zone: str,
         seeds: Iterable[str],
-        directory: Directory,
+        directory: fleet_directory.Directory,
         clock: core.Clock,
         own: view.LocalState,
         store_relay: relay.Relay,
         on_report: Callable[[], None],
+        first_read_draw: float = 0.0,
     ) -> None:
+        """Initializes the service.
+
+        Args:
+            address: Peer address of this router.
+            zone: Its zone.
+            seeds: Peer addresses of some routers; may be outdated.
+            directory: The stored list of routers.
+            clock: Clock of the intervals.
+            own: What is reported of this router.
+            store_relay: Sends and receives the store's data.
+            on_report: Called after a report was merged.
+            first_read_draw: A number drawn uniformly from 0 to 1 that decides
+                how long this router waits for the store's data from others
+                at its start; 0 for no wait.
+        """
         super().__init__()
         self.view = view.SharedView(address, zone, own)
         self._address = address
@@ -95,7 +93,17 @@
         self._on_report = on_report
         self._transport: transport.PeerService | None = None
         self._sharing_tasks: list[asyncio.Task[Any]] = []
-        self._entered_era: int | None = None
+        self._first_read_wait_s = first_read.wait_s(first_read_draw)
+        self._started_at = clock.monotonic()
+        self._relied_at = -math.inf
+        self._entry = fleet_directory.Entry(
+            directory,
+            address,
+            zone,
+            clock,
+            self._add_listed,
+            lambda: not self.view.peers.has_heard_any(),
+        )
         self._dirty = asyncio.Event()
         self._linked: tuple[str, ...] = ()
         self._introduced_at: dict[str, float] = {}
@@ -110,9 +118,10 @@
 
     async def on_start(self) -> None:
         """Starts to send reports and to enter the directory."""
+        self._started_at = self._clock.monotonic()
         self._sharing_tasks = [
             asyncio.create_task(self._async_share_forever()),
-            asyncio.create_task(self._async_enter_directory()),
+            asyncio.create_task(self._entry.async_run()),
         ]
 
     async def on_stop(self) -> None:
@@ -149,14 +158,41 @@
         return self.view.peers_use_age_s(self._clock.monotonic())
 
     def is_relayed(self, kind: source.Kind) -> bool:
-        """Returns whether a hub relays this kind of store data to this router.
+        """Returns whether another router relays this kind of store data.
 
-        Returns False also if this router has lacked a change of that kind for
-        too long.
+        This is a hub, or in the first seconds the router that sent the data.
+        In these the roles change, so a new hub has the usual time for its first
+        message. Returns False also if this router has lacked a change of that
+        kind for too long.
         """
         if self._relay.is_behind(kind):
             return False
-        return bool(self.view.store_reader(self._clock.monotonic()))
+        now = self._clock.monotonic()
+        if self.view.store_reader(now):
+            self._relied_at = now
+            return True
+        if now - self._started_at >= START_S or self.view.reads_for_fleet():
+            return False
+        sender = self._relay.sender(kind)
+        if sender is not None and self.view.can_relay(sender, now):
+            self._relied_at = now
+        return now - self._relied_at < view.HUB_SILENT_S
+
+    def may_read_first(self) -> bool:
+        """Returns whether a router without the store's data reads it now.
+
+        At its start a router waits a little for the data of others. It does
+        not wait if it knows of none, or if it is one of those that read the
+        store for the others. It can tell this only if the directory listed it
+        at its start, as a list of routers that start for the first time is not
+        complete.
+        """
+        now = self._clock.monotonic()
+        if now - self._started_at >= self._first_read_wait_s:
+            return True
+        if not self.view.peers.addresses:
+            return True
+        return self._entry.was_listed and self.view.is_first_reader()
 
     def receive(self, delivery: core.Delivery) -> None:
         """Handles a message from another router."""
@@ -168,6 +204,16 @@
             self.view.add_introduced(msg, now)
         elif isinstance(msg, knowledge.Snapshot):
             self._relay.handle_snapshot(delivery.src, msg, delivery.age_s)
+            # Its sender's first report may arrive only later.
+            self._relied_at = now
+
+    def ranks_first(self, name: str) -> bool:
+        """Returns whether this router is the one live router for a name.
+
+        What has to be done once in the fleet is left to it.
+        """
+        live = self.view.peers.live(self._clock.monotonic())
+        return rendezvous.owner(name, live) == self._address
 
     def request_report(self) -> None:
         """Requests that a change of this router's work is reported soon."""
@@ -175,7 +221,12 @@
 
     async def async_leave(self) -> None:
         """Removes this router from the directory."""
-        await self._directory.async_leave(self._address)
+        await self._entry.async_leave()
+
+    def _add_listed(self, zones: Mapping[str, str]) -> None:
+        now = self._clock.monotonic()
+        for address, zone in zones.items():
+            self.view.peers.add(address, zone, now)
 
     def _handle_report(
         self, src: str, report: messages.Report, age_s: float, now: float
@@ -183,6 +234,9 @@
         self._relay.handle_versions(report.versions, age_s)
         known_age_s = age_s if math.isfinite(age_s) else 0.0
         effect = self.view.handle_report(src, report, known_age_s, now)
+        if src not in self._linked:
+            # What is sent to it now would be dropped without a link.
+            self._update_links()
         if effect.needs_introduction:
             self._introduce(src, now)
         follows = self.view.relays_store_to(src)
@@ -215,15 +269,21 @@
             )
             await asyncio.sleep(min_interval_s)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(
-                    max(MAX_INTERVAL_S - min_interval_s, 0.0)
-                ):
+                longest_s = self._max_interval_s() - min_interval_s
+                async with asyncio.timeout(max(longest_s, 0.0)):
                     await self._dirty.wait()
             self._dirty.clear()
             receivers = self._share()
             self._check_era()
             await self._async_drop_gone()
 
+    def _max_interval_s(self) -> float:
+        """Returns the longest time between two reports to the same router."""
+        is_starting = self._clock.monotonic() - self._started_at < START_S
+        if is_starting and not self._relay.is_complete():
+            return LACKING_INTERVAL_S
+        return MAX_INTERVAL_S
+
     def _share(self) -> int:
         """Sends the reports that are due; returns their number."""
         now = self._clock.monotonic()
@@ -236,10 +296,10 @@
 
     def _check_era(self) -> None:
         """Enters the directory again if the store may have lost the entry."""
-        era = self._relay.era()
-        if era is None or self._entered_era is None or era <= self._entered_era:
+        era, entered_era = self._relay.era(), self._entry.era
+        if era is None or entered_era is None or era <= entered_era:
             return
-        self._entered_era = era
+        self._entry.era = era
         delay_s = ENTER_AGAIN_SPREAD_S * rendezvous.share(
             str(era), self._address
         )
@@ -249,10 +309,7 @@
 
     async def _async_enter_again(self, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
-        while True:
-            if await self._directory.async_enter(self._address, self._zone):
-                return
-            await asyncio.sleep(DIRECTORY_RETRY_S)
+        await self._entry.async_enter()
 
     async def _async_drop_gone(self) -> None:
         """Drops routers that are gone.
@@ -269,32 +326,6 @@
             for address in gone:
                 await self._directory.async_leave(address)
 
-    async def _async_enter_directory(self) -> None:
-        """Enters the directory and adds the routers that it lists.
-
-        Reads it a second time after `DIRECTORY_SETTLED_S`, unless a hub
-        already relays the store's data by then.
-        """
-        entered = False
-        settled_at = self._clock.monotonic() + DIRECTORY_SETTLED_S
-        while True:
-            if not entered:
-                entered = await self._directory.async_enter(
-                    self._address, self._zone
-                )
-                if entered:
-                    self._entered_era = self._directory.era()
-            listed = await self._directory.async_routers()
-            now = self._clock.monotonic()
-            for address, zone in (listed or {}).items():
-                self.view.peers.add(address, zone, now)
-            if entered and listed is not None:
-                if now >= settled_at or self.view.store_reader(now):
-                    return
-                await asyncio.sleep(settled_at - now)
-            else:
-                await asyncio.sleep(DIRECTORY_RETRY_S)
-
     def _update_links(self) -> None:
         addresses = self.view.peers.addresses
         if self._transport is not None and addresses != self._linked:
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -168,17 +168,38 @@
             {self._role.hub} if self._role.hub else self._role.store_readers
         )
         for router in rendezvous.rank(self._address, candidates):
-            state = self._states.get(router)
-            if (
-                state is None
-                or now - state.received_at >= HUB_SILENT_S
-                or state.has_no_store
-            ):
-                continue
-            if state.store_reader != self._address:
+            if self.can_relay(router, now):
                 return router
         return ""
 
+    def can_relay(self, router: str, now: float) -> bool:
+        """Returns whether a router has the store's data for this one."""
+        state = self._states.get(router)
+        return (
+            state is not None
+            and now - state.received_at < HUB_SILENT_S
+            and not state.has_no_store
+            and state.store_reader != self._address
+        )
+
+    def is_first_reader(self) -> bool:
+        """Returns whether this router is to read the store at a fleet's start.
+
+        In a small fleet all routers read it later on, but the first three are
+        enough at the start.
+        """
+        if len(self._live) > groups.MESH_ROUTERS:
+            return self.reads_for_fleet()
+        return self._address in groups.first_readers(self._live)
+
+    def reads_for_fleet(self) -> bool:
+        """Returns whether this router reads the store for a large fleet."""
+        return (
+            len(self._live) > groups.MESH_ROUTERS
+            and self._role.hub is None
+            and not self._role.store_readers
+        )
+
     def relays_store_to(self, router: str) -> bool:
         """Returns whether this router relays the store's data to a router."""
         state = self._states.get(router)
--- a/tamarackbridge/components/knowledge/const.py
+++ b/tamarackbridge/components/knowledge/const.py
@@ -11,6 +11,18 @@
 """Longest wait of a watch on servers and zones. Detects a dead connection
 within the 3 s after which a router counts as undisturbed."""
 
+WATCH_PAUSE_FRACTION: Final = 0.09
+"""Pause before the next watch, as a fraction of the time limit on leaving
+servers. After a change of the registered servers, further changes in the pause
+cost one call for all instead of one each. After a first read for which this
+router had waited, a hub that relays the data may be found in the pause. A
+change in it is known later by at most this time; a tenth of the limit is
+allowed."""
+
+FIRST_READ_CHECK_INTERVAL_S: Final = 0.02
+"""Interval at which a router that has just started checks whether another one
+has sent the data, or whether it must read the store itself."""
+
 RELAYED_CHECK_INTERVAL_S: Final = 0.25
 """Interval at which a follower that gets its data from another router checks
 whether it must read the store itself. The messages that report the age of the
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -33,7 +33,21 @@
         clock: core.Clock,
         rng: random.Random,
         is_relayed: Callable[[source.Kind], bool],
+        may_read_first: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Initializes the follower.
+
+        Args:
+            kind: Kind of data that is followed.
+            data_source: The store.
+            local_copy: The local copy.
+            update_applier: Applies updates to the local copy.
+            clock: Clock of the copy's age.
+            rng: Source of the spread of calls after a failure.
+            is_relayed: Returns whether another router relays a kind.
+            may_read_first: Returns whether data is read from the store that no
+                other router has sent yet.
+        """
         super().__init__()
         self._kind = kind
         self._source = data_source
@@ -42,6 +56,9 @@
         self._rng = rng
         self._applier = update_applier
         self._is_relayed = is_relayed
+        self._may_read_first = may_read_first
+        self._has_waited = False
+        self._paused_s = 0.0
         self._lost_history = False
         self._retry_pause_s = const.RETRY_MIN_S
         self._unreachable_since: float | None = None
@@ -73,6 +90,9 @@
                 self._local_copy.unreachable.discard(self._kind)
                 self._applier.remove_expired()
                 await asyncio.sleep(const.RELAYED_CHECK_INTERVAL_S)
+            elif self._revision == 0 and not self._may_read_first():
+                self._has_waited = True
+                await asyncio.sleep(const.FIRST_READ_CHECK_INTERVAL_S)
             elif self._lost_history or self._revision == 0:
                 await self._async_read_all()
             else:
@@ -98,6 +118,7 @@
         if (wait_s := due - self._clock.monotonic()) > 0:
             await asyncio.sleep(wait_s * self._rng.uniform(1.0, 1.5))
         began = self._clock.monotonic()
+        is_first = self._revision == 0
         answer = await self._source.async_all(self._kind)
         if isinstance(answer, result.Err):
             await self._async_handle_failure()
@@ -111,6 +132,9 @@
             return
         self._handle_success()
         self._lost_history = False
+        if is_first and found.revision < self._revision:
+            # Another router has sent newer data in the meantime.
+            return
         is_restored = self._revision > 0 and era > known_era
         if is_restored:
             self._handle_restored(found)
@@ -120,6 +144,9 @@
         self._local_copy.record_full_read(self._kind, found.revision)
         self._confirm(began)
         self._applier.on_change()
+        if is_first and self._has_waited:
+            # A hub that relays the data may be found in the meantime.
+            await self._async_pause()
 
     def _handle_restored(self, found: source.UpdateBatch) -> None:
         """Doubts what the store lacks after it came from an older copy.
@@ -156,7 +183,10 @@
             self._local_copy.confirm(self._kind, at)
 
     async def _async_watch(self) -> None:
-        wait_s = self._local_copy.watch_wait_s(self._kind)
+        # After a pause the wait is shorter, so that the copy is confirmed no
+        # later than without one.
+        wait_s = self._local_copy.watch_wait_s(self._kind) - self._paused_s
+        self._paused_s = 0.0
         began = self._clock.monotonic()
         answer = await self._source.async_changes(
             self._kind, self._revision, wait_s
@@ -176,6 +206,11 @@
         quiet = waited and not answer.ok_value.updates
         self._confirm(began + wait_s if quiet else began)
 
+    async def _async_pause(self) -> None:
+        """Pauses, and shortens the next watch by that time."""
+        self._paused_s = self._local_copy.watch_pause_s()
+        await asyncio.sleep(self._paused_s)
+
     def _apply(self, found: source.UpdateBatch) -> None:
         if found.updates and self._has_configuration_in_force(found):
             self._unconfirmed_until = 0.0
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -21,6 +21,10 @@
 
 MS_PER_S = 1000
 
+FOLLOWS_S = 3.0
+"""Time for which a router that was sent a snapshot is sent later changes, too,
+as one that relies on this router is. It may have just started."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _MissingChange:
@@ -50,6 +54,7 @@
         self._sent_at: dict[tuple[str, source.Kind], float] = {}
         self._lacking_since: dict[tuple[str, source.Kind], float] = {}
         self._missing: dict[source.Kind, _MissingChange] = {}
+        self._senders: dict[source.Kind, str] = {}
 
     def versions(self) -> tuple[messages.Edition, ...]:
         """Returns version and age of the local copy of each kind."""
@@ -63,6 +68,14 @@
         ]
         return positions.era(max(known)) if max(known) else None
 
+    def sender(self, kind: source.Kind) -> str | None:
+        """Returns the router that sent the data of a kind last, if any did."""
+        return self._senders.get(kind)
+
+    def is_complete(self) -> bool:
+        """Returns whether the local copy has data of all kinds."""
+        return self._local_copy.is_complete()
+
     def handle_versions(
         self, versions: tuple[messages.Edition, ...], age_s: float
     ) -> None:
@@ -155,6 +168,7 @@
         elif snapshot.configuration is not None:
             update = source.ConfigurationUpdate(snapshot.configuration)
             self._applier.replace(kind, (update,), 0.0)
+        self._senders[kind] = router
         changed = self._position(snapshot.edition, snapshot.edition.changed)
         self._local_copy.record_revision(kind, changed, changed=True)
         self._local_copy.record_revision(kind, position, changed=False)
@@ -234,7 +248,14 @@
             + const.RELAY_AGE_MARGIN_S
         )
         is_old = not 0 <= reported.age_ms / MS_PER_S < limit_s
-        return follows or is_old or now - since >= const.BEHIND_TIMEOUT_S
+        # It may have no other source in the first seconds after its start.
+        was_sent = now - self._sent_at.get(key, -math.inf) < FOLLOWS_S
+        return (
+            follows
+            or was_sent
+            or is_old
+            or now - since >= const.BEHIND_TIMEOUT_S
+        )
 
     def _is_due(
         self, router: str, reported: messages.Edition, now: float
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -125,6 +125,10 @@
             return fraction * self._bounds.configuration_s
         return const.REGISTRATION_WAIT_S
 
+    def watch_pause_s(self) -> float:
+        """Returns the longest pause before a watch on a kind, in seconds."""
+        return const.WATCH_PAUSE_FRACTION * self._bounds.server_leave_s
+
     def configuration_age(self, now: float) -> float:
         """Returns the age of the configuration, in seconds."""
         return self.age(source.Kind.CONFIGURATION, now)
--- a/tamarackbridge/platform/directory.py
+++ b/tamarackbridge/platform/directory.py
@@ -12,13 +12,21 @@
 
     def __init__(self, client: store.Store) -> None:
         self._client = client
+        self._listed: dict[str, str] = {}
 
     async def async_enter(self, address: str, zone: str) -> bool:
-        """Adds this router; returns whether it is certain to be listed."""
-        answer = await self._client.async_put(
-            const.KIND_MEMBERS, _name(address), {"zone": zone}
-        )
-        return isinstance(answer, result.Ok)
+        """Adds this router; returns whether it is certain to be listed.
+
+        An entry that exists is replaced only if it was listed with another
+        zone. Otherwise it is from the same address and zone: from before a
+        restart, or from a call whose response was lost.
+        """
+        spec = {"zone": zone}
+        write = self._client.async_create
+        if self._listed.get(address, zone) != zone:
+            write = self._client.async_put
+        answer = await write(const.KIND_MEMBERS, _name(address), spec)
+        return answer in (result.Ok(None), result.Err(store.Failure.CONFLICT))
 
     def era(self) -> int:
         """Returns the era that the store named last; 0 if it names none."""
@@ -28,9 +36,15 @@
         """Removes a router."""
         await self._client.async_delete(const.KIND_MEMBERS, _name(address))
 
-    async def async_routers(self) -> dict[str, str] | None:
-        """Returns the listed routers' zones by address; None on failure."""
-        page = await self._client.async_list(const.KIND_MEMBERS)
+    async def async_routers(
+        self, allow_stale: bool = False
+    ) -> dict[str, str] | None:
+        """Returns the listed routers' zones by address; None on failure.
+
+        Args:
+            allow_stale: Whether the list may be seconds old.
+        """
+        page = await self._client.async_list(const.KIND_MEMBERS, allow_stale)
         if isinstance(page, result.Err):
             return None
         zones = {
@@ -38,6 +52,7 @@
             for item in page.ok_value.objects
         }
         zones.pop("", None)
+        self._listed = zones
         return zones
 
 
--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -221,16 +221,25 @@
         )
         return result.Ok(Page(tuple(objects), found.as_of, era))
 
+    async def async_create(
+        self, kind: str, name: str, spec: Any
+    ) -> result.Result[None, Failure]:
+        """Creates an object; `CONFLICT` if it exists."""
+        body = _object(name, spec)
+        answer = await self._async_call(Operation.CREATE, kind, "", body)
+        return answer.map(_drop_body)
+
     async def async_put(
         self, kind: str, name: str, spec: Any
     ) -> result.Result[None, Failure]:
         """Creates an object, or replaces it if it exists."""
-        body = {"metadata": {"name": name}, "spec": spec}
-        answer = await self._async_call(Operation.CREATE, kind, "", body)
-        if answer == result.Err(Failure.CONFLICT):
-            answer = await self._async_call(
-                Operation.REPLACE, kind, f"/{name}", body
-            )
+        created = await self.async_create(kind, name, spec)
+        if created != result.Err(Failure.CONFLICT):
+            return created
+        body = _object(name, spec)
+        answer = await self._async_call(
+            Operation.REPLACE, kind, f"/{name}", body
+        )
         return answer.map(_drop_body)
 
     async def async_delete(
@@ -345,6 +354,11 @@
     return objects
 
 
+def _object(name: str, spec: Any) -> dict[str, Any]:
+    """Returns the body of a write."""
+    return {"metadata": {"name": name}, "spec": spec}
+
+
 def _drop_body(answer: _Answer) -> None:
     """Drops the object that the store returns after a write."""
     del answer
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -231,6 +231,7 @@
             own,
             store_relay,
             lambda: self._admission_controller.dispatch_waiting(),
+            self._kernel.rng.random(),
         )
 
     def _make_peers(self) -> transport.PeerService:
@@ -260,6 +261,7 @@
                 self._clock,
                 self._kernel.rng,
                 self._sharing.is_relayed,
+                self._sharing.may_read_first,
             )
             for kind in source.Kind
         }
@@ -277,6 +279,7 @@
                 evidence_store.StoreEvidence(self._store),
                 self._dependencies.block_quarantine,
                 self._clock,
+                self._sharing.ranks_first,
             ),
             "servers": self._servers,
             "desk": self._admission_controller,
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -56,7 +56,9 @@
     async def async_leave(self, address: str) -> None:
         """Does nothing: the list is fixed."""
 
-    async def async_routers(self) -> dict[str, str] | None:
+    async def async_routers(
+        self, allow_stale: bool = False
+    ) -> dict[str, str] | None:
         return self.listed
 
 
--- a/tests/components/fleet/store_replay.py
+++ b/tests/components/fleet/store_replay.py
@@ -10,11 +10,13 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.admission import observed_load
+from tamarackbridge.components.fleet import directory as fleet_directory
 from tamarackbridge.components.fleet import sharing, view
 from tamarackbridge.components.knowledge import (
     applier,
     const,
     follower,
+    positions,
     relay,
     source,
     state,
@@ -46,11 +48,24 @@
 
     Attributes:
         refused: Routers whose calls it rejects.
+        calls: Number of calls so far, by kind of object and operation.
+        call_s: Duration of a call.
+        entries: Entries of the directory with the time of each; they outlive
+            the routers.
+        stale_s: Age of the data that a stale read of the directory returns.
+        era: Era, which rises when it comes back from an older copy.
     """
 
     def __init__(self, servers: Collection[str]) -> None:
         self.refused: frozenset[str] = frozenset()
+        self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.call_s = CALL_S
+        self.entries: dict[str, tuple[str, float]] = {}
+        self.stale_s = 0.0
+        self.era = 0
+        self._oldest_revision = 0
         self._servers = set(servers)
+        self._draining: set[str] = set()
         self._changes: list[tuple[int, source.Update]] = []
         self._revision = 1
         self._change_event = asyncio.Event()
@@ -64,11 +79,34 @@
 
     def drain(self, server: str) -> None:
         """Marks a registration as draining."""
+        self._draining.add(server)
         self._revision += 1
         draining = source.ServerUpdate(builders.server(server, draining=True))
         self._changes.append((self._revision, draining))
         self._notify()
 
+    def lose_history(self) -> None:
+        """Drops all changes so far, so that watches since then fail."""
+        self._revision += 1
+        self._changes.clear()
+        self._oldest_revision = self._revision
+        self._notify()
+
+    def restore(self, missing: str) -> None:
+        """Comes back from an older copy, which lacks a server."""
+        self.era += 1
+        self._servers.discard(missing)
+        self._changes.clear()
+        self._revision = self._oldest_revision = 1
+        self._notify()
+
+    def is_lost(self, position: int) -> bool:
+        """Returns whether the changes since a position are not known."""
+        return (
+            positions.era(position) != self.era
+            or positions.revision(position) < self._oldest_revision
+        )
+
     def refuse(self, routers: Collection[str]) -> None:
         """Rejects the calls of these routers from now on, and of no others."""
         self.refused = frozenset(routers)
@@ -79,12 +117,14 @@
         found: tuple[source.Update, ...] = ()
         if kind is source.Kind.SERVERS:
             found = tuple(
-                source.ServerUpdate(builders.server(name))
+                source.ServerUpdate(
+                    builders.server(name, draining=name in self._draining)
+                )
                 for name in sorted(self._servers)
             )
         elif kind is source.Kind.CONFIGURATION:
             found = (source.ConfigurationUpdate(builders.configuration()),)
-        return source.UpdateBatch(found, self._revision)
+        return source.UpdateBatch(found, self._position())
 
     def changes_since(
         self, kind: source.Kind, revision: int
@@ -92,13 +132,17 @@
         """Returns the changes of a kind after a revision."""
         found: tuple[source.Update, ...] = ()
         if kind is source.Kind.SERVERS:
-            found = tuple(it for at, it in self._changes if at > revision)
-        return source.UpdateBatch(found, self._revision)
+            since = positions.revision(revision)
+            found = tuple(it for at, it in self._changes if at > since)
+        return source.UpdateBatch(found, self._position())
 
     async def async_wait_for_change(self) -> None:
         """Waits until something changes."""
         await self._change_event.wait()
 
+    def _position(self) -> int:
+        return positions.make(self.era, self._revision)
+
     def _notify(self) -> None:
         self._change_event.set()
         self._change_event = asyncio.Event()
@@ -113,7 +157,8 @@
 
     async def async_all(self, kind: source.Kind) -> source.Answer:
         """Returns all data of a kind."""
-        await asyncio.sleep(CALL_S)
+        self._store.calls[kind.value, "list"] += 1
+        await asyncio.sleep(self._store.call_s)
         if self._router in self._store.refused:
             return result.Err(source.Failure.UNREACHABLE)
         return result.Ok(self._store.read_all(kind))
@@ -123,9 +168,12 @@
     ) -> source.Answer:
         """Waits for a change of a kind and returns all since a revision."""
         loop = asyncio.get_running_loop()
+        self._store.calls[kind.value, "watch"] += 1
         end = loop.time() + wait_s
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(self._store.call_s)
         while self._router not in self._store.refused:
+            if self._store.is_lost(revision):
+                return result.Err(source.Failure.HISTORY_LOST)
             found = self._store.changes_since(kind, revision)
             left_s = end - loop.time()
             if found.updates or left_s <= 0:
@@ -138,6 +186,51 @@
         return result.Err(source.Failure.UNREACHABLE)
 
 
+class Directory:
+    """The directory as one router sees it."""
+
+    def __init__(self, store: Store, router: str) -> None:
+        self._store = store
+        self._router = router
+
+    async def async_enter(self, address: str, zone: str) -> bool:
+        """Adds this router."""
+        if not await self._async_call("create"):
+            return False
+        now = asyncio.get_running_loop().time()
+        self._store.entries[address] = (zone, now)
+        return True
+
+    def era(self) -> int:
+        """Returns the era of the store."""
+        return self._store.era
+
+    async def async_leave(self, address: str) -> None:
+        """Removes a router."""
+        if await self._async_call("delete"):
+            self._store.entries.pop(address, None)
+
+    async def async_routers(
+        self, allow_stale: bool = False
+    ) -> dict[str, str] | None:
+        """Returns the listed routers' zones by address."""
+        if not await self._async_call("stale_list" if allow_stale else "list"):
+            return None
+        limit = asyncio.get_running_loop().time()
+        if allow_stale:
+            limit -= self._store.stale_s
+        return {
+            address: zone
+            for address, (zone, at) in self._store.entries.items()
+            if at <= limit
+        }
+
+    async def _async_call(self, operation: str) -> bool:
+        self._store.calls["members", operation] += 1
+        await asyncio.sleep(self._store.call_s)
+        return self._router not in self._store.refused
+
+
 class Router:
     """One router with its copy of the store's data and what relays it."""
 
@@ -148,6 +241,9 @@
         origin: source.Source,
         clock: core.Clock,
         post: Callable[[str, str, core.Message], None],
+        directory: fleet_directory.Directory | None = None,
+        seeds: tuple[str, ...] = (),
+        first_read_draw: float = 0.0,
     ) -> None:
         self.local_copy = state.LocalCopy(builders.BOUNDS)
         knowledge_applier = applier.Applier(
@@ -168,12 +264,13 @@
         self.sharing = sharing.SharingService(
             address,
             zones[address],
-            (),
-            rig.FixedDirectory(zones),
+            seeds,
+            directory or rig.FixedDirectory(zones),
             clock,
             own,
             store_relay,
             lambda: None,
+            first_read_draw,
         )
         links = _Links(address, post)
         self.sharing.set_transport(cast(transport.PeerService, links))
@@ -186,6 +283,7 @@
                 clock,
                 random.Random(f"{address}{kind}"),
                 self.sharing.is_relayed,
+                self.sharing.may_read_first,
             )
             for kind in source.Kind
         ]
@@ -207,12 +305,15 @@
     ) -> None:
         self._src = src
         self._post = post
+        self._addresses: dict[str, str] = {}
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
-        """Does nothing: all links exist from the start."""
+        self._addresses = addresses
 
     def post(self, to: str, msg: core.Message) -> None:
-        self._post(self._src, to, msg)
+        """Sends a message; like the transport only to a known address."""
+        if to in self._addresses:
+            self._post(self._src, to, msg)
 
 
 class StoreReplay:
@@ -238,6 +339,39 @@
             await router.async_start()
         await asyncio.sleep(SETTLE_S)
 
+    async def async_start_spread(
+        self, seeds: tuple[str, ...], spread_s: float = 0.3, seed: int = 1
+    ) -> None:
+        """Starts all routers within some time; each knows only the seeds.
+
+        Args:
+            seeds: Addresses of routers; some may not exist.
+            spread_s: Time from the first start to the last.
+            seed: Seed of the routers' random numbers.
+        """
+        loop = asyncio.get_running_loop()
+        clock = virtual_loop.LoopClock(loop)
+        for address in self.zones:
+            await asyncio.sleep(spread_s / len(self.zones))
+            router = self.routers[address] = Router(
+                address,
+                self.zones,
+                Source(self.store, address),
+                clock,
+                self._post,
+                Directory(self.store, address),
+                seeds,
+                random.Random(f"{address} {seed}").random(),
+            )
+            await router.async_start()
+
+    async def async_kill(self) -> None:
+        """Ends all routers at once, without a word."""
+        killed = list(self.routers.values())
+        self.routers.clear()
+        for router in killed:
+            await router.async_stop()
+
     async def async_stop(self) -> None:
         """Stops all routers."""
         for router in self.routers.values():
