--- a/tests/components/knowledge/test_follower.py
+++ b/tests/components/knowledge/test_follower.py
@@ -357,3 +357,40 @@
         ],
     )
     assert abs(local_copy.servers["s1"].warm_at - clock.now - 4.0) < 1e-6
+
+
+async def test_first_list_does_not_replace_newer_data_of_another_router() -> (
+    None
+):
+    """Guards against a list that is overtaken by a snapshot.
+
+    The router waits for both at its start.
+    """
+    clock = clocks.VirtualClock()
+    local_copy = state.LocalCopy(builders.BOUNDS)
+    s1, s2 = (source.ServerUpdate(builders.server(it)) for it in ("s1", "s2"))
+    update_applier = applier.Applier(
+        local_copy, clock, lambda: None, lambda name: None
+    )
+
+    class OvertakenSource(ScriptedSource):
+        async def async_all(self, kind: source.Kind) -> source.Answer:
+            update_applier.replace(kind, (s2,), 0.0)
+            local_copy.record_full_read(kind, 9)
+            return await super().async_all(kind)
+
+    script_source = OvertakenSource(clock, [(0.1, batch(5, s1))])
+    svc = follower.Follower(
+        source.Kind.SERVERS,
+        script_source,
+        local_copy,
+        update_applier,
+        clock,
+        random.Random(1),
+        lambda kind: False,
+    )
+    await svc.on_start()
+    await script_source.done.wait()
+    await svc.on_stop()
+    assert script_source.calls == ["all servers", "after 9"]
+    assert list(local_copy.servers) == ["s2"]
