--- a/tamarackbridge/platform_gauges.py
+++ b/tamarackbridge/platform_gauges.py
@@ -66,9 +66,7 @@
         ),
     ):
         registry.gauge(name, help_text, read)
-    registry.callback_counter(
-        "store_calls", "Calls to the store.", lambda: store_client.calls
-    )
+    add_store_calls(registry, store_client)
     registry.callback_counter(
         "requests_shed",
         "Requests that were not taken up.",
@@ -135,3 +133,21 @@
         ("heads_refused", "Heads that were too large.", lambda: heads.refused),
     ):
         registry.callback_counter(name, help_text, count)
+
+
+def add_store_calls(
+    registry: metrics.Metrics, store_client: store.Store
+) -> None:
+    """Registers the counters of calls to the store."""
+    registry.callback_counter(
+        "store_calls", "Calls to the store.", lambda: store_client.calls
+    )
+    registry.labelled_callback_counter(
+        "store_calls_by_cause",
+        "Calls to the store, by kind of object and operation.",
+        ("kind", "operation"),
+        lambda: {
+            (kind, operation.value): count
+            for (kind, operation), count in store_client.calls_by_cause.items()
+        },
+    )
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -66,6 +66,7 @@
     evidence_store,
     exceptions,
     store,
+    store_call_log,
 )
 from tamarackbridge.platform import settings as platform_settings
 from tamarackbridge.platform import source as platform_source
@@ -231,6 +232,7 @@
             own,
             store_relay,
             lambda: self._admission_controller.dispatch_waiting(),
+            self._kernel.rng.random(),
         )
 
     def _make_peers(self) -> transport.PeerService:
@@ -261,6 +263,7 @@
                 self._clock,
                 self._kernel.rng,
                 self._sharing.is_relayed,
+                self._sharing.may_read_first,
             )
             for kind in source.Kind
         }
@@ -270,6 +273,7 @@
         cfg = self._cfg
         services = {
             "store": self._store,
+            "store_calls": store_call_log.StoreCallLog(self._store),
             **self._make_followers(),
             "peers": self._make_peers(),
             "sharing": self._sharing,
@@ -277,6 +281,7 @@
                 evidence_store.StoreEvidence(self._store),
                 self._dependencies.block_quarantine,
                 self._clock,
+                self._sharing.ranks_first,
             ),
             "servers": self._servers,
             "desk": self._admission_controller,
