Parse the servers' own load figures

Servers of some services state RUNNING,WAITING,SLOTS and newer ones a work factor in X-Server-Load. The header was stripped and not read, so placement had no use of it. ResponseHead.load holds the figures now; the header is still stripped.

Invalid values give no figures, are counted with the other unreadable headers, and are logged once per server and minute: a server that sends one sends it in each response. The limit holds for the lines of the other unreadable headers too; the counter still counts each. A figure with more than five digits is invalid.

--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -118,6 +118,24 @@
     MISMATCHED = "crossed"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """A server's own figures about its load at the time of a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it runs concurrently.
+        work_factor: How long work takes there at this moment, relative to the
+            usual time; None if the server does not state it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    work_factor: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status line and headers of a backend server's response.
@@ -133,6 +151,8 @@
             together; None if it names no limit.
         invalid_headers: Names of server notice headers with an invalid value.
         has_request_id: Whether the response carries a request ID.
+        load: The server's own figures about its load; None if it states none
+            or invalid ones.
     """
 
     status: int
@@ -144,6 +164,7 @@
     limit_per_s: float | None = None
     invalid_headers: tuple[str, ...] = ()
     has_request_id: bool = True
+    load: ServerLoad | None = None
 
     @property
     def begins_stream(self) -> bool:
--- a/tamarackbridge/components/gateway/request_log.py
+++ b/tamarackbridge/components/gateway/request_log.py
@@ -25,6 +25,14 @@
 """Maximum number of workspaces listed in an event about shed requests."""
 
 
+INVALID_HEADER_LOG_S = 60.0
+"""Interval at which an invalid header of one server is logged again: a server
+that sends one usually does so in every response."""
+
+MAX_INVALID_HEADERS = 1_024
+"""Servers and headers whose last log line is remembered."""
+
+
 class RequestLog:
     """Writes log events of requests and updates the request metrics."""
 
@@ -39,6 +47,7 @@
         self._metrics = request_metrics
         self._shed: collections.Counter[str] = collections.Counter()
         self._last_shed_request = ""
+        self._invalid_logged_at: dict[tuple[str, str], float] = {}
         self._offload_ends: collections.Counter[str] = collections.Counter()
 
     def record_attempt_end(
@@ -83,9 +92,21 @@
     def record_invalid_headers(
         self, server: str, headers: tuple[str, ...]
     ) -> None:
-        """Records server notice headers that have an invalid value."""
+        """Records server notice headers that have an invalid value.
+
+        Counts each, and logs each server's at most once a minute.
+        """
+        now = self._clock.monotonic()
+        logged_at = self._invalid_logged_at
         for header in headers:
             self._metrics.count_invalid_header(header)
+            key = (server, header)
+            if now - logged_at.get(key, -math.inf) < INVALID_HEADER_LOG_S:
+                continue
+            logged_at.pop(key, None)
+            if len(logged_at) >= MAX_INVALID_HEADERS:
+                del logged_at[next(iter(logged_at))]
+            logged_at[key] = now
             events.write(events.HeaderUnreadable(server, header))
 
     def record_response(
--- a/tamarackbridge/platform/dialect.py
+++ b/tamarackbridge/platform/dialect.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from email import utils
 import math
+import re
 
 import msgspec
 
@@ -15,6 +16,15 @@
 _MAX_PROMPT_BLOCKS = 64
 """Prompt blocks that are parsed from one header; prompts have a few."""
 
+_LOAD = re.compile(
+    r"([0-9]{1,5}),([0-9]{1,5}),([0-9]{1,5})(?:,([0-9]{1,5}(?:\.[0-9]{1,3})?))?"
+)
+"""RUNNING,WAITING,SLOTS and the optional work factor. Five digits are more than
+any server has slots, and a factor of a thousand."""
+
+_USUAL_WORK = 100.0
+"""Work factor of a server that works at its usual speed."""
+
 _NOT_RUN_STATUSES = frozenset((400, 408, 429, 503))
 
 
@@ -151,6 +161,10 @@
         limit_per_s = _parse_rate(limit_text)
         if limit_text and limit_per_s is None:
             unreadable.append(const.HEADER_LIMIT)
+        load_text = values.get(const.HEADER_LOAD.lower(), "").strip()
+        load = _parse_load(load_text)
+        if load_text and load is None:
+            unreadable.append(const.HEADER_LOAD)
         return models.ResponseHead(
             status=status,
             disposition=_outcome(request, status, values),
@@ -161,6 +175,7 @@
             limit_per_s=limit_per_s,
             invalid_headers=tuple(unreadable),
             has_request_id=const.HEADER_REQUEST_ID.lower() in values,
+            load=load,
         )
 
     @property
@@ -263,6 +278,22 @@
     return int(text)
 
 
+def _parse_load(text: str) -> models.ServerLoad | None:
+    """Returns a server's load figures; None if they are missing or invalid."""
+    match = _LOAD.fullmatch(text)
+    if match is None:
+        return None
+    running, waiting, slots = (int(match[number]) for number in (1, 2, 3))
+    work_factor = None
+    if match[4] is not None:
+        work_factor = float(match[4]) / _USUAL_WORK
+        if work_factor <= 0:
+            return None
+    if not slots:
+        return None
+    return models.ServerLoad(running, waiting, slots, work_factor)
+
+
 def _parse_rate(text: str) -> float | None:
     """Returns a rate; None if the text is not a number of at least 0."""
     try:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -251,3 +251,51 @@
 )
 def test_parses_the_start_of_a_server(report: bytes, started_ms: int) -> None:
     assert DIALECT.read_started_ms(report) == started_ms
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,8", models.ServerLoad(3, 1, 8)),
+        (b" 0,0,64,100 ", models.ServerLoad(0, 0, 64, 1.0)),
+        (b"3,1,8,237.5", models.ServerLoad(3, 1, 8, 2.375)),
+    ],
+)
+def test_load_figures_are_parsed(
+    value: bytes, load: models.ServerLoad | None
+) -> None:
+    head = DIALECT.read_response_head(
+        _call(), 200, ((b"X-Server-Load", value),)
+    )
+    assert head.load == load
+    assert head.invalid_headers == ()
+    assert head.headers == ()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"3,1",
+        b"3,,8",
+        b"3,1,8,",
+        b"a,b,c",
+        b"3,1,-8",
+        b"3,1,0",
+        b"3,1,8,0",
+        b"3,1,8,-5",
+        b"3,1,8,nan",
+        b"3,1,8,1e9",
+        b"3,1,8,1000000000",
+        b"1,2,3,4,5,6,7",
+        b"9" * 400,
+        "\u0663,1,8".encode(),
+    ],
+)
+def test_invalid_load_figures_are_ignored_and_named(value: bytes) -> None:
+    """An invalid figure must neither raise nor reach the speed model."""
+    head = DIALECT.read_response_head(
+        _call(), 200, ((b"X-Server-Load", value),)
+    )
+    assert head.load is None
+    assert head.invalid_headers == ("X-Server-Load",)
+    assert head.headers == ()
