Place requests by learned speeds

Servers of one service were taken for equal but for engines' prefill, so slow ones got as much as others and a router that was late itself took that for a slow engine. Placement now uses the model in the predicted first events and in the costs; a difference below a tenth counts as none. A server that was slow is probed by a tenth of the routers, one request at a time.

Responses that are no success don't count: rejections are quick and made a full engine look fast. Observations made while the event loop lags by more than 20 ms don't count. placement.learned_speed=false restores the former estimates.

observe_first_event takes the time of the observation now; the test that calls it passes it, and its assertions are unchanged.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -30,11 +30,12 @@
     prefix_cache,
     quarantine,
     selector,
+    server_speeds,
     warmup,
 )
 
 OUTPUT = pathlib.Path("build/measure/decisions.json")
-ENGINES = (5, 45, 200)
+ENGINES = (5, 45, 140, 200)
 REPORTING_ROUTERS = (1, 8, 20)
 WAITING_REQUESTS = (24, 100, 400, 1600)
 WORKSPACES = 30
@@ -48,6 +49,9 @@
 UNLOADED_INTERVAL_S = 0.005
 """Virtual time between two arrivals while no request waits."""
 
+FIRST_EVENT_S = 0.065
+"""First event of an idle engine; engines differ by up to a factor of two."""
+
 SERVICE = knowledge.Service("lm", "/health", 360, 16.0, 64, 668_304, 7)
 ROUTE = knowledge.Route(
     name="r",
@@ -176,7 +180,13 @@
             prefix_cache.PrefixCacheIndex(),
             health.CircuitBreakers(),
         )
-        estimator, limiter = estimate.Estimator(), warmup.WarmupLimiter("r0")
+        estimator = estimate.Estimator(server_speeds.ServerSpeeds(local_copy))
+        for number in range(size.engines):
+            took_s = FIRST_EVENT_S * (0.8 + 0.1 * (number % 8))
+            estimator.observe_first_event(
+                f"s{number}", 0, took_s, self.clock.now
+            )
+        limiter = warmup.WarmupLimiter("r0")
         server_notices = notices.ServerNotices()
         server_selector = selector.ServerSelector(
             "r0",
--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -49,6 +49,10 @@
 requests and relaying answers, which costs several times as much as deciding on
 them."""
 
+PAUSES_PER_OBSERVATION = 16
+"""Pauses between events of which one is used to learn how an engine bears load;
+a router passes on some thousand events a second."""
+
 NO_SERVER_RETRY_S = 0.5
 """Advised retry time while no server is registered; a new one registers within
 a second."""
@@ -111,6 +115,7 @@
         )
         self._next_pass_at = -math.inf
         self._is_pass_unfinished = False
+        self._event_gaps = 0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
 
@@ -241,6 +246,12 @@
         """Records the time between two events of a stream."""
         name = reservation.server.name
         self._deps.estimator.observe_pause(name, gap_s, now)
+        self._event_gaps += 1
+        if self._event_gaps % PAUSES_PER_OBSERVATION == 0:
+            occupancy = self._deps.server_selector.occupancy(
+                reservation.server, now
+            )
+            self._deps.estimator.observe_pause_at(name, gap_s, occupancy, now)
 
     def record_response_start(
         self, reservation: ledger.Reservation, tokens_ahead: int
@@ -255,21 +266,58 @@
         now = self._clock.monotonic()
         self._deps.work.record_prefill(reservation, now)
         if reservation.prefill_tokens:
-            tokens = tokens_ahead + reservation.prefill_tokens
-            took_s = now - reservation.sent_at
-            self._deps.estimator.observe_first_event(
-                reservation.server.name, tokens, took_s
+            reservation.tokens_until_start = (
+                tokens_ahead + reservation.prefill_tokens
             )
+            if self._deps.estimator.speeds is None:
+                self._observe_first_event(reservation, now)
             if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
                 self._peers.request_report()
         self.dispatch_waiting()
 
+    def _observe_first_event(
+        self, reservation: ledger.Reservation, now: float
+    ) -> None:
+        self._deps.estimator.observe_first_event(
+            reservation.server.name,
+            reservation.tokens_until_start,
+            now - reservation.sent_at,
+            now,
+        )
+
+    def _observe_speed(
+        self,
+        reservation: ledger.Reservation,
+        head: models.ResponseHead,
+        now: float,
+    ) -> None:
+        """Learns the speed of a server from the head of a response.
+
+        Rejections and failures are quick, so they don't count.
+        """
+        estimator, name = self._deps.estimator, reservation.server.name
+        if head.load is not None:
+            estimator.observe_load(name, head.load, now)
+        is_answered = head.disposition is models.Disposition.ANSWERED
+        if estimator.speeds is None or not is_answered or head.status >= 300:
+            return
+        if reservation.tokens_until_start:
+            self._observe_first_event(reservation, now)
+        elif reservation.is_plain:
+            occupancy = reservation.occupancy
+            if head.load is not None:
+                present = head.load.running + head.load.waiting
+                occupancy = max(present / head.load.slots, occupancy)
+            took_s = now - reservation.sent_at
+            estimator.observe_response(name, took_s, occupancy, now)
+
     def handle_response_head(
         self, reservation: ledger.Reservation, head: models.ResponseHead
     ) -> None:
         """Applies what a response head announces about its server."""
         now = self._clock.monotonic()
         server = reservation.server
+        self._observe_speed(reservation, head, now)
         notices = self._deps.server_notices
         if not head.announces_shutdown:
             notices.record_no_shutdown(server, now)
@@ -518,8 +566,12 @@
             sent_at=now,
             cost=costs.request_cost(request),
             blocks=crash_evidence.parts(job),
+            is_plain=not job.service.is_model,
         )
         self._deps.work.begin(reservation)
+        reservation.occupancy = self._deps.server_selector.occupancy(
+            server, now
+        )
         self._quarantine_gate.record_sent(reservation)
         if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
             self._peers.request_report()
--- a/tamarackbridge/components/gateway/event_loop_lag.py
+++ b/tamarackbridge/components/gateway/event_loop_lag.py
@@ -59,6 +59,11 @@
         elif self.lag_s < RECOVERED_S:
             self.lagging = False
 
+    @property
+    def recent_s(self) -> float:
+        """The average lag, or the latest one if that is more."""
+        return max(self.lag_s, self._latest_s)
+
     @property
     def overloaded(self) -> bool:
         """Returns whether requests should be rejected at once.
--- a/tamarackbridge/components/placement/estimate.py
+++ b/tamarackbridge/components/placement/estimate.py
@@ -8,6 +8,10 @@
 """
 
 import dataclasses
+import math
+
+from tamarackbridge.components.gateway import models
+from tamarackbridge.components.placement import server_speeds, speed_estimate
 
 PREFILL_TOKENS_PER_S = 90_000.0
 """Prompt tokens that an engine prefills in a second beside its running
@@ -28,6 +32,9 @@
 SLOWNESS_SMOOTHING = 0.1
 """Weight of one observation of an engine's speed in the moving average."""
 
+MIN_TIME_S = 0.0001
+"""Shortest time that is learned from; no server responds sooner."""
+
 MAX_SLOWNESS = 8.0
 """Bounds one observation of slowness; an engine that is slower than this misses
 every target anyway."""
@@ -41,10 +48,25 @@
 
 
 class Estimator:
-    """Learns the speed of each engine and predicts first events."""
+    """Learns the speed of each server and predicts first events.
+
+    Without a speed model it learns the slowness of engines by itself, as a
+    moving average without age.
 
-    def __init__(self) -> None:
+    Attributes:
+        speeds: The speed model; None if it is turned off.
+    """
+
+    def __init__(
+        self, speeds: server_speeds.ServerSpeeds | None = None
+    ) -> None:
+        self.speeds = speeds
         self._observed: dict[str, _Observed] = {}
+        self._now = 0.0
+
+    def advance(self, now: float) -> None:
+        """Sets the time as of which speeds are returned."""
+        self._now = now
 
     def first_event_s(
         self, server: str, tokens_ahead: int, prefill_tokens: int
@@ -65,19 +87,79 @@
 
     def slowness(self, server: str) -> float:
         """Returns an engine's time for a prefill divided by the nominal one."""
+        if self.speeds is not None:
+            return self.speeds.estimate(server, self._now).slowness
         observed = self._observed.get(server)
         return observed.slowness if observed else 1.0
 
+    def relative_slowness(self, server: str) -> float:
+        """Returns a server's time over that of its service's typical server.
+
+        It is 1 if the difference is small or unknown.
+        """
+        if self.speeds is None:
+            return 1.0
+        return self.speeds.estimate(server, self._now).relative_slowness
+
+    def needs_probe(self, server: str) -> bool:
+        """Returns whether a server was slow and has shown no speed since."""
+        if self.speeds is None:
+            return False
+        return self.speeds.estimate(server, self._now).needs_probe
+
+    def limit(self, server: str, slots: int) -> float:
+        """Returns how many requests a server handles well at once."""
+        if self.speeds is None:
+            return slots
+        limit = self.speeds.estimate(server, self._now).limit
+        return max(limit * slots, 1.0)
+
     def observe_first_event(
-        self, server: str, tokens: int, took_s: float
+        self, server: str, tokens: int, took_s: float, now: float
     ) -> None:
         """Learns from a first event that came after `tokens` were prefilled."""
+        if self.speeds is not None:
+            log_time = math.log(max(took_s, MIN_TIME_S) / _nominal_s(tokens))
+            log_time = speed_estimate.bounded(log_time)
+            self.speeds.observe(server, log_time, 0.0, now)
+            return
         observed = self._observed.setdefault(server, _Observed())
         sample = min(
             max(took_s / _nominal_s(tokens), 1 / MAX_SLOWNESS), MAX_SLOWNESS
         )
         observed.slowness += SLOWNESS_SMOOTHING * (sample - observed.slowness)
 
+    def observe_response(
+        self, server: str, took_s: float, occupancy: float, now: float
+    ) -> None:
+        """Learns from the time that a plain server took.
+
+        Args:
+            server: Name of the server.
+            took_s: Time from sending the request to the response.
+            occupancy: Requests at the server over its slots, this one included.
+            now: The time.
+        """
+        if self.speeds is not None:
+            log_time = math.log(
+                max(took_s, MIN_TIME_S) / server_speeds.NOMINAL_PLAIN_S
+            )
+            self.speeds.observe(server, log_time, occupancy, now)
+
+    def observe_load(
+        self, server: str, load: models.ServerLoad, now: float
+    ) -> None:
+        """Learns from a server's own figures."""
+        if self.speeds is not None:
+            self.speeds.observe_load(server, load, now)
+
+    def observe_pause_at(
+        self, server: str, pause_s: float, occupancy: float, now: float
+    ) -> None:
+        """Learns from a pause between events at a known occupancy."""
+        if self.speeds is not None:
+            self.speeds.observe_pause(server, pause_s, occupancy, now)
+
     def observe_pause(self, server: str, pause_s: float, now: float) -> None:
         """Learns from the time between two events of one stream."""
         observed = self._observed.setdefault(server, _Observed())
@@ -99,6 +181,8 @@
     def forget(self, server: str) -> None:
         """Drops the observations of an engine that is gone or has restarted."""
         self._observed.pop(server, None)
+        if self.speeds is not None:
+            self.speeds.forget(server)
 
 
 def _nominal_s(tokens: int) -> float:
--- a/tamarackbridge/components/placement/ledger.py
+++ b/tamarackbridge/components/placement/ledger.py
@@ -41,6 +41,11 @@
         cost: What it counts against its workspace's fair share.
         blocks: Identifiers of its shared prompt blocks.
         is_generating: Whether the answer got beyond its first event.
+        is_plain: Whether the server is none of a model.
+        occupancy: Requests over slots at the server, this one included, when
+            it was sent.
+        tokens_until_start: Prompt tokens that the server prefilled until its
+            first sign of life; 0 before it.
     """
 
     server: knowledge.BackendServer
@@ -52,6 +57,9 @@
     cost: float = 0.0
     blocks: frozenset[str] = frozenset()
     is_generating: bool = False
+    is_plain: bool = False
+    occupancy: float = 0.0
+    tokens_until_start: int = 0
 
 
 class Work(msgspec.Struct, frozen=True, gc=False):
--- a/tamarackbridge/components/placement/scheduling_view.py
+++ b/tamarackbridge/components/placement/scheduling_view.py
@@ -45,6 +45,10 @@
             is used up prevents it.
         is_limited: Whether it is held to its warm-up rate or to a limit of its
             own.
+        load: Requests over the number that it handles well at once.
+        free_rate: Requests that it has room for, over its relative slowness.
+        probes_only: Whether it was slow and gets single requests until it has
+            shown its speed again.
     """
 
     registered: state.RegisteredServer
@@ -60,6 +64,9 @@
     pause_s: float
     may_send: bool
     is_limited: bool
+    load: float = 0.0
+    free_rate: float = 0.0
+    probes_only: bool = False
 
 
 class ServiceView:
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection
 import dataclasses
 import math
+import random
 
 import msgspec
 
@@ -23,8 +24,10 @@
     health,
     ledger,
     notices,
+    plain_choice,
     pool,
     prefix_cache,
+    probing,
     request_profile,
     scheduling_view,
     warmup,
@@ -66,6 +69,14 @@
 FULL_PLAIN_SERVER_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
+SLOW_ENGINE_TOKENS = 1_500.0
+"""Cost of an idle engine that takes twice the typical time: the additional time
+for a prompt of common length, by `TOKENS_AHEAD_WEIGHT`."""
+
+SURCHARGE_SPREAD = 0.5
+"""Part of the surcharge of a slow server that differs between routers, so that
+they don't come back to it all at once."""
+
 CROSS_ZONE_TOKENS = 1.0
 """Cost of a plain server in another zone in addition to that of the known
 bytes. Among equal servers the one in the same zone is used, although the size
@@ -146,9 +157,27 @@
         estimator: estimate.Estimator,
         limiter: warmup.WarmupLimiter,
         server_notices: notices.ServerNotices,
+        rng: random.Random | None = None,
     ) -> None:
+        """Creates the selector.
+
+        Args:
+            router: Peer address of this router.
+            zone: Its availability zone.
+            local_copy: The registered servers.
+            work: Outstanding work at the servers.
+            cache_index: Prompt blocks that they hold.
+            breakers: Their circuit breakers.
+            estimator: Their speeds.
+            limiter: Their warm-up rates.
+            server_notices: What they announced.
+            rng: Source of randomness; by default one that differs between
+                routers.
+        """
+        self._rng = rng or random.Random(router)
         self._router = router
         self._notices = server_notices
+        self._local_copy = local_copy
         self._zone = zone
         self._cache_index = cache_index
         self._estimator = estimator
@@ -167,6 +196,7 @@
             routers: The routers that may be sending, this one among them.
             now: The time.
         """
+        self._estimator.advance(now)
 
         def make_view(
             service: knowledge.Service,
@@ -227,18 +257,7 @@
         servers = view.of(job.service)
         candidates = servers.candidates(profile.key, job.excluded_servers)
         if not job.service.is_model:
-            states = (
-                servers.state_of(registered) for registered, _ in candidates
-            )
-            best = min(
-                (
-                    self._score_plain(profile, server)
-                    for server in states
-                    if not server.is_full
-                ),
-                key=_cost,
-                default=None,
-            )
+            best = self._best_plain(job, profile, servers, candidates)
             return _make_shortlist(best, None, len(candidates))
         best = self._best(job, profile, servers, candidates)
         soonest = None
@@ -258,6 +277,31 @@
             )
         return _make_shortlist(best, soonest, len(candidates))
 
+    def _best_plain(
+        self,
+        job: jobs.Job,
+        profile: request_profile.RequestProfile,
+        servers: scheduling_view.ServiceView,
+        candidates: pool.Candidates,
+    ) -> ScoredServer | None:
+        """Returns the plain server for a request; None if none has room."""
+        states = [servers.state_of(registered) for registered, _ in candidates]
+        free = [
+            server
+            for server in states
+            if not server.is_full and probing.may_get(job, server, servers.now)
+        ]
+        if self._estimator.speeds is not None and plain_choice.is_loaded(
+            states
+        ):
+            drawn = plain_choice.draw(free, self._rng)
+            return self._score_plain(profile, drawn) if drawn else None
+        return min(
+            (self._score_plain(profile, server) for server in free),
+            key=_cost,
+            default=None,
+        )
+
     def _best(
         self,
         job: jobs.Job,
@@ -274,7 +318,7 @@
                 break
             server = servers.state_of(registered)
             cost = server.cost + rank * rank_cost
-            if cost >= least or _is_full(job, profile, server):
+            if cost >= least or _is_full(job, profile, server, servers.now):
                 continue
             option = self._score_engine(job, profile, server, rank, servers.now)
             if option.cost < least:
@@ -363,19 +407,31 @@
         is_model = service.is_model
         tokens_per_s = self._estimator.prefill_tokens_per_s(name)
         work = self._work.at(name, now, tokens_per_s)
-        slots = max((service if is_model else registered.server).slots, 1)
+        slots = _slots(service, registered.server)
+        limit = self._estimator.limit(name, slots)
+        slowness = self._estimator.relative_slowness(name)
+        probes_only = self._estimator.needs_probe(name)
+        may_probe = not probes_only or (
+            work.requests == 0
+            and probing.is_prober(name, self._router, len(routers), now)
+        )
         rejecting = (
             REJECTING_CROWDING if self._notices.is_rejecting(name, now) else 0.0
         )
-        crowding = work.requests / slots + rejecting
-        cost = FULL_PLAIN_SERVER_TOKENS * crowding + scheduling_view.tie_break(
-            self._router, name
+        crowding = work.requests / limit + rejecting
+        tie_break = scheduling_view.tie_break(self._router, name)
+        surcharge = max(slowness - 1.0, 0.0) * (
+            1.0 - SURCHARGE_SPREAD / 2 + SURCHARGE_SPREAD * tie_break
         )
         if is_model:
-            cost = (
+            cost = slowness * (
                 FULL_ENGINE_TOKENS * crowding
                 + TOKENS_AHEAD_WEIGHT * work.pending_prefill_tokens
             )
+            cost += SLOW_ENGINE_TOKENS * surcharge
+        else:
+            crowding = crowding * slowness + surcharge / limit
+            cost = FULL_PLAIN_SERVER_TOKENS * crowding + tie_break
         rates = self._rates(service, registered, routers, now)
         may_send = all(
             self._limiter.may_send(rate.bucket, rate.per_s, rate.senders, now)
@@ -385,7 +441,8 @@
             registered=registered,
             cost=cost,
             is_in_other_zone=registered.server.zone != self._zone,
-            is_full=work.requests >= slots,
+            # A limit that is no whole number is not exceeded either.
+            is_full=work.requests + 1 > limit or not may_probe,
             requests=work.requests,
             memory=work.memory,
             tokens_ahead=work.pending_prefill_tokens,
@@ -397,8 +454,19 @@
             pause_s=self._estimator.pause_s(name, now),
             may_send=may_send,
             is_limited=bool(rates),
+            load=work.requests / limit,
+            free_rate=max(limit - work.requests, 0.0) / slowness,
+            probes_only=probes_only,
         )
 
+    def occupancy(self, server: knowledge.BackendServer, now: float) -> float:
+        """Returns the requests at a server over its slots."""
+        cfg = self._local_copy.configuration
+        service = cfg.services.get(server.service) if cfg is not None else None
+        tokens_per_s = self._estimator.prefill_tokens_per_s(server.name)
+        requests = self._work.at(server.name, now, tokens_per_s).requests
+        return requests / _slots(service, server)
+
     def _score_engine(
         self,
         job: jobs.Job,
@@ -438,7 +506,7 @@
             server.tokens_ahead,
             server.tokens_ahead_s,
             prefill_tokens,
-            _is_full(job, profile, server),
+            _is_full(job, profile, server, now),
         )
 
     def _score_plain(
@@ -455,13 +523,23 @@
         )
 
 
+def _slots(
+    service: knowledge.Service | None, server: knowledge.BackendServer
+) -> int:
+    """Returns the requests that a server runs at once, at least 1."""
+    if service is not None and service.is_model:
+        return max(service.slots, 1)
+    return max(server.slots, 1)
+
+
 def _is_full(
     job: jobs.Job,
     profile: request_profile.RequestProfile,
     server: scheduling_view.ServerState,
+    now: float,
 ) -> bool:
     """Returns whether an engine has no free slot or memory for a request."""
-    if server.is_full:
+    if server.is_full or not probing.may_get(job, server, now):
         return True
     room = job.service.memory_tokens * pool.PLANNED_MEMORY_FRACTION
     return server.requests > 0 and server.memory + profile.memory > room
--- a/tamarackbridge/platform/settings.py
+++ b/tamarackbridge/platform/settings.py
@@ -44,6 +44,7 @@
         max_descriptors: File descriptors that the process may open.
         memory_mb: Memory limit of the process, in megabytes.
         cores: Processor limit of the process, in cores.
+        has_learned_speed: Whether the speeds of servers are learned.
     """
 
     node: str
@@ -61,6 +62,7 @@
     max_descriptors: int
     memory_mb: float
     cores: float
+    has_learned_speed: bool = True
 
     def offload_address(self, peer: str) -> tuple[str, int]:
         """Returns host and port to which requests for a peer are offloaded.
@@ -123,6 +125,7 @@
         memory_mb=_number(values, "limits.memory_mb", 256),
         cores=_number(values, "limits.cpu_share", 1.0)
         * _number(values, "limits.cores", 1.0),
+        has_learned_speed=_switch(values, "placement.learned_speed", True),
     )
 
 
@@ -176,6 +179,17 @@
     return value
 
 
+def _switch(values: Mapping[str, str], key: str, default: bool) -> bool:
+    text = values.get(key, "")
+    if not text:
+        return default
+    if text not in ("true", "false"):
+        raise exceptions.SettingsError(
+            key, f"expected true or false, got {text!r}"
+        )
+    return text == "true"
+
+
 def _first_port(values: Mapping[str, str], key: str) -> int:
     """Returns the first port for traffic between VMs; 0 if none is set."""
     text = values.get(key, "").partition(",")[0].strip()
--- a/tamarackbridge/platform_parts.py
+++ b/tamarackbridge/platform_parts.py
@@ -1,5 +1,7 @@
 """Builds the parts that placement and admission share on the platform."""
 
+from collections.abc import Callable
+
 from tamarackbridge.components.admission import dependencies
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
@@ -10,19 +12,31 @@
     prefix_cache,
     quarantine,
     selector,
+    server_speeds,
     warmup,
 )
 from tamarackbridge.platform import settings as platform_settings
 
 
 def make(
-    cfg: platform_settings.Settings, local_copy: state.LocalCopy
+    cfg: platform_settings.Settings,
+    local_copy: state.LocalCopy,
+    lag_s: Callable[[], float],
 ) -> dependencies.Dependencies:
-    """Builds the shared parts of placement and admission."""
+    """Builds the shared parts of placement and admission.
+
+    Args:
+        cfg: Settings of the router.
+        local_copy: Its copy of the store's data.
+        lag_s: Returns the recent lag of its event loop.
+    """
     work = ledger.ReservationLedger()
     cache_index = prefix_cache.PrefixCacheIndex()
     breakers = health.CircuitBreakers()
-    estimator = estimate.Estimator()
+    speeds = None
+    if cfg.has_learned_speed:
+        speeds = server_speeds.ServerSpeeds(local_copy, lag_s)
+    estimator = estimate.Estimator(speeds)
     limiter = warmup.WarmupLimiter(str(cfg.peers))
     server_notices = notices.ServerNotices()
     server_selector = selector.ServerSelector(
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -101,14 +101,16 @@
         self._processor_time = processor.ProcessorTime()
         self._gateway_metrics = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
-        self._dependencies = platform_parts.make(cfg, self._local_copy)
+        self.meter = event_loop_lag.LagMeter()
+        self._dependencies = platform_parts.make(
+            cfg, self._local_copy, lambda: self.meter.recent_s
+        )
         self._applier = applier.Applier(
             self._local_copy, self._clock, self._on_change, self._forget_server
         )
         self._sharing = self._make_sharing()
         self._admission_controller = self._make_admission_controller()
         self._servers = servers.ServerClient()
-        self.meter = event_loop_lag.LagMeter()
         self._shedder = shedding.Shedder(
             self._in_share_fraction, self._kernel.rng
         )
--- a/tests/components/placement/test_estimates.py
+++ b/tests/components/placement/test_estimates.py
@@ -109,7 +109,7 @@
     estimator = estimate.Estimator()
     usual_s = estimator.first_event_s("s1", 9_000, 9_000)
     for _ in range(50):
-        estimator.observe_first_event("s1", 18_000, 3 * usual_s)
+        estimator.observe_first_event("s1", 18_000, 3 * usual_s, 1.0)
     learned_s = estimator.first_event_s("s1", 9_000, 9_000)
     assert 2.8 * usual_s < learned_s < 3.1 * usual_s
     assert estimator.first_event_s("s2", 9_000, 9_000) == usual_s
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -35,6 +35,12 @@
     assert cfg.max_descriptors == 4100
 
 
+def test_learning_of_speeds_can_be_turned_off() -> None:
+    line = "placement.learned_speed=false\n"
+    assert settings.parse(FILE).has_learned_speed
+    assert not settings.parse(FILE + line).has_learned_speed
+
+
 @pytest.mark.parametrize(
     ("line", "key"),
     [
@@ -46,6 +52,7 @@
         ("bounds.grace_s=soon", "bounds.grace_s"),
         ("bounds.revoke_ms=-1", "bounds.revoke_ms"),
         ("heartbeat_ms=nan", "heartbeat_ms"),
+        ("placement.learned_speed=off", "placement.learned_speed"),
     ],
 )
 def test_error_names_the_invalid_key(line: str, key: str) -> None:
