Share learned speeds between routers

With 64 routers before 45 engines, a router alone learns nothing of an engine in the 0.6 s for which neighbours slow it down. Reports now carry the decayed sums of servers with news, every 0.25 s and for at most 64 servers. Each replaces what its sender reported before, and hubs leave a member's own sums out of the report to it, so none counts twice. A router that has just been heard gets all servers in four reports.

--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -130,6 +130,23 @@
     age_ms: int
 
 
+class ServerSpeed(core.Message, frozen=True, array_like=True):
+    """What some routers have observed of one server's speed.
+
+    Attributes:
+        server: Name of the server.
+        incarnation: Identifier of the server's incarnation.
+        age_ms: Age of the newest observation; negative if there is none.
+        sums: Decayed sums of the observations, in thousandths, in the order of
+            `speed_sums.SpeedSums`.
+    """
+
+    server: str
+    incarnation: int
+    age_ms: int
+    sums: tuple[int, ...]
+
+
 class CrashSuspect(core.Message, frozen=True, array_like=True):
     """A request that a server had barely begun to answer when it crashed.
 
@@ -204,6 +221,7 @@
             blocks are quarantined.
         cleared_blocks: Prompt blocks that are no longer suspected.
         limited: Rate limits of servers.
+        server_speeds: Learned speeds of servers with news.
     """
 
     direction: Direction
@@ -221,6 +239,7 @@
     crash_suspects: tuple[CrashSuspect, ...] = ()
     cleared_blocks: tuple[ClearedBlock, ...] = ()
     limited: tuple[LimitedServer, ...] = ()
+    server_speeds: tuple[ServerSpeed, ...] = ()
 
 
 class Introduction(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -15,6 +15,7 @@
     peer_headroom,
     peers,
     report_builder,
+    speed_reports,
     summary,
 )
 from tamarackbridge.components.knowledge import messages as knowledge
@@ -23,6 +24,7 @@
     notices,
     prefix_cache,
     quarantine,
+    speed_store,
 )
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import rendezvous
@@ -69,6 +71,7 @@
         server_notices: Announced shutdowns and rejections of servers.
         block_quarantine: Evidence against prompt blocks.
         headroom_cores: Returns this router's processor headroom, in cores.
+        speeds: Learned speeds of servers; None if none are learned.
     """
 
     work: ledger.ReservationLedger
@@ -81,6 +84,7 @@
     server_notices: notices.ServerNotices
     block_quarantine: quarantine.BlockQuarantine
     headroom_cores: Callable[[], float] = lambda: 0.0
+    speeds: speed_store.SpeedStore | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,6 +144,7 @@
         self._address = address
         self._zone = zone
         self._own = own
+        self._speed_reports = speed_reports.SpeedReports(own.speeds)
         self._states: dict[str, _PeerState] = {}
         self._role = groups.Role(None, frozenset())
         self._expected_since: dict[str, float] = {}
@@ -249,6 +254,7 @@
         is_urgent |= crash_reports.apply(
             self._own.block_quarantine, report, sent_at, now
         )
+        self._speed_reports.apply(src, report, sent_at)
         is_unknown = src not in self._role.hubs and src in self._live
         return ReportEffect(
             needs_introduction=report.direction is _Direction.ACROSS
@@ -313,7 +319,7 @@
                 report_builder.Outgoing(to, across) for to in sorted(targets)
             )
         self._new_blocks.clear()
-        return found
+        return self._speed_reports.add(found, members, self._states.keys(), now)
 
     def _next_round(self, now: float) -> report_builder.ReportRound:
         """Begins a round of reports; returns what they have in common."""
@@ -398,6 +404,7 @@
 
     def _drop_state(self, src: str, now: float) -> None:
         self._states.pop(src, None)
+        self._speed_reports.drop(src)
         self._own.work.remove_router(src, now)
 
     def _change_role(
--- a/tamarackbridge/components/placement/speed_store.py
+++ b/tamarackbridge/components/placement/speed_store.py
@@ -186,6 +186,24 @@
             return None
         return ReportedSums(incarnation, total)
 
+    def reported(self, src: str, name: str) -> ReportedSums | None:
+        """Returns the sums that a source has reported for a server, if any."""
+        return self._sources.get(src, {}).get(name)
+
+    def whole(self, name: str, now: float) -> ReportedSums:
+        """Returns the sum of what all routers know of a server."""
+        own = self._sources[OWN].get(name)
+        others = self._others.get(name)
+        if others is None:
+            timed = own.timed if own is not None else speed_sums.NO_TIMED_SUMS
+            incarnation = own.incarnation if own is not None else 0
+        else:
+            timed, incarnation = others.timed, others.incarnation
+            if own is not None and own.incarnation == incarnation:
+                timed = timed.plus(own.timed, now)
+        aged = speed_sums.TimedSums(timed.now(now), now, timed.observed_at)
+        return ReportedSums(incarnation, aged)
+
     def sources(self) -> Collection[str]:
         """Returns this router (`OWN`) and those that have reported sums."""
         return self._sources.keys()
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -211,6 +211,7 @@
     def _make_sharing(self) -> sharing.SharingService:
         """Creates the exchange of reports with the other routers."""
         store_relay = relay.Relay(self._local_copy, self._applier, self._clock)
+        speeds = self._dependencies.estimator.speeds
         own = view.LocalState(
             work=self._dependencies.work,
             cache_index=self._dependencies.cache_index,
@@ -222,6 +223,7 @@
             server_notices=self._dependencies.server_notices,
             block_quarantine=self._dependencies.block_quarantine,
             headroom_cores=lambda: self._gateway.headroom_cores,
+            speeds=speeds.store if speeds is not None else None,
         )
         return sharing.SharingService(
             str(self._cfg.peers),
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -14,6 +14,7 @@
     notices,
     prefix_cache,
     quarantine,
+    server_speeds,
 )
 from tamarackbridge.components.transport import service as transport
 from tests import clocks
@@ -79,6 +80,7 @@
             prefix_cache.PrefixCacheIndex(),
         )
         self.local_copy = state.LocalCopy(builders.BOUNDS)
+        self.speeds = server_speeds.ServerSpeeds(self.local_copy)
         self.new_blocks: list[tuple[str, int]] = []
         self.links = RecordedLinks()
         knowledge_applier = applier.Applier(
@@ -97,6 +99,7 @@
             versions=store_relay.versions,
             server_notices=self.notices,
             block_quarantine=self.quarantine,
+            speeds=self.speeds.store,
         )
         self.sharing = sharing.SharingService(
             address,
