Shed at once what plain servers can't do

81 routers before 3 plain servers of 6 slots each sent until a server rejected, as reports are older than a request of 45 ms takes. Routers now report the demand for each plain service, know the servers' rate from learned times and limits, and let the fraction rate / demand through, each by a credit of its own. Requests that may run only once go first; the rest is rejected at once with spread retry advice, and requests wait only if they can be in time.

Where requests take less time than reports are old, other routers' requests at a server count by their mean.

Probes of servers that were slow are no longer counted as full servers, so that a second try isn't left waiting if no other server can be asked.

The slope from pauses between events is left out: a prefill lengthens pauses and raises the occupancy at once, so it would lower the limit of sound engines.

The typical values of all services are computed in one pass a second, sums of servers that are gone are dropped, and what attempts teach moved out of the controller.

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -16,12 +16,14 @@
     dependencies,
     dispatch_rate,
     permit,
+    plain_overload,
     policy,
     quarantine_gate,
     queue,
     retry_budget,
     scheduling_pass,
     share_tracker,
+    speed_observer,
 )
 from tamarackbridge.components.fleet import models as fleet
 from tamarackbridge.components.gateway import jobs, models, rejections
@@ -49,10 +51,6 @@
 requests and relaying answers, which costs several times as much as deciding on
 them."""
 
-PAUSES_PER_OBSERVATION = 16
-"""Pauses between events of which one is used to learn how an engine bears load;
-a router passes on some thousand events a second."""
-
 NO_SERVER_RETRY_S = 0.5
 """Advised retry time while no server is registered; a new one registers within
 a second."""
@@ -100,6 +98,12 @@
         self._peers = peers
         self._record_wait = record_wait
         self._quarantine_gate = quarantine_gate.QuarantineGate(deps, peers, rng)
+        self._speed_observer = speed_observer.SpeedObserver(
+            deps.estimator, deps.server_selector
+        )
+        self._plain_overload = plain_overload.PlainOverload(
+            deps.estimator, deps.server_selector, deps.demand, rng
+        )
         self._retry_budget = retry_budget.RetryBudget(deps.bounds, rng)
         self._waiting = queue.WaitingQueue()
         self._log = decision_log.DecisionLog(
@@ -115,7 +119,6 @@
         )
         self._next_pass_at = -math.inf
         self._is_pass_unfinished = False
-        self._event_gaps = 0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
 
@@ -153,6 +156,11 @@
             return result.Err(rejection)
         is_within_share = True
         if job.attempts == 0 and not job.excluded_servers:
+            rejection = self._plain_overload.record_arrival(
+                job, self._waiting.count(job.service.name), now
+            )
+            if rejection is not None:
+                return result.Err(rejection)
             self._retry_budget.record_request(job.service.name, now)
             cost = costs.request_cost(job.request)
             is_within_share = self.share_tracker.record_request(
@@ -246,12 +254,6 @@
         """Records the time between two events of a stream."""
         name = reservation.server.name
         self._deps.estimator.observe_pause(name, gap_s, now)
-        self._event_gaps += 1
-        if self._event_gaps % PAUSES_PER_OBSERVATION == 0:
-            occupancy = self._deps.server_selector.occupancy(
-                reservation.server, now
-            )
-            self._deps.estimator.observe_pause_at(name, gap_s, occupancy, now)
 
     def record_response_start(
         self, reservation: ledger.Reservation, tokens_ahead: int
@@ -266,58 +268,20 @@
         now = self._clock.monotonic()
         self._deps.work.record_prefill(reservation, now)
         if reservation.prefill_tokens:
-            reservation.tokens_until_start = (
-                tokens_ahead + reservation.prefill_tokens
+            self._speed_observer.record_response_start(
+                reservation, tokens_ahead, now
             )
-            if self._deps.estimator.speeds is None:
-                self._observe_first_event(reservation, now)
             if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
                 self._peers.request_report()
         self.dispatch_waiting()
 
-    def _observe_first_event(
-        self, reservation: ledger.Reservation, now: float
-    ) -> None:
-        self._deps.estimator.observe_first_event(
-            reservation.server.name,
-            reservation.tokens_until_start,
-            now - reservation.sent_at,
-            now,
-        )
-
-    def _observe_speed(
-        self,
-        reservation: ledger.Reservation,
-        head: models.ResponseHead,
-        now: float,
-    ) -> None:
-        """Learns the speed of a server from the head of a response.
-
-        Rejections and failures are quick, so they don't count.
-        """
-        estimator, name = self._deps.estimator, reservation.server.name
-        if head.load is not None:
-            estimator.observe_load(name, head.load, now)
-        is_answered = head.disposition is models.Disposition.ANSWERED
-        if estimator.speeds is None or not is_answered or head.status >= 300:
-            return
-        if reservation.tokens_until_start:
-            self._observe_first_event(reservation, now)
-        elif reservation.is_plain:
-            occupancy = reservation.occupancy
-            if head.load is not None:
-                present = head.load.running + head.load.waiting
-                occupancy = max(present / head.load.slots, occupancy)
-            took_s = now - reservation.sent_at
-            estimator.observe_response(name, took_s, occupancy, now)
-
     def handle_response_head(
         self, reservation: ledger.Reservation, head: models.ResponseHead
     ) -> None:
         """Applies what a response head announces about its server."""
         now = self._clock.monotonic()
         server = reservation.server
-        self._observe_speed(reservation, head, now)
+        self._speed_observer.record_head(reservation, head, now)
         notices = self._deps.server_notices
         if not head.announces_shutdown:
             notices.record_no_shutdown(server, now)
@@ -409,6 +373,7 @@
             self._apply(waiter, decision, share_state, now)
         for service in self._waiting.services():
             self._reject_unservable(service, now)
+            self._reject_late(service, now)
         if self._quarantine_gate.pop_change():
             self._reject_quarantined(now)
         self._dispatch(now)
@@ -423,6 +388,17 @@
             if rejection is not None:
                 self._reject(waiter, rejection, 0, 0.0, now)
 
+    def _reject_late(self, service: str, now: float) -> None:
+        """Rejects requests that an overloaded plain service would do late."""
+        if not self._plain_overload.is_overloaded(service, now):
+            return
+        for waiter in self._waiting.for_service(service):
+            if not self._plain_overload.is_too_late(waiter.job, now):
+                continue
+            state = self._plain_overload.state(service, now)
+            rejection = self._plain_overload.rejection(waiter.job, state, now)
+            self._reject(waiter, rejection, 0, 0.0, now)
+
     def _reject_quarantined(self, now: float) -> None:
         """Rejects the waiting requests with quarantined prompt blocks."""
         for service in self._waiting.services():
@@ -569,9 +545,7 @@
             is_plain=not job.service.is_model,
         )
         self._deps.work.begin(reservation)
-        reservation.occupancy = self._deps.server_selector.occupancy(
-            server, now
-        )
+        self._speed_observer.record_sent(reservation)
         self._quarantine_gate.record_sent(reservation)
         if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
             self._peers.request_report()
--- a/tamarackbridge/components/admission/dependencies.py
+++ b/tamarackbridge/components/admission/dependencies.py
@@ -4,7 +4,11 @@
 import dataclasses
 from typing import Protocol
 
-from tamarackbridge.components.admission import observed_load, shares
+from tamarackbridge.components.admission import (
+    observed_load,
+    service_demand,
+    shares,
+)
 from tamarackbridge.components.fleet import models as fleet
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
@@ -33,6 +37,9 @@
     server_notices: notices.ServerNotices
     server_selector: selector.ServerSelector
     block_quarantine: quarantine.BlockQuarantine
+    demand: service_demand.ServiceDemand = dataclasses.field(
+        default_factory=service_demand.ServiceDemand
+    )
 
 
 class PeerRouters(Protocol):
--- a/tamarackbridge/components/admission/policy.py
+++ b/tamarackbridge/components/admission/policy.py
@@ -47,10 +47,6 @@
 """Fraction of the latency target within which a rejection does no harm, as the
 caller still has time to retry."""
 
-PLAIN_SERVER_QUEUE = 2
-"""Requests that may wait at a plain server beside those in its slots. The
-server's own queue keeps the slots busy while an answer is on its way."""
-
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 2.0
 """Bounds of the advised retry time. Callers spend at most a third of their
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -147,6 +147,20 @@
     sums: tuple[int, ...]
 
 
+class ServiceDemand(core.Message, frozen=True, array_like=True):
+    """Demand for a service without model engines.
+
+    Attributes:
+        service: Name of the service.
+        centi_per_s: Hundredths of requests a second.
+        once_centi_per_s: Of them, those of requests that may run only once.
+    """
+
+    service: str
+    centi_per_s: int
+    once_centi_per_s: int
+
+
 class CrashSuspect(core.Message, frozen=True, array_like=True):
     """A request that a server had barely begun to answer when it crashed.
 
@@ -222,6 +236,8 @@
         cleared_blocks: Prompt blocks that are no longer suspected.
         limited: Rate limits of servers.
         server_speeds: Learned speeds of servers with news.
+        service_demand: Demand for services without model engines; None if left
+            out of this report.
     """
 
     direction: Direction
@@ -240,6 +256,7 @@
     cleared_blocks: tuple[ClearedBlock, ...] = ()
     limited: tuple[LimitedServer, ...] = ()
     server_speeds: tuple[ServerSpeed, ...] = ()
+    service_demand: tuple[ServiceDemand, ...] | None = None
 
 
 class Introduction(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/speed_reports.py
+++ b/tamarackbridge/components/fleet/speed_reports.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from tamarackbridge.components.admission import service_demand
 from tamarackbridge.components.fleet import messages, report_builder
 from tamarackbridge.components.placement import speed_store, speed_sums
 
@@ -28,7 +29,11 @@
 """Rounds in which a router gets all servers once it has been heard: it may have
 dropped what it knew, and the first report may be lost."""
 
+SWEEP_S = 10.0
+"""Interval at which sums of servers that are gone are dropped."""
+
 _MS_PER_S = 1_000
+_CENTIS = 100
 _MILLIS = 1_000
 _NO_AGE = -1
 _MAX_AGE_S = 60.0
@@ -38,14 +43,21 @@
 class SpeedReports:
     """The learned speeds in this router's reports, and in those it receives."""
 
-    def __init__(self, store: speed_store.SpeedStore | None) -> None:
+    def __init__(
+        self,
+        store: speed_store.SpeedStore | None,
+        demand: service_demand.ServiceDemand,
+    ) -> None:
         """Creates the reports.
 
         Args:
             store: Sums of all routers; None if no speeds are learned.
+            demand: Demand for services at all routers.
         """
         self._store = store
+        self._demand = demand
         self._sent_at = -math.inf
+        self._swept_at = -math.inf
         self._news: dict[str, set[str]] = {}
         self._whole: dict[str, speed_store.ReportedSums] = {}
         self._encoded: dict[str, messages.ServerSpeed | None] = {}
@@ -60,10 +72,19 @@
             reported = _decode(entry, sent_at)
             if reported is not None:
                 self._store.apply(src, entry.server, reported)
+        if report.service_demand is not None:
+            self._demand.reported[src] = {
+                entry.service: service_demand.Demand(
+                    entry.centi_per_s / _CENTIS,
+                    entry.once_centi_per_s / _CENTIS,
+                )
+                for entry in report.service_demand
+            }
 
     def drop(self, src: str) -> None:
         """Drops the sums of a router that is gone."""
         self._rounds.pop(src, None)
+        self._demand.drop_source(src)
         if self._store is not None:
             self._store.drop_source(src)
 
@@ -85,6 +106,9 @@
         if self._store is None or now - self._sent_at < INTERVAL_S:
             return found
         self._sent_at = now
+        if now - self._swept_at >= SWEEP_S:
+            self._swept_at = now
+            self._store.sweep(now)
         self._news = self._store.take_news(MAX_SERVERS)
         for cache in (self._whole, self._encoded, self._of_group_encoded):
             cache.clear()
@@ -102,7 +126,11 @@
         store = self._store
         assert store is not None
         is_down = out.report.direction is messages.Direction.DOWN
-        sources = set(store.sources()) if is_down else {*members}
+        sources = (
+            {*store.sources(), *self._demand.reported}
+            if is_down
+            else {*members}
+        )
         sources.add(speed_store.OWN)
         sources.discard(out.to)
         names = self._due_names(store, out.to, sources)
@@ -113,11 +141,34 @@
                 self._of_group(store, name, sources, now) for name in names
             ]
         speeds = tuple(entry for entry in found if entry is not None)
-        if not speeds:
+        demand = self._demand_of(sources, now)
+        if not speeds and not demand:
             return out
-        report = msgspec.structs.replace(out.report, server_speeds=speeds)
+        report = msgspec.structs.replace(
+            out.report, server_speeds=speeds, service_demand=demand
+        )
         return report_builder.Outgoing(out.to, report)
 
+    def _demand_of(
+        self, sources: Collection[str], now: float
+    ) -> tuple[messages.ServiceDemand, ...]:
+        """Returns the demand at this router and at other sources."""
+        reported = self._demand.reported
+        whole = service_demand.total(
+            (
+                self._demand.own(now),
+                *(reported[src] for src in sources if src in reported),
+            )
+        )
+        return tuple(
+            messages.ServiceDemand(
+                service,
+                round(demand.per_s * _CENTIS),
+                round(demand.once_per_s * _CENTIS),
+            )
+            for service, demand in whole.items()
+        )
+
     def _due_names(
         self,
         store: speed_store.SpeedStore,
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from tamarackbridge.components.admission import observed_load, shares
+from tamarackbridge.components.admission import (
+    observed_load,
+    service_demand,
+    shares,
+)
 from tamarackbridge.components.fleet import (
     crash_reports,
     groups,
@@ -72,6 +76,7 @@
         block_quarantine: Evidence against prompt blocks.
         headroom_cores: Returns this router's processor headroom, in cores.
         speeds: Learned speeds of servers; None if none are learned.
+        demand: Demand for services without model engines.
     """
 
     work: ledger.ReservationLedger
@@ -85,6 +90,9 @@
     block_quarantine: quarantine.BlockQuarantine
     headroom_cores: Callable[[], float] = lambda: 0.0
     speeds: speed_store.SpeedStore | None = None
+    demand: service_demand.ServiceDemand = dataclasses.field(
+        default_factory=service_demand.ServiceDemand
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -144,7 +152,7 @@
         self._address = address
         self._zone = zone
         self._own = own
-        self._speed_reports = speed_reports.SpeedReports(own.speeds)
+        self._speed_reports = speed_reports.SpeedReports(own.speeds, own.demand)
         self._states: dict[str, _PeerState] = {}
         self._role = groups.Role(None, frozenset())
         self._expected_since: dict[str, float] = {}
--- a/tamarackbridge/components/placement/estimate.py
+++ b/tamarackbridge/components/placement/estimate.py
@@ -32,6 +32,9 @@
 SLOWNESS_SMOOTHING = 0.1
 """Weight of one observation of an engine's speed in the moving average."""
 
+REPORT_AGE_S = 0.15
+"""Usual age of what other routers have reported of their requests."""
+
 MIN_TIME_S = 0.0001
 """Shortest time that is learned from; no server responds sooner."""
 
@@ -107,6 +110,31 @@
             return False
         return self.speeds.estimate(server, self._now).needs_probe
 
+    def response_s(self, server: str) -> float | None:
+        """Returns the time of a request at a plain server at its limit.
+
+        None if nothing is known of it.
+        """
+        if self.speeds is None:
+            return None
+        estimated = self.speeds.estimate(server, self._now)
+        if estimated.source == "typical" and not estimated.has_typical:
+            return None
+        return server_speeds.NOMINAL_PLAIN_S * math.exp(
+            estimated.level + estimated.slope * estimated.limit
+        )
+
+    def report_blur(self, server: str) -> float:
+        """Returns how little a report tells of a plain server's requests now.
+
+        It is 0 if requests take much longer than reports are old, or if nothing
+        is known, and 1 if they take much less.
+        """
+        time_s = self.response_s(server)
+        if time_s is None:
+            return 0.0
+        return 1.0 - math.exp(-REPORT_AGE_S / time_s)
+
     def limit(self, server: str, slots: int) -> float:
         """Returns how many requests a server handles well at once."""
         if self.speeds is None:
@@ -153,13 +181,6 @@
         if self.speeds is not None:
             self.speeds.observe_load(server, load, now)
 
-    def observe_pause_at(
-        self, server: str, pause_s: float, occupancy: float, now: float
-    ) -> None:
-        """Learns from a pause between events at a known occupancy."""
-        if self.speeds is not None:
-            self.speeds.observe_pause(server, pause_s, occupancy, now)
-
     def observe_pause(self, server: str, pause_s: float, now: float) -> None:
         """Learns from the time between two events of one stream."""
         observed = self._observed.setdefault(server, _Observed())
--- a/tamarackbridge/components/placement/ledger.py
+++ b/tamarackbridge/components/placement/ledger.py
@@ -354,6 +354,11 @@
             if account.reservations
         }
 
+    def own_requests(self, server: str) -> int:
+        """Returns the requests of this router at a server."""
+        account = self._accounts.get(server)
+        return account.own.requests if account is not None else 0
+
     def at(self, server: str, now: float, tokens_per_s: float) -> Work:
         """Returns the work of all routers at a server.
 
--- a/tamarackbridge/components/placement/plain_choice.py
+++ b/tamarackbridge/components/placement/plain_choice.py
@@ -18,11 +18,27 @@
 """Part of the limits in use at all servers from which on servers are drawn: an
 idle server beside busy ones attracts the requests of all routers."""
 
+MAX_FULL_LOAD = 1.5
+MIN_ROOM = 0.25
+"""A server is drawn by its rate up to a load of `MAX_FULL_LOAD` less 1, and by
+`MIN_ROOM` of it from `MAX_FULL_LOAD` less `MIN_ROOM` on."""
+
 TWO_DRAWS_SERVERS = 8
 """Servers with room above which the better of two is chosen. Among few, the
 least loaded one would nearly always be one of the two."""
 
 
+def free_rate(limit: float, requests: float, slowness: float) -> float:
+    """Returns the weight with which a server is drawn.
+
+    It is its rate up to half of its limit, and falls to a quarter of it beyond.
+    A weight that fell to 0 at the limit would follow late reports so strongly
+    that routers send to the servers in turn.
+    """
+    room = min(max(MAX_FULL_LOAD - requests / limit, MIN_ROOM), 1.0)
+    return limit / slowness * room
+
+
 def is_loaded(servers: Sequence[scheduling_view.ServerState]) -> bool:
     """Returns whether servers should be drawn instead of the best chosen."""
     if not servers:
@@ -47,8 +63,6 @@
     if not servers:
         return None
     weights = [server.free_rate for server in servers]
-    if not any(weights):
-        return rng.choice(servers)
     draws = 2 if len(servers) > TWO_DRAWS_SERVERS else 1
     drawn = rng.choices(servers, weights, k=draws)
     return min(drawn, key=lambda server: server.cost)
--- a/tamarackbridge/components/placement/probing.py
+++ b/tamarackbridge/components/placement/probing.py
@@ -7,7 +7,7 @@
 
 from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import models as knowledge
-from tamarackbridge.components.placement import scheduling_view
+from tamarackbridge.components.placement import pool, scheduling_view
 from tamarackbridge.helpers import rendezvous
 
 PROBING_FRACTION = 0.1
@@ -28,12 +28,25 @@
     if not server.probes_only:
         return True
     return (
-        not job.excluded_servers
+        server.may_probe
+        and not job.excluded_servers
         and job.route.kind is not knowledge.RouteKind.NON_IDEMPOTENT
         and now - job.arrived <= PROBE_TARGET_FRACTION * job.route.target_s
     )
 
 
+def is_limited(
+    servers: scheduling_view.ServiceView, candidates: pool.Candidates
+) -> bool:
+    """Returns whether probes are limited: there are other servers to ask.
+
+    Only the first server is looked at unless it is to be probed.
+    """
+    return not all(
+        servers.state_of(registered).probes_only for registered, _ in candidates
+    )
+
+
 def is_prober(server: str, router: str, routers: int, now: float) -> bool:
     """Returns whether a router may probe a server in this second.
 
--- a/tamarackbridge/components/placement/scheduling_view.py
+++ b/tamarackbridge/components/placement/scheduling_view.py
@@ -46,9 +46,10 @@
         is_limited: Whether it is held to its warm-up rate or to a limit of its
             own.
         load: Requests over the number that it handles well at once.
-        free_rate: Requests that it has room for, over its relative slowness.
+        free_rate: Weight with which it is drawn among plain servers.
         probes_only: Whether it was slow and gets single requests until it has
             shown its speed again.
+        may_probe: Whether this router may send such a request now.
     """
 
     registered: state.RegisteredServer
@@ -67,6 +68,7 @@
     load: float = 0.0
     free_rate: float = 0.0
     probes_only: bool = False
+    may_probe: bool = True
 
 
 class ServiceView:
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -30,6 +30,7 @@
     probing,
     request_profile,
     scheduling_view,
+    smoothed_load,
     warmup,
 )
 
@@ -66,6 +67,11 @@
 """Cost of each prompt token that is prefilled before the request; a wait within
 the target costs callers nothing, but leaves less room for the next request."""
 
+PLAIN_SERVER_QUEUE = 2
+"""Requests that may wait at a plain server beyond its limit if reports are
+older than its requests take. What is known of it then is a mean, so a server
+that is used well often has more than its limit."""
+
 FULL_PLAIN_SERVER_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
@@ -174,6 +180,7 @@
             rng: Source of randomness; by default one that differs between
                 routers.
         """
+        self._smoothed = smoothed_load.SmoothedLoad()
         self._rng = rng or random.Random(router)
         self._router = router
         self._notices = server_notices
@@ -272,8 +279,10 @@
                         servers.now,
                     )
                     for registered, rank in candidates
+                    if not servers.state_of(registered).probes_only
                 ),
                 key=_first_event_s,
+                default=None,
             )
         return _make_shortlist(best, soonest, len(candidates))
 
@@ -286,10 +295,15 @@
     ) -> ScoredServer | None:
         """Returns the plain server for a request; None if none has room."""
         states = [servers.state_of(registered) for registered, _ in candidates]
+        is_probing_limited = probing.is_limited(servers, candidates)
         free = [
             server
             for server in states
-            if not server.is_full and probing.may_get(job, server, servers.now)
+            if not server.is_full
+            and (
+                not is_probing_limited
+                or probing.may_get(job, server, servers.now)
+            )
         ]
         if self._estimator.speeds is not None and plain_choice.is_loaded(
             states
@@ -313,12 +327,17 @@
         best: ScoredServer | None = None
         least = math.inf
         rank_cost = _rank_cost(profile)
+        is_probing_limited = probing.is_limited(servers, candidates)
         for registered, rank in candidates:
             if rank * rank_cost >= least:
                 break
             server = servers.state_of(registered)
             cost = server.cost + rank * rank_cost
-            if cost >= least or _is_full(job, profile, server, servers.now):
+            if cost >= least or _is_full(job, profile, server):
+                continue
+            if is_probing_limited and not probing.may_get(
+                job, server, servers.now
+            ):
                 continue
             option = self._score_engine(job, profile, server, rank, servers.now)
             if option.cost < least:
@@ -409,16 +428,24 @@
         work = self._work.at(name, now, tokens_per_s)
         slots = _slots(service, registered.server)
         limit = self._estimator.limit(name, slots)
+        queue = 0.0
+        if not is_model:
+            queue = PLAIN_SERVER_QUEUE * self._estimator.report_blur(name)
         slowness = self._estimator.relative_slowness(name)
         probes_only = self._estimator.needs_probe(name)
         may_probe = not probes_only or (
             work.requests == 0
             and probing.is_prober(name, self._router, len(routers), now)
         )
+        requests = (
+            float(work.requests)
+            if is_model
+            else self.expected_requests(registered.server, now)
+        )
         rejecting = (
             REJECTING_CROWDING if self._notices.is_rejecting(name, now) else 0.0
         )
-        crowding = work.requests / limit + rejecting
+        crowding = requests / limit + rejecting
         tie_break = scheduling_view.tie_break(self._router, name)
         surcharge = max(slowness - 1.0, 0.0) * (
             1.0 - SURCHARGE_SPREAD / 2 + SURCHARGE_SPREAD * tie_break
@@ -442,7 +469,7 @@
             cost=cost,
             is_in_other_zone=registered.server.zone != self._zone,
             # A limit that is no whole number is not exceeded either.
-            is_full=work.requests + 1 > limit or not may_probe,
+            is_full=requests + 1 > limit + queue,
             requests=work.requests,
             memory=work.memory,
             tokens_ahead=work.pending_prefill_tokens,
@@ -454,11 +481,24 @@
             pause_s=self._estimator.pause_s(name, now),
             may_send=may_send,
             is_limited=bool(rates),
-            load=work.requests / limit,
-            free_rate=max(limit - work.requests, 0.0) / slowness,
+            load=requests / limit,
+            free_rate=plain_choice.free_rate(limit, requests, slowness),
             probes_only=probes_only,
+            may_probe=may_probe,
         )
 
+    def expected_requests(
+        self, server: knowledge.BackendServer, now: float
+    ) -> float:
+        """Returns the requests that are expected at a plain server now."""
+        name = server.name
+        requests = self._work.at(name, now, 1.0).requests
+        blur = self._estimator.report_blur(name)
+        if not blur:
+            return requests
+        own = self._work.own_requests(name)
+        return self._smoothed.requests(name, own, requests - own, blur, now)
+
     def occupancy(self, server: knowledge.BackendServer, now: float) -> float:
         """Returns the requests at a server over its slots."""
         cfg = self._local_copy.configuration
@@ -506,7 +546,7 @@
             server.tokens_ahead,
             server.tokens_ahead_s,
             prefill_tokens,
-            _is_full(job, profile, server, now),
+            _is_full(job, profile, server),
         )
 
     def _score_plain(
@@ -536,10 +576,9 @@
     job: jobs.Job,
     profile: request_profile.RequestProfile,
     server: scheduling_view.ServerState,
-    now: float,
 ) -> bool:
     """Returns whether an engine has no free slot or memory for a request."""
-    if server.is_full or not probing.may_get(job, server, now):
+    if server.is_full:
         return True
     room = job.service.memory_tokens * pool.PLANNED_MEMORY_FRACTION
     return server.requests > 0 and server.memory + profile.memory > room
--- a/tamarackbridge/components/placement/server_speeds.py
+++ b/tamarackbridge/components/placement/server_speeds.py
@@ -7,6 +7,7 @@
 down for half a second, or that slow down before their slots are full.
 """
 
+import collections
 from collections.abc import Callable, Collection
 import dataclasses
 import math
@@ -31,9 +32,12 @@
 IDLE_OCCUPANCY = 0.4
 """Occupancy up to which the time of a request counts as that at low load."""
 
-TYPICAL_INTERVAL_S = 0.25
-"""Interval at which the typical values of a service are computed, the interval
-of the reports."""
+TYPICAL_INTERVAL_S = 1.0
+"""Interval at which the typical values of services are computed: for 600
+servers it takes some milliseconds."""
+
+FIRST_INTERVAL_S = 0.25
+"""The interval for a service whose typical values aren't known yet."""
 
 MIN_TYPICAL_WEIGHT = 2.0
 """Weight below which a service keeps its former typical value."""
@@ -42,17 +46,52 @@
 """Time for which an estimate is used unless the server states a work factor, a
 seventh of the time constant of momentary changes."""
 
-PAUSE_SMOOTHING = 0.1
-"""Weight of one pause in the mean from which deviations are counted."""
+JUDGING_SMOOTHING = 0.1
+"""Weight of one observation in the errors by which a work factor is judged."""
 
 NOMINAL_PLAIN_S = 0.05
 """Nominal time of a plain server; only the unit of its level."""
 
 
 @dataclasses.dataclass(slots=True)
-class _PauseMean:
-    log_pause: float
-    occupancy: float
+class _Known:
+    """What is known of one service's servers.
+
+    Attributes:
+        levels: Level and weight of each server.
+        figures: Mean logarithm of the work factor of each, and its weight.
+        xx: Sum of squared deviations of the occupancy.
+        xy: Sum of the products of the deviations of occupancy and time.
+    """
+
+    levels: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    figures: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    xx: float = speed_estimate.SLOPE_PRIOR
+    xy: float = 0.0
+
+    def add(
+        self, sums: speed_sums.SpeedSums, age_s: float, slope: float
+    ) -> None:
+        """Adds the sums of one server."""
+        self.xx += sums.slope_xx
+        self.xy += sums.slope_xy
+        if sums.slow_w >= speed_sums.MIN_WEIGHT:
+            level = speed_estimate.mean_level(sums, slope)
+            weight = speed_estimate.slow_weight(sums, age_s)
+            self.levels.append((level, weight))
+        if sums.figure_w >= speed_sums.MIN_WEIGHT:
+            figure = sums.figure_y / sums.figure_w
+            self.figures.append((figure, sums.figure_w))
+
+    def apply(self, service: speed_estimate.ServiceSpeed) -> None:
+        """Sets the typical values of the service, as far as they are known."""
+        service.slope = max(speed_estimate.bounded(self.xy / self.xx), 0.0)
+        level = _median(self.levels)
+        if level is not None:
+            service.level, service.is_known = level, True
+        figure = _median(self.figures)
+        if figure is not None:
+            service.figure = figure
 
 
 class ServerSpeeds:
@@ -79,7 +118,7 @@
         self._services: dict[str, speed_estimate.ServiceSpeed] = {}
         self._estimates: dict[str, speed_estimate.Estimate] = {}
         self._figures: dict[str, speed_estimate.Figure] = {}
-        self._pauses: dict[str, _PauseMean] = {}
+        self._typical_at = -math.inf
 
     def observe(
         self, name: str, log_time: float, occupancy: float, now: float
@@ -118,22 +157,6 @@
             )
         self._add(server, sums, now, now)
 
-    def observe_pause(
-        self, name: str, pause_s: float, occupancy: float, now: float
-    ) -> None:
-        """Learns from a pause between events how an engine bears load."""
-        server = self._server(name)
-        if server is None or self._lag_s() > MAX_LAG_S or pause_s <= 0:
-            return
-        y = math.log(pause_s)
-        mean = self._pauses.setdefault(name, _PauseMean(y, occupancy))
-        dx, dy = occupancy - mean.occupancy, y - mean.log_pause
-        dy = speed_estimate.bounded(dy)
-        mean.occupancy += PAUSE_SMOOTHING * dx
-        mean.log_pause += PAUSE_SMOOTHING * dy
-        sums = speed_sums.SpeedSums(slope_xx=dx * dx, slope_xy=dx * dy)
-        self._add(server, sums, now, self.store.own(server).observed_at)
-
     def observe_load(
         self, name: str, load: models.ServerLoad, now: float
     ) -> None:
@@ -177,7 +200,6 @@
         self.store.forget(name)
         self._estimates.pop(name, None)
         self._figures.pop(name, None)
-        self._pauses.pop(name, None)
 
     def _server(self, name: str) -> knowledge.BackendServer | None:
         registered = self._local_copy.servers.get(name)
@@ -198,40 +220,31 @@
 
     def _service(self, name: str, now: float) -> speed_estimate.ServiceSpeed:
         found = self._services.setdefault(name, speed_estimate.ServiceSpeed())
-        if now - found.computed_at >= TYPICAL_INTERVAL_S:
-            found.computed_at = now
-            self._update_typical(name, found, now)
+        interval_s = TYPICAL_INTERVAL_S if found.is_known else FIRST_INTERVAL_S
+        if now - self._typical_at >= interval_s:
+            self._typical_at = now
+            self._update_typical(now)
         return found
 
-    def _update_typical(
-        self, name: str, service: speed_estimate.ServiceSpeed, now: float
-    ) -> None:
-        """Computes the typical values of a service's servers."""
-        levels: list[tuple[float, float]] = []
-        figures: list[tuple[float, float]] = []
-        xx, xy = speed_estimate.SLOPE_PRIOR, 0.0
-        for known in self.store.names():
-            server = self._server(known)
-            if server is None or server.service != name:
+    def _update_typical(self, now: float) -> None:
+        """Computes the typical values of all services."""
+        known: dict[str, _Known] = collections.defaultdict(_Known)
+        for name in self.store.names():
+            server = self._server(name)
+            if server is None:
                 continue
             timed = self.store.merged(server, now)
-            sums = timed.now(now)
-            xx += sums.slope_xx
-            xy += sums.slope_xy
-            if sums.slow_w >= speed_sums.MIN_WEIGHT:
-                age_s = now - timed.observed_at
-                weight = speed_estimate.slow_weight(sums, age_s)
-                level = speed_estimate.mean_level(sums, service.slope)
-                levels.append((level, weight))
-            if sums.figure_w >= speed_sums.MIN_WEIGHT:
-                figures.append((sums.figure_y / sums.figure_w, sums.figure_w))
-        service.slope = max(speed_estimate.bounded(xy / xx), 0.0)
-        level_now = _median(levels)
-        if level_now is not None:
-            service.level, service.is_known = level_now, True
-        figure_now = _median(figures)
-        if figure_now is not None:
-            service.figure = figure_now
+            slope = 0.0
+            if server.service in self._services:
+                slope = self._services[server.service].slope
+            known[server.service].add(
+                timed.now(now), now - timed.observed_at, slope
+            )
+        for name, found in known.items():
+            service = self._services.setdefault(
+                name, speed_estimate.ServiceSpeed()
+            )
+            found.apply(service)
 
     def _judge_figure(
         self,
@@ -255,8 +268,8 @@
         deviation = figure.log_factor - sums.figure_y / sums.figure_w
         without = (level - estimate.base) ** 2
         following = (level - estimate.base - deviation) ** 2
-        figure.error_with += PAUSE_SMOOTHING * (following - figure.error_with)
-        figure.error_without += PAUSE_SMOOTHING * (
+        figure.error_with += JUDGING_SMOOTHING * (following - figure.error_with)
+        figure.error_without += JUDGING_SMOOTHING * (
             without - figure.error_without
         )
 
--- a/tamarackbridge/components/placement/speed_estimate.py
+++ b/tamarackbridge/components/placement/speed_estimate.py
@@ -88,6 +88,7 @@
         figure_weight: Number of recent work factors.
         needs_probe: Whether the server was slow when it was last observed, and
             that is some time ago.
+        has_typical: Whether a typical level of its service is known.
     """
 
     at: float
@@ -101,6 +102,7 @@
     age_s: float = math.inf
     figure_weight: float = 0.0
     needs_probe: bool = False
+    has_typical: bool = False
 
     @property
     def source(self) -> str:
@@ -120,7 +122,6 @@
         slope: Typical slope.
         noise: Variance of single observations.
         is_known: Whether anything was observed.
-        computed_at: Time of these values.
     """
 
     level: float = 0.0
@@ -128,7 +129,6 @@
     slope: float = 0.0
     noise: float = FIRST_NOISE
     is_known: bool = False
-    computed_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -206,6 +206,7 @@
         sums.figure_w,
         observed - service.level > PROBE_LOG
         and PROBE_AFTER_S < age_s < PROBE_UNTIL_S,
+        service.is_known,
     )
 
 
--- a/tamarackbridge/components/placement/speed_store.py
+++ b/tamarackbridge/components/placement/speed_store.py
@@ -17,6 +17,10 @@
 OWN = ""
 """Stands for this router among the sources of sums."""
 
+UNREGISTERED_S = 30.0
+"""Age from which sums of a server that is not registered are dropped; a router
+reads all registrations within some seconds of its start."""
+
 _ID_BYTES = 5
 """Bytes of an incarnation's identifier: two incarnations of one server have the
 same one once in 10^12."""
@@ -152,6 +156,22 @@
         self._news.pop(name, None)
         self._ids.pop(name, None)
 
+    def sweep(self, now: float) -> None:
+        """Drops old sums of servers that are not registered.
+
+        Another router may report a server after this one has forgotten it.
+        """
+        registered = self._local_copy.servers
+        gone = {
+            name
+            for entries in self._sources.values()
+            for name, reported in entries.items()
+            if name not in registered
+            and now - reported.timed.at > UNREGISTERED_S
+        }
+        for name in gone:
+            self.forget(name)
+
     def take_news(self, limit: int) -> dict[str, set[str]]:
         """Takes the servers with new sums, those that waited longest first.
 
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -285,6 +285,37 @@
     header: str
 
 
+class ServerSpeedChanged(Event, frozen=True):
+    """The estimated time of a server changed by more than a third.
+
+    `slowness` is its time over that of its service's typical server, `before`
+    that at the last line, `limit` the part of its slots that it handles well,
+    and `source` what the estimate rests on: `observed` times, its own `figures`
+    or the `typical` server. At most 10 lines are written in 10 s.
+    """
+
+    server: str
+    service: str
+    slowness: float
+    before: float
+    limit: float
+    source: str
+
+
+class ServiceOverloaded(Event, frozen=True):
+    """A service without model engines gets more requests than it can do.
+
+    All routers together get `demand_per_s` requests for it, its servers can do
+    `rate_per_s`, and `fill` of their limits is in use. The excess is rejected.
+    Written at most every 5 s for a service.
+    """
+
+    service: str
+    demand_per_s: float
+    rate_per_s: float
+    fill: float
+
+
 class Placed(Event, frozen=True):
     """A request is sent to a server.
 
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -5,7 +5,11 @@
 from typing import cast
 
 from tamarackbridge import core
-from tamarackbridge.components.admission import observed_load, shares
+from tamarackbridge.components.admission import (
+    observed_load,
+    service_demand,
+    shares,
+)
 from tamarackbridge.components.fleet import messages, sharing
 from tamarackbridge.components.fleet import view as fleet_view
 from tamarackbridge.components.knowledge import applier, relay, state
@@ -81,6 +85,7 @@
         )
         self.local_copy = state.LocalCopy(builders.BOUNDS)
         self.speeds = server_speeds.ServerSpeeds(self.local_copy)
+        self.demand = service_demand.ServiceDemand()
         self.new_blocks: list[tuple[str, int]] = []
         self.links = RecordedLinks()
         knowledge_applier = applier.Applier(
@@ -100,6 +105,7 @@
             server_notices=self.notices,
             block_quarantine=self.quarantine,
             speeds=self.speeds.store,
+            demand=self.demand,
         )
         self.sharing = sharing.SharingService(
             address,
--- a/tests/components/fleet/test_speed_reports.py
+++ b/tests/components/fleet/test_speed_reports.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from tamarackbridge.components.admission import service_demand
 from tamarackbridge.components.fleet import messages, speed_reports
 from tamarackbridge.components.placement import server_speeds
 from tests.components.fleet import rig
@@ -133,6 +134,20 @@
     assert all(_slowness(router) == 1.0 for router in others)
 
 
+def test_each_router_knows_the_demand_of_all() -> None:
+    fleet = _make_fleet(58)
+    fleet.run_for(2.0)
+    for _ in range(20):
+        for router in fleet.routers.values():
+            for is_once in (True, False, False, False):
+                router.demand.record_arrival("app", is_once, fleet.clock.now)
+        fleet.run_for(0.1)
+    for router in fleet.routers.values():
+        own, whole = router.demand.of("app", fleet.clock.now)
+        assert whole.per_s == pytest.approx(58 * own.per_s, rel=0.25)
+        assert whole.once_per_s == pytest.approx(whole.per_s / 4, rel=0.01)
+
+
 def test_reports_contain_only_servers_with_news() -> None:
     router = rig.Router({"r2": "z1"})
     _add_servers(router)
@@ -156,7 +171,9 @@
     for number in range(300):
         server = builders.server(f"app-{number:04}", "app", slots=6)
         router.local_copy.register(server, router.clock.now)
-    reports = speed_reports.SpeedReports(router.speeds.store)
+    reports = speed_reports.SpeedReports(
+        router.speeds.store, service_demand.ServiceDemand()
+    )
     sizes = []
     for _ in range(12):
         router.clock.now += 0.3
@@ -174,6 +191,21 @@
     assert max(sizes[speed_reports.FIRST_ROUNDS :]) == speed_reports.MAX_SERVERS
 
 
+def test_sums_of_servers_that_are_gone_do_not_stay() -> None:
+    """Another router may report a server after this one has forgotten it."""
+    fleet = _make_fleet(6)
+    fleet.run_for(1.0)
+    for router in fleet.routers.values():
+        _observe(router)
+    first = next(iter(fleet.routers.values()))
+    del first.local_copy.servers[SLOW]
+    first.speeds.forget(SLOW)
+    fleet.run_for(1.0)
+    assert SLOW in first.speeds.store.names()
+    fleet.run_for(45.0)
+    assert SLOW not in first.speeds.store.names()
+
+
 @pytest.mark.parametrize("sums", [(), (1,) * 40])
 def test_sums_of_another_form_are_ignored(sums: tuple[int, ...]) -> None:
     """A router of another version may report more or fewer sums."""
@@ -182,5 +214,6 @@
     entry = messages.ServerSpeed(SLOW, 1, 0, sums)
     report = messages.Report(messages.Direction.DOWN, server_speeds=(entry,))
     store = server_speeds.ServerSpeeds(router.local_copy).store
-    speed_reports.SpeedReports(store).apply("r2", report, 100.0)
+    demand = service_demand.ServiceDemand()
+    speed_reports.SpeedReports(store, demand).apply("r2", report, 100.0)
     assert not store.names()
--- a/tests/components/placement/test_uneven_servers.py
+++ b/tests/components/placement/test_uneven_servers.py
@@ -136,13 +136,24 @@
         world = World(router)
         world.observe({"p0": 4.0}, 1.0)
         world.now += 2.0
-        world.report({"p1": 6, "p2": 6})
+        world.report({"p1": 9, "p2": 9})
         probers += world.choose() == "p0"
-        world.report({"p0": 1, "p1": 6, "p2": 6})
+        world.report({"p0": 1, "p1": 9, "p2": 9})
         assert world.choose() is None
     assert 1 <= probers <= 20
 
 
+@pytest.mark.parametrize("is_model", [False, True])
+def test_only_server_left_is_used_although_it_was_slow(is_model: bool) -> None:
+    """A second try must not wait for a probe when no other server is left."""
+    world = World(is_model=is_model)
+    world.observe({world.names[0]: 4.0}, 1.0)
+    world.now += 2.0
+    job = world.job()
+    job.excluded_servers.update(world.names[1:])
+    assert world.choose(job) == world.names[0]
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
@@ -158,6 +169,6 @@
         world = World(router)
         world.observe({"p0": 4.0}, 1.0)
         world.now += 2.0
-        world.report({"p1": 6, "p2": 6})
+        world.report({"p1": 9, "p2": 9})
         assert callable(spoil)
         assert world.choose(spoil(world)) is None
