Log and show learned speeds

Gauges of the 200 servers that differ most from their service, and a line when an estimate changes by more than a third, at most 10 in 10 s. Momentary slowdowns leave no line: neighbours cause several a second. OPERATIONS tells how to read them.

Tests: tests/components/gateway/test_speed_log.py

--- a/tamarackbridge/components/telemetry/metrics.py
+++ b/tamarackbridge/components/telemetry/metrics.py
@@ -45,6 +45,23 @@
         )
         gauge.set_function(read)
 
+    def gauge_family(
+        self,
+        labels: Sequence[str],
+        gauges: Sequence[tuple[str, str]],
+        read: Callable[[], Iterable[tuple[Sequence[str], Sequence[float]]]],
+    ) -> None:
+        """Adds gauges that have the same labels and are read together.
+
+        Args:
+            labels: Names of the labels.
+            gauges: Name and help text of each gauge.
+            read: Returns the values of the labels, each with the values of all
+                gauges, whenever the metrics are rendered.
+        """
+        named = [(PREFIX + name, help_text) for name, help_text in gauges]
+        self._registry.register(_GaugeFamily(labels, named, read))
+
     def callback_counter(
         self, name: str, help_text: str, read: Callable[[], float]
     ) -> None:
@@ -80,6 +97,30 @@
         return prometheus_client.generate_latest(self._registry)
 
 
+class _GaugeFamily(registry.Collector):
+    """Gauges with labels that are read when the metrics are rendered."""
+
+    def __init__(
+        self,
+        labels: Sequence[str],
+        gauges: Sequence[tuple[str, str]],
+        read: Callable[[], Iterable[tuple[Sequence[str], Sequence[float]]]],
+    ) -> None:
+        self._labels = labels
+        self._gauges = gauges
+        self._read = read
+
+    def collect(self) -> Iterable[prometheus_client.Metric]:
+        families = [
+            metrics_core.GaugeMetricFamily(name, help_text, labels=self._labels)
+            for name, help_text in self._gauges
+        ]
+        for labels, values in self._read():
+            for family, value in zip(families, values, strict=True):
+                family.add_metric(labels, value)
+        return families
+
+
 class _CallbackCounter(registry.Collector):
     """Counter whose total is read when the metrics are rendered."""
 
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -39,6 +39,7 @@
     screening,
     servers,
     shedding,
+    speed_log,
     stream_ends,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
@@ -121,6 +122,13 @@
         self._register_services()
         load_log.register_metrics(self._registry, self._load_sources)
         self._registry.processor("processor_seconds", self._processor_time)
+        if self._dependencies.estimator.speeds is not None:
+            speed_log.register_metrics(
+                self._registry,
+                self._local_copy,
+                self._dependencies.estimator.speeds,
+                self._clock,
+            )
         platform_gauges.add(
             self._registry,
             self._clock,
@@ -224,6 +232,7 @@
             block_quarantine=self._dependencies.block_quarantine,
             headroom_cores=lambda: self._gateway.headroom_cores,
             speeds=speeds.store if speeds is not None else None,
+            demand=self._dependencies.demand,
         )
         return sharing.SharingService(
             str(self._cfg.peers),
@@ -297,6 +306,11 @@
                 cfg.metrics_host, cfg.metrics_port, self._registry.render
             ),
         }
+        speeds = self._dependencies.estimator.speeds
+        if speeds is not None:
+            services["speeds"] = speed_log.SpeedLog(
+                self._local_copy, speeds, self._clock
+            )
         for name, svc in services.items():
             self._kernel.register(name, svc)
 
