Follow late reports of plain servers less

With reports that pass two hubs, the share of each plain server swung with a period of 0.8 s: the mean of the reported requests took 0.5 s and a full server was drawn four times less often. The mean now takes 2 s and a full server is drawn 0.6 times as often. Servers get up to two requests beyond their limits only as far as other routers' requests make their number uncertain, so one router alone keeps to the slots as before.

--- a/tamarackbridge/components/placement/plain_choice.py
+++ b/tamarackbridge/components/placement/plain_choice.py
@@ -19,7 +19,7 @@
 idle server beside busy ones attracts the requests of all routers."""
 
 MAX_FULL_LOAD = 1.5
-MIN_ROOM = 0.25
+MIN_ROOM = 0.6
 """A server is drawn by its rate up to a load of `MAX_FULL_LOAD` less 1, and by
 `MIN_ROOM` of it from `MAX_FULL_LOAD` less `MIN_ROOM` on."""
 
@@ -31,7 +31,7 @@
 def free_rate(limit: float, requests: float, slowness: float) -> float:
     """Returns the weight with which a server is drawn.
 
-    It is its rate up to half of its limit, and falls to a quarter of it beyond.
+    It is its rate up to half of its limit, and falls to 0.6 of it beyond.
     A weight that fell to 0 at the limit would follow late reports so strongly
     that routers send to the servers in turn.
     """
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -69,8 +69,9 @@
 
 PLAIN_SERVER_QUEUE = 2
 """Requests that may wait at a plain server beyond its limit if reports are
-older than its requests take. What is known of it then is a mean, so a server
-that is used well often has more than its limit."""
+older than its requests take and all its requests are other routers'. What is
+known of it then is a mean, so a server that is used well often has more than
+its limit."""
 
 FULL_PLAIN_SERVER_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
@@ -428,20 +429,21 @@
         work = self._work.at(name, now, tokens_per_s)
         slots = _slots(service, registered.server)
         limit = self._estimator.limit(name, slots)
-        queue = 0.0
-        if not is_model:
-            queue = PLAIN_SERVER_QUEUE * self._estimator.report_blur(name)
         slowness = self._estimator.relative_slowness(name)
         probes_only = self._estimator.needs_probe(name)
         may_probe = not probes_only or (
             work.requests == 0
             and probing.is_prober(name, self._router, len(routers), now)
         )
-        requests = (
-            float(work.requests)
-            if is_model
-            else self.expected_requests(registered.server, now)
-        )
+        requests, queue = float(work.requests), 0.0
+        if not is_model:
+            requests = self.expected_requests(registered.server, now)
+            others = max(requests - self._work.own_requests(name), 0.0)
+            queue = (
+                PLAIN_SERVER_QUEUE
+                * self._estimator.report_blur(name)
+                * (others / max(requests, 1.0))
+            )
         rejecting = (
             REJECTING_CROWDING if self._notices.is_rejecting(name, now) else 0.0
         )
@@ -499,6 +501,10 @@
         own = self._work.own_requests(name)
         return self._smoothed.requests(name, own, requests - own, blur, now)
 
+    def forget(self, server: str) -> None:
+        """Drops what is kept of a server that was removed or has restarted."""
+        self._smoothed.forget(server)
+
     def occupancy(self, server: knowledge.BackendServer, now: float) -> float:
         """Returns the requests at a server over its slots."""
         cfg = self._local_copy.configuration
--- a/tamarackbridge/components/placement/server_speeds.py
+++ b/tamarackbridge/components/placement/server_speeds.py
@@ -220,7 +220,8 @@
 
     def _service(self, name: str, now: float) -> speed_estimate.ServiceSpeed:
         found = self._services.setdefault(name, speed_estimate.ServiceSpeed())
-        interval_s = TYPICAL_INTERVAL_S if found.is_known else FIRST_INTERVAL_S
+        is_due_soon = not found.is_known and not found.is_idle
+        interval_s = FIRST_INTERVAL_S if is_due_soon else TYPICAL_INTERVAL_S
         if now - self._typical_at >= interval_s:
             self._typical_at = now
             self._update_typical(now)
@@ -240,6 +241,8 @@
             known[server.service].add(
                 timed.now(now), now - timed.observed_at, slope
             )
+        for name, service in self._services.items():
+            service.is_idle = name not in known
         for name, found in known.items():
             service = self._services.setdefault(
                 name, speed_estimate.ServiceSpeed()
--- a/tamarackbridge/components/placement/smoothed_load.py
+++ b/tamarackbridge/components/placement/smoothed_load.py
@@ -8,8 +8,10 @@
 import dataclasses
 import math
 
-AVERAGING_S = 0.5
-"""Time constant of the mean of the reported requests: several reports."""
+AVERAGING_S = 2.0
+"""Time constant of the mean of the reported requests. With 0.5 s, reports that
+pass two hubs still made routers send to the servers in turn, with a period of
+0.8 s."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/tamarackbridge/components/placement/speed_estimate.py
+++ b/tamarackbridge/components/placement/speed_estimate.py
@@ -122,6 +122,8 @@
         slope: Typical slope.
         noise: Variance of single observations.
         is_known: Whether anything was observed.
+        is_idle: Whether nothing was known of any server when typical values
+            were computed last.
     """
 
     level: float = 0.0
@@ -129,6 +131,7 @@
     slope: float = 0.0
     noise: float = FIRST_NOISE
     is_known: bool = False
+    is_idle: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/components/admission/fleet_replay.py
+++ b/tests/components/admission/fleet_replay.py
@@ -19,6 +19,7 @@
 from tamarackbridge.components.fleet import sharing, view
 from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import applier, relay
+from tamarackbridge.components.placement import server_speeds
 from tamarackbridge.components.transport import service as transport
 from tests import virtual_loop
 from tests.components.admission import load_replay
@@ -58,6 +59,7 @@
         sharing: Its sharing service.
         context: Context in which its tasks run; None for that of the replay.
         headroom_cores: Returns the headroom of its processor, in cores.
+        deps: What its admission controller reads and updates.
     """
 
     def __init__(
@@ -70,12 +72,18 @@
         slots: int,
         clock: core.Clock,
         context: contextvars.Context | None = None,
+        learns: bool = False,
     ) -> None:
         self.context = context
         self.headroom_cores: Callable[[], float] = lambda: 0.0
         deps = load_replay.make_dependencies(
             address, zone, engines, tokens_per_s, slots
         )
+        self.deps = deps
+        speeds = None
+        if learns:
+            speeds = server_speeds.ServerSpeeds(deps.local_copy)
+            deps.estimator.speeds = speeds
         self._clock = clock
         configuration_applier = applier.Applier(
             deps.local_copy, clock, lambda: None, lambda name: None
@@ -100,6 +108,8 @@
                 server_notices=deps.server_notices,
                 block_quarantine=deps.block_quarantine,
                 headroom_cores=lambda: self.headroom_cores(),
+                speeds=speeds.store if speeds is not None else None,
+                demand=deps.demand,
             ),
             configuration_relay,
             self._pump,
