Merge learned server speeds and concurrency limits

Routers learn how fast each server is and how much it takes well, share it in reports, and shed at once what plain servers can't do (docs/design/server-speeds.md).

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -16,12 +16,14 @@
     dependencies,
     dispatch_rate,
     permit,
+    plain_overload,
     policy,
     quarantine_gate,
     queue,
     retry_budget,
     scheduling_pass,
     share_tracker,
+    speed_observer,
 )
 from tamarackbridge.components.fleet import models as fleet
 from tamarackbridge.components.gateway import jobs, models, rejections
@@ -96,6 +98,12 @@
         self._peers = peers
         self._record_wait = record_wait
         self._quarantine_gate = quarantine_gate.QuarantineGate(deps, peers, rng)
+        self._speed_observer = speed_observer.SpeedObserver(
+            deps.estimator, deps.server_selector
+        )
+        self._plain_overload = plain_overload.PlainOverload(
+            deps.estimator, deps.server_selector, deps.demand, rng
+        )
         self._retry_budget = retry_budget.RetryBudget(deps.bounds, rng)
         self._waiting = queue.WaitingQueue()
         self._log = decision_log.DecisionLog(
@@ -148,6 +156,11 @@
             return result.Err(rejection)
         is_within_share = True
         if job.attempts == 0 and not job.excluded_servers:
+            rejection = self._plain_overload.record_arrival(
+                job, self._waiting.count(job.service.name), now
+            )
+            if rejection is not None:
+                return result.Err(rejection)
             self._retry_budget.record_request(job.service.name, now)
             cost = costs.request_cost(job.request)
             is_within_share = self.share_tracker.record_request(
@@ -255,10 +268,8 @@
         now = self._clock.monotonic()
         self._deps.work.record_prefill(reservation, now)
         if reservation.prefill_tokens:
-            tokens = tokens_ahead + reservation.prefill_tokens
-            took_s = now - reservation.sent_at
-            self._deps.estimator.observe_first_event(
-                reservation.server.name, tokens, took_s
+            self._speed_observer.record_response_start(
+                reservation, tokens_ahead, now
             )
             if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
                 self._peers.request_report()
@@ -270,6 +281,7 @@
         """Applies what a response head announces about its server."""
         now = self._clock.monotonic()
         server = reservation.server
+        self._speed_observer.record_head(reservation, head, now)
         notices = self._deps.server_notices
         if not head.announces_shutdown:
             notices.record_no_shutdown(server, now)
@@ -361,6 +373,7 @@
             self._apply(waiter, decision, share_state, now)
         for service in self._waiting.services():
             self._reject_unservable(service, now)
+            self._reject_late(service, now)
         if self._quarantine_gate.pop_change():
             self._reject_quarantined(now)
         self._dispatch(now)
@@ -375,6 +388,17 @@
             if rejection is not None:
                 self._reject(waiter, rejection, 0, 0.0, now)
 
+    def _reject_late(self, service: str, now: float) -> None:
+        """Rejects requests that an overloaded plain service would do late."""
+        if not self._plain_overload.is_overloaded(service, now):
+            return
+        for waiter in self._waiting.for_service(service):
+            if not self._plain_overload.is_too_late(waiter.job, now):
+                continue
+            state = self._plain_overload.state(service, now)
+            rejection = self._plain_overload.rejection(waiter.job, state, now)
+            self._reject(waiter, rejection, 0, 0.0, now)
+
     def _reject_quarantined(self, now: float) -> None:
         """Rejects the waiting requests with quarantined prompt blocks."""
         for service in self._waiting.services():
@@ -518,8 +542,10 @@
             sent_at=now,
             cost=costs.request_cost(request),
             blocks=crash_evidence.parts(job),
+            is_plain=not job.service.is_model,
         )
         self._deps.work.begin(reservation)
+        self._speed_observer.record_sent(reservation)
         self._quarantine_gate.record_sent(reservation)
         if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
             self._peers.request_report()
--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -130,6 +130,37 @@
     age_ms: int
 
 
+class ServerSpeed(core.Message, frozen=True, array_like=True):
+    """What some routers have observed of one server's speed.
+
+    Attributes:
+        server: Name of the server.
+        incarnation: Identifier of the server's incarnation.
+        age_ms: Age of the newest observation; negative if there is none.
+        sums: Decayed sums of the observations, in thousandths, in the order of
+            `speed_sums.SpeedSums`.
+    """
+
+    server: str
+    incarnation: int
+    age_ms: int
+    sums: tuple[int, ...]
+
+
+class ServiceDemand(core.Message, frozen=True, array_like=True):
+    """Demand for a service without model engines.
+
+    Attributes:
+        service: Name of the service.
+        centi_per_s: Hundredths of requests a second.
+        once_centi_per_s: Of them, those of requests that may run only once.
+    """
+
+    service: str
+    centi_per_s: int
+    once_centi_per_s: int
+
+
 class CrashSuspect(core.Message, frozen=True, array_like=True):
     """A request that a server had barely begun to answer when it crashed.
 
@@ -204,6 +235,9 @@
             blocks are quarantined.
         cleared_blocks: Prompt blocks that are no longer suspected.
         limited: Rate limits of servers.
+        server_speeds: Learned speeds of servers with news.
+        service_demand: Demand for services without model engines; None if left
+            out of this report.
     """
 
     direction: Direction
@@ -221,6 +255,8 @@
     crash_suspects: tuple[CrashSuspect, ...] = ()
     cleared_blocks: tuple[ClearedBlock, ...] = ()
     limited: tuple[LimitedServer, ...] = ()
+    server_speeds: tuple[ServerSpeed, ...] = ()
+    service_demand: tuple[ServiceDemand, ...] | None = None
 
 
 class Introduction(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection
 import dataclasses
 import math
+import random
 
 import msgspec
 
@@ -24,10 +25,13 @@
     health,
     ledger,
     notices,
+    plain_choice,
     pool,
     prefix_cache,
+    probing,
     request_profile,
     scheduling_view,
+    smoothed_load,
     warmup,
 )
 
@@ -72,9 +76,23 @@
 """Cost of each prompt token that is prefilled before the request; a wait within
 the target costs callers nothing, but leaves less room for the next request."""
 
+PLAIN_SERVER_QUEUE = 2
+"""Requests that may wait at a plain server beyond its limit if reports are
+older than its requests take and all its requests are other routers'. What is
+known of it then is a mean, so a server that is used well often has more than
+its limit."""
+
 FULL_PLAIN_SERVER_TOKENS = 10_000.0
 """Cost of a plain server whose slots are all taken."""
 
+SLOW_ENGINE_TOKENS = 1_500.0
+"""Cost of an idle engine that takes twice the typical time: the additional time
+for a prompt of common length, by `TOKENS_AHEAD_WEIGHT`."""
+
+SURCHARGE_SPREAD = 0.5
+"""Part of the surcharge of a slow server that differs between routers, so that
+they don't come back to it all at once."""
+
 CROSS_ZONE_TOKENS = 1.0
 """Cost of a plain server in another zone in addition to that of the known
 bytes. Among equal servers the one in the same zone is used, although the size
@@ -158,9 +176,28 @@
         estimator: estimate.Estimator,
         limiter: warmup.WarmupLimiter,
         server_notices: notices.ServerNotices,
+        rng: random.Random | None = None,
     ) -> None:
+        """Creates the selector.
+
+        Args:
+            router: Peer address of this router.
+            zone: Its availability zone.
+            local_copy: The registered servers.
+            work: Outstanding work at the servers.
+            cache_index: Prompt blocks that they hold.
+            breakers: Their circuit breakers.
+            estimator: Their speeds.
+            limiter: Their warm-up rates.
+            server_notices: What they announced.
+            rng: Source of randomness; by default one that differs between
+                routers.
+        """
+        self._smoothed = smoothed_load.SmoothedLoad()
+        self._rng = rng or random.Random(router)
         self._router = router
         self._notices = server_notices
+        self._local_copy = local_copy
         self._zone = zone
         self._cache_index = cache_index
         self._estimator = estimator
@@ -179,6 +216,7 @@
             routers: The routers that may be sending, this one among them.
             now: The time.
         """
+        self._estimator.advance(now)
 
         def make_view(
             service: knowledge.Service,
@@ -239,18 +277,7 @@
         servers = view.of(job.service)
         candidates = servers.candidates(profile.key, job.excluded_servers)
         if not job.service.is_model:
-            states = (
-                servers.state_of(registered) for registered, _ in candidates
-            )
-            best = min(
-                (
-                    self._score_plain(profile, server)
-                    for server in states
-                    if not server.is_full
-                ),
-                key=_cost,
-                default=None,
-            )
+            best = self._best_plain(job, profile, servers, candidates)
             return _make_shortlist(best, None, len(candidates))
         best = self._best(job, profile, servers, candidates)
         soonest = None
@@ -266,11 +293,43 @@
                         servers.now,
                     )
                     for registered, rank in candidates
+                    if not servers.state_of(registered).probes_only
                 ),
                 key=_first_event_s,
+                default=None,
             )
         return _make_shortlist(best, soonest, len(candidates))
 
+    def _best_plain(
+        self,
+        job: jobs.Job,
+        profile: request_profile.RequestProfile,
+        servers: scheduling_view.ServiceView,
+        candidates: pool.Candidates,
+    ) -> ScoredServer | None:
+        """Returns the plain server for a request; None if none has room."""
+        states = [servers.state_of(registered) for registered, _ in candidates]
+        is_probing_limited = probing.is_limited(servers, candidates)
+        free = [
+            server
+            for server in states
+            if not server.is_full
+            and (
+                not is_probing_limited
+                or probing.may_get(job, server, servers.now)
+            )
+        ]
+        if self._estimator.speeds is not None and plain_choice.is_loaded(
+            states
+        ):
+            drawn = plain_choice.draw(free, self._rng)
+            return self._score_plain(profile, drawn) if drawn else None
+        return min(
+            (self._score_plain(profile, server) for server in free),
+            key=_cost,
+            default=None,
+        )
+
     def _best(
         self,
         job: jobs.Job,
@@ -282,6 +341,7 @@
         best: ScoredServer | None = None
         least = math.inf
         rank_cost = _rank_cost(job, profile)
+        is_probing_limited = probing.is_limited(servers, candidates)
         for registered, rank in candidates:
             if rank * rank_cost >= least:
                 break
@@ -289,6 +349,10 @@
             cost = server.cost + rank * rank_cost
             if cost >= least or _is_full(job, profile, server):
                 continue
+            if is_probing_limited and not probing.may_get(
+                job, server, servers.now
+            ):
+                continue
             option = self._score_engine(
                 job, profile, servers, server, rank, servers.now
             )
@@ -378,19 +442,40 @@
         is_model = service.is_model
         tokens_per_s = self._estimator.prefill_tokens_per_s(name)
         work = self._work.at(name, now, tokens_per_s)
-        slots = max((service if is_model else registered.server).slots, 1)
+        slots = _slots(service, registered.server)
+        limit = self._estimator.limit(name, slots)
+        slowness = self._estimator.relative_slowness(name)
+        probes_only = self._estimator.needs_probe(name)
+        may_probe = not probes_only or (
+            work.requests == 0
+            and probing.is_prober(name, self._router, len(routers), now)
+        )
+        requests, queue = float(work.requests), 0.0
+        if not is_model:
+            requests = self.expected_requests(registered.server, now)
+            others = max(requests - self._work.own_requests(name), 0.0)
+            queue = (
+                PLAIN_SERVER_QUEUE
+                * self._estimator.report_blur(name)
+                * (others / max(requests, 1.0))
+            )
         rejecting = (
             REJECTING_CROWDING if self._notices.is_rejecting(name, now) else 0.0
         )
-        crowding = work.requests / slots + rejecting
-        cost = FULL_PLAIN_SERVER_TOKENS * crowding + scheduling_view.tie_break(
-            self._router, name
+        crowding = requests / limit + rejecting
+        tie_break = scheduling_view.tie_break(self._router, name)
+        surcharge = max(slowness - 1.0, 0.0) * (
+            1.0 - SURCHARGE_SPREAD / 2 + SURCHARGE_SPREAD * tie_break
         )
         if is_model:
-            cost = (
+            cost = slowness * (
                 FULL_ENGINE_TOKENS * crowding
                 + TOKENS_AHEAD_WEIGHT * work.pending_prefill_tokens
             )
+            cost += SLOW_ENGINE_TOKENS * surcharge
+        else:
+            crowding = crowding * slowness + surcharge / limit
+            cost = FULL_PLAIN_SERVER_TOKENS * crowding + tie_break
         rates = self._rates(service, registered, routers, now)
         may_send = all(
             self._limiter.may_send(rate.bucket, rate.per_s, rate.senders, now)
@@ -400,7 +485,8 @@
             registered=registered,
             cost=cost,
             is_in_other_zone=registered.server.zone != self._zone,
-            is_full=work.requests >= slots,
+            # A limit that is no whole number is not exceeded either.
+            is_full=requests + 1 > limit + queue,
             requests=work.requests,
             memory=work.memory,
             tokens_ahead=work.pending_prefill_tokens,
@@ -412,8 +498,36 @@
             pause_s=self._estimator.pause_s(name, now),
             may_send=may_send,
             is_limited=bool(rates),
+            load=requests / limit,
+            free_rate=plain_choice.free_rate(limit, requests, slowness),
+            probes_only=probes_only,
+            may_probe=may_probe,
         )
 
+    def expected_requests(
+        self, server: knowledge.BackendServer, now: float
+    ) -> float:
+        """Returns the requests that are expected at a plain server now."""
+        name = server.name
+        requests = self._work.at(name, now, 1.0).requests
+        blur = self._estimator.report_blur(name)
+        if not blur:
+            return requests
+        own = self._work.own_requests(name)
+        return self._smoothed.requests(name, own, requests - own, blur, now)
+
+    def forget(self, server: str) -> None:
+        """Drops what is kept of a server that was removed or has restarted."""
+        self._smoothed.forget(server)
+
+    def occupancy(self, server: knowledge.BackendServer, now: float) -> float:
+        """Returns the requests at a server over its slots."""
+        cfg = self._local_copy.configuration
+        service = cfg.services.get(server.service) if cfg is not None else None
+        tokens_per_s = self._estimator.prefill_tokens_per_s(server.name)
+        requests = self._work.at(server.name, now, tokens_per_s).requests
+        return requests / _slots(service, server)
+
     def _score_engine(
         self,
         job: jobs.Job,
@@ -517,6 +631,15 @@
         )
 
 
+def _slots(
+    service: knowledge.Service | None, server: knowledge.BackendServer
+) -> int:
+    """Returns the requests that a server runs at once, at least 1."""
+    if service is not None and service.is_model:
+        return max(service.slots, 1)
+    return max(server.slots, 1)
+
+
 def _is_full(
     job: jobs.Job,
     profile: request_profile.RequestProfile,
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -39,6 +39,7 @@
     screening,
     servers,
     shedding,
+    speed_log,
     stream_ends,
 )
 from tamarackbridge.components.gateway import metrics as gateway_metrics
@@ -102,14 +103,16 @@
         self._processor_time = processor.ProcessorTime()
         self._gateway_metrics = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
-        self._dependencies = platform_parts.make(cfg, self._local_copy)
+        self.meter = event_loop_lag.LagMeter()
+        self._dependencies = platform_parts.make(
+            cfg, self._local_copy, lambda: self.meter.recent_s
+        )
         self._applier = applier.Applier(
             self._local_copy, self._clock, self._on_change, self._forget_server
         )
         self._sharing = self._make_sharing()
         self._admission_controller = self._make_admission_controller()
         self._servers = servers.ServerClient()
-        self.meter = event_loop_lag.LagMeter()
         self._shedder = shedding.Shedder(
             self._in_share_fraction, self._kernel.rng
         )
@@ -120,6 +123,13 @@
         self._register_services()
         load_log.register_metrics(self._registry, self._load_sources)
         self._registry.processor("processor_seconds", self._processor_time)
+        if self._dependencies.estimator.speeds is not None:
+            speed_log.register_metrics(
+                self._registry,
+                self._local_copy,
+                self._dependencies.estimator.speeds,
+                self._clock,
+            )
         platform_gauges.add(
             self._registry,
             self._clock,
@@ -211,6 +221,7 @@
     def _make_sharing(self) -> sharing.SharingService:
         """Creates the exchange of reports with the other routers."""
         store_relay = relay.Relay(self._local_copy, self._applier, self._clock)
+        speeds = self._dependencies.estimator.speeds
         own = view.LocalState(
             work=self._dependencies.work,
             cache_index=self._dependencies.cache_index,
@@ -222,6 +233,8 @@
             server_notices=self._dependencies.server_notices,
             block_quarantine=self._dependencies.block_quarantine,
             headroom_cores=lambda: self._gateway.headroom_cores,
+            speeds=speeds.store if speeds is not None else None,
+            demand=self._dependencies.demand,
         )
         return sharing.SharingService(
             str(self._cfg.peers),
@@ -300,6 +313,11 @@
                 cfg.metrics_host, cfg.metrics_port, self._registry.render
             ),
         }
+        speeds = self._dependencies.estimator.speeds
+        if speeds is not None:
+            services["speeds"] = speed_log.SpeedLog(
+                self._local_copy, speeds, self._clock
+            )
         for name, svc in services.items():
             self._kernel.register(name, svc)
 
@@ -308,6 +326,7 @@
         self._dependencies.cache_index.forget(server)
         self._dependencies.breakers.forget(server)
         self._dependencies.estimator.forget(server)
+        self._dependencies.server_selector.forget(server)
         self._dependencies.server_notices.forget(server)
 
     def _in_share_fraction(self, workspace: str) -> float:
