--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -76,7 +76,9 @@
     """Sends a stream with status 206."""
 
 
-AnyFault: TypeAlias = Fault | server_faults.EarlyEnd | floods.Flood
+AnyFault: TypeAlias = (
+    Fault | server_faults.EarlyEnd | server_faults.RawAnswer | floods.Flood
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,6 +320,12 @@
                 fault, request_id, writer, self.flood_pace_s
             )
             return False
+        if isinstance(fault, server_faults.RawAnswer):
+            writer.write(fault.data.replace(b"{id}", request_id.encode()))
+            if fault.rest:
+                await asyncio.sleep(0.02)
+                writer.write(fault.rest.replace(b"{id}", request_id.encode()))
+            return False
         if fault is Fault.HANG:
             await asyncio.Event().wait()
         if fault is Fault.LOSE:
--- a/standins/server_faults.py
+++ b/standins/server_faults.py
@@ -60,6 +60,19 @@
     """Sends a chunked stream without any event, with its final chunk."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """An answer byte for byte, after which the connection is closed.
+
+    Attributes:
+        data: The bytes; `{id}` stands for the identifier of the request.
+        rest: Bytes that are sent once the first ones were received.
+    """
+
+    data: bytes
+    rest: bytes = b""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamCut:
     """Part of a stream that is sent.
--- a/tests/components/gateway/raw_caller.py
+++ b/tests/components/gateway/raw_caller.py
@@ -55,6 +55,8 @@
     deadline_ms: int = 3000,
     begun: asyncio.Event | None = None,
     may_read: asyncio.Event | None = None,
+    body: bytes = b"question",
+    is_chunked: bool = False,
 ) -> Answer:
     """Sends a request over a connection of its own and reads the answer.
 
@@ -71,22 +73,27 @@
         begun: Set once the answer has a body.
         may_read: Until it is set, the caller reads nothing, and its kernel
             takes a few KB.
+        body: Body of the request.
+        is_chunked: Whether the body is sent in chunks.
     """
     loop = asyncio.get_running_loop()
     resumed = f"Last-Event-Id: {resume_after}\r\n" if resume_after else ""
+    length = f"Content-Length: {len(body)}"
     request = (
         f"POST {path} HTTP/{version}\r\nHost: {rig.HOST}\r\n"
         f"X-Request-Id: {request_id}\r\nX-Api-Key: {rig.KEY}\r\n"
         f"{resumed}X-Deadline-Ms: {deadline_ms}\r\n"
-        "Content-Length: 8\r\n\r\nquestion"
+        f"{'Transfer-Encoding: chunked' if is_chunked else length}\r\n\r\n"
     )
+    if is_chunked:
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
     with socket.socket() as sock:
         sock.setblocking(False)
         if may_read is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         address = env.cfg.callers
         await loop.sock_connect(sock, (address.host, address.port))
-        await loop.sock_sendall(sock, request.encode())
+        await loop.sock_sendall(sock, request.encode() + body)
         if may_read is not None:
             await may_read.wait()
         received = b""
--- a/tests/components/gateway/rig.py
+++ b/tests/components/gateway/rig.py
@@ -11,7 +11,7 @@
 import aiohttp
 import yarl
 
-from standins import floods, platform_server, platform_store, server_faults
+from standins import platform_server, platform_store
 from standins import ports as standin_ports
 from tamarackbridge import platform_router
 from tamarackbridge.components.gateway import shutdown
@@ -117,7 +117,7 @@
 
     def set_faults(
         self,
-        *faults: platform_server.Fault | server_faults.EarlyEnd | floods.Flood,
+        *faults: platform_server.AnyFault,
     ) -> None:
         """Sets the faults of the next requests, whichever server gets them."""
         shared = list(faults)
--- /dev/null
+++ b/tests/components/gateway/test_invalid_responses.py
@@ -0,0 +1,192 @@
+"""Responses of backend servers that must not count as responses.
+
+They guard against a caller that gets a status that is none, against a response
+that is taken for the one to another request, and against a request that runs
+twice because an invalid response said that it had not run.
+"""
+
+import pytest
+
+from standins import platform_server, server_faults
+from tamarackbridge.components.telemetry import events as telemetry
+from tests.components.gateway import raw_caller, rig
+
+RawAnswer = server_faults.RawAnswer
+Fault = platform_server.Fault
+WHOLE = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode()
+    for number in range(platform_server.EVENTS)
+)
+
+# All of them say that the request has not run, which must not be believed.
+_FIELDS = (
+    b"X-Request-Id: {id}\r\nX-Response-Seal: s\r\nX-Not-Executed: 1\r\n"
+    b"Content-Type: text/event-stream\r\n"
+)
+_EVENT = b"id: 0\ndata: wrong\n\n"
+
+
+def _head(status: bytes, framing: bytes = b"Content-Length: 0") -> bytes:
+    return b"HTTP/1.1 %b X\r\n%b%b\r\n\r\n" % (status, _FIELDS, framing)
+
+
+def _whole(status: bytes) -> bytes:
+    return _head(status, b"Content-Length: %d" % len(_EVENT)) + _EVENT
+
+
+def _chunked(status: bytes) -> bytes:
+    head = _head(status, b"Transfer-Encoding: chunked")
+    return head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(_EVENT), _EVENT)
+
+
+_INTERIM = b"HTTP/1.1 %b X\r\n\r\n"
+
+INVALID = {
+    "000": (_whole(b"000"), "000"),
+    "001": (_whole(b"001"), "001"),
+    "099": (_whole(b"099"), "099"),
+    "600": (_whole(b"600"), "600"),
+    "600-chunked": (_chunked(b"600"), "600"),
+    "600-unmarked": (_head(b"600", b"Connection: close") + _EVENT, "600"),
+    "999": (_whole(b"999"), "999"),
+    "100-alone": (_INTERIM % b"100", ""),
+    "103-alone": (_INTERIM % b"103", ""),
+    "102-alone": (_head(b"102"), "102"),
+    "102-before": (_INTERIM % b"102" + _whole(b"200"), "102"),
+    "199-before": (_INTERIM % b"199" + _whole(b"200"), "199"),
+    "100-before-600": (_INTERIM % b"100" + _whole(b"600"), "600"),
+    "101": (_whole(b"101"), "101"),
+    "101-upgrade": (
+        _head(b"101", b"Connection: Upgrade\r\nUpgrade: x") + _EVENT,
+        "101",
+    ),
+    "101-before": (_INTERIM % b"101" + _whole(b"200"), "101"),
+    "204-body": (_head(b"204", b"X: x") + _EVENT, ""),
+    "204-length": (_whole(b"204"), "204"),
+    "204-length-alone": (_head(b"204", b"Content-Length: 4"), "204"),
+    "204-chunked": (_chunked(b"204"), "204"),
+    "304-body": (_head(b"304", b"X: x") + _EVENT, ""),
+    "304-length": (_whole(b"304"), "304"),
+    "304-chunked": (_chunked(b"304"), "304"),
+    "second-200": (2 * _whole(b"200"), "200"),
+    "second-503": (_whole(b"200") + _whole(b"503"), "200"),
+    "second-after-503": (_whole(b"503") + _whole(b"200"), "503"),
+    "second-after-421": (_whole(b"421") + _whole(b"200"), "421"),
+    "second-after-204": (_head(b"204", b"X: x") + _whole(b"200"), "204"),
+    "second-chunked": (2 * _chunked(b"200"), "200"),
+    "second-600": (_whole(b"200") + _whole(b"600"), "600"),
+    "second-102": (_whole(b"200") + _INTERIM % b"102", "102"),
+    "second-100": (_whole(b"200") + _INTERIM % b"100", "200"),
+    "second-line": (b"HTTP/1.1 200 X\r\n" + _whole(b"200"), ""),
+    "bytes-after": (_whole(b"200") + b"\x00\x01", ""),
+    "four-digits": (_whole(b"2000"), ""),
+    "two-digits": (_whole(b"20"), ""),
+    "negative": (_whole(b"-20"), ""),
+    "letters": (_whole(b"2xx"), ""),
+}
+"""Bytes of each invalid response, and the status that the log line names.
+
+None is named where the parser rejects the bytes or finds no status line.
+"""
+
+STATUSES = ["200", "299", "404", "418", "500", "599"]
+VALID = {
+    **{status: _whole(status.encode()) for status in STATUSES},
+    "204": _head(b"204", b"X: x"),
+    "204-length-0": _head(b"204"),
+    "304": _head(b"304", b"X: x"),
+    "304-length": _head(b"304", b"Content-Length: 4"),
+    "100-before": _INTERIM % b"100" + _whole(b"200"),
+    "103-before": _INTERIM % b"103" + _whole(b"200"),
+    "many-before": 2 * (_INTERIM % b"103" + _INTERIM % b"100") + _whole(b"200"),
+}
+
+ALL_INVALID = pytest.mark.parametrize("case", INVALID)
+
+
+@ALL_INVALID
+@pytest.mark.parametrize("path", ["/pay/1", "/stream/1"])
+async def test_invalid_response_is_lost(
+    path: str, case: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    log: list[telemetry.Event] = []
+    monkeypatch.setattr(telemetry, "write", log.append)
+    data, status = INVALID[case]
+    async with rig.async_environment() as env:
+        env.set_faults(RawAnswer(data))
+        got = await env.async_send(path)
+        assert got.status == 502
+        assert env.ran() == ["q1"]
+    (ended,) = [
+        each for each in log if isinstance(each, telemetry.SendingEnded)
+    ]
+    assert (ended.end, ended.again) == ("lost", False)
+    assert status in ended.detail
+
+
+@ALL_INVALID
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [("/read/1", b"answer to q1"), ("/stream/r/1", WHOLE)],
+    ids=["plain", "resumable"],
+)
+async def test_invalid_response_is_retried_where_it_may_be(
+    path: str, body: bytes, case: str
+) -> None:
+    async with rig.async_environment() as env:
+        env.set_faults(RawAnswer(INVALID[case][0]))
+        got = await env.async_send(path)
+        assert (got.status, got.body) == (200, body)
+        assert env.ran() == ["q1", "q1"]
+
+
+@ALL_INVALID
+async def test_stream_is_not_continued_by_an_invalid_response(
+    case: str,
+) -> None:
+    async with rig.async_environment() as env:
+        data = INVALID[case][0]
+        env.set_faults(Fault.CUT_BETWEEN, *[RawAnswer(data)] * 3)
+        answer = await raw_caller.async_send(env, "/stream/r/1")
+        assert WHOLE.startswith(answer.body)
+        assert answer.end is not raw_caller.End.FINAL_CHUNK
+
+
+@pytest.mark.parametrize("case", VALID)
+async def test_valid_response_arrives(case: str) -> None:
+    """Guards against the loss of responses with unusual statuses."""
+    status = int(case[:3]) if case[:3] in (*STATUSES, "204", "304") else 200
+    async with rig.async_environment() as env:
+        env.set_faults(RawAnswer(VALID[case].replace(b"X-Not", b"X-Other")))
+        got = await env.async_send("/pay/1")
+        assert got.status == status
+        assert got.body == (b"" if status in (204, 304) else _EVENT)
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [_whole(b"200"), _whole(b"600"), _INTERIM % b"102", b"\x00\x01"],
+    ids=["200", "600", "102", "bytes"],
+)
+async def test_stream_is_lost_if_bytes_follow_its_end(rest: bytes) -> None:
+    """The events have been forwarded by then, so the stream is reset."""
+    begin = _head(b"200", b"Transfer-Encoding: chunked")
+    begin += b"%x\r\n%b\r\n" % (len(WHOLE), WHOLE)
+    async with rig.async_environment() as env:
+        env.set_faults(RawAnswer(begin, b"0\r\n\r\n" + rest))
+        answer = await raw_caller.async_send(env, "/stream/1")
+        assert (answer.status, answer.body) == (200, WHOLE)
+        assert answer.end is raw_caller.End.RESET
+
+
+@pytest.mark.parametrize("status", [b"200", b"503", b"421"])
+async def test_plain_response_is_lost_if_a_status_line_follows_its_body(
+    status: bytes,
+) -> None:
+    """Its head has been read by then."""
+    head = _head(status, b"Content-Length: 8")
+    async with rig.async_environment() as env:
+        env.set_faults(RawAnswer(head, b"response" + _whole(b"200")))
+        got = await env.async_send("/pay/1")
+        assert got.status == 502
+        assert env.ran() == ["q1"]
--- a/tests/components/gateway/test_offload_proxy.py
+++ b/tests/components/gateway/test_offload_proxy.py
@@ -275,3 +275,70 @@
             reading.cancel()
             await asyncio.gather(reading, return_exceptions=True)
         assert scene.ends == [offload_proxy.End.INCOMPLETE]
+
+
+@pytest.mark.parametrize(
+    "status_line",
+    [
+        b"HTTP/1.1 000 X",
+        b"HTTP/1.1 099 X",
+        b"HTTP/1.1 600 X",
+        b"HTTP/1.1 101 X",
+        b"HTTP/1.1 102 X",
+        b"HTTP/1.1 2000 X",
+        b"HTTP/1.1 2x0 X",
+        b"NO-HTTP 200 X",
+    ],
+)
+@pytest.mark.parametrize("part_bytes", [1, 11, 10_000])
+async def test_invalid_status_of_a_peer_is_lost(
+    part_bytes: int, status_line: bytes
+) -> None:
+    """Guards against a status that is none, which its caller would get."""
+    response = status_line + b"\r\nContent-Length: 5\r\n\r\nevent"
+
+    async def async_peer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _async_expect_request(reader)
+        writer.write(response[:part_bytes])
+        await asyncio.sleep(0.05)
+        writer.write(response[part_bytes:])
+        writer.close()
+
+    async with async_scene(async_peer) as scene:
+        assert await scene.async_read() == b"lost"
+        assert scene.ends == [offload_proxy.End.LOST]
+
+
+@pytest.mark.parametrize("status", [b"200", b"204", b"404", b"503", b"599"])
+async def test_status_of_a_peer_that_comes_in_parts_arrives(
+    status: bytes,
+) -> None:
+    response = b"HTTP/1.1 %b X\r\nConnection: close\r\n\r\n" % status
+
+    async def async_peer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _async_expect_request(reader)
+        for part in (response[:5], response[5:11], response[11:]):
+            writer.write(part)
+            await asyncio.sleep(0.03)
+        writer.close()
+
+    async with async_scene(async_peer) as scene:
+        assert await scene.async_read() == response
+        assert scene.ends == [offload_proxy.End.COMPLETE]
+
+
+async def test_response_that_ends_within_its_status_line_is_lost() -> None:
+    async def async_peer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _async_expect_request(reader)
+        writer.write(b"HTTP/1.1 20")
+        writer.close()
+
+    async with async_scene(async_peer) as scene:
+        assert await scene.async_read() == b"lost"
+        assert scene.ends == [offload_proxy.End.LOST]
