Reject responses that break HTTP where they are received

aiohttp's client takes any number for a status, skips all 1xx, and drops what follows a response. So statuses 000, 099 and 600 reached callers, and a 503 that says "not run" counted although a second response followed.

One module says which response counts, and the protocol class of all HTTP clients applies it: a head is handed on only after all bytes of its read are parsed. Object API, VM list and operators' client use that class now. Load reports count only from a 200.

An orderly end during an upload is a cut: the kernel still holds bytes of the request. A complete body stays complete if a reset follows.

Ruled out: a check where each status is read (seven places, and 1xx never get there).

--- a/tamarackbridge/components/backend/load_poller.py
+++ b/tamarackbridge/components/backend/load_poller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+import http
 import random
 from typing import ClassVar
 
@@ -133,4 +134,6 @@
         async with self._backend.async_open(
             "GET", address, "/load", {}, b""
         ) as resp:
+            if resp.status != http.HTTPStatus.OK:
+                raise exceptions.BackendError(f"status {resp.status:03}")
             return await response_limits.async_read(resp, MAX_REPORT_BYTES)
--- a/tamarackbridge/components/client/http.py
+++ b/tamarackbridge/components/client/http.py
@@ -15,6 +15,7 @@
 from tamarackbridge.components.client import const
 from tamarackbridge.components.operator import messages
 from tamarackbridge.components.tls import contexts
+from tamarackbridge.helpers import response_limits
 
 _T = TypeVar("_T")
 
@@ -132,8 +133,10 @@
         if self._access.token_file is not None:
             token = self._access.token_file.read_text().strip()
             headers["Authorization"] = f"Bearer {token}"
+        connector = aiohttp.TCPConnector(ssl=self._ssl_context())
+        response_limits.bind(connector)
         return aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(ssl=self._ssl_context()),
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=const.CALL_TIMEOUT_S),
             headers=headers,
         )
@@ -174,7 +177,9 @@
             headers=dict(call.headers),
             allow_redirects=False,
         ) as resp:
-            return _decode(base, resp.status, await resp.read(), kind)
+            body = await resp.read()
+            response_limits.check_valid(resp)
+            return _decode(base, resp.status, body, kind)
     except aiohttp.InvalidURL:
         return result.Err(CallError(const.Exit.USAGE, f"{base} is no URL"))
     except aiohttp.ClientConnectorError as exc:
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -320,8 +320,11 @@
                 resp.close()
                 return
             reservation.resize(events.partial_bytes)
+        response_limits.check_valid(resp)
         if response_limits.ended_by_reset(resp):
-            attempt.detail = "connection was reset during the stream"
+            attempt.detail = (
+                "stream was cut by a reset, or before the request was sent"
+            )
         elif events.has_partial_event:
             attempt.detail = "stream ended in the middle of an event"
         elif events.is_empty and framing is _UNMARKED:
@@ -371,7 +374,10 @@
     if head.disposition is models.Disposition.MISDIRECTED:
         return AttemptEnd.MISDIRECTED, ""
     if response_limits.ended_by_reset(resp):
-        return AttemptEnd.LOST, "connection was reset during the body"
+        return (
+            AttemptEnd.LOST,
+            "body was cut by a reset, or before the request was sent",
+        )
     if resp.status < 300 and not head.sealed:
         return AttemptEnd.LOST, "response has no signature"
     # To its caller it is a stream, and no other server can confirm its end.
--- a/tamarackbridge/components/object_api/http.py
+++ b/tamarackbridge/components/object_api/http.py
@@ -72,8 +72,10 @@
 
     async def on_start(self) -> None:
         """Opens the connection pool."""
+        connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+        response_limits.bind(connector)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
+            connector=connector,
             headers=_auth_headers(self._cfg),
             middlewares=(send_once.async_send_once,),
         )
--- a/tamarackbridge/components/vm_list/http.py
+++ b/tamarackbridge/components/vm_list/http.py
@@ -9,6 +9,7 @@
 from tamarackbridge import core
 from tamarackbridge.components import vm_list
 from tamarackbridge.components.settings import models as settings
+from tamarackbridge.helpers import response_limits
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
@@ -39,7 +40,11 @@
     async def on_start(self) -> None:
         """Opens the connection pool."""
         timeout = aiohttp.ClientTimeout(total=self._cfg.timeout_s)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        connector = aiohttp.TCPConnector()
+        response_limits.bind(connector)
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        )
 
     async def on_stop(self) -> None:
         """Closes the connection pool."""
@@ -69,4 +74,6 @@
             self._cfg.vm_list, allow_redirects=False
         ) as resp:
             resp.raise_for_status()
-            return await resp.content.read(MAX_BODY_BYTES)
+            body = await resp.content.read(MAX_BODY_BYTES)
+            response_limits.check_valid(resp)
+            return body
