Check the status at the hop between routers, and take early responses

The proxy copied a peer's response whatever its status line was. It sent the whole request before it read anything, so that a peer's response to part of a request was lost, and the orderly end of a part passed for an end of the response.

The first 13 bytes of a response must be a status line with 200 to 599; else the request is lost, with at most one log line a second. Responses are read while the request is sent, and an end before the peer has the whole request resets the caller.

Ruled out: parsing the response in the proxy, which costs what offloading saves. A peer applies all rules to its server's response itself.

--- a/tamarackbridge/components/gateway/offload_proxy.py
+++ b/tamarackbridge/components/gateway/offload_proxy.py
@@ -23,7 +23,7 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.backend import sockets
-from tamarackbridge.helpers import resets
+from tamarackbridge.helpers import resets, response_rules
 
 RESPONSE_POLL_S = 0.01
 """Polling interval of requests that wait for their response: a fortieth of the
@@ -55,6 +55,9 @@
 
 CHUNK_BYTES = 65_536
 
+INVALID_STATUS_LOG_S = 1.0
+"""Minimum interval of log lines about invalid statuses of peers."""
+
 _CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _WOULD_BLOCK = (BlockingIOError, InterruptedError)
 
@@ -114,6 +117,7 @@
         unsent_request: Bytes of the request still to be sent to the peer.
         unsent_response: Received bytes of the response still to be sent to the
             caller.
+        status_line: Begin of a response that is too short to be checked.
         connecting: Whether the connection to the peer is not established yet.
         has_response: Whether the peer sent any byte of a response.
         has_body: Whether the response body has begun; assumed once received
@@ -134,6 +138,7 @@
         self.offload = offload
         self.unsent_request = memoryview(offload.request)
         self.unsent_response = memoryview(b"")
+        self.status_line = b""
         self.connecting = True
         self.has_response = False
         self.has_body = False
@@ -229,7 +234,7 @@
                 self._send_to_caller(request, now)
             elif now >= request.times_out_at:
                 self._finish(request, End.INCOMPLETE)
-        elif peer_events and request.unsent_request:
+        elif peer_events and _may_only_send(request, peer_events):
             self._send_to_peer(request)
         elif peer_events:
             self._receive_from_peer(request, now)
@@ -243,16 +248,22 @@
                 return
             request.connecting = False
             request.times_out_at = request.offload.deadline + GRACE_S
+            # The peer may respond before it has the whole request.
+            self._group_of(request).watch_peer(
+                request, select.POLLIN | select.POLLOUT
+            )
         try:
             sent = request.peer.send(request.unsent_request)
         except _WOULD_BLOCK:
             return
         except OSError:
-            self._finish(request, End.LOST)
+            self._finish(
+                request, End.INCOMPLETE if request.has_response else End.LOST
+            )
             return
         request.unsent_request = request.unsent_request[sent:]
         if not request.unsent_request:
-            self._awaiting_response.watch_peer(request, select.POLLIN)
+            self._group_of(request).watch_peer(request, select.POLLIN)
 
     def _receive_from_peer(self, request: _ProxiedRequest, now: float) -> None:
         try:
@@ -265,6 +276,10 @@
                 return
             self._await_taken(request, now)
             return
+        if not data and request.has_response and _is_sending(request):
+            # Nothing tells whether the peer meant its response to end there.
+            self._await_taken(request, now)
+            return
         if not data:
             self._finish(
                 request, End.COMPLETE if request.has_response else End.LOST
@@ -274,6 +289,13 @@
             self._time_out(request)
             return
         if not request.has_response:
+            data = request.status_line + data
+            if len(data) < response_rules.STATUS_LINE_BYTES:
+                request.status_line = data
+                return
+            if not response_rules.begins_with_final_status(data):
+                self._reject_status(request, data)
+                return
             request.has_response = True
             resets.reset_socket(request.caller)
         # The peer itself ends requests at their deadline.
@@ -281,10 +303,22 @@
         if not request.has_body and data.rpartition(b"\r\n\r\n")[2]:
             request.has_body = True
             self._awaiting_response.remove(request)
-            self._relaying.add(request, select.POLLIN)
+            events = select.POLLOUT if request.unsent_request else 0
+            self._relaying.add(request, select.POLLIN | events)
         request.unsent_response = memoryview(data)
         self._send_to_caller(request, now)
 
+    def _reject_status(self, request: _ProxiedRequest, data: bytes) -> None:
+        """Ends a request whose peer sent no valid status line."""
+        logging.log_every_n_seconds(
+            logging.ERROR,
+            "peer %s:%d sent an invalid status line: %r",
+            INVALID_STATUS_LOG_S,
+            *request.offload.peer,
+            data[: response_rules.STATUS_LINE_BYTES],
+        )
+        self._finish(request, End.LOST)
+
     def _send_to_caller(self, request: _ProxiedRequest, now: float) -> None:
         """Sends received bytes to the caller, as far as its buffer has room.
 
@@ -299,7 +333,7 @@
             self._finish(request, End.CALLER_LEFT)
             return
         request.unsent_response = chunk[sent:]
-        group = self._relaying if request.has_body else self._awaiting_response
+        group = self._group_of(request)
         if request.unsent_response:
             group.watch_caller(request, writable=True)
             if sent:
@@ -319,6 +353,9 @@
         if not unsent or now >= request.times_out_at:
             self._finish(request, End.INCOMPLETE)
 
+    def _group_of(self, request: _ProxiedRequest) -> "_Group":
+        return self._relaying if request.has_body else self._awaiting_response
+
     def _time_out(self, request: _ProxiedRequest) -> None:
         if request.connecting:
             self._finish(request, End.NOT_SENT)
@@ -329,7 +366,7 @@
             )
 
     def _finish(self, request: _ProxiedRequest, end: End) -> None:
-        group = self._relaying if request.has_body else self._awaiting_response
+        group = self._group_of(request)
         group.remove(request)
         self._end(request, end)
 
@@ -358,6 +395,19 @@
     return end
 
 
+def _may_only_send(request: _ProxiedRequest, peer_events: int) -> bool:
+    """Returns whether there is something to send, and nothing to receive."""
+    is_readable = peer_events & select.POLLIN and not request.connecting
+    return bool(request.unsent_request) and not is_readable
+
+
+def _is_sending(request: _ProxiedRequest) -> bool:
+    """Returns whether the peer has not received the whole request."""
+    return (
+        bool(request.unsent_request) or resets.socket_unsent(request.peer) > 0
+    )
+
+
 def _is_peer_done(request: _ProxiedRequest) -> bool:
     """Returns whether the peer has finished its response.
 
@@ -366,6 +416,8 @@
     """
     if not request.has_response or request.unsent_response:
         return False
+    if _is_sending(request):
+        return False
     try:
         return not request.peer.recv(1, socket.MSG_PEEK)
     except OSError:
