Check a configuration before it is written

An operator learned only from routers' logs that a configuration can't be read, and not at all that a route can't match or that limits exclude each other. `tamarackbridge check CANDIDATE` reports errors, entries that never match, contradictions and changes by meaning, with file, line and key, as text or JSON.

The checks are pure functions over the records that routers decode. The platform's adapter translates attributes to keys and lines. An unknown kind of a route now names its path in the error.

Ruled out: checks over the file's text, which would decode it a second way; the sum of connections over all servers, which all routers share.

--- a/tamarackbridge/components/client/app.py
+++ b/tamarackbridge/components/client/app.py
@@ -16,7 +16,14 @@
 import msgspec
 import result
 
-from tamarackbridge.components.client import const, http, show, tables
+from tamarackbridge.components.client import (
+    checks,
+    configuration_check,
+    const,
+    http,
+    show,
+    tables,
+)
 from tamarackbridge.components.client import options as client_options
 from tamarackbridge.components.client import reference as reference_page
 from tamarackbridge.components.operator import const as api
@@ -30,8 +37,6 @@
 )
 from tamarackbridge.components.telemetry import timeline as request_timeline
 from tamarackbridge.components.tls import exceptions as tls
-from tamarackbridge.platform import exceptions as platform_exceptions
-from tamarackbridge.platform import settings as platform_settings
 
 Options = client_options.Options
 DEFAULT = client_options.DEFAULT
@@ -90,29 +95,34 @@
 
 
 @app.command
-def check(*, settings: pathlib.Path, platform: bool = False) -> int:
-    """Checks a settings file without starting a router.
+def check(
+    candidate: pathlib.Path | None = None,
+    *,
+    settings: pathlib.Path | None = None,
+    platform: bool = False,
+    in_force: pathlib.Path | None = None,
+    servers: pathlib.Path | None = None,
+    output: configuration_check.Output = "text",
+) -> int:
+    """Checks a configuration or a settings file without starting a router.
 
     Args:
-        settings: File with the settings of a router.
-        platform: Read the file as one of the users' platform, not as TOML.
+        candidate: JSON file with a configuration for the users' platform.
+        settings: File with the settings of a router. With a candidate, those
+            of the platform, whose limits the candidate has to fit.
+        platform: Read the settings as those of the users' platform, not as
+            TOML.
+        in_force: JSON file with the configuration in force, to compare.
+        servers: JSON file with the registered servers.
+        output: Lines for reading or JSON for scripts.
     """
-    if platform:
-        return _check_platform(settings)
-    loaded = loader.load(settings)
-    if isinstance(loaded, result.Err):
-        return show.fail(const.Exit.USAGE, str(loaded.err_value))
-    print(f"{settings}: ok, router {loaded.ok_value.node}")
-    return const.Exit.OK
-
-
-def _check_platform(file: pathlib.Path) -> int:
-    try:
-        cfg = platform_settings.load(file)
-    except platform_exceptions.SettingsError as exc:
-        return show.fail(const.Exit.USAGE, str(exc))
-    print(f"{file}: ok, router {cfg.node}")
-    return const.Exit.OK
+    if candidate is not None:
+        return checks.check_configuration(
+            candidate, settings, in_force, servers, output
+        )
+    if settings is None:
+        return show.fail(const.Exit.USAGE, "no file to check was given")
+    return checks.check_settings(settings, platform)
 
 
 @app.command
--- /dev/null
+++ b/tamarackbridge/components/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is written."""
--- a/tamarackbridge/components/gateway/in_flight_limit.py
+++ b/tamarackbridge/components/gateway/in_flight_limit.py
@@ -25,15 +25,24 @@
 
 def max_in_flight(memory_mb: float) -> int:
     """Returns the limit for a VM with this much memory, at least 1."""
-    free_mb = memory_mb - BASE_MEMORY_MB - _max_response_mb(memory_mb)
+    free_mb = _request_mb(memory_mb)
     return min(max(int(free_mb / REQUEST_MEMORY_MB), 1), MAX_IN_FLIGHT)
 
 
+def request_memory_bytes(memory_mb: float) -> int:
+    """Returns the memory for requests and their bodies, in bytes."""
+    return max(int(_request_mb(memory_mb) * _MB), 0)
+
+
 def max_response_bytes(memory_mb: float) -> int:
     """Returns the memory for responses until they are sent, in bytes."""
     return int(_max_response_mb(memory_mb) * _MB)
 
 
+def _request_mb(memory_mb: float) -> float:
+    return memory_mb - BASE_MEMORY_MB - _max_response_mb(memory_mb)
+
+
 def _max_response_mb(memory_mb: float) -> float:
     spare_mb = (memory_mb - BASE_MEMORY_MB) * RESPONSE_FRACTION
     return max(spare_mb, MIN_RESPONSE_MB)
--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -1,6 +1,7 @@
 """Converts the store's objects to the router's models."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+import functools
 import ipaddress
 from typing import Annotated, Any
 
@@ -115,6 +116,64 @@
     )
 
 
+def find_errors(spec: Any) -> tuple[str, ...]:
+    """Returns why a configuration can't be converted.
+
+    Each text ends with the path of the error, in the form of msgspec.
+    """
+    if not isinstance(spec, dict):
+        return _errors("", lambda: configuration(spec))
+    parts = {"routes": _Route, "services": _Service, "tenants": _Workspace}
+    found: list[str] = []
+    rest = dict(spec)
+    for name, record_type in parts.items():
+        items = spec.get(name)
+        if not isinstance(items, list):
+            continue
+        rest[name] = []
+        for index, item in enumerate(items):
+            convert = functools.partial(_part, item, record_type)
+            found += _errors(f".{name}[{index}]", convert)
+    found += _errors("", lambda: configuration(rest))
+    return tuple(found)
+
+
+def _part(item: Any, record_type: type[Any]) -> None:
+    """Converts an entry of a configuration."""
+    converted = _convert(item, record_type)
+    if isinstance(converted, _Route):
+        _route(converted)
+
+
+def _errors(path: str, convert: Callable[[], Any]) -> tuple[str, ...]:
+    """Returns the error of a conversion, with its path from the root."""
+    try:
+        convert()
+    except exceptions.RecordError as exc:
+        text = str(exc)
+        if "`$" not in text:
+            return (f"{text} - at `${path}`",)
+        return (text.replace("`$", f"`${path}"),)
+    return ()
+
+
+def names(
+    spec: Any,
+) -> tuple[tuple[str, ...], tuple[tuple[str, tuple[str, ...]], ...]]:
+    """Returns the services, and the workspaces with their keys, in order.
+
+    A converted configuration lacks entries that share a name or a key.
+
+    Raises:
+        RecordError: A field is missing or has the wrong type.
+    """
+    found = _convert(spec, _Configuration)
+    return (
+        tuple(item.name for item in found.services),
+        tuple((item.name, item.api_keys) for item in found.tenants or ()),
+    )
+
+
 def server(name: str, spec: Any) -> models.BackendServer:
     """Converts the registration of a backend server.
 
@@ -164,7 +223,7 @@
 def _route(item: _Route) -> models.Route:
     if item.kind not in _ROUTE_KINDS:
         raise exceptions.RecordError(
-            f"route {item.name}: unknown kind {item.kind!r}"
+            f"route {item.name}: unknown kind {item.kind!r} - at `$.kind`"
         )
     split = tuple(
         (target.service, target.weight) for target in item.traffic_split
