--- a/tamarackbridge/components/gateway/in_flight_limit.py
+++ b/tamarackbridge/components/gateway/in_flight_limit.py
@@ -51,7 +51,7 @@
 
 def max_in_flight(memory_mb: float) -> int:
     """Returns the limit for a VM with this much memory, at least 1."""
-    free_mb = memory_mb - BASE_MEMORY_MB - _max_response_mb(memory_mb)
+    free_mb = _request_mb(memory_mb)
     return min(max(int(free_mb / REQUEST_MEMORY_MB), 1), MAX_IN_FLIGHT)
 
 
@@ -62,7 +62,7 @@
 
 def max_body_bytes(memory_mb: float) -> int:
     """Returns the memory for request bodies, in bytes."""
-    free_mb = memory_mb - BASE_MEMORY_MB - _max_response_mb(memory_mb)
+    free_mb = _request_mb(memory_mb)
     return int(max(free_mb * BODY_FRACTION, MIN_BODY_MB) * _MB)
 
 
@@ -83,6 +83,10 @@
     return min(most, max(int(allowed * ALLOWED_FRACTION), 1))
 
 
+def _request_mb(memory_mb: float) -> float:
+    return memory_mb - BASE_MEMORY_MB - _max_response_mb(memory_mb)
+
+
 def _max_response_mb(memory_mb: float) -> float:
     spare_mb = (memory_mb - BASE_MEMORY_MB) * RESPONSE_FRACTION
     return max(spare_mb, MIN_RESPONSE_MB)
