Read and relay rollout orders as a fourth kind of knowledge

Rollouts need the orders at every router within a second. They are read and relayed like zones, only if bounds.exposure_share is above 0, so that other deployments make no further call. The registration of a server names its software version.

--- a/tamarackbridge/components/fleet/models.py
+++ b/tamarackbridge/components/fleet/models.py
@@ -24,6 +24,11 @@
             block counts as waste.
         heartbeat_s: Interval at which backend servers renew their
             registrations.
+        exposure_share: Share of a service's requests that a version may get
+            before it is accepted; 0 if rollouts are not carried out.
+        exposure_slack: Requests that it may get in addition.
+        rollback_s: Time after a version's 50th bad response from which none
+            is sent to it.
     """
 
     server_leave_s: float
@@ -38,3 +43,6 @@
     share_window_s: float
     reuse_window_s: float
     heartbeat_s: float
+    exposure_share: float = 0.0
+    exposure_slack: float = 50.0
+    rollback_s: float = 5.0
--- a/tamarackbridge/components/knowledge/applier.py
+++ b/tamarackbridge/components/knowledge/applier.py
@@ -62,6 +62,14 @@
             if is_restored and isinstance(update, source.ServerUpdate):
                 update = self._with_known_drain(update)
             self.apply(update, grace_s)
+        if kind is source.Kind.ROLLOUTS:
+            ordered = {
+                update.order.name
+                for update in updates
+                if isinstance(update, source.RolloutUpdate)
+            }
+            for name in self._local_copy.rollouts.keys() - ordered:
+                self.apply(source.RolloutRemoval(name), 0.0)
         if kind is source.Kind.SERVERS:
             registered = {
                 listed.server.name
@@ -105,6 +113,10 @@
                 local_copy.zones_in_doubt.pop(zone, None)
                 local_copy.zones_out -= {zone}
                 events.write(events.ZoneChanged(zone, out=False))
+            case source.RolloutUpdate(order=order):
+                local_copy.rollouts[order.name] = order
+            case source.RolloutRemoval(name=name):
+                local_copy.rollouts.pop(name, None)
 
     def _register(self, server: models.BackendServer, now: float) -> None:
         before = self._local_copy.servers.get(server.name)
--- a/tamarackbridge/components/knowledge/messages.py
+++ b/tamarackbridge/components/knowledge/messages.py
@@ -52,6 +52,7 @@
         zones_in_doubt: Those of them that the store lacks since it came back
             from an older copy, each with the milliseconds until it is used
             again.
+        rollouts: All rollout orders, if this is the kind.
     """
 
     edition: Edition
@@ -59,3 +60,4 @@
     servers: tuple[KnownServer, ...] = ()
     zones_out: tuple[str, ...] = ()
     zones_in_doubt: tuple[tuple[str, int], ...] = ()
+    rollouts: tuple[models.RolloutOrder, ...] = ()
--- a/tamarackbridge/components/knowledge/models.py
+++ b/tamarackbridge/components/knowledge/models.py
@@ -169,6 +169,7 @@
         cold_s: Seconds of warm-up that are left at the registration.
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
             Distinguishes two processes registered under one name.
+        version: Version of its software; empty if not stated.
     """
 
     name: str
@@ -179,8 +180,45 @@
     draining: bool
     cold_s: float
     started_ms: int
+    version: str = ""
 
     @property
     def incarnation(self) -> tuple[str, str, int]:
         """Identifies one process of the server, from start to exit."""
         return (self.name, self.address, self.started_ms)
+
+
+class RolloutState(enum.Enum):
+    """State that the status of a rollout order names."""
+
+    NONE = ""
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An order to move a service to servers of another version.
+
+    Attributes:
+        name: Name of the stored object.
+        service: Name of the service.
+        target: The version.
+        duration_s: Time from the order to its deadline.
+        created: Revision of the store at which the order was created.
+        revision: Revision of its last change.
+        state: State of its status, if that belongs to this order.
+        error: Why the order can't be carried out; empty if it can.
+        status_error: Why its status was ignored; empty if it was not.
+    """
+
+    name: str
+    service: str
+    target: str
+    duration_s: float
+    created: int
+    revision: int
+    state: RolloutState = RolloutState.NONE
+    error: str = ""
+    status_error: str = ""
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -54,12 +54,15 @@
     def versions(self) -> tuple[messages.Edition, ...]:
         """Returns version and age of the local copy of each kind."""
         now = self._clock.monotonic()
-        return tuple(self._version(kind, now) for kind in source.Kind)
+        return tuple(
+            self._version(kind, now) for kind in self._local_copy.kinds
+        )
 
     def era(self) -> int | None:
         """Returns the era of the store; None before the first read."""
         known = [
-            self._local_copy.version(kind).revision for kind in source.Kind
+            self._local_copy.version(kind).revision
+            for kind in self._local_copy.kinds
         ]
         return positions.era(max(known)) if max(known) else None
 
@@ -152,6 +155,9 @@
                     for zone, left_ms in snapshot.zones_in_doubt
                 }
             )
+        elif kind is source.Kind.ROLLOUTS:
+            orders = [source.RolloutUpdate(item) for item in snapshot.rollouts]
+            self._applier.replace(kind, orders, 0.0)
         elif snapshot.configuration is not None:
             update = source.ConfigurationUpdate(snapshot.configuration)
             self._applier.replace(kind, (update,), 0.0)
@@ -273,6 +279,9 @@
             return messages.Snapshot(
                 edition, zones_out=zones, zones_in_doubt=in_doubt
             )
+        if kind is source.Kind.ROLLOUTS:
+            orders = tuple(local_copy.rollouts.values())
+            return messages.Snapshot(edition, rollouts=orders)
         servers = tuple(
             _known_server(registered, now)
             for registered in local_copy.servers.values()
--- a/tamarackbridge/components/knowledge/source.py
+++ b/tamarackbridge/components/knowledge/source.py
@@ -15,6 +15,7 @@
     CONFIGURATION = "configuration"
     SERVERS = "servers"
     ZONES = "zones"
+    ROLLOUTS = "rollouts"
 
 
 class Failure(enum.Enum):
@@ -59,12 +60,28 @@
     zone: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutUpdate:
+    """A rollout is ordered, or its order or status has changed."""
+
+    order: models.RolloutOrder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutRemoval:
+    """The order of a rollout was deleted."""
+
+    name: str
+
+
 Update: TypeAlias = (
     ConfigurationUpdate
     | ServerUpdate
     | ServerRemoval
     | ZoneEvacuation
     | ZoneReturn
+    | RolloutUpdate
+    | RolloutRemoval
 )
 
 
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -45,7 +45,7 @@
 
 
 class LocalCopy:
-    """Local copy of the configuration, registered servers and zones.
+    """Local copy of configuration, registered servers, zones and rollouts.
 
     Attributes:
         configuration: The newest configuration; None before the first read.
@@ -54,6 +54,8 @@
         zones_in_doubt: Evacuated zones that the store no longer lists since it
             came back from an older copy, each with the time at which it is used
             again unless it is listed by then.
+        rollouts: Rollout orders by the name of their object.
+        kinds: Kinds of data that are read.
         changes: Number of changes of the registered servers.
         unreachable: Kinds of data for which the last call to the store failed.
     """
@@ -65,6 +67,12 @@
         self.servers: dict[str, RegisteredServer] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.zones_in_doubt: dict[str, float] = {}
+        self.rollouts: dict[str, models.RolloutOrder] = {}
+        self.kinds = tuple(
+            kind
+            for kind in source.Kind
+            if kind is not source.Kind.ROLLOUTS or bounds.exposure_share > 0
+        )
         self.unreachable: set[source.Kind] = set()
         self._versions = {kind: CopyVersion() for kind in source.Kind}
 
@@ -84,6 +92,10 @@
         """Returns version and age of the copy of a kind."""
         return self._versions[kind]
 
+    def has(self, kind: source.Kind) -> bool:
+        """Returns whether the data of a kind was read at least once."""
+        return self._versions[kind].revision > 0
+
     def record_full_read(self, kind: source.Kind, revision: int) -> None:
         """Records that all data of a kind was read, up to a position."""
         at = self._versions[kind].confirmed_at
@@ -154,9 +166,7 @@
 
     def is_complete(self) -> bool:
         """Returns whether every kind of data was read at least once."""
-        oldest = min(
-            edition.confirmed_at for edition in self._versions.values()
-        )
+        oldest = min(self._versions[kind].confirmed_at for kind in self.kinds)
         return oldest > -math.inf and self.configuration is not None
 
     def register(self, server: models.BackendServer, now: float) -> bool:
