--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -25,6 +25,8 @@
         attempts: Number of attempts that reached a server.
         parts: Identifiers of the request and of its prompt's shared blocks;
             empty until they are needed.
+        version: Version of the server that it was sent to last; None before,
+            and while no rollout of the service is known.
     """
 
     request: models.Request
@@ -36,6 +38,7 @@
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     parts: frozenset[str] = frozenset()
+    version: str | None = None
 
 
 class Outcome(enum.Enum):
--- /dev/null
+++ b/tamarackbridge/components/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Gradual move of a service's requests to servers of another version."""
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -528,6 +528,70 @@
     seconds: float
 
 
+class RolloutBegun(Event, frozen=True):
+    """A rollout order was read and is carried out.
+
+    `is_known` is false if this router found it at its own start, and so sends
+    nothing to the new version until it has learned how far the order is.
+    """
+
+    service: str
+    target: str
+    duration_s: float
+    is_known: bool
+
+
+class RolloutPhase(Event, frozen=True):
+    """A rollout order has entered a phase.
+
+    `reason` says why; it is empty if another router reported the phase.
+    `responses` and `bad` count what was compared of the new version.
+    """
+
+    service: str
+    target: str
+    phase: str
+    reason: str
+    age_s: float
+    responses: int
+    bad: int
+
+
+class RolloutWithdrawn(Event, frozen=True):
+    """A rollout order was replaced or deleted."""
+
+    service: str
+    target: str
+    age_s: float
+
+
+class RolloutRefused(Event, frozen=True):
+    """A rollout order can't be carried out; its target gets no requests."""
+
+    name: str
+    target: str
+    detail: str
+
+
+class RolloutStatusIgnored(Event, frozen=True):
+    """The stored status of a rollout order doesn't belong to it."""
+
+    name: str
+    detail: str
+
+
+class RolloutWritten(Event, frozen=True):
+    """This router has tried to write the status of a rollout order.
+
+    `outcome` is `stored`, `conflict` or `failed`.
+    """
+
+    service: str
+    target: str
+    state: str
+    outcome: str
+
+
 class LinesDropped(Event, frozen=True):
     """Number of log lines dropped because the output was read too slowly."""
 
--- /dev/null
+++ b/tests/components/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rollouts."""
