Report rollouts between routers

Verdicts and counts must reach all routers within a second, also while the store is away. Reports without an order are as long as before.

--- a/tamarackbridge/components/fleet/messages.py
+++ b/tamarackbridge/components/fleet/messages.py
@@ -177,6 +177,58 @@
     headroom_centis: tuple[int, ...] = ()
 
 
+class RolloutCell(core.Message, frozen=True, array_like=True):
+    """Counts of the responses of one version on one route in one zone.
+
+    Attributes:
+        route: Name of the route.
+        zone: Availability zone of the servers.
+        is_new: Whether the servers are of the rollout's target version.
+        responses: Responses without refusals.
+        bad: Those that failed or were slow, without crashes.
+        crashed: Those that were lost because their server crashed.
+        first_event_ms: Sum of the times to their first events.
+    """
+
+    route: str
+    zone: str
+    is_new: bool
+    responses: int
+    bad: int
+    crashed: int
+    first_event_ms: int
+
+
+class RolloutTally(core.Message, frozen=True, array_like=True):
+    """What the subset knows about one rollout order.
+
+    Attributes:
+        service: Name of the service.
+        created: Revision of the store at which the order was created.
+        target: Version that the service is to be moved to.
+        duration_ms: Time from the order to its deadline.
+        phase: The highest phase of the order in the subset.
+        age_ms: Age of the order; negative if none knows it.
+        routers: Number of routers of the subset that know the order.
+        moved: Number of those that place requests at new servers only.
+        in_flight_old: Requests in flight at servers of other versions.
+        in_flight: Requests in flight at all servers of the service.
+        cells: Counts of responses since the order.
+    """
+
+    service: str
+    created: int
+    target: str
+    duration_ms: int
+    phase: int
+    age_ms: int
+    routers: int
+    moved: int
+    in_flight_old: int
+    in_flight: int
+    cells: tuple[RolloutCell, ...]
+
+
 class Report(core.Message, frozen=True, array_like=True):
     """The state of a subset of the fleet's routers.
 
@@ -204,6 +256,7 @@
             blocks are quarantined.
         cleared_blocks: Prompt blocks that are no longer suspected.
         limited: Rate limits of servers.
+        rollouts: Rollout orders; None if left out of this report.
     """
 
     direction: Direction
@@ -221,6 +274,7 @@
     crash_suspects: tuple[CrashSuspect, ...] = ()
     cleared_blocks: tuple[ClearedBlock, ...] = ()
     limited: tuple[LimitedServer, ...] = ()
+    rollouts: tuple[RolloutTally, ...] | None = None
 
 
 class Introduction(core.Message, frozen=True, array_like=True):
--- a/tamarackbridge/components/fleet/report_builder.py
+++ b/tamarackbridge/components/fleet/report_builder.py
@@ -7,9 +7,11 @@
     crash_reports,
     messages,
     notice_reports,
+    rollout_reports,
     summary,
 )
 from tamarackbridge.components.knowledge import messages as knowledge
+from tamarackbridge.components.rollout import models as rollout
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +28,7 @@
             reported the block, the server that holds it, and the block hash.
         versions: Version and age of this router's copy of the store's data,
             by kind.
+        has_rollouts: Whether the reports contain rollout orders.
     """
 
     has_routers: bool
@@ -34,6 +37,7 @@
     crashes: crash_reports.EncodedCrashes
     blocks: Sequence[tuple[str, str, int]]
     versions: tuple[knowledge.Edition, ...]
+    has_rollouts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +86,11 @@
             if report_round.has_use
             else None
         ),
+        rollouts=(
+            rollout_reports.encode(whole.rollouts)
+            if report_round.has_rollouts
+            else None
+        ),
     )
 
 
@@ -127,6 +136,13 @@
                 if report_round.has_use
                 else None
             ),
+            rollouts=(
+                rollout_reports.encode(
+                    rollout.subtract(whole.rollouts, part.rollouts)
+                )
+                if report_round.has_rollouts
+                else None
+            ),
         )
         for to, part in members.items()
     }
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -1,7 +1,7 @@
 """Service that exchanges reports with the other routers of the fleet."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 import contextlib
 import math
 from typing import Any, Protocol
@@ -128,6 +128,10 @@
             self._routers = self.view.peers.counted_in_budgets(now)
         return self._routers
 
+    def live_routers(self) -> Collection[str]:
+        """Returns the live routers, including this one."""
+        return self.view.peers.live(self._clock.monotonic())
+
     def peers_use(self) -> dict[str, shares.Usage]:
         """Returns the use of workspaces at the other routers."""
         return self.view.peers_use()
--- a/tamarackbridge/components/fleet/summary.py
+++ b/tamarackbridge/components/fleet/summary.py
@@ -6,6 +6,7 @@
 from tamarackbridge.components.admission import observed_load, shares
 from tamarackbridge.components.fleet import messages
 from tamarackbridge.components.placement import ledger
+from tamarackbridge.components.rollout import models as rollout
 
 US_PER_S = 1_000_000
 MILLIS = 1_000
@@ -22,6 +23,7 @@
         routers: Their addresses, each with its zone.
         engine_load: Sums of the engine load that they observe.
         headroom_cores: Processor headroom of each router, in cores.
+        rollouts: What they know of rollout orders.
     """
 
     work: Mapping[str, ledger.Work]
@@ -31,6 +33,7 @@
     headroom_cores: Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    rollouts: rollout.Tallies = dataclasses.field(default_factory=dict)
 
 
 def total(parts: Iterable[Summary]) -> Summary:
@@ -40,6 +43,7 @@
     routers: dict[str, str] = {}
     engine_load = observed_load.NO_LOAD
     headroom_cores: dict[str, float] = {}
+    rollouts: list[rollout.Tallies] = []
     for part in parts:
         for server, added in part.work.items():
             work[server] = work.get(server, ledger.NO_WORK).plus(added)
@@ -49,7 +53,16 @@
         routers.update(part.routers)
         headroom_cores.update(part.headroom_cores)
         engine_load = engine_load.plus(part.engine_load)
-    return Summary(work, use, routers, engine_load, headroom_cores)
+        if part.rollouts:
+            rollouts.append(part.rollouts)
+    return Summary(
+        work,
+        use,
+        routers,
+        engine_load,
+        headroom_cores,
+        rollout.total(rollouts),
+    )
 
 
 def subtract_use(
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -15,6 +15,7 @@
     peer_headroom,
     peers,
     report_builder,
+    rollout_reports,
     summary,
 )
 from tamarackbridge.components.knowledge import messages as knowledge
@@ -24,6 +25,8 @@
     prefix_cache,
     quarantine,
 )
+from tamarackbridge.components.rollout import const as rollout_const
+from tamarackbridge.components.rollout import gate
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import rendezvous
 
@@ -69,6 +72,7 @@
         server_notices: Announced shutdowns and rejections of servers.
         block_quarantine: Evidence against prompt blocks.
         headroom_cores: Returns this router's processor headroom, in cores.
+        rollouts: The rollout orders; None if they are not carried out.
     """
 
     work: ledger.ReservationLedger
@@ -81,6 +85,7 @@
     server_notices: notices.ServerNotices
     block_quarantine: quarantine.BlockQuarantine
     headroom_cores: Callable[[], float] = lambda: 0.0
+    rollouts: gate.Gate | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,6 +155,7 @@
         self._use_sent_at = -math.inf
         self._use_interval_s = MIN_USE_INTERVAL_S
         self._probed_at = -math.inf
+        self._rollouts_sent_at = -math.inf
 
     @property
     def hub(self) -> str | None:
@@ -226,6 +232,8 @@
         state = self._states.get(src)
         if state is None or state.direction is not report.direction:
             state = self._states[src] = _PeerState(report.direction, now, now)
+            if self._own.rollouts is not None:
+                self._own.rollouts.forget_router(src)
         state.received_at = now
         state.store_reader = report.store_reader
         state.has_no_store = any(edition.away for edition in report.versions)
@@ -249,6 +257,9 @@
         is_urgent |= crash_reports.apply(
             self._own.block_quarantine, report, sent_at, now
         )
+        if report.rollouts is not None and self._own.rollouts is not None:
+            tallies = rollout_reports.decode(report.rollouts, age_s)
+            is_urgent |= self._own.rollouts.apply_report(src, tallies, now)
         is_unknown = src not in self._role.hubs and src in self._live
         return ReportEffect(
             needs_introduction=report.direction is _Direction.ACROSS
@@ -333,6 +344,9 @@
             self._new_blocks.append((self._address, server, block_hash))
         if has_use:
             self._use_sent_at = now
+        has_rollouts = self._are_rollouts_due(now)
+        if has_rollouts:
+            self._rollouts_sent_at = now
         return report_builder.ReportRound(
             has_routers,
             has_use,
@@ -340,6 +354,18 @@
             crashes,
             tuple(self._new_blocks),
             self._own.versions(),
+            has_rollouts,
+        )
+
+    def _are_rollouts_due(self, now: float) -> bool:
+        """Returns whether a round of reports contains rollout orders."""
+        rollouts = self._own.rollouts
+        if rollouts is None or not rollouts.orders:
+            return False
+        elapsed_s = now - self._rollouts_sent_at
+        return (
+            rollouts.pop_unsent_change()
+            or elapsed_s >= rollout_const.REPORT_INTERVAL_S
         )
 
     def introduction(self, now: float) -> messages.Introduction:
@@ -399,6 +425,8 @@
     def _drop_state(self, src: str, now: float) -> None:
         self._states.pop(src, None)
         self._own.work.remove_router(src, now)
+        if self._own.rollouts is not None:
+            self._own.rollouts.forget_router(src)
 
     def _change_role(
         self, new: groups.Role, now: float
@@ -436,6 +464,9 @@
             {self._address: own.headroom_cores()}
             if report_round.has_routers
             else {},
+            own.rollouts.report()
+            if own.rollouts is not None and report_round.has_rollouts
+            else {},
         )
 
     def _peer_summary(
@@ -452,6 +483,9 @@
             if report_round.has_use
             else observed_load.NO_LOAD,
             state.headroom_cores if report_round.has_routers else {},
+            self._own.rollouts.reported(src)
+            if self._own.rollouts is not None and report_round.has_rollouts
+            else {},
         )
 
     def _member_reports(
--- a/tamarackbridge/components/rollout/order.py
+++ b/tamarackbridge/components/rollout/order.py
@@ -145,6 +145,12 @@
         elif order.state is _State.RUNNING and self.phase is _Phase.UNKNOWN:
             self.phase = _Phase.RUNNING
 
+    def rename(self, order: knowledge.RolloutOrder) -> None:
+        """Goes on with an order that was written again after a restore."""
+        self.identity = models.identity(order)
+        self._reported.clear()
+        self.update_stored(order)
+
     def apply_report(self, src: str, tally: models.Tally, now: float) -> bool:
         """Applies what another router's report says of the order.
 
@@ -212,7 +218,10 @@
             self.phase,
             age_ms,
             1,
-            int(self.phase is _Phase.MOVING),
+            int(
+                self.phase is _Phase.MOVING
+                and self.is_informed(facts.others, now)
+            ),
             facts.in_flight_old,
             facts.in_flight,
             dict(self.evidence.cells),
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -2,11 +2,13 @@
 
 import collections
 from collections.abc import Iterable
+import random
 from typing import cast
 
 from tamarackbridge import core
 from tamarackbridge.components.admission import observed_load, shares
 from tamarackbridge.components.fleet import messages, sharing
+from tamarackbridge.components.fleet import models as fleet_models
 from tamarackbridge.components.fleet import view as fleet_view
 from tamarackbridge.components.knowledge import applier, relay, state
 from tamarackbridge.components.placement import (
@@ -15,6 +17,7 @@
     prefix_cache,
     quarantine,
 )
+from tamarackbridge.components.rollout import gate
 from tamarackbridge.components.transport import service as transport
 from tests import clocks
 from tests.components.knowledge import builders
@@ -70,6 +73,7 @@
         address: str = "r1",
         zone: str = "z1",
         clock: clocks.VirtualClock | None = None,
+        bounds: fleet_models.Bounds = builders.BOUNDS,
     ) -> None:
         self.clock = clock or clocks.VirtualClock()
         self.notices = notices.ServerNotices()
@@ -78,7 +82,15 @@
             ledger.ReservationLedger(),
             prefix_cache.PrefixCacheIndex(),
         )
-        self.local_copy = state.LocalCopy(builders.BOUNDS)
+        self.local_copy = state.LocalCopy(bounds)
+        self.gate = gate.Gate(
+            address,
+            bounds.exposure_share,
+            bounds.exposure_slack,
+            self.local_copy,
+            self.work,
+            random.Random(address),
+        )
         self.new_blocks: list[tuple[str, int]] = []
         self.links = RecordedLinks()
         knowledge_applier = applier.Applier(
@@ -97,6 +109,7 @@
             versions=store_relay.versions,
             server_notices=self.notices,
             block_quarantine=self.quarantine,
+            rollouts=self.gate if bounds.exposure_share else None,
         )
         self.sharing = sharing.SharingService(
             address,
@@ -108,6 +121,11 @@
             store_relay,
             lambda: None,
         )
+        self.gate.set_fleet(
+            lambda: len(self.sharing.routers()) - 1,
+            self.sharing.live_routers,
+            self.sharing.request_report,
+        )
         self.sharing.set_transport(cast(transport.PeerService, self.links))
 
     def _take_new_blocks(self) -> list[tuple[str, int]]:
@@ -133,13 +151,17 @@
 class Fleet:
     """Routers on one virtual clock, with links that can be cut."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(
+        self, count: int, bounds: fleet_models.Bounds = builders.BOUNDS
+    ) -> None:
         self.clock = clocks.VirtualClock()
         self.zones = {
             f"r{number:02}": f"z{number % 3}" for number in range(count)
         }
         self.routers = {
-            address: Router(address=address, zone=zone, clock=self.clock)
+            address: Router(
+                address=address, zone=zone, clock=self.clock, bounds=bounds
+            )
             for address, zone in self.zones.items()
         }
         self.cut: set[tuple[str, str]] = set()
