Place requests by rollout orders

The pools of a service contain only the servers that its order permits, and a second pool the few servers of the new version that get canary requests. The choice is made each time that a request is considered, so what waits is placed again after a change of phase. A broken stream goes on at the version that began it. Servers of a new version are held back until it is certain that no order for them exists.

Without an order this costs one comparison of the versions each time that a pool is made (at most 50 a second and service) and two conditions for a request.

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -188,17 +188,19 @@
     def has_server(self, job: jobs.Job) -> bool:
         """Returns whether any server may be asked that is not excluded."""
         now = self._clock.monotonic()
-        return not self._deps.server_selector.pools.opens_in_s(
-            job.service.name, job.excluded_servers, now
-        )
+        return not self._opens_in_s(job, now)
 
     def exclude_others(self, job: jobs.Job, server: str) -> None:
         """Excludes all servers of a job's service but one."""
-        pool = self._deps.server_selector.pools.of(
-            job.service.name, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        pools = self._deps.server_selector.pools
+        found = [pools.of(job.service.name, now)]
+        if self._is_canary(job, now):
+            found.append(pools.canaries(job.service.name, now))
         job.excluded_servers.update(
-            registered.server.name for registered in pool.lasting
+            registered.server.name
+            for pool in found
+            for registered in pool.lasting
         )
         job.excluded_servers.discard(server)
 
@@ -214,9 +216,7 @@
         self, job: jobs.Job, now: float
     ) -> rejections.Rejection | None:
         """Returns the rejection of a request that no server accepts now."""
-        opens_s = self._deps.server_selector.pools.opens_in_s(
-            job.service.name, job.excluded_servers, now
-        )
+        opens_s = self._opens_in_s(job, now)
         if not opens_s:
             return None
         if math.isinf(opens_s):
@@ -231,6 +231,22 @@
             rejections.Reason.SERVER_REJECTED, retry_after_s
         )
 
+    def _opens_in_s(self, job: jobs.Job, now: float) -> float:
+        """Returns the seconds until a server is open that is not excluded."""
+        return self._deps.server_selector.pools.opens_in_s(
+            job.service.name,
+            job.excluded_servers,
+            now,
+            self._is_canary(job, now),
+        )
+
+    def _is_canary(self, job: jobs.Job, now: float) -> bool:
+        """Returns whether a request may go to canary servers as well."""
+        rollouts = self._deps.rollouts
+        if rollouts is None or not rollouts.is_active:
+            return False
+        return rollouts.prefers_canary(job, now)
+
     def now(self) -> float:
         """Returns the time."""
         return self._clock.monotonic()
@@ -270,6 +286,10 @@
         """Applies what a response head announces about its server."""
         now = self._clock.monotonic()
         server = reservation.server
+        rollouts = self._deps.rollouts
+        is_response = head.disposition is models.Disposition.ANSWERED
+        if rollouts is not None and rollouts.is_active and is_response:
+            rollouts.record_head(reservation, now)
         notices = self._deps.server_notices
         if not head.announces_shutdown:
             notices.record_no_shutdown(server, now)
@@ -301,6 +321,9 @@
         """Records the end of an attempt."""
         now = self._clock.monotonic()
         self._deps.work.end(reservation, now)
+        rollouts = self._deps.rollouts
+        if rollouts is not None and rollouts.is_active:
+            rollouts.record_end(reservation, outcome, now)
         self._quarantine_gate.record_end(reservation, outcome, now)
         self.share_tracker.record_attempt_end(
             reservation.workspace, reservation.cost, outcome, now
@@ -520,6 +543,9 @@
             blocks=crash_evidence.parts(job),
         )
         self._deps.work.begin(reservation)
+        rollouts = self._deps.rollouts
+        if rollouts is not None and rollouts.is_active:
+            rollouts.record_sent(job, reservation, now)
         self._quarantine_gate.record_sent(reservation)
         if reservation.prefill_tokens >= ledger.REPORT_PROMPTLY_TOKENS:
             self._peers.request_report()
--- a/tamarackbridge/components/admission/dependencies.py
+++ b/tamarackbridge/components/admission/dependencies.py
@@ -17,6 +17,7 @@
     selector,
     warmup,
 )
+from tamarackbridge.components.rollout import gate
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +34,7 @@
     server_notices: notices.ServerNotices
     server_selector: selector.ServerSelector
     block_quarantine: quarantine.BlockQuarantine
+    rollouts: gate.Gate | None = None
 
 
 class PeerRouters(Protocol):
--- a/tamarackbridge/components/placement/pool.py
+++ b/tamarackbridge/components/placement/pool.py
@@ -10,10 +10,11 @@
 import heapq
 import math
 import statistics
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 import msgspec
 
+from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
     estimate,
@@ -40,11 +41,48 @@
 Candidates: TypeAlias = Sequence[tuple[state.RegisteredServer, int]]
 """Servers with their ranks for a request's shared blocks, best rank first."""
 
-PoolVersion: TypeAlias = tuple[int, int, int, frozenset[str]]
+PoolVersion: TypeAlias = tuple[int, int, int, frozenset[str], int]
 """Change counters and the zones that get no new work; a pool is outdated when
 any of them differs."""
 
 
+class Rollouts(Protocol):
+    """Rollout orders, which restrict the servers of their services.
+
+    Attributes:
+        changes: Number of changes after which other servers may be permitted.
+    """
+
+    changes: int
+
+    @property
+    def is_active(self) -> bool:
+        """Whether any order is known."""
+        ...
+
+    def permitted(
+        self,
+        service: str,
+        servers: Sequence[state.RegisteredServer],
+        now: float,
+    ) -> Sequence[state.RegisteredServer]:
+        """Returns the servers at which all requests may be placed."""
+        ...
+
+    def canaries(
+        self,
+        service: str,
+        servers: Sequence[state.RegisteredServer],
+        now: float,
+    ) -> Sequence[state.RegisteredServer]:
+        """Returns the servers at which canary requests may be placed."""
+        ...
+
+    def prefers_canary(self, job: jobs.Job, now: float) -> bool:
+        """Returns whether a request is to be placed as a canary request."""
+        ...
+
+
 class Load(msgspec.Struct, frozen=True, gc=False):
     """Average load of model engines.
 
@@ -152,16 +190,23 @@
         breakers: health.CircuitBreakers,
         estimator: estimate.Estimator,
         server_notices: notices.ServerNotices,
+        rollouts: Rollouts | None = None,
     ) -> None:
+        self._rollouts = rollouts
         self._local_copy = local_copy
         self._work = work
         self._breakers = breakers
         self._estimator = estimator
         self._notices = server_notices
         self._pools: dict[str, Pool] = {}
+        self._canary_pools: dict[str, Pool] = {}
 
     def opens_in_s(
-        self, service: str, excluded_servers: Collection[str], now: float
+        self,
+        service: str,
+        excluded_servers: Collection[str],
+        now: float,
+        is_canary: bool = False,
     ) -> float:
         """Returns the seconds until a server of a service is open.
 
@@ -171,16 +216,21 @@
             service: Name of the service.
             excluded_servers: Names of servers that don't count.
             now: The time.
+            is_canary: Whether the servers for canary requests count as well.
         """
-        pool = self.of(service, now)
+        pools = [self.of(service, now)]
+        if is_canary:
+            pools.append(self.canaries(service, now))
         if any(
             registered.server.name not in excluded_servers
+            for pool in pools
             for registered in pool.open
         ):
             return 0.0
         return min(
             (
                 self._notices.closed_s(registered.server, now)
+                for pool in pools
                 for registered in pool.lasting
                 if registered.server.name not in excluded_servers
             ),
@@ -200,30 +250,49 @@
 
     def of(self, service: str, now: float) -> Pool:
         """Returns the pool of a service."""
+        return self._kept_or_made(self._pools, service, False, now)
+
+    def canaries(self, service: str, now: float) -> Pool:
+        """Returns the pool for the canary requests of a service."""
+        return self._kept_or_made(self._canary_pools, service, True, now)
+
+    def _kept_or_made(
+        self, pools: dict[str, Pool], service: str, is_canary: bool, now: float
+    ) -> Pool:
         version = (
             self._local_copy.changes,
             self._notices.changes,
             self._breakers.changes,
             self._local_copy.zones_out,
+            self._rollouts.changes if self._rollouts is not None else 0,
         )
-        kept = self._pools.get(service)
+        kept = pools.get(service)
         if (
             kept is not None
             and now - kept.at < POOL_LIFETIME_S
             and kept.version == version
         ):
             return kept
-        made = self._make_pool(service, version, now)
-        self._pools[service] = made
+        usable: Sequence[state.RegisteredServer]
+        usable = self._local_copy.usable(service, now)
+        rollouts = self._rollouts
+        if rollouts is not None:
+            choose = rollouts.canaries if is_canary else rollouts.permitted
+            usable = choose(service, usable, now)
+        made = pools[service] = self._make_pool(service, usable, version, now)
         return made
 
     def _make_pool(
-        self, service: str, version: PoolVersion, now: float
+        self,
+        service: str,
+        usable: Sequence[state.RegisteredServer],
+        version: PoolVersion,
+        now: float,
     ) -> Pool:
         server_notices = self._notices
         lasting = tuple(
             registered
-            for registered in self._local_copy.usable(service, now)
+            for registered in usable
             if not server_notices.is_shutting_down(registered.server)
         )
         opened = tuple(
--- a/tamarackbridge/components/placement/scheduling_view.py
+++ b/tamarackbridge/components/placement/scheduling_view.py
@@ -160,22 +160,39 @@
     """The servers of all services as one scheduling pass sees them."""
 
     def __init__(
-        self, make_view: Callable[[knowledge.Service], ServiceView]
+        self, make_view: Callable[[knowledge.Service, bool], ServiceView]
     ) -> None:
+        """Creates the view.
+
+        Args:
+            make_view: Returns the servers of a service, or those for its
+                canary requests.
+        """
         self._make_view = make_view
         self._views: dict[knowledge.Service, ServiceView] = {}
+        self._canary_views: dict[knowledge.Service, ServiceView] = {}
 
     def of(self, service: knowledge.Service) -> ServiceView:
         """Returns the servers of a service."""
         found = self._views.get(service)
         if found is None:
-            found = self._views[service] = self._make_view(service)
+            found = self._views[service] = self._make_view(service, False)
+        return found
+
+    def canaries(self, service: knowledge.Service) -> ServiceView:
+        """Returns the servers for the canary requests of a service."""
+        found = self._canary_views.get(service)
+        if found is None:
+            found = self._make_view(service, True)
+            self._canary_views[service] = found
         return found
 
     def invalidate(self, server: str) -> None:
         """Drops what a request sent to a server has made outdated."""
         for view in self._views.values():
             view.invalidate(server)
+        for view in self._canary_views.values():
+            view.invalidate(server)
 
 
 def _with_ranks(
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -146,15 +146,17 @@
         estimator: estimate.Estimator,
         limiter: warmup.WarmupLimiter,
         server_notices: notices.ServerNotices,
+        rollouts: pool.Rollouts | None = None,
     ) -> None:
         self._router = router
+        self._rollouts = rollouts
         self._notices = server_notices
         self._zone = zone
         self._cache_index = cache_index
         self._estimator = estimator
         self._limiter = limiter
         self.pools = pool.Pools(
-            local_copy, work, breakers, estimator, server_notices
+            local_copy, work, breakers, estimator, server_notices, rollouts
         )
         self._work = work
 
@@ -169,14 +171,15 @@
         """
 
         def make_view(
-            service: knowledge.Service,
+            service: knowledge.Service, is_canary: bool
         ) -> scheduling_view.ServiceView:
             def make_state(
                 registered: state.RegisteredServer,
             ) -> scheduling_view.ServerState:
                 return self._make_state(service, registered, routers, now)
 
-            servers = self.pools.of(service.name, now)
+            find = self.pools.canaries if is_canary else self.pools.of
+            servers = find(service.name, now)
             return scheduling_view.ServiceView(
                 servers, service.is_model, make_state, now
             )
@@ -222,9 +225,27 @@
         """Returns the servers that determine whether a request is sent now.
 
         Leads to the same decision as all of `options` would, but scores a
-        server in full only if its base cost and rank leave it a chance.
+        server in full only if its base cost and rank leave it a chance. A
+        canary request goes to a server of the new version if one has room.
         """
-        servers = view.of(job.service)
+        rollouts = self._rollouts
+        if (
+            rollouts is not None
+            and rollouts.is_active
+            and rollouts.prefers_canary(job, view.of(job.service).now)
+        ):
+            canaries = view.canaries(job.service)
+            found = self._shortlist(job, profile, canaries)
+            if any(not option.is_full for option in found.options):
+                return found
+        return self._shortlist(job, profile, view.of(job.service))
+
+    def _shortlist(
+        self,
+        job: jobs.Job,
+        profile: request_profile.RequestProfile,
+        servers: scheduling_view.ServiceView,
+    ) -> Shortlist:
         candidates = servers.candidates(profile.key, job.excluded_servers)
         if not job.service.is_model:
             states = (
--- a/tamarackbridge/components/rollout/gate.py
+++ b/tamarackbridge/components/rollout/gate.py
@@ -10,11 +10,12 @@
 
 from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import models as knowledge
-from tamarackbridge.components.knowledge import source, state
+from tamarackbridge.components.knowledge import positions, source, state
 from tamarackbridge.components.placement import ledger
 from tamarackbridge.components.rollout import (
     const,
     models,
+    new_versions,
     order,
     order_log,
     placement,
@@ -56,6 +57,8 @@
         self._is_synced = False
         self._has_unsent_change = False
         self._log = order_log.OrderLog()
+        self._new_versions = new_versions.NewVersions()
+        self._eras: dict[str, int] = {}
 
     def set_fleet(
         self,
@@ -99,6 +102,9 @@
                 phase = known.phase
                 known.update_stored(item)
                 self._note_phase(known, phase, now)
+            elif known is not None and self._is_written_again(item, known):
+                known.rename(item)
+                self._eras[item.service] = self._era()
             else:
                 known = self._begin(item, known, now)
             self._log.log_status_ignored(item)
@@ -123,7 +129,10 @@
         if current is None:
             refused = self.refused.get(service)
             if refused is None:
-                return servers
+                known = self._local_copy.version(source.Kind.ROLLOUTS)
+                return self._new_versions.without_unconfirmed(
+                    service, servers, known.confirmed_at, now
+                )
             old, _ = placement.split(servers, refused.target)
             return old or servers
         target = current.identity.target
@@ -281,9 +290,26 @@
         early = const.EARLY_SLACK_FRACTION * self._slack / (1 + self._others())
         begun = order.OrderState(item, is_new, early, self._rng, now)
         self._log.log_begun(begun)
+        self._eras[item.service] = self._era()
         self.changes += 1
         return begun
 
+    def _era(self) -> int:
+        known = self._local_copy.version(source.Kind.ROLLOUTS)
+        return positions.era(known.revision)
+
+    def _is_written_again(
+        self, item: knowledge.RolloutOrder, known: order.OrderState
+    ) -> bool:
+        """Returns whether an order was lost by a restored store and rewritten.
+
+        Its revisions then differ, and it is as old as it was.
+        """
+        same = models.identity(item)._replace(created=known.identity.created)
+        return same == known.identity and self._era() > self._eras.get(
+            item.service, 0
+        )
+
     def _unknown_service(self, item: knowledge.RolloutOrder) -> str:
         cfg = self._local_copy.configuration
         if cfg is None or item.service in cfg.services:
