Carry out the rollout orders of the platform's store

Reads orders and the versions of servers, writes the status conditional on the revision, and reads the orders again after a conflict. The stand-in of the store keeps the creation's revision and serves writes of a status.

test_router_follows_the_store_into_new_eras iterates over the kinds that the router reads: rollouts are not among them without the setting.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -49,13 +49,29 @@
         router.add_get("/objects/{kind}", self._async_get)
         router.add_post("/objects/{kind}", self._async_create)
         router.add_put("/objects/{kind}/{name}", self._async_replace)
+        router.add_put("/objects/{kind}/{name}/status", self._async_set_status)
         router.add_delete("/objects/{kind}/{name}", self._async_delete)
 
     async def async_put(self, kind: str, name: str, spec: Any) -> None:
         """Writes an object and wakes the watches."""
+        before = self.get(kind, name)
+        await self._async_store(
+            kind, name, spec, before["status"] if before else None
+        )
+
+    async def _async_store(
+        self, kind: str, name: str, spec: Any, status: Any
+    ) -> None:
         self.revision += 1
-        metadata = {"name": name, "revision": self.revision}
-        stored = {"metadata": metadata, "spec": spec, "status": None}
+        before = self.get(kind, name)
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "created": (
+                before["metadata"]["created"] if before else self.revision
+            ),
+        }
+        stored = {"metadata": metadata, "spec": spec, "status": status}
         self._objects.setdefault(kind, {})[name] = stored
         await self._async_record_change(kind, stored, deleted=False)
 
@@ -92,6 +108,10 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Returns an object; None if it does not exist."""
+        return self._objects.get(kind, {}).get(name)
+
     def names(self, kind: str) -> list[str]:
         """Returns the names of the objects of a kind, in order."""
         return sorted(self._objects.get(kind, {}))
@@ -178,6 +198,22 @@
         await self.async_put(kind, name, body["spec"])
         return web.json_response(self._objects[kind][name])
 
+    async def _async_set_status(self, req: web.Request) -> web.Response:
+        """Writes a status if the revision in the body is the current one."""
+        self.count("write")
+        if self.faults.status:
+            return web.Response(status=self.faults.status)
+        body = await req.json()
+        kind, name = req.match_info["kind"], req.match_info["name"]
+        stored = self.get(kind, name)
+        if stored is None:
+            return web.Response(status=404)
+        revision = body["metadata"].get("revision")
+        if revision != stored["metadata"]["revision"]:
+            return web.json_response(stored, status=409)
+        await self._async_store(kind, name, stored["spec"], body["status"])
+        return web.json_response(self.get(kind, name))
+
     async def _async_delete(self, req: web.Request) -> web.Response:
         self.count("write")
         await self.async_remove(req.match_info["kind"], req.match_info["name"])
--- a/tamarackbridge/components/knowledge/applier.py
+++ b/tamarackbridge/components/knowledge/applier.py
@@ -69,7 +69,11 @@
                 if isinstance(update, source.RolloutUpdate)
             }
             for name in self._local_copy.rollouts.keys() - ordered:
-                self.apply(source.RolloutRemoval(name), 0.0)
+                if is_restored:
+                    until = self._clock.monotonic() + const.ZONE_DOUBT_S
+                    self._local_copy.rollouts_in_doubt[name] = until
+                else:
+                    self.apply(source.RolloutRemoval(name), 0.0)
         if kind is source.Kind.SERVERS:
             registered = {
                 listed.server.name
@@ -114,8 +118,10 @@
                 local_copy.zones_out -= {zone}
                 events.write(events.ZoneChanged(zone, out=False))
             case source.RolloutUpdate(order=order):
+                local_copy.rollouts_in_doubt.pop(order.name, None)
                 local_copy.rollouts[order.name] = order
             case source.RolloutRemoval(name=name):
+                local_copy.rollouts_in_doubt.pop(name, None)
                 local_copy.rollouts.pop(name, None)
 
     def _register(self, server: models.BackendServer, now: float) -> None:
@@ -133,6 +139,9 @@
         for zone, until in list(self._local_copy.zones_in_doubt.items()):
             if now >= until:
                 self.apply(source.ZoneReturn(zone), 0.0)
+        for name, until in list(self._local_copy.rollouts_in_doubt.items()):
+            if now >= until:
+                self.apply(source.RolloutRemoval(name), 0.0)
 
     def keep_zones_in_doubt(self, left_s: Mapping[str, float]) -> None:
         """Applies another router's doubts about evacuated zones.
--- a/tamarackbridge/components/knowledge/relay.py
+++ b/tamarackbridge/components/knowledge/relay.py
@@ -157,7 +157,7 @@
             )
         elif kind is source.Kind.ROLLOUTS:
             orders = [source.RolloutUpdate(item) for item in snapshot.rollouts]
-            self._applier.replace(kind, orders, 0.0)
+            self._applier.replace(kind, orders, 0.0, is_restored)
         elif snapshot.configuration is not None:
             update = source.ConfigurationUpdate(snapshot.configuration)
             self._applier.replace(kind, (update,), 0.0)
@@ -280,7 +280,11 @@
                 edition, zones_out=zones, zones_in_doubt=in_doubt
             )
         if kind is source.Kind.ROLLOUTS:
-            orders = tuple(local_copy.rollouts.values())
+            orders = tuple(
+                order
+                for name, order in local_copy.rollouts.items()
+                if name not in local_copy.rollouts_in_doubt
+            )
             return messages.Snapshot(edition, rollouts=orders)
         servers = tuple(
             _known_server(registered, now)
--- a/tamarackbridge/components/knowledge/source.py
+++ b/tamarackbridge/components/knowledge/source.py
@@ -25,6 +25,18 @@
     HISTORY_LOST = "history_lost"
 
 
+class StatusFailure(enum.Enum):
+    """Reasons for which the status of an order is not written.
+
+    Attributes:
+        UNREACHABLE: The store did not take it.
+        CONFLICT: The order was changed since it was read.
+    """
+
+    UNREACHABLE = "unreachable"
+    CONFLICT = "conflict"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationUpdate:
     """A configuration is in force."""
--- a/tamarackbridge/components/knowledge/state.py
+++ b/tamarackbridge/components/knowledge/state.py
@@ -55,6 +55,8 @@
             came back from an older copy, each with the time at which it is used
             again unless it is listed by then.
         rollouts: Rollout orders by the name of their object.
+        rollouts_in_doubt: Those that the store lacks since it came back from
+            an older copy, each with the time at which it counts as deleted.
         kinds: Kinds of data that are read.
         changes: Number of changes of the registered servers.
         unreachable: Kinds of data for which the last call to the store failed.
@@ -68,6 +70,7 @@
         self.zones_out: frozenset[str] = frozenset()
         self.zones_in_doubt: dict[str, float] = {}
         self.rollouts: dict[str, models.RolloutOrder] = {}
+        self.rollouts_in_doubt: dict[str, float] = {}
         self.kinds = tuple(
             kind
             for kind in source.Kind
--- a/tamarackbridge/platform/entries.py
+++ b/tamarackbridge/platform/entries.py
@@ -35,6 +35,7 @@
 
     name: str
     revision: int = 0
+    created: Any = 0
 
 
 class Entry(msgspec.Struct):
@@ -42,6 +43,7 @@
 
     metadata: Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
 
 
 _ENTRY = msgspec.json.Decoder(Entry)
--- a/tamarackbridge/platform/records.py
+++ b/tamarackbridge/platform/records.py
@@ -90,6 +90,8 @@
     ] = 0
     # Unix time of the server's start, in milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    # Version of the server's software.
+    version: Any = ""
 
 
 def configuration(spec: Any) -> models.Configuration:
@@ -139,6 +141,8 @@
         draining=found.state == "draining",
         cold_s=found.cold_remaining_ms / const.MS_PER_S,
         started_ms=found.born,
+        # A server without a readable version may serve as any other.
+        version=found.version if isinstance(found.version, str) else "",
     )
 
 
--- a/tamarackbridge/platform/settings.py
+++ b/tamarackbridge/platform/settings.py
@@ -143,6 +143,9 @@
         share_window_s=_number(values, "bounds.quota_window_s", 4),
         reuse_window_s=_number(values, "bounds.reuse_window_s", 10),
         heartbeat_s=_number(values, "heartbeat_ms", 1_200) / const.MS_PER_S,
+        exposure_share=min(_number(values, "bounds.exposure_share", 0), 1.0),
+        exposure_slack=_number(values, "bounds.exposure_slack", 50),
+        rollback_s=seconds("rollback_ms", 5_000),
     )
 
 
--- a/tamarackbridge/platform/source.py
+++ b/tamarackbridge/platform/source.py
@@ -4,12 +4,19 @@
 
 from tamarackbridge.components.knowledge import positions, source
 from tamarackbridge.components.telemetry import events
-from tamarackbridge.platform import const, exceptions, records, store
+from tamarackbridge.platform import (
+    const,
+    exceptions,
+    records,
+    rollouts,
+    store,
+)
 
 _STORE_KINDS = {
     source.Kind.CONFIGURATION: const.KIND_CONFIGURATION,
     source.Kind.SERVERS: const.KIND_SERVERS,
     source.Kind.ZONES: const.KIND_EVACUATIONS,
+    source.Kind.ROLLOUTS: const.KIND_ROLLOUTS,
 }
 
 
@@ -67,6 +74,10 @@
             if item.deleted:
                 return source.ZoneReturn(item.name)
             return source.ZoneEvacuation(item.name)
+        if kind is source.Kind.ROLLOUTS:
+            if item.deleted:
+                return source.RolloutRemoval(item.name)
+            return source.RolloutUpdate(rollouts.order(item))
         if item.name != const.NAME_CONFIGURATION or item.deleted:
             return None
         try:
--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 from typing import Any
+import urllib.parse
 
 import aiohttp
 import msgspec
@@ -56,12 +57,16 @@
         revision: Revision of its last change.
         spec: Content of the object; None if it is malformed.
         deleted: Whether the object was deleted.
+        status: What routers wrote about it; None if there is nothing.
+        created: Revision at which it was created; 0 if not stated.
     """
 
     name: str
     revision: int
     spec: Any
     deleted: bool = False
+    status: Any = None
+    created: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,6 +207,17 @@
             answer = await self._async_call("PUT", kind, f"/{name}", body)
         return answer.map(_drop_body)
 
+    async def async_put_status(
+        self, kind: str, name: str, body: Any
+    ) -> result.Result[bytes, Failure]:
+        """Writes the status of an object; returns the object as it is then.
+
+        The write is conditional on the revision in the body's metadata.
+        """
+        path = f"/{urllib.parse.quote(name, safe='')}/status"
+        answer = await self._async_call("PUT", kind, path, body)
+        return answer.map(_body)
+
     async def async_delete(
         self, kind: str, name: str
     ) -> result.Result[None, Failure]:
@@ -298,11 +314,24 @@
             )
             continue
         meta = entry.metadata
-        spec = entries.content(entry.spec)
-        objects.append(StoredObject(meta.name, meta.revision, spec, deleted))
+        objects.append(
+            StoredObject(
+                meta.name,
+                meta.revision,
+                entries.content(entry.spec),
+                deleted,
+                entries.content(entry.status),
+                meta.created if isinstance(meta.created, int) else 0,
+            )
+        )
     return objects
 
 
+def _body(answer: _Answer) -> bytes:
+    data: bytes = answer.body
+    return data
+
+
 def _drop_body(answer: _Answer) -> None:
     """Drops the object that the store returns after a write."""
     del answer
--- a/tamarackbridge/platform_parts.py
+++ b/tamarackbridge/platform_parts.py
@@ -1,5 +1,7 @@
 """Builds the parts that placement and admission share on the platform."""
 
+import random
+
 from tamarackbridge.components.admission import dependencies
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import (
@@ -12,11 +14,14 @@
     selector,
     warmup,
 )
+from tamarackbridge.components.rollout import gate
 from tamarackbridge.platform import settings as platform_settings
 
 
 def make(
-    cfg: platform_settings.Settings, local_copy: state.LocalCopy
+    cfg: platform_settings.Settings,
+    local_copy: state.LocalCopy,
+    rng: random.Random,
 ) -> dependencies.Dependencies:
     """Builds the shared parts of placement and admission."""
     work = ledger.ReservationLedger()
@@ -25,6 +30,16 @@
     estimator = estimate.Estimator()
     limiter = warmup.WarmupLimiter(str(cfg.peers))
     server_notices = notices.ServerNotices()
+    rollouts = None
+    if cfg.bounds.exposure_share > 0:
+        rollouts = gate.Gate(
+            str(cfg.peers),
+            cfg.bounds.exposure_share,
+            cfg.bounds.exposure_slack,
+            local_copy,
+            work,
+            rng,
+        )
     server_selector = selector.ServerSelector(
         str(cfg.peers),
         cfg.zone,
@@ -35,6 +50,7 @@
         estimator,
         limiter,
         server_notices,
+        rollouts,
     )
     return dependencies.Dependencies(
         bounds=cfg.bounds,
@@ -47,4 +63,5 @@
         server_notices=server_notices,
         server_selector=server_selector,
         block_quarantine=quarantine.BlockQuarantine(str(cfg.peers)),
+        rollouts=rollouts,
     )
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -47,9 +47,9 @@
     applier,
     follower,
     relay,
-    source,
     state,
 )
+from tamarackbridge.components.rollout import writer
 from tamarackbridge.components.telemetry import (
     events,
     metrics,
@@ -67,6 +67,7 @@
     exceptions,
     store,
 )
+from tamarackbridge.platform import rollouts as platform_rollouts
 from tamarackbridge.platform import settings as platform_settings
 from tamarackbridge.platform import source as platform_source
 
@@ -101,7 +102,10 @@
         self._processor_time = processor.ProcessorTime()
         self._gateway_metrics = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
-        self._dependencies = platform_parts.make(cfg, self._local_copy)
+        self._store_source = platform_source.StoreSource(self._store)
+        self._dependencies = platform_parts.make(
+            cfg, self._local_copy, self._kernel.rng
+        )
         self._applier = applier.Applier(
             self._local_copy, self._clock, self._on_change, self._forget_server
         )
@@ -220,6 +224,7 @@
             server_notices=self._dependencies.server_notices,
             block_quarantine=self._dependencies.block_quarantine,
             headroom_cores=lambda: self._gateway.headroom_cores,
+            rollouts=self._dependencies.rollouts,
         )
         return sharing.SharingService(
             str(self._cfg.peers),
@@ -249,7 +254,7 @@
         return peers
 
     def _make_followers(self) -> dict[str, follower.Follower]:
-        store_source = platform_source.StoreSource(self._store)
+        store_source = self._store_source
         return {
             f"follower_{kind.value}": follower.Follower(
                 kind,
@@ -260,9 +265,30 @@
                 self._kernel.rng,
                 self._sharing.is_relayed,
             )
-            for kind in source.Kind
+            for kind in self._local_copy.kinds
+        }
+
+    def _make_rollouts(self) -> dict[str, core.Service]:
+        """Creates the service that carries rollouts out, if it is active."""
+        rollouts = self._dependencies.rollouts
+        if rollouts is None:
+            return {}
+        rollouts.set_fleet(
+            lambda: len(self._sharing.routers()) - 1,
+            self._sharing.live_routers,
+            self._on_rollout_change,
+        )
+        status = platform_rollouts.StoreStatus(self._store, self._store_source)
+        return {
+            "rollouts": writer.StatusWriter(
+                status, rollouts, self._applier, self._clock
+            )
         }
 
+    def _on_rollout_change(self) -> None:
+        self._sharing.request_report()
+        self._admission_controller.dispatch_waiting()
+
     def _register_services(self) -> None:
         """Registers the services in the order in which they start."""
         cfg = self._cfg
@@ -276,6 +302,7 @@
                 self._dependencies.block_quarantine,
                 self._clock,
             ),
+            **self._make_rollouts(),
             "servers": self._servers,
             "desk": self._admission_controller,
             "lag": event_loop_lag.LagService(
@@ -350,6 +377,8 @@
 
     def _on_change(self) -> None:
         self._local_copy_changed.set()
+        if self._dependencies.rollouts is not None:
+            self._dependencies.rollouts.sync(self._clock.monotonic())
         self._admission_controller.dispatch_waiting()
 
     def _ready(self) -> bool:
--- a/tests/components/gateway/rig.py
+++ b/tests/components/gateway/rig.py
@@ -205,8 +205,10 @@
     server: platform_server.PlatformServer,
     state: str = "ready",
     born: int = 0,
+    version: str = "",
 ) -> None:
     spec = {
+        **({"version": version} if version else {}),
         "born": born,
         "service": "app",
         "address": server.address,
@@ -223,6 +225,8 @@
     tracer: spans.Tracer = NO_TRACES,
     memory_mb: float = 256.0,
     started_ms: int = 0,
+    versions: tuple[str, ...] = (),
+    extra_settings: str = "",
 ) -> AsyncIterator[Environment]:
     async with contextlib.AsyncExitStack() as stack:
         store = platform_store.PlatformStore()
@@ -233,12 +237,16 @@
             server = platform_server.PlatformServer(f"i-{number}")
             server.started_ms = started_ms
             await stack.enter_async_context(server)
-            await _async_register(store, server, born=started_ms)
+            version = versions[number] if versions else ""
+            await _async_register(
+                store, server, born=started_ms, version=version
+            )
             started.append(server)
         reserved_ports = standin_ports.ReservedPorts(4)
         stack.callback(reserved_ports.close)
         cfg = settings.parse(
             settings_text(store.address, reserved_ports.ports, memory_mb)
+            + f"\n{extra_settings}"
         )
         router = platform_router.PlatformRouter(cfg, tracer)
         await router.async_start()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tamarackbridge.components.fleet import sharing
-from tamarackbridge.components.knowledge import positions, source
+from tamarackbridge.components.knowledge import positions
 from tamarackbridge.platform import const
 from tests.components.gateway import rig
 
@@ -36,7 +36,7 @@
             def is_followed(era: int = era) -> bool:
                 return all(
                     positions.era(local_copy.version(each).revision) == era
-                    for each in source.Kind
+                    for each in local_copy.kinds
                 )
 
             await rig.async_wait_until(is_followed)
