--- a/tamarackbridge/components/fleet/rollout_reports.py
+++ b/tamarackbridge/components/fleet/rollout_reports.py
@@ -68,6 +68,7 @@
 
 
 def _phase(number: int) -> models.Phase:
-    """Returns a phase; of those that routers report, `BAD` is the highest."""
-    highest = models.Phase.BAD
-    return models.Phase(min(max(number, models.Phase.UNKNOWN), highest))
+    """Returns a phase; `UNKNOWN` for those that no router reports."""
+    if models.Phase.UNKNOWN <= number <= models.Phase.BAD:
+        return models.Phase(number)
+    return models.Phase.UNKNOWN
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -259,7 +259,9 @@
         )
         if report.rollouts is not None and self._own.rollouts is not None:
             tallies = rollout_reports.decode(report.rollouts, age_s)
-            is_urgent |= self._own.rollouts.apply_report(src, tallies, now)
+            is_urgent |= self._own.rollouts.apply_report(
+                src, tallies, age_s, now
+            )
         is_unknown = src not in self._role.hubs and src in self._live
         return ReportEffect(
             needs_introduction=report.direction is _Direction.ACROSS
--- a/tamarackbridge/components/rollout/comparison.py
+++ b/tamarackbridge/components/rollout/comparison.py
@@ -29,9 +29,13 @@
         reason: What it was found by; empty before.
         responses: Responses of the new version that were compared.
         bad: Bad responses of the new version among them.
+
+    Args:
+        max_slice_s: Longest slice of time that is compared.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_slice_s: float = const.MAX_SLICE_S) -> None:
+        self._max_slice_s = max_slice_s
         self.is_bad = False
         self.reason = ""
         self.responses = 0
@@ -68,7 +72,7 @@
         new = sum(
             delta.responses for key, delta in deltas.items() if key.is_new
         )
-        is_short = now - self._compared_at < const.MAX_SLICE_S
+        is_short = now - self._compared_at < self._max_slice_s
         if new < const.MIN_SLICE_RESPONSES and is_short:
             return
         elapsed_s = now - self._compared_at
--- a/tamarackbridge/components/rollout/const.py
+++ b/tamarackbridge/components/rollout/const.py
@@ -64,6 +64,9 @@
 `MAX_SLICE_S`."""
 
 MAX_SLICE_S: Final = 1.0
+MAX_SLICE_FRACTION: Final = 0.2
+"""Longest slice, also as a part of the time within which a bad version must be
+stopped: counts take up to a second more on their way through two hubs."""
 
 MAX_UNDECIDED_RATIO: Final = 3.5
 """Logarithm of the likelihood ratio of a route up to which a version is still
--- a/tamarackbridge/components/rollout/gate.py
+++ b/tamarackbridge/components/rollout/gate.py
@@ -8,6 +8,7 @@
 import math
 import random
 
+from tamarackbridge.components.fleet import models as fleet
 from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import positions, source, state
@@ -36,8 +37,7 @@
     def __init__(
         self,
         address: str,
-        exposure_share: float,
-        exposure_slack: float,
+        bounds: fleet.Bounds,
         local_copy: state.LocalCopy,
         work: ledger.ReservationLedger,
         rng: random.Random,
@@ -46,8 +46,11 @@
         self.orders: dict[str, order.OrderState] = {}
         self.refused: dict[str, knowledge.RolloutOrder] = {}
         self._address = address
-        self._share = exposure_share
-        self._slack = exposure_slack
+        self._share = bounds.exposure_share
+        self._slack = bounds.exposure_slack
+        self._max_slice_s = min(
+            const.MAX_SLICE_S, const.MAX_SLICE_FRACTION * bounds.rollback_s
+        )
         self._local_copy = local_copy
         self._work = work
         self._rng = rng
@@ -81,6 +84,21 @@
         """Whether any order is known."""
         return bool(self.orders) or bool(self.refused)
 
+    def running(self) -> int:
+        """Returns the number of orders without a stored result."""
+        return sum(
+            current.phase <= _Phase.BAD for current in self.orders.values()
+        )
+
+    def new_responses(self) -> models.Counts:
+        """Returns the fleet's counts of responses of the target versions."""
+        found = models.NO_COUNTS
+        for current in self.orders.values():
+            for key, counts in current.fleet.cells.items():
+                if key.is_new:
+                    found = found.plus(counts)
+        return found
+
     def sync(self, now: float) -> None:
         """Takes the orders of the local copy over; called after its changes."""
         if not self._share or not self._local_copy.has(source.Kind.ROLLOUTS):
@@ -136,7 +154,9 @@
             old, _ = placement.split(servers, refused.target)
             return old or servers
         target = current.identity.target
-        old, new = self._registered(service, target)
+        old, new = placement.split(servers, target)
+        if not old or not new:
+            old, new = self._registered(service, target)
         return placement.permitted(
             current.phase,
             servers,
@@ -167,11 +187,8 @@
         current = self.orders.get(job.service.name)
         if current is None or not self._allows_canaries(current, now):
             return False
-        is_resumed = (
-            job.version is not None
-            and job.route.kind is knowledge.RouteKind.STREAM
-        )
-        if is_resumed:
+        is_stream = job.route.kind is knowledge.RouteKind.STREAM
+        if is_stream and (job.version is not None or job.attempts):
             is_new = job.version == current.identity.target
             return is_new and current.credit.may_resume()
         return current.credit.may_spend()
@@ -185,6 +202,8 @@
             return
         server = reservation.server
         job.version = server.version
+        if current.phase > _Phase.BAD:
+            return
         is_new = server.version == current.identity.target
         if current.phase < _Phase.MOVING:
             current.credit.record_sent(current.step_share(self._share), is_new)
@@ -224,10 +243,9 @@
         self, now: float
     ) -> list[tuple[knowledge.RolloutOrder, knowledge.RolloutState]]:
         """Returns the orders whose status this router must write now."""
-        live = self._live()
         found = []
         for current in self.orders.values():
-            state_due = current.due_write(self._facts(current, live, now), now)
+            state_due = current.due_write(now)
             if state_due is not None:
                 found.append((current.order, state_due))
         return found
@@ -250,10 +268,17 @@
         self,
         src: str,
         tallies: models.Tallies,
+        age_s: float,
         now: float,
     ) -> bool:
         """Applies another router's report.
 
+        Args:
+            src: The other router.
+            tallies: What its report says, with the ages of the orders now.
+            age_s: Time since it was sent.
+            now: The time.
+
         Returns:
             Whether a phase has changed, which the others should learn soon.
         """
@@ -264,7 +289,7 @@
                 current.forget_router(src)
                 continue
             before = current.phase
-            has_changed |= current.apply_report(src, tally, now)
+            has_changed |= current.apply_report(src, tally, now - age_s, now)
             self._note_phase(current, before, now)
         return has_changed
 
@@ -288,7 +313,9 @@
             self._log.log_withdrawn(replaced, now)
         is_new = self._is_synced and item.state is knowledge.RolloutState.NONE
         early = const.EARLY_SLACK_FRACTION * self._slack / (1 + self._others())
-        begun = order.OrderState(item, is_new, early, self._rng, now)
+        begun = order.OrderState(
+            item, is_new, early, self._max_slice_s, self._rng, now
+        )
         self._log.log_begun(begun)
         self._eras[item.service] = self._era()
         self.changes += 1
--- a/tamarackbridge/components/rollout/order.py
+++ b/tamarackbridge/components/rollout/order.py
@@ -23,6 +23,12 @@
 _Phase = models.Phase
 _State = knowledge.RolloutState
 
+_REPORTED_PHASES = {
+    _Phase.SUCCEEDED: _Phase.MOVING,
+    _Phase.ROLLED_BACK: _Phase.BAD,
+}
+"""What a router reports in place of phases that only the store decides."""
+
 _STORED_PHASES = {
     _State.SUCCEEDED: _Phase.SUCCEEDED,
     _State.ROLLED_BACK: _Phase.ROLLED_BACK,
@@ -71,6 +77,7 @@
         order: knowledge.RolloutOrder,
         is_new: bool,
         early_credit: float,
+        max_slice_s: float,
         rng: random.Random,
         now: float,
     ) -> None:
@@ -80,6 +87,7 @@
             order: The order.
             is_new: Whether it appeared while this router was running.
             early_credit: Credit with which a new order begins.
+            max_slice_s: Longest slice of time that is compared.
             rng: Source of randomness.
             now: The time.
         """
@@ -88,7 +96,7 @@
         self.reason = ""
         self.credit = credit.ExposureCredit(rng, early_credit if is_new else 0)
         self.evidence = evidence.Evidence()
-        self.comparison = comparison.Comparison()
+        self.comparison = comparison.Comparison(max_slice_s)
         self._seen_at = now
         self._started_at = now if is_new else None
         self._heard_at = -math.inf
@@ -98,6 +106,7 @@
         self._in_flight = 0.0
         self._ticked_at = -math.inf
         self._due_since: dict[_State, float] = {}
+        self._facts: Facts | None = None
         self.order = order
         self.update_stored(order)
 
@@ -151,21 +160,29 @@
         self._reported.clear()
         self.update_stored(order)
 
-    def apply_report(self, src: str, tally: models.Tally, now: float) -> bool:
+    def apply_report(
+        self, src: str, tally: models.Tally, sent_at: float, now: float
+    ) -> bool:
         """Applies what another router's report says of the order.
 
+        Args:
+            src: The other router.
+            tally: What its report says, with the age of the order now.
+            sent_at: Time at which the report was sent.
+            now: The time.
+
         Returns:
             Whether the phase has changed.
         """
         self._reported[src] = tally
         if tally.phase is _Phase.UNKNOWN:
             return False
-        self._heard_at = now
+        self._heard_at = max(self._heard_at, sent_at)
         if tally.age_ms >= 0:
             started_at = now - tally.age_ms / 1000
             if self._started_at is None or started_at < self._started_at:
                 self._started_at = started_at
-        return self._raise_phase(min(tally.phase, _Phase.BAD), "")
+        return self._raise_phase(tally.phase, "")
 
     def forget_router(self, src: str) -> None:
         """Drops what a router reported that is silent or reports elsewhere."""
@@ -177,6 +194,7 @@
         Returns:
             Whether the phase has changed.
         """
+        self._facts = facts
         self.evidence.count_late(now)
         self._own = self._own_tally(facts, now)
         self._fleet = self._own
@@ -200,10 +218,14 @@
             self._raise_phase(_Phase.BAD, "no server of the version")
         return self.phase is not before
 
-    def due_write(self, facts: Facts, now: float) -> _State | None:
-        """Returns the state that this router has to write now, if any."""
-        state = self._due_state(facts, now)
-        if state is None:
+    def due_write(self, now: float) -> _State | None:
+        """Returns the state that this router has to write now, if any.
+
+        Goes by the facts of the last `tick`.
+        """
+        facts = self._facts
+        state = self._due_state(facts, now) if facts is not None else None
+        if facts is None or state is None:
             self._due_since.clear()
             return None
         since = self._due_since.setdefault(state, now)
@@ -215,11 +237,11 @@
         if self._started_at is not None:
             age_ms = int((now - self._started_at) * 1000)
         return models.Tally(
-            self.phase,
+            _REPORTED_PHASES.get(self.phase, self.phase),
             age_ms,
             1,
             int(
-                self.phase is _Phase.MOVING
+                self.phase in (_Phase.MOVING, _Phase.SUCCEEDED)
                 and self.is_informed(facts.others, now)
             ),
             facts.in_flight_old,
--- a/tamarackbridge/platform_gauges.py
+++ b/tamarackbridge/platform_gauges.py
@@ -5,10 +5,57 @@
 from tamarackbridge.components.gateway import shedding
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import quarantine
+from tamarackbridge.components.rollout import gate
 from tamarackbridge.components.telemetry import metrics
 from tamarackbridge.platform import store
 
 
+def add_rollouts(
+    registry: metrics.Metrics, clock: core.Clock, rollouts: gate.Gate
+) -> None:
+    """Registers the gauges of rollout orders."""
+
+    def bad() -> int:
+        counts = rollouts.new_responses()
+        return counts.bad + counts.crashed
+
+    def age_s() -> float:
+        ages = (
+            current.age_s(clock.monotonic())
+            for current in rollouts.orders.values()
+        )
+        return max(ages, default=0.0)
+
+    for name, help_text, read in (
+        (
+            "rollouts_running",
+            "Rollout orders without a stored result.",
+            rollouts.running,
+        ),
+        (
+            "rollouts_refused",
+            "Rollout orders that can't be carried out.",
+            lambda: len(rollouts.refused),
+        ),
+        (
+            "rollout_age_seconds",
+            "Age of the oldest rollout order.",
+            age_s,
+        ),
+        (
+            "rollout_responses",
+            "Responses of the target versions to the whole fleet.",
+            lambda: rollouts.new_responses().responses,
+        ),
+        (
+            "rollout_bad_responses",
+            "Bad responses of the target versions to the whole fleet.",
+            bad,
+        ),
+    ):
+        registry.gauge(name, help_text, read)
+
+
 def add(
     registry: metrics.Metrics,
     clock: core.Clock,
--- a/tamarackbridge/platform_parts.py
+++ b/tamarackbridge/platform_parts.py
@@ -34,8 +34,7 @@
     if cfg.bounds.exposure_share > 0:
         rollouts = gate.Gate(
             str(cfg.peers),
-            cfg.bounds.exposure_share,
-            cfg.bounds.exposure_slack,
+            cfg.bounds,
             local_copy,
             work,
             rng,
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -132,6 +132,10 @@
             self._store,
             self._dependencies.block_quarantine,
         )
+        if self._dependencies.rollouts is not None:
+            platform_gauges.add_rollouts(
+                self._registry, self._clock, self._dependencies.rollouts
+            )
         services = self._kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
         self._services = [*services, watch]
--- a/tests/components/fleet/rig.py
+++ b/tests/components/fleet/rig.py
@@ -85,8 +85,7 @@
         self.local_copy = state.LocalCopy(bounds)
         self.gate = gate.Gate(
             address,
-            bounds.exposure_share,
-            bounds.exposure_slack,
+            bounds,
             self.local_copy,
             self.work,
             random.Random(address),
--- a/tests/components/rollout/fleet.py
+++ b/tests/components/rollout/fleet.py
@@ -60,7 +60,7 @@
         self.local_copy.configuration = builders.configuration()
         self.work = ledger.ReservationLedger()
         self.gate = gate.Gate(
-            address, SHARE, SLACK, self.local_copy, self.work, fleet.rng
+            address, BOUNDS, self.local_copy, self.work, fleet.rng
         )
         self.is_alone = False
         self.is_first = False
@@ -127,6 +127,10 @@
         self._steps = itertools.count()
         self._report_at = 0.0
 
+    @property
+    def identity(self) -> rollout.Identity:
+        return rollout.identity(self.stored)
+
     def start(self, address: str) -> Router:
         self.routers[address] = Router(self, address)
         return self.routers[address]
@@ -209,7 +213,7 @@
             def deliver(
                 router: Router = router, rest: rollout.Tallies = rest
             ) -> None:
-                router.gate.apply_report("hub", rest, self.now)
+                router.gate.apply_report("hub", rest, 0.0, self.now)
 
             self.at(self.now + self.rng.uniform(0.05, 0.25), deliver)
 
--- a/tests/components/rollout/test_failures.py
+++ b/tests/components/rollout/test_failures.py
@@ -127,6 +127,35 @@
     assert router.phase is PHASES.RUNNING
 
 
+def test_reports_that_waited_with_a_frozen_router_are_old() -> None:
+    """Guards against evidence that looks new because it was read late."""
+    scene = _begun()
+    scene.run(3.0)
+    router = scene.routers["r0"]
+    tallies = scene.routers["r1"].gate.report()
+    scene.now += 3.0
+    router.gate.apply_report("hub", tallies, 3.0, scene.now)
+    assert _canaries(router, scene) == 0
+    router.gate.apply_report("hub", tallies, 0.1, scene.now)
+    assert _canaries(router, scene)
+
+
+def test_stored_results_are_not_reported() -> None:
+    """Guards against a success that a router takes for a verdict."""
+    scene = _begun()
+    scene.run(10.5)
+    assert scene.writes == responses.GOOD
+    (tally,) = scene.routers["r0"].gate.report().values()
+    assert tally.phase is PHASES.MOVING
+    late = scene.start("late")
+    late.learn(
+        dataclasses.replace(scene.stored, state=fleet.STATES.RUNNING),
+        scene.now,
+    )
+    late.gate.apply_report("hub", {scene.identity: tally}, 0.1, scene.now)
+    assert late.phase is PHASES.MOVING
+
+
 def test_replaced_order_begins_anew_and_the_old_one_is_dropped() -> None:
     """Guards against a verdict on one order that is applied to the next."""
     scene = _begun(responses.bad_at_once)
@@ -136,7 +165,7 @@
     replacing = dataclasses.replace(fleet.order(40), target="v3", created=40)
     router.learn(replacing, scene.now)
     assert router.phase is PHASES.RUNNING
-    assert not router.gate.apply_report("hub", {}, scene.now)
+    assert not router.gate.apply_report("hub", {}, 0.0, scene.now)
     assert router.gate.orders["app"].fleet == rollout.Tally()
 
 
--- a/tests/components/rollout/test_placement.py
+++ b/tests/components/rollout/test_placement.py
@@ -65,7 +65,10 @@
             local_copy.register(dataclasses.replace(server, version=version), 0)
         work = ledger.ReservationLedger()
         rng = random.Random(1)
-        self.gate = gate.Gate("r1", 0.5, 0.0, local_copy, work, rng)
+        bounds = dataclasses.replace(
+            fleet.BOUNDS, exposure_share=0.5, exposure_slack=0.0
+        )
+        self.gate = gate.Gate("r1", bounds, local_copy, work, rng)
         self.local_copy = local_copy
         breakers, estimator = health.CircuitBreakers(), estimate.Estimator()
         limiter = warmup.WarmupLimiter("r1")
--- a/tests/components/rollout/test_writer.py
+++ b/tests/components/rollout/test_writer.py
@@ -71,8 +71,7 @@
         self.local_copy.configuration = builders.configuration()
         self.gate = gate.Gate(
             "r1",
-            fleet.SHARE,
-            fleet.SLACK,
+            fleet.BOUNDS,
             self.local_copy,
             ledger.ReservationLedger(),
             random.Random(1),
@@ -88,6 +87,7 @@
 
     def _sync(self) -> None:
         self.gate.sync(self.clock.now)
+        self.gate.tick(self.clock.now)
 
     def read(
         self, era: int, revision: int, *found: models.RolloutOrder
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -159,6 +159,9 @@
             resp = await env.async_send("/read/1", request_id=f"after{number}")
             assert resp.status == 200
         assert _ran(env)[1] == new
+        rendered = env.router._registry.render().decode()
+        assert "tamarackbridge_rollouts_running 0.0" in rendered
+        assert "tamarackbridge_rollout_bad_responses 0.0" not in rendered
         await env.store.async_remove(const.KIND_ROLLOUTS, "app")
         rollout_gate = env.router._dependencies.rollouts
         assert rollout_gate is not None
