Read the facts of an order apart from the gate; back off failed writes

In a long outage of the store every router comes to write in turn; each now tries again after 1, 2 and then every 4 s instead of every second.

--- a/tamarackbridge/components/rollout/gate.py
+++ b/tamarackbridge/components/rollout/gate.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Collection, Sequence
-import math
 import random
 
 from tamarackbridge.components.fleet import models as fleet
@@ -15,6 +14,7 @@
 from tamarackbridge.components.placement import ledger
 from tamarackbridge.components.rollout import (
     const,
+    facts,
     models,
     new_versions,
     order,
@@ -45,14 +45,13 @@
         self.changes = 0
         self.orders: dict[str, order.OrderState] = {}
         self.refused: dict[str, knowledge.RolloutOrder] = {}
-        self._address = address
+        self._facts = facts.FactsReader(address, local_copy, work)
         self._share = bounds.exposure_share
         self._slack = bounds.exposure_slack
         self._max_slice_s = min(
             const.MAX_SLICE_S, const.MAX_SLICE_FRACTION * bounds.rollback_s
         )
         self._local_copy = local_copy
-        self._work = work
         self._rng = rng
         self._others: Callable[[], int] = lambda: 0
         self._live: Callable[[], Collection[str]] = lambda: (address,)
@@ -156,7 +155,7 @@
         target = current.identity.target
         old, new = placement.split(servers, target)
         if not old or not new:
-            old, new = self._registered(service, target)
+            old, new = self._facts.registered(service, target)
         return placement.permitted(
             current.phase,
             servers,
@@ -236,7 +235,9 @@
         live = self._live()
         for current in self.orders.values():
             before = current.phase
-            current.tick(self._facts(current, live, now), now)
+            current.tick(
+                self._facts.of(current.identity, live, self._others(), now), now
+            )
             self._note_phase(current, before, now)
 
     def due_writes(
@@ -357,52 +358,3 @@
         self._has_unsent_change = True
         self._log.log_phase(current, now)
         self._on_change()
-
-    def _registered(
-        self, service: str, target: str
-    ) -> tuple[list[state.RegisteredServer], list[state.RegisteredServer]]:
-        return placement.split(
-            (
-                registered
-                for registered in self._local_copy.servers.values()
-                if registered.server.service == service
-            ),
-            target,
-        )
-
-    def _facts(
-        self, current: order.OrderState, live: Collection[str], now: float
-    ) -> order.Facts:
-        service, target = current.identity.service, current.identity.target
-        old, new = self._registered(service, target)
-        own = self._work.own()
-
-        def in_flight(servers: list[state.RegisteredServer]) -> int:
-            return sum(
-                own[registered.server.name].requests
-                for registered in servers
-                if registered.server.name in own
-            )
-
-        in_flight_old = in_flight(old)
-        return order.Facts(
-            self._address,
-            live,
-            self._others(),
-            len(new),
-            self._warm_slots(service, target, now),
-            in_flight_old,
-            in_flight_old + in_flight(new),
-        )
-
-    def _warm_slots(self, service: str, target: str, now: float) -> float:
-        cfg = self._local_copy.configuration
-        engine = cfg.services.get(service) if cfg is not None else None
-        engine_slots = engine.slots if engine is not None else 0
-        _, new = placement.split(self._local_copy.usable(service, now), target)
-        slots = [
-            engine_slots or registered.server.slots or math.inf
-            for registered in new
-            if registered.warm_at <= now
-        ]
-        return sum(slots)
--- a/tamarackbridge/components/rollout/writer.py
+++ b/tamarackbridge/components/rollout/writer.py
@@ -19,7 +19,10 @@
 """Interval at which it is checked whether there is an order."""
 
 RETRY_S = 1.0
-"""Interval between attempts to write while the store does not take them."""
+MAX_RETRY_S = 4.0
+"""Interval between attempts to write while the store does not take them, at
+first and at most. In a long outage all routers come to try, one after the other
+by their ranks."""
 
 
 class StatusStore(Protocol):
@@ -56,6 +59,7 @@
         self._applier = update_applier
         self._clock = clock
         self._retry_at = -math.inf
+        self._retry_s = RETRY_S
         self._task: asyncio.Task[None] | None = None
         self._writing: asyncio.Task[None] | None = None
 
@@ -107,7 +111,12 @@
             )
         )
         if outcome != "stored":
-            self._retry_at = self._clock.monotonic() + RETRY_S
+            self._retry_at = self._clock.monotonic() + self._retry_s
+        self._retry_s = (
+            min(self._retry_s * 2, MAX_RETRY_S)
+            if outcome == "failed"
+            else RETRY_S
+        )
 
     async def _async_read(self) -> None:
         """Reads the orders again, as one was changed by somebody else."""
