--- a/tests/components/rollout/fleet.py
+++ b/tests/components/rollout/fleet.py
@@ -6,7 +6,7 @@
 import heapq
 import itertools
 import random
-from typing import cast
+from typing import TypeAlias, cast
 
 from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.gateway import models as gateway
@@ -27,7 +27,8 @@
 )
 STATES = models.RolloutState
 
-Respond = Callable[[random.Random, "Sent"], tuple[float, jobs.Outcome]]
+Response: TypeAlias = tuple[float, jobs.Outcome]
+Respond: TypeAlias = Callable[[random.Random, "Sent"], Response]
 """Returns the time that an attempt takes, and its outcome."""
 
 
--- a/tests/components/rollout/test_failures.py
+++ b/tests/components/rollout/test_failures.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import models
 from tamarackbridge.components.rollout import const
 from tamarackbridge.components.rollout import models as rollout
@@ -272,9 +271,7 @@
 def test_in_flight_at_old_servers_delays_success() -> None:
     """Guards against old servers that stop with requests in flight."""
 
-    def respond(
-        rng: random.Random, sent: fleet.Sent
-    ) -> tuple[float, jobs.Outcome]:
+    def respond(rng: random.Random, sent: fleet.Sent) -> fleet.Response:
         took_s, outcome = responses.good(rng, sent)
         long = not sent.is_new and sent.at > 5.5 and rng.random() < 0.2
         return (1.5 if long else took_s), outcome
--- a/tests/components/rollout/test_fleet.py
+++ b/tests/components/rollout/test_fleet.py
@@ -1,5 +1,6 @@
 """Exposure, rollback and evidence with many routers and late reports."""
 
+from collections.abc import Callable
 import random
 
 import pytest
@@ -12,117 +13,84 @@
 ROLLED_BACK = [fleet.STATES.RUNNING, fleet.STATES.ROLLED_BACK]
 
 
-def _served(
-    rng: random.Random, factor: float = 1.0
-) -> tuple[float, jobs.Outcome]:
+def _served(rng: random.Random, factor: float = 1.0) -> fleet.Response:
     took_s = 0.045 * rng.uniform(0.6, 1.8) * factor
     return took_s, FAILED if rng.random() < 0.003 else SERVED
 
 
-def good(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
-    return _served(rng)
-
-
-def _fails(rng: random.Random, rate: float) -> tuple[float, jobs.Outcome]:
-    return (0.03, FAILED) if rng.random() < rate else _served(rng)
-
+def _failing(rate: Callable[[fleet.Sent], float]) -> fleet.Respond:
+    def respond(rng: random.Random, sent: fleet.Sent) -> fleet.Response:
+        return (0.03, FAILED) if rng.random() < rate(sent) else _served(rng)
 
-def bad_at_once(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
-    return _fails(rng, 0.3 if sent.is_new else 0)
+    return respond
 
 
-def bad_a_little(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
-    return _fails(rng, 0.08 if sent.is_new else 0)
+def _new_ends(
+    rate: float, took_s: float, outcome: jobs.Outcome
+) -> fleet.Respond:
+    def respond(rng: random.Random, sent: fleet.Sent) -> fleet.Response:
+        if sent.is_new and rng.random() < rate:
+            return took_s, outcome
+        return _served(rng)
 
+    return respond
 
-def bad_later(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
-    return _fails(rng, 0.4 if sent.is_new and sent.at > 5 else 0)
 
-
-def bad_after_move(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
+def bad_after_move(rng: random.Random, sent: fleet.Sent) -> fleet.Response:
     if rng.random() < 0.03:
         return 2.5, SERVED  # Delays the end of the move.
-    return _fails(rng, 0.4 if sent.is_new and sent.at > 7 else 0)
-
-
-def bad_on_one_route(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
-    return _fails(rng, 0.5 if sent.is_new and sent.route == "b" else 0)
-
-
-def bad_under_load(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
-    return _fails(rng, 0.5 if sent.is_new and sent.in_flight > 1 else 0)
-
-
-def slow(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
-    return _served(rng, 5.0 if sent.is_new else 1.0)
-
-
-def hangs(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
-    if sent.is_new and rng.random() < 0.3:
-        return 9.0, jobs.Outcome.TIMED_OUT
-    return _served(rng)
-
-
-def zone_trouble(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
-    in_trouble = sent.server.zone == "z1" and 3 < sent.at < 7
-    return _fails(rng, 0.6 if in_trouble else 0)
+    return _failing(lambda it: 0.4 if it.is_new and it.at > 7 else 0)(rng, sent)
 
 
-def overload(
-    rng: random.Random, sent: fleet.Sent
-) -> tuple[float, jobs.Outcome]:
+def overload(rng: random.Random, sent: fleet.Sent) -> fleet.Response:
     if 2 < sent.at < 6:
         return rng.uniform(0.1, 0.6), SERVED if rng.random() < 0.7 else FAILED
     return _served(rng)
 
 
-def varied(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
-    return 0.05 * rng.lognormvariate(0, 0.8), SERVED
-
-
-def crashes(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
-    if sent.is_new and rng.random() < 0.15:
-        return 0.02, jobs.Outcome.CRASHED
-    return _served(rng)
-
-
-def refuses(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
-    if sent.is_new and rng.random() < 0.5:
-        return 0.01, jobs.Outcome.REJECTED
-    return _served(rng)
-
-
-def poison(rng: random.Random, sent: fleet.Sent) -> tuple[float, jobs.Outcome]:
+def poison(rng: random.Random, sent: fleet.Sent) -> fleet.Response:
     """A request now and then crashes its server, which loses all its others."""
     if int(sent.at * 5) % 10 == 0 and rng.random() < 0.15:
         return 0.02, jobs.Outcome.CRASHED
     return _served(rng)
 
 
+good = _failing(lambda it: 0)
+bad_at_once = _failing(lambda it: 0.3 if it.is_new else 0)
+bad_later = _failing(lambda it: 0.4 if it.is_new and it.at > 5 else 0)
+
+GOOD_VERSIONS: dict[str, fleet.Respond] = {
+    "good": good,
+    "varied": lambda rng, it: (0.05 * rng.lognormvariate(0, 0.8), SERVED),
+    "zone": _failing(
+        lambda it: 0.6 if it.server.zone == "z1" and 3 < it.at < 7 else 0
+    ),
+    "overload": overload,
+    "refuses": _new_ends(0.5, 0.01, jobs.Outcome.REJECTED),
+    "poison": poison,
+}
+BAD_VERSIONS: dict[str, fleet.Respond] = {
+    "at once": bad_at_once,
+    "a little": _failing(lambda it: 0.08 if it.is_new else 0),
+    "later": bad_later,
+    "after move": bad_after_move,
+    "one route": _failing(
+        lambda it: 0.5 if it.is_new and it.route == "b" else 0
+    ),
+    "under load": _failing(
+        lambda it: 0.5 if it.is_new and it.in_flight > 1 else 0
+    ),
+    "slow": lambda rng, it: _served(rng, 5.0 if it.is_new else 1.0),
+    "hangs": _new_ends(0.3, 9.0, jobs.Outcome.TIMED_OUT),
+    "crashes": _new_ends(0.15, 0.02, jobs.Outcome.CRASHED),
+}
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize(
-    "respond",
-    [good, varied, zone_trouble, overload, refuses, poison],
-)
-def test_good_version_succeeds_in_time(
-    respond: fleet.Respond, seed: int
-) -> None:
+@pytest.mark.parametrize("name", GOOD_VERSIONS)
+def test_good_version_succeeds_in_time(name: str, seed: int) -> None:
     """Guards against a rollback for failures that both versions have."""
-    scene = fleet.Fleet(respond, seed=seed)
+    scene = fleet.Fleet(GOOD_VERSIONS[name], seed=seed)
     scene.begin()
     scene.run(5.9)
     _assert_exposure(scene)
@@ -131,27 +99,14 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize(
-    "respond",
-    [
-        bad_at_once,
-        bad_a_little,
-        bad_later,
-        bad_after_move,
-        bad_on_one_route,
-        bad_under_load,
-        slow,
-        hangs,
-        crashes,
-    ],
-)
-def test_bad_version_is_stopped(respond: fleet.Respond, seed: int) -> None:
+@pytest.mark.parametrize("name", BAD_VERSIONS)
+def test_bad_version_is_stopped(name: str, seed: int) -> None:
     """Guards against exposure, and against a rollback that comes late."""
-    scene = fleet.Fleet(respond, seed=seed)
+    scene = fleet.Fleet(BAD_VERSIONS[name], seed=seed)
     scene.begin()
     scene.run(12.0)
     assert scene.writes == ROLLED_BACK
-    if respond is not bad_after_move:  # Accepted, so the limit has ended.
+    if name != "after move":  # Accepted, so the limit has ended.
         _assert_exposure(scene)
     if len(scene.bad_at) >= 50:
         assert not scene.arrived_new(since=sorted(scene.bad_at)[49] + 1.0)
--- a/tests/components/rollout/test_placement.py
+++ b/tests/components/rollout/test_placement.py
@@ -5,28 +5,21 @@
 import dataclasses
 import random
 
+from tamarackbridge import platform_parts
 from tamarackbridge.components.admission import (
     controller,
-    dependencies,
     observed_load,
     shares,
 )
 from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import source, state
-from tamarackbridge.components.placement import (
-    estimate,
-    health,
-    ledger,
-    notices,
-    prefix_cache,
-    quarantine,
-    selector,
-    warmup,
-)
-from tamarackbridge.components.rollout import gate, placement
+from tamarackbridge.components.placement import ledger
 from tamarackbridge.components.rollout import models as rollout
+from tamarackbridge.components.rollout import placement
+from tamarackbridge.platform import settings
 from tests import clocks
+from tests.components.gateway import rig
 from tests.components.knowledge import builders
 from tests.components.rollout import fleet
 
@@ -63,44 +56,16 @@
             server = builders.server(name, "app", slots=6)
             version = "v2" if name.startswith("new") else "v1"
             local_copy.register(dataclasses.replace(server, version=version), 0)
-        work = ledger.ReservationLedger()
         rng = random.Random(1)
-        bounds = dataclasses.replace(
-            fleet.BOUNDS, exposure_share=0.5, exposure_slack=0.0
-        )
-        self.gate = gate.Gate("r1", bounds, local_copy, work, rng)
-        self.local_copy = local_copy
-        breakers, estimator = health.CircuitBreakers(), estimate.Estimator()
-        limiter = warmup.WarmupLimiter("r1")
-        server_notices = notices.ServerNotices()
-        cache_index = prefix_cache.PrefixCacheIndex()
-        server_selector = selector.ServerSelector(
-            "r1",
-            "z1",
-            local_copy,
-            work,
-            cache_index,
-            breakers,
-            estimator,
-            limiter,
-            server_notices,
-            self.gate,
-        )
-        deps = dependencies.Dependencies(
-            fleet.BOUNDS,
-            local_copy,
-            work,
-            cache_index,
-            breakers,
-            estimator,
-            limiter,
-            server_notices,
-            server_selector,
-            quarantine.BlockQuarantine("r1"),
-            self.gate,
+        text = rig.settings_text("127.0.0.1:1", [1, 2, 3, 4])
+        cfg = settings.parse(
+            f"{text}\nbounds.exposure_share=0.5\nbounds.exposure_slack=0"
         )
+        self.deps = platform_parts.make(cfg, local_copy, rng)
+        assert self.deps.rollouts is not None
+        self.gate, self.local_copy = self.deps.rollouts, local_copy
         self.controller = controller.AdmissionController(
-            deps, self.clock, rng, NoPeers(), lambda wait_s: None
+            self.deps, self.clock, rng, NoPeers(), lambda wait_s: None
         )
 
     def order(self, *items: knowledge.RolloutOrder) -> None:
@@ -201,7 +166,7 @@
     servers = list(world.local_copy.servers.values())
     for registered in placement.canaries(servers, "v2", 0.1, 0.0):
         for _ in range(6):
-            world.controller._deps.work.begin(
+            world.deps.work.begin(
                 ledger.Reservation(registered.server, "", 0, 0, 0.0)
             )
     assert (await world.async_send(1)) == {"v1": 1}
