Don't take cold servers and new connections for a slow version

In a trial with five router processes a good version was rejected 0.45 s after its order: 4 of the first 21 responses of its servers took 38 to 84 ms, where others took 6, as they opened connections. The first response of a server now counts as slow only 0.1 s above the old version's mean, others 0.04 s above it, and none of a cold server.

--- a/tamarackbridge/components/rollout/const.py
+++ b/tamarackbridge/components/rollout/const.py
@@ -29,9 +29,15 @@
 """A response is slow if its first event takes this many times the old version's
 mean. Neighbours on a host slow single servers 2.5 times."""
 
-MIN_SLOW_MARGIN_S: Final = 0.02
-"""Time above the mean that a slow response takes at least: a busy event loop
-adds this much to fast ones."""
+MIN_SLOW_MARGIN_S: Final = 0.04
+"""Time above the mean that a slow response takes at least: an event loop whose
+lag is accepted (`gateway/shedding.py`) adds this much to fast ones."""
+
+FIRST_MARGIN_S: Final = 0.1
+"""The same for attempts at a server that has not responded to this router since
+the order. They open a connection: of 21 first ones to new servers that
+responded within 6 ms later, four took 38 to 84 ms, and a good version was
+rejected."""
 
 MIN_OLD_RESPONSES: Final = 5
 """Responses of the old version on a route below which none is called slow."""
--- a/tamarackbridge/components/rollout/evidence.py
+++ b/tamarackbridge/components/rollout/evidence.py
@@ -35,6 +35,9 @@
 
     key: models.CellKey
     sent_at: float
+    server: str
+    is_first: bool
+    is_cold: bool
     is_counted: bool = False
     is_bad: bool = False
 
@@ -49,7 +52,8 @@
     def __init__(self) -> None:
         self.cells: dict[models.CellKey, models.Counts] = {}
         self._attempts: dict[Hashable, _Attempt] = {}
-        self._slow_s: Mapping[str, float] = {}
+        self._means_s: Mapping[str, float] = {}
+        self._responded: set[str] = set()
 
     def use_cells(self, fleet: Mapping[models.CellKey, models.Counts]) -> None:
         """Works out from the fleet's counts what counts as slow."""
@@ -58,29 +62,38 @@
             if not key.is_new:
                 known = old.get(key.route, models.NO_COUNTS)
                 old[key.route] = known.plus(counts)
-        means_s = {
+        self._means_s = {
             route: counts.first_event_ms / counts.responses / MS_PER_S
             for route, counts in old.items()
             if counts.responses >= const.MIN_OLD_RESPONSES
         }
-        self._slow_s = {
-            route: max(
-                const.SLOW_FACTOR * mean_s, mean_s + const.MIN_SLOW_MARGIN_S
-            )
-            for route, mean_s in means_s.items()
-        }
 
     def record_sent(
-        self, attempt: Hashable, key: models.CellKey, now: float
+        self,
+        attempt: Hashable,
+        key: models.CellKey,
+        now: float,
+        server: str = "",
+        is_cold: bool = False,
     ) -> None:
-        """Records that an attempt was sent."""
-        self._attempts[attempt] = _Attempt(key, now)
+        """Records that an attempt was sent.
+
+        Args:
+            attempt: The attempt.
+            key: What it is counted by.
+            now: The time.
+            server: Name of the server.
+            is_cold: Whether the server is warming up, and so may be slow.
+        """
+        is_first = server not in self._responded
+        self._attempts[attempt] = _Attempt(key, now, server, is_first, is_cold)
 
     def record_head(self, attempt: Hashable, now: float) -> None:
         """Records the head of a response, unless it is a refusal."""
         found = self._attempts.get(attempt)
         if found is None:
             return
+        self._responded.add(found.server)
         first_event_s = now - found.sent_at
         first_event_ms = round(first_event_s * MS_PER_S)
         self._count(found, self._is_slow(found, now), first_event_ms)
@@ -118,8 +131,14 @@
         return not found.is_counted and self._is_slow(found, now)
 
     def _is_slow(self, found: _Attempt, now: float) -> bool:
-        slow_s = self._slow_s.get(found.key.route)
-        return slow_s is not None and now - found.sent_at > slow_s
+        mean_s = self._means_s.get(found.key.route)
+        if mean_s is None or found.is_cold:
+            return False
+        margin_s = (
+            const.FIRST_MARGIN_S if found.is_first else const.MIN_SLOW_MARGIN_S
+        )
+        slow_s = max(const.SLOW_FACTOR * mean_s, mean_s + margin_s)
+        return now - found.sent_at > slow_s
 
     def _count(
         self, found: _Attempt, is_bad: bool, first_event_ms: int = 0
--- a/tamarackbridge/components/rollout/gate.py
+++ b/tamarackbridge/components/rollout/gate.py
@@ -207,7 +207,11 @@
         if current.phase < _Phase.MOVING:
             current.credit.record_sent(current.step_share(self._share), is_new)
         key = models.CellKey(job.route.name, server.zone, is_new)
-        current.evidence.record_sent(reservation, key, now)
+        registered = self._local_copy.servers.get(server.name)
+        is_cold = registered is not None and registered.warm_at > now
+        current.evidence.record_sent(
+            reservation, key, now, server.name, is_cold
+        )
 
     def record_head(self, reservation: ledger.Reservation, now: float) -> None:
         """Records the head of a response that is no refusal."""
--- a/tests/components/rollout/test_failures.py
+++ b/tests/components/rollout/test_failures.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from tamarackbridge.components.gateway import jobs
 from tamarackbridge.components.knowledge import models
 from tamarackbridge.components.rollout import const
+from tamarackbridge.components.rollout import evidence as rollout_evidence
 from tamarackbridge.components.rollout import models as rollout
 from tamarackbridge.helpers import rendezvous
 from tests.components.rollout import fleet
@@ -155,6 +157,26 @@
     assert late.phase is PHASES.MOVING
 
 
+def test_cold_servers_and_new_connections_are_not_slow() -> None:
+    """Guards against good versions that are rejected for their start."""
+    evidence = rollout_evidence.Evidence()
+    old = rollout.CellKey("a", "z1", False)
+    new = rollout.CellKey("a", "z1", True)
+    evidence.use_cells({old: rollout.Counts(100, 0, 0, 500)})
+
+    def bad_after(took_s: float, server: str, is_cold: bool) -> int:
+        before = evidence.cells.get(new, rollout.NO_COUNTS).bad
+        evidence.record_sent("q", new, 0.0, server, is_cold)
+        evidence.record_head("q", took_s)
+        evidence.record_end("q", jobs.Outcome.SERVED, took_s)
+        return evidence.cells[new].bad - before
+
+    assert bad_after(3.0, "cold", True) == 0
+    assert bad_after(0.08, "s", False) == 0
+    assert bad_after(0.08, "s", False) == 1
+    assert bad_after(0.2, "t", False) == 1
+
+
 def test_replaced_order_begins_anew_and_the_old_one_is_dropped() -> None:
     """Guards against a verdict on one order that is applied to the next."""
     scene = _begun(responses.bad_at_once)
