--- a/tamarackbridge/components/admission/dependencies.py
+++ b/tamarackbridge/components/admission/dependencies.py
@@ -21,6 +21,7 @@
     selector,
     warmup,
 )
+from tamarackbridge.components.rollout import gate
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +41,7 @@
     demand: service_demand.ServiceDemand = dataclasses.field(
         default_factory=service_demand.ServiceDemand
     )
+    rollouts: gate.Gate | None = None
 
 
 class PeerRouters(Protocol):
--- a/tamarackbridge/components/fleet/view.py
+++ b/tamarackbridge/components/fleet/view.py
@@ -19,6 +19,7 @@
     peer_headroom,
     peers,
     report_builder,
+    rollout_reports,
     speed_reports,
     summary,
 )
@@ -30,6 +31,8 @@
     quarantine,
     speed_store,
 )
+from tamarackbridge.components.rollout import const as rollout_const
+from tamarackbridge.components.rollout import gate
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import rendezvous
 
@@ -77,6 +80,7 @@
         headroom_cores: Returns this router's processor headroom, in cores.
         speeds: Learned speeds of servers; None if none are learned.
         demand: Demand for services without model engines.
+        rollouts: The rollout orders; None if they are not carried out.
     """
 
     work: ledger.ReservationLedger
@@ -93,6 +97,7 @@
     demand: service_demand.ServiceDemand = dataclasses.field(
         default_factory=service_demand.ServiceDemand
     )
+    rollouts: gate.Gate | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -163,6 +168,7 @@
         self._use_sent_at = -math.inf
         self._use_interval_s = MIN_USE_INTERVAL_S
         self._probed_at = -math.inf
+        self._rollouts_sent_at = -math.inf
 
     @property
     def hub(self) -> str | None:
@@ -260,6 +266,8 @@
         state = self._states.get(src)
         if state is None or state.direction is not report.direction:
             state = self._states[src] = _PeerState(report.direction, now, now)
+            if self._own.rollouts is not None:
+                self._own.rollouts.forget_router(src)
         state.received_at = now
         state.store_reader = report.store_reader
         state.has_no_store = any(edition.away for edition in report.versions)
@@ -284,6 +292,11 @@
             self._own.block_quarantine, report, sent_at, now
         )
         self._speed_reports.apply(src, report, sent_at)
+        if report.rollouts is not None and self._own.rollouts is not None:
+            tallies = rollout_reports.decode(report.rollouts, age_s)
+            is_urgent |= self._own.rollouts.apply_report(
+                src, tallies, age_s, now
+            )
         is_unknown = src not in self._role.hubs and src in self._live
         return ReportEffect(
             needs_introduction=report.direction is _Direction.ACROSS
@@ -368,6 +381,9 @@
             self._new_blocks.append((self._address, server, block_hash))
         if has_use:
             self._use_sent_at = now
+        has_rollouts = self._are_rollouts_due(now)
+        if has_rollouts:
+            self._rollouts_sent_at = now
         return report_builder.ReportRound(
             has_routers,
             has_use,
@@ -375,6 +391,18 @@
             crashes,
             tuple(self._new_blocks),
             self._own.versions(),
+            has_rollouts,
+        )
+
+    def _are_rollouts_due(self, now: float) -> bool:
+        """Returns whether a round of reports contains rollout orders."""
+        rollouts = self._own.rollouts
+        if rollouts is None or not rollouts.orders:
+            return False
+        elapsed_s = now - self._rollouts_sent_at
+        return (
+            rollouts.pop_unsent_change()
+            or elapsed_s >= rollout_const.REPORT_INTERVAL_S
         )
 
     def introduction(self, now: float) -> messages.Introduction:
@@ -435,6 +463,8 @@
         self._states.pop(src, None)
         self._speed_reports.drop(src)
         self._own.work.remove_router(src, now)
+        if self._own.rollouts is not None:
+            self._own.rollouts.forget_router(src)
 
     def _change_role(
         self, new: groups.Role, now: float
@@ -472,6 +502,9 @@
             {self._address: own.headroom_cores()}
             if report_round.has_routers
             else {},
+            own.rollouts.report()
+            if own.rollouts is not None and report_round.has_rollouts
+            else {},
         )
 
     def _peer_summary(
@@ -488,6 +521,9 @@
             if report_round.has_use
             else observed_load.NO_LOAD,
             state.headroom_cores if report_round.has_routers else {},
+            self._own.rollouts.reported(src)
+            if self._own.rollouts is not None and report_round.has_rollouts
+            else {},
         )
 
     def _member_reports(
--- a/tamarackbridge/components/gateway/jobs.py
+++ b/tamarackbridge/components/gateway/jobs.py
@@ -30,6 +30,8 @@
         body_memory: Memory of the body; None without a body.
         parts: Identifiers of the request and of its prompt's shared blocks;
             empty until they are needed.
+        version: Version of the server that it was sent to last; None before,
+            and while no rollout of the service is known.
     """
 
     request: models.Request
@@ -42,6 +44,7 @@
     attempts: int = 0
     body_memory: body_budget.Holding | None = None
     parts: frozenset[str] = frozenset()
+    version: str | None = None
 
 
 class Outcome(enum.Enum):
--- a/tamarackbridge/components/knowledge/source.py
+++ b/tamarackbridge/components/knowledge/source.py
@@ -15,6 +15,7 @@
     CONFIGURATION = "configuration"
     SERVERS = "servers"
     ZONES = "zones"
+    ROLLOUTS = "rollouts"
 
 
 class Failure(enum.Enum):
@@ -24,6 +25,18 @@
     HISTORY_LOST = "history_lost"
 
 
+class StatusFailure(enum.Enum):
+    """Reasons for which the status of an order is not written.
+
+    Attributes:
+        UNREACHABLE: The store did not take it.
+        CONFLICT: The order was changed since it was read.
+    """
+
+    UNREACHABLE = "unreachable"
+    CONFLICT = "conflict"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationUpdate:
     """A configuration is in force."""
@@ -59,12 +72,28 @@
     zone: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutUpdate:
+    """A rollout is ordered, or its order or status has changed."""
+
+    order: models.RolloutOrder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutRemoval:
+    """The order of a rollout was deleted."""
+
+    name: str
+
+
 Update: TypeAlias = (
     ConfigurationUpdate
     | ServerUpdate
     | ServerRemoval
     | ZoneEvacuation
     | ZoneReturn
+    | RolloutUpdate
+    | RolloutRemoval
 )
 
 
--- a/tamarackbridge/components/placement/selector.py
+++ b/tamarackbridge/components/placement/selector.py
@@ -177,6 +177,7 @@
         limiter: warmup.WarmupLimiter,
         server_notices: notices.ServerNotices,
         rng: random.Random | None = None,
+        rollouts: pool.Rollouts | None = None,
     ) -> None:
         """Creates the selector.
 
@@ -192,10 +193,12 @@
             server_notices: What they announced.
             rng: Source of randomness; by default one that differs between
                 routers.
+            rollouts: The rollout orders; None if they are not carried out.
         """
         self._smoothed = smoothed_load.SmoothedLoad()
         self._rng = rng or random.Random(router)
         self._router = router
+        self._rollouts = rollouts
         self._notices = server_notices
         self._local_copy = local_copy
         self._zone = zone
@@ -203,7 +206,7 @@
         self._estimator = estimator
         self._limiter = limiter
         self.pools = pool.Pools(
-            local_copy, work, breakers, estimator, server_notices
+            local_copy, work, breakers, estimator, server_notices, rollouts
         )
         self._work = work
 
@@ -219,14 +222,15 @@
         self._estimator.advance(now)
 
         def make_view(
-            service: knowledge.Service,
+            service: knowledge.Service, is_canary: bool
         ) -> scheduling_view.ServiceView:
             def make_state(
                 registered: state.RegisteredServer,
             ) -> scheduling_view.ServerState:
                 return self._make_state(service, registered, routers, now)
 
-            servers = self.pools.of(service.name, now)
+            find = self.pools.canaries if is_canary else self.pools.of
+            servers = find(service.name, now)
             return scheduling_view.ServiceView(
                 servers, service.is_model, make_state, now
             )
@@ -272,9 +276,27 @@
         """Returns the servers that determine whether a request is sent now.
 
         Leads to the same decision as all of `options` would, but scores a
-        server in full only if its base cost and rank leave it a chance.
+        server in full only if its base cost and rank leave it a chance. A
+        canary request goes to a server of the new version if one has room.
         """
-        servers = view.of(job.service)
+        rollouts = self._rollouts
+        if (
+            rollouts is not None
+            and rollouts.is_active
+            and rollouts.prefers_canary(job, view.of(job.service).now)
+        ):
+            canaries = view.canaries(job.service)
+            found = self._shortlist(job, profile, canaries)
+            if any(not option.is_full for option in found.options):
+                return found
+        return self._shortlist(job, profile, view.of(job.service))
+
+    def _shortlist(
+        self,
+        job: jobs.Job,
+        profile: request_profile.RequestProfile,
+        servers: scheduling_view.ServiceView,
+    ) -> Shortlist:
         candidates = servers.candidates(profile.key, job.excluded_servers)
         if not job.service.is_model:
             best = self._best_plain(job, profile, servers, candidates)
--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 from typing import Any
+import urllib.parse
 
 import aiohttp
 import msgspec
@@ -44,6 +45,7 @@
     WATCH = "watch"
     CREATE = "create"
     REPLACE = "replace"
+    WRITE_STATUS = "write_status"
     DELETE = "delete"
 
 
@@ -68,12 +70,16 @@
         revision: Revision of its last change.
         spec: Content of the object; None if it is malformed.
         deleted: Whether the object was deleted.
+        status: What routers wrote about it; None if there is nothing.
+        created: Revision at which it was created; 0 if not stated.
     """
 
     name: str
     revision: int
     spec: Any
     deleted: bool = False
+    status: Any = None
+    created: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -242,6 +248,19 @@
         )
         return answer.map(_drop_body)
 
+    async def async_put_status(
+        self, kind: str, name: str, body: Any
+    ) -> result.Result[bytes, Failure]:
+        """Writes the status of an object; returns the object as it is then.
+
+        The write is conditional on the revision in the body's metadata.
+        """
+        path = f"/{urllib.parse.quote(name, safe='')}/status"
+        answer = await self._async_call(
+            Operation.WRITE_STATUS, kind, path, body
+        )
+        return answer.map(_body)
+
     async def async_delete(
         self, kind: str, name: str
     ) -> result.Result[None, Failure]:
@@ -323,6 +342,7 @@
 _METHODS = {
     Operation.CREATE: "POST",
     Operation.REPLACE: "PUT",
+    Operation.WRITE_STATUS: "PUT",
     Operation.DELETE: "DELETE",
 }
 
@@ -349,8 +369,16 @@
             )
             continue
         meta = entry.metadata
-        spec = entries.content(entry.spec)
-        objects.append(StoredObject(meta.name, meta.revision, spec, deleted))
+        objects.append(
+            StoredObject(
+                meta.name,
+                meta.revision,
+                entries.content(entry.spec),
+                deleted,
+                entries.content(entry.status),
+                meta.created if isinstance(meta.created, int) else 0,
+            )
+        )
     return objects
 
 
@@ -359,6 +387,11 @@
     return {"metadata": {"name": name}, "spec": spec}
 
 
+def _body(answer: _Answer) -> bytes:
+    data: bytes = answer.body
+    return data
+
+
 def _drop_body(answer: _Answer) -> None:
     """Drops the object that the store returns after a write."""
     del answer
--- a/tamarackbridge/platform_parts.py
+++ b/tamarackbridge/platform_parts.py
@@ -1,6 +1,7 @@
 """Builds the parts that placement and admission share on the platform."""
 
 from collections.abc import Callable
+import random
 
 from tamarackbridge.components.admission import dependencies
 from tamarackbridge.components.knowledge import state
@@ -15,6 +16,7 @@
     server_speeds,
     warmup,
 )
+from tamarackbridge.components.rollout import gate
 from tamarackbridge.platform import settings as platform_settings
 
 
@@ -22,6 +24,7 @@
     cfg: platform_settings.Settings,
     local_copy: state.LocalCopy,
     lag_s: Callable[[], float],
+    rng: random.Random,
 ) -> dependencies.Dependencies:
     """Builds the shared parts of placement and admission.
 
@@ -29,6 +32,7 @@
         cfg: Settings of the router.
         local_copy: Its copy of the store's data.
         lag_s: Returns the recent lag of its event loop.
+        rng: Source of randomness.
     """
     work = ledger.ReservationLedger()
     cache_index = prefix_cache.PrefixCacheIndex()
@@ -39,6 +43,15 @@
     estimator = estimate.Estimator(speeds)
     limiter = warmup.WarmupLimiter(str(cfg.peers))
     server_notices = notices.ServerNotices()
+    rollouts = None
+    if cfg.bounds.exposure_share > 0:
+        rollouts = gate.Gate(
+            str(cfg.peers),
+            cfg.bounds,
+            local_copy,
+            work,
+            rng,
+        )
     server_selector = selector.ServerSelector(
         str(cfg.peers),
         cfg.zone,
@@ -49,6 +62,7 @@
         estimator,
         limiter,
         server_notices,
+        rollouts=rollouts,
     )
     return dependencies.Dependencies(
         bounds=cfg.bounds,
@@ -61,4 +75,5 @@
         server_notices=server_notices,
         server_selector=server_selector,
         block_quarantine=quarantine.BlockQuarantine(str(cfg.peers)),
+        rollouts=rollouts,
     )
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -48,9 +48,9 @@
     applier,
     follower,
     relay,
-    source,
     state,
 )
+from tamarackbridge.components.rollout import writer
 from tamarackbridge.components.telemetry import (
     events,
     metrics,
@@ -69,6 +69,7 @@
     store,
     store_call_log,
 )
+from tamarackbridge.platform import rollouts as platform_rollouts
 from tamarackbridge.platform import settings as platform_settings
 from tamarackbridge.platform import source as platform_source
 
@@ -103,9 +104,13 @@
         self._processor_time = processor.ProcessorTime()
         self._gateway_metrics = gateway_metrics.GatewayMetrics(self._registry)
         self._store = store.Store(str(cfg.store))
+        self._store_source = platform_source.StoreSource(self._store)
         self.meter = event_loop_lag.LagMeter()
         self._dependencies = platform_parts.make(
-            cfg, self._local_copy, lambda: self.meter.recent_s
+            cfg,
+            self._local_copy,
+            lambda: self.meter.recent_s,
+            self._kernel.rng,
         )
         self._applier = applier.Applier(
             self._local_copy, self._clock, self._on_change, self._forget_server
@@ -140,6 +145,10 @@
             self._dependencies.block_quarantine,
             self._gateway,
         )
+        if self._dependencies.rollouts is not None:
+            platform_gauges.add_rollouts(
+                self._registry, self._clock, self._dependencies.rollouts
+            )
         services = self._kernel.mode_services()
         watch = crash_watch.CrashWatch(services, self._on_crash)
         self._services = [*services, watch]
@@ -235,6 +244,7 @@
             headroom_cores=lambda: self._gateway.headroom_cores,
             speeds=speeds.store if speeds is not None else None,
             demand=self._dependencies.demand,
+            rollouts=self._dependencies.rollouts,
         )
         return sharing.SharingService(
             str(self._cfg.peers),
@@ -266,7 +276,7 @@
         return peers
 
     def _make_followers(self) -> dict[str, follower.Follower]:
-        store_source = platform_source.StoreSource(self._store)
+        store_source = self._store_source
         return {
             f"follower_{kind.value}": follower.Follower(
                 kind,
@@ -278,9 +288,30 @@
                 self._sharing.is_relayed,
                 self._sharing.may_read_first,
             )
-            for kind in source.Kind
+            for kind in self._local_copy.kinds
+        }
+
+    def _make_rollouts(self) -> dict[str, core.Service]:
+        """Creates the service that carries rollouts out, if it is active."""
+        rollouts = self._dependencies.rollouts
+        if rollouts is None:
+            return {}
+        rollouts.set_fleet(
+            lambda: len(self._sharing.routers()) - 1,
+            self._sharing.live_routers,
+            self._on_rollout_change,
+        )
+        status = platform_rollouts.StoreStatus(self._store, self._store_source)
+        return {
+            "rollouts": writer.StatusWriter(
+                status, rollouts, self._applier, self._clock
+            )
         }
 
+    def _on_rollout_change(self) -> None:
+        self._sharing.request_report()
+        self._admission_controller.dispatch_waiting()
+
     def _register_services(self) -> None:
         """Registers the services in the order in which they start."""
         cfg = self._cfg
@@ -296,6 +327,7 @@
                 self._clock,
                 self._sharing.ranks_first,
             ),
+            **self._make_rollouts(),
             "servers": self._servers,
             "desk": self._admission_controller,
             "lag": event_loop_lag.LagService(
@@ -376,6 +408,8 @@
 
     def _on_change(self) -> None:
         self._local_copy_changed.set()
+        if self._dependencies.rollouts is not None:
+            self._dependencies.rollouts.sync(self._clock.monotonic())
         self._admission_controller.dispatch_waiting()
 
     def _ready(self) -> bool:
