Keep the connections of the client tests open after the last write

Seen in a router's log: the callers had left 60 ms after the start. A client's reader was collected when its writes were done, which closes the connection, so bodies short of their end were not held open as the tests state. The readers are kept now, which is stricter; clients and bounds are unchanged.

--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -146,8 +146,14 @@
             await program.async_close()
 
 
-def _abort(transport: asyncio.WriteTransport) -> None:
-    """Resets a connection, unless the router has closed it already."""
+def _abort(
+    reader: asyncio.StreamReader, transport: asyncio.WriteTransport
+) -> None:
+    """Resets a connection, unless the router has closed it already.
+
+    Until then the reader is kept: without it the connection would be closed.
+    """
+    del reader
     if not transport.is_closing():
         transport.abort()
 
@@ -158,8 +164,8 @@
     """Sends what a client sends; its connection stays open."""
     host, _, port = address.rpartition(":")
     with contextlib.suppress(OSError):
-        _, writer = await asyncio.open_connection(host, int(port))
-        open_connections.callback(_abort, writer.transport)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        open_connections.callback(_abort, reader, writer.transport)
         # Nothing reads the responses.
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         for part in crowd.parts:
