--- a/tamarackbridge/components/rollout/order_log.py
+++ b/tamarackbridge/components/rollout/order_log.py
@@ -7,6 +7,9 @@
 MAX_LOGGED = 1000
 """Lines that are remembered as written; they are forgotten together."""
 
+MAX_TEXT = 200
+"""Characters of a refused target that are logged."""
+
 
 class OrderLog:
     """Writes the events of orders, without repetitions."""
@@ -52,7 +55,11 @@
     def log_refused(self, found: knowledge.RolloutOrder, error: str) -> None:
         """Logs that an order can't be carried out."""
         if self._is_first(found.name, found.created, error):
-            events.write(events.RolloutRefused(found.name, found.target, error))
+            events.write(
+                events.RolloutRefused(
+                    found.name, found.target[:MAX_TEXT], error
+                )
+            )
 
     def log_status_ignored(self, found: knowledge.RolloutOrder) -> None:
         """Logs that the stored status doesn't belong to the order."""
--- a/tamarackbridge/platform/entries.py
+++ b/tamarackbridge/platform/entries.py
@@ -35,7 +35,7 @@
 
     name: str
     revision: int = 0
-    created: Any = 0
+    created: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class Entry(msgspec.Struct):
--- a/tamarackbridge/platform/store.py
+++ b/tamarackbridge/platform/store.py
@@ -321,12 +321,18 @@
                 entries.content(entry.spec),
                 deleted,
                 entries.content(entry.status),
-                meta.created if isinstance(meta.created, int) else 0,
+                _created(meta),
             )
         )
     return objects
 
 
+def _created(meta: entries.Metadata) -> int:
+    """Returns the revision at which an object was created; 0 if not stated."""
+    created = entries.content(meta.created)
+    return created if isinstance(created, int) else 0
+
+
 def _body(answer: _Answer) -> bytes:
     data: bytes = answer.body
     return data
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -85,6 +85,20 @@
     assert bounds.exposure_slack == 50
 
 
+async def test_object_with_unreadable_creation_is_kept() -> None:
+    """Guards against a field of no use elsewhere that hides an object."""
+    async with platform_store.PlatformStore() as stand_in:
+        await stand_in.async_put("servers", "a", {})
+        stored = stand_in.get("servers", "a")
+        assert stored is not None
+        stored["metadata"]["created"] = ["\ud800"]
+        client = store.Store(stand_in.address)
+        await client.start()
+        (item,) = (await client.async_list("servers")).unwrap().objects
+        assert (item.name, item.created) == ("a", 0)
+        await client.stop()
+
+
 async def test_status_write_is_conditional() -> None:
     """Guards against a verdict on an order that was replaced meanwhile."""
     async with platform_store.PlatformStore() as stand_in:
