Ignore observations after a standstill until the lag is measured

After a router was frozen, the event loop reads the responses that came meanwhile before its lag is measured, so they made their servers look slow. A lag probe that is overdue counts as lag now, and a probe counts before it is part of an average.

Test: tests/components/gateway/test_event_loop_lag.py

--- a/tamarackbridge/components/gateway/event_loop_lag.py
+++ b/tamarackbridge/components/gateway/event_loop_lag.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import statistics
 
 from tamarackbridge import core
@@ -49,6 +50,8 @@
         self.lagging = False
         self._previous_s = 0.0
         self._latest_s = 0.0
+        self._probe_s = 0.0
+        self._probed_at = math.inf
 
     def add_lag(self, lag_s: float) -> None:
         """Adds a measured lag to the average."""
@@ -59,10 +62,18 @@
         elif self.lag_s < RECOVERED_S:
             self.lagging = False
 
-    @property
-    def recent_s(self) -> float:
-        """The average lag, or the latest one if that is more."""
-        return max(self.lag_s, self._latest_s)
+    def record_probe(self, lag_s: float, now: float) -> None:
+        """Records a measured lag before it is part of an average."""
+        self._probe_s, self._probed_at = lag_s, now
+
+    def recent_s(self, now: float) -> float:
+        """Returns the average lag, or a lag of this moment if that is more.
+
+        A probe that is overdue counts: after a standstill, data that came
+        meanwhile is read before the lag is measured.
+        """
+        overdue_s = now - self._probed_at - PROBE_INTERVAL_S
+        return max(self.lag_s, self._latest_s, self._probe_s, overdue_s)
 
     @property
     def overloaded(self) -> bool:
@@ -112,6 +123,7 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
             now = self._clock.monotonic()
             lag_s = max(now - started - PROBE_INTERVAL_S, 0.0)
+            self._meter.record_probe(lag_s, now)
             self._on_probe(lag_s, now)
             lags_s.append(lag_s)
             if now - averaged_at >= AVERAGING_INTERVAL_S:
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -104,7 +104,9 @@
         self._store = store.Store(str(cfg.store))
         self.meter = event_loop_lag.LagMeter()
         self._dependencies = platform_parts.make(
-            cfg, self._local_copy, lambda: self.meter.recent_s
+            cfg,
+            self._local_copy,
+            lambda: self.meter.recent_s(self._clock.monotonic()),
         )
         self._applier = applier.Applier(
             self._local_copy, self._clock, self._on_change, self._forget_server
--- a/tests/components/gateway/test_event_loop_lag.py
+++ b/tests/components/gateway/test_event_loop_lag.py
@@ -89,3 +89,14 @@
         assert response.status == 503
         assert float(response.headers["Retry-After"]) > 0
         assert env.ran() == []
+
+
+def test_standstill_counts_as_lag_before_it_is_measured() -> None:
+    """Responses that came meanwhile are read first, and look late."""
+    meter = event_loop_lag.LagMeter()
+    assert meter.recent_s(1_000.0) == 0.0
+    meter.record_probe(0.0, 10.0)
+    assert meter.recent_s(10.03) < 0.02
+    assert meter.recent_s(13.0) > 2.9
+    meter.record_probe(0.5, 13.0)
+    assert meter.recent_s(13.01) == 0.5
