--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -109,7 +109,7 @@
         self._dependencies = platform_parts.make(
             cfg,
             self._local_copy,
-            lambda: self.meter.recent_s,
+            lambda: self.meter.recent_s(self._clock.monotonic()),
             self._kernel.rng,
         )
         self._applier = applier.Applier(
