Split the server selector by job

Change: server_states.py works out what is the same for all requests of a scheduling pass, scoring.py what a server costs for one request, and the selector chooses. No decision changes.

--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -32,7 +32,7 @@
     ledger,
     request_profile,
     scheduling_view,
-    selector,
+    scoring,
 )
 from tamarackbridge.components.telemetry import events
 
@@ -550,7 +550,7 @@
         waiter.future.set_result(result.Err(rejection))
 
     def _permit(
-        self, waiter: queue.Waiter, option: selector.ScoredServer, now: float
+        self, waiter: queue.Waiter, option: scoring.ScoredServer, now: float
     ) -> permit.Permit:
         """Issues a permit and accounts the request as sent."""
         job = waiter.job
@@ -581,7 +581,7 @@
         for block_hash, _ in waiter.profile.hashed_blocks:
             if self._deps.cache_index.record_use(server.name, block_hash, now):
                 self.unreported_blocks.append((server.name, block_hash))
-        self._deps.server_selector.record_sent(
+        self._deps.server_selector.states.record_sent(
             job, option.registered, self._peers.routers(), now
         )
         return permit.Permit(
--- a/tamarackbridge/components/admission/decision_log.py
+++ b/tamarackbridge/components/admission/decision_log.py
@@ -6,7 +6,7 @@
 from tamarackbridge.components.admission import observed_load, policy
 from tamarackbridge.components.gateway import jobs, rejections
 from tamarackbridge.components.knowledge import state
-from tamarackbridge.components.placement import selector
+from tamarackbridge.components.placement import scoring
 from tamarackbridge.components.telemetry import events
 
 
@@ -26,7 +26,7 @@
     def log_sent(
         self,
         job: jobs.Job,
-        option: selector.ScoredServer,
+        option: scoring.ScoredServer,
         share_state: policy.ShareState,
         servers: int,
         now: float,
--- a/tamarackbridge/components/admission/plain_overload.py
+++ b/tamarackbridge/components/admission/plain_overload.py
@@ -189,7 +189,7 @@
             time_s = self._estimator.response_s(server.name) or math.inf
             rate_per_s += limit / (time_s * scatter)
             limits += limit
-            requests = self._selector.expected_requests(server, now)
+            requests = self._selector.states.expected_requests(server, now)
             used += min(requests, limit)
         if limits:
             state.rate_per_s = USED_FRACTION * rate_per_s
--- a/tamarackbridge/components/admission/policy.py
+++ b/tamarackbridge/components/admission/policy.py
@@ -15,7 +15,7 @@
 import math
 
 from tamarackbridge.components.gateway import jobs, rejections
-from tamarackbridge.components.placement import selector
+from tamarackbridge.components.placement import scoring
 
 PLANNED_TARGET_FRACTION = 0.9
 """Fraction of the latency target within which the first event is planned."""
@@ -114,7 +114,7 @@
     """
 
     action: Action
-    option: selector.ScoredServer | None = None
+    option: scoring.ScoredServer | None = None
     rejection: rejections.Rejection | None = None
     max_sendable_wait_s: float = -1.0
     recheck_after_s: float = 0.0
@@ -125,7 +125,7 @@
 
 def decide(
     job: jobs.Job,
-    options: Sequence[selector.ScoredServer],
+    options: Sequence[scoring.ScoredServer],
     share_state: ShareState,
     now: float,
     expected_wait_s: float = 0.0,
@@ -222,7 +222,7 @@
     return dataclasses.replace(share_state, is_within_share=True)
 
 
-def _nearly_idle_after_s(option: selector.ScoredServer) -> float:
+def _nearly_idle_after_s(option: scoring.ScoredServer) -> float:
     """Returns the time until an engine is nearly idle by its backlog."""
     if option.tokens_ahead <= NEARLY_IDLE_TOKENS:
         return 0.0
@@ -232,7 +232,7 @@
 
 
 def _max_sendable_wait_s(
-    option: selector.ScoredServer, share_state: ShareState, target_s: float
+    option: scoring.ScoredServer, share_state: ShareState, target_s: float
 ) -> float:
     """Returns the longest wait after which a request is sent to a server."""
     if not share_state.is_within_share:
@@ -256,7 +256,7 @@
 
 
 def _decide_plain(
-    job: jobs.Job, options: Sequence[selector.ScoredServer]
+    job: jobs.Job, options: Sequence[scoring.ScoredServer]
 ) -> Decision:
     del job
     for option in options:
--- a/tamarackbridge/components/admission/speed_observer.py
+++ b/tamarackbridge/components/admission/speed_observer.py
@@ -21,7 +21,7 @@
 
     def record_sent(self, reservation: ledger.Reservation) -> None:
         """Records how full the server is with a request that was sent."""
-        reservation.occupancy = self._selector.occupancy(
+        reservation.occupancy = self._selector.states.occupancy(
             reservation.server, reservation.sent_at
         )
 
--- a/tamarackbridge/platform_router.py
+++ b/tamarackbridge/platform_router.py
@@ -358,7 +358,7 @@
         self._dependencies.cache_index.forget(server)
         self._dependencies.breakers.forget(server)
         self._dependencies.estimator.forget(server)
-        self._dependencies.server_selector.forget(server)
+        self._dependencies.server_selector.states.forget(server)
         self._dependencies.server_notices.forget(server)
 
     def _in_share_fraction(self, workspace: str) -> float:
--- a/tests/components/admission/test_observed_load.py
+++ b/tests/components/admission/test_observed_load.py
@@ -3,7 +3,7 @@
 from tamarackbridge.components.admission import observed_load, policy
 from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import state
-from tamarackbridge.components.placement import pool, selector
+from tamarackbridge.components.placement import pool, scoring
 from tests.components.knowledge import builders
 
 LOW_LOAD_S = 0.06
@@ -14,10 +14,10 @@
     return pool.Load(1, prefill_backlog_s, 0.0)
 
 
-def _options(tokens_ahead_s: float) -> list[selector.ScoredServer]:
+def _options(tokens_ahead_s: float) -> list[scoring.ScoredServer]:
     known = state.RegisteredServer(builders.server("s1"), 0.0)
     return [
-        selector.ScoredServer(
+        scoring.ScoredServer(
             known, 0.0, 0.1 + tokens_ahead_s, 1, tokens_ahead_s, 1, False
         )
     ]
--- a/tests/components/admission/test_policy.py
+++ b/tests/components/admission/test_policy.py
@@ -5,7 +5,7 @@
 from tamarackbridge.components.admission import dispatch_rate, policy
 from tamarackbridge.components.gateway import jobs, models
 from tamarackbridge.components.knowledge import state
-from tamarackbridge.components.placement import estimate, selector
+from tamarackbridge.components.placement import estimate, scoring
 from tests.components.knowledge import builders
 
 WINDOW_S = 4.0
@@ -58,7 +58,7 @@
     (server,) = known.usable("lm", 10.0)
     first_event_s = estimate.Estimator().first_event_s("i", tokens_ahead, 4_000)
     tokens_ahead_s = tokens_ahead / estimate.PREFILL_TOKENS_PER_S
-    option = selector.ScoredServer(
+    option = scoring.ScoredServer(
         server, 0.0, first_event_s, tokens_ahead, tokens_ahead_s, 4_000, False
     )
     share_state = policy.ShareState(
--- a/tests/components/placement/test_notices.py
+++ b/tests/components/placement/test_notices.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tamarackbridge.components.knowledge import models as knowledge
-from tamarackbridge.components.placement import notices, selector, warmup
+from tamarackbridge.components.placement import notices, server_states, warmup
 from tests.components.knowledge import builders
 from tests.components.placement import test_selector
 
@@ -147,7 +147,7 @@
         job = test_selector.make_job(number=step, now=now, service=service)
         options = world.server_selector.options(job, test_selector.ROUTERS, now)
         if options:
-            world.server_selector.record_sent(
+            world.server_selector.states.record_sent(
                 job, options[0].registered, ("r1",), now
             )
             sent.append(now)
@@ -159,7 +159,7 @@
         options = world.server_selector.options(
             job, test_selector.ROUTERS, later
         )
-        world.server_selector.record_sent(
+        world.server_selector.states.record_sent(
             job, options[0].registered, ("r1",), later
         )
 
@@ -184,6 +184,8 @@
         )
         if option.registered.server.name == home
     )
-    assert after.cost == pytest.approx(before + selector.FULL_ENGINE_TOKENS)
+    assert after.cost == pytest.approx(
+        before + server_states.FULL_ENGINE_TOKENS
+    )
     later = test_selector.make_job(now=5.1)
     assert world.best(later, 5.1).cost == pytest.approx(before)
--- a/tests/components/placement/test_selector.py
+++ b/tests/components/placement/test_selector.py
@@ -16,6 +16,7 @@
     notices,
     pool,
     prefix_cache,
+    scoring,
     selector,
     warmup,
 )
@@ -50,7 +51,7 @@
             server = builders.server(f"s{number}", zone=f"z{number % 3}")
             self.local_copy.register(server, 0.0)
 
-    def best(self, job: jobs.Job, now: float = 1.0) -> selector.ScoredServer:
+    def best(self, job: jobs.Job, now: float = 1.0) -> scoring.ScoredServer:
         return self.server_selector.options(job, ROUTERS, now)[0]
 
     def send(self, job: jobs.Job, now: float = 1.0) -> str:
