Keep the writers of the client tests too

The library also closes a connection when its writer is collected, so keeping the reader was not enough: the log still told that all callers had left after 0.14 s. With both kept, the log tells of bodies that were evicted and stalled. Clients and bounds are unchanged.

--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -146,16 +146,14 @@
             await program.async_close()
 
 
-def _abort(
-    reader: asyncio.StreamReader, transport: asyncio.WriteTransport
-) -> None:
+def _abort(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Resets a connection, unless the router has closed it already.
 
-    Until then the reader is kept: without it the connection would be closed.
+    Until then both are kept: without either the connection would be closed.
     """
     del reader
-    if not transport.is_closing():
-        transport.abort()
+    if not writer.is_closing():
+        writer.transport.abort()
 
 
 async def _async_send(
@@ -165,7 +163,7 @@
     host, _, port = address.rpartition(":")
     with contextlib.suppress(OSError):
         reader, writer = await asyncio.open_connection(host, int(port))
-        open_connections.callback(_abort, reader, writer.transport)
+        open_connections.callback(_abort, reader, writer)
         # Nothing reads the responses.
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         for part in crowd.parts:
