--- a/tamarackbridge/components/admission/controller.py
+++ b/tamarackbridge/components/admission/controller.py
@@ -66,6 +66,7 @@
         scheduling_passes: Number of scheduling passes.
         scheduling_s: Time that they took, in seconds.
         evaluated_requests: Requests for which servers were compared in them.
+        copied_tokens: Prompt tokens that engines were told to copy from others.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.scheduling_passes = 0
         self.scheduling_s = 0.0
         self.evaluated_requests = 0
+        self.copied_tokens = 0
         self._deps = deps
         self._clock = clock
         self._rng = rng
@@ -567,6 +569,7 @@
             blocks=crash_evidence.parts(job),
             is_plain=not job.service.is_model,
         )
+        self.copied_tokens += option.copied_tokens
         self._deps.work.begin(reservation)
         self._speed_observer.record_sent(reservation)
         rollouts = self._deps.rollouts
--- a/tamarackbridge/components/admission/decision_log.py
+++ b/tamarackbridge/components/admission/decision_log.py
@@ -55,6 +55,8 @@
                 pressure_s=round(self._load.prefill_backlog_s, 4),
                 configuration=cfg.version if cfg is not None else 0,
                 servers_age_s=round(local_copy.servers_age(now), 3),
+                copied=option.copied_tokens,
+                copied_from=option.copy_from,
             )
         )
 
--- a/tamarackbridge/components/gateway/load_log.py
+++ b/tamarackbridge/components/gateway/load_log.py
@@ -30,12 +30,14 @@
     Attributes:
         scheduling_passes: Number of scheduling passes over queued requests.
         scheduling_s: Total duration of these passes, in seconds.
+        copied_tokens: Prompt tokens that engines were told to copy.
         evaluated_requests: Number of queued requests that these passes tried
             to place on a server.
     """
 
     scheduling_passes: int
     scheduling_s: float
+    copied_tokens: int
     evaluated_requests: int
 
     @property
@@ -111,6 +113,11 @@
         "Waiting requests for which servers were weighed.",
         lambda: sources.controller.evaluated_requests,
     )
+    registry.callback_counter(
+        "copied_prompt_tokens",
+        "Prompt tokens that engines were told to copy from others.",
+        lambda: sources.controller.copied_tokens,
+    )
     registry.callback_counter(
         "turn_seconds",
         "Time in which waiting requests were looked at.",
--- a/tamarackbridge/components/placement/scoring.py
+++ b/tamarackbridge/components/placement/scoring.py
@@ -69,6 +69,7 @@
         is_full: Whether its slots or its memory are taken.
         copy_from: Address of the engine from which it is to copy cached prompt
             blocks; empty if none.
+        copied_tokens: Tokens that it is to copy from there.
     """
 
     registered: state.RegisteredServer
@@ -79,6 +80,7 @@
     prefill_tokens: int
     is_full: bool
     copy_from: str = ""
+    copied_tokens: int = 0
 
 
 class Scorer:
@@ -147,6 +149,7 @@
             prefill_tokens,
             is_full(job, profile, server),
             copy_from,
+            copied_tokens,
         )
 
     def _block_copy(
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -333,6 +333,7 @@
     The server: `first_event_s` is the predicted time to the first event. Before
     the request it prefills `ahead` prompt tokens, and of the request itself
     `unread` of its `prompt` tokens. It was one of `servers` that were scored.
+    `copied` of its tokens are copied from the engine at `copied_from`.
 
     The share: `within` is whether the request is within its workspace's share;
     `part` is the fraction of the workspace's requests that is. `served` is the
@@ -367,6 +368,8 @@
     pressure_s: float
     configuration: int
     servers_age_s: float
+    copied: int = 0
+    copied_from: str = ""
 
 
 class NotAdmitted(Event, frozen=True):
