--- a/tests/components/gateway/test_load_log.py
+++ b/tests/components/gateway/test_load_log.py
@@ -21,6 +21,7 @@
         self.processor = processor
         self.waiting = 0
         self.in_flight = 7
+        self.copied_tokens = 0
 
     @property
     def scheduling_passes(self) -> int:
