--- a/tests/components/admission/processor_costs.py
+++ b/tests/components/admission/processor_costs.py
@@ -14,7 +14,7 @@
 
 from tamarackbridge.components.admission import share_tracker
 from tamarackbridge.components.fleet import view
-from tamarackbridge.components.placement import ledger, selector
+from tamarackbridge.components.placement import ledger, scoring, server_states
 from tests import virtual_loop
 
 LEDGER_LOOKUP_S = 1e-6
@@ -98,15 +98,11 @@
 
 CHARGED_METHODS: Sequence[_ChargedMethod] = (
     _ChargedMethod(ledger.ReservationLedger, "at", "rows", LEDGER_LOOKUP_S),
+    _ChargedMethod(server_states.ServerStates, "make", "rows", SERVER_ROW_S),
     _ChargedMethod(
-        selector.ServerSelector, "_make_state", "rows", SERVER_ROW_S
-    ),
-    _ChargedMethod(
-        selector.ServerSelector, "_score_engine", "weighing", COMPARE_SERVER_S
-    ),
-    _ChargedMethod(
-        selector.ServerSelector, "_score_plain", "weighing", COMPARE_SERVER_S
+        scoring.Scorer, "score_engine", "weighing", COMPARE_SERVER_S
     ),
+    _ChargedMethod(scoring.Scorer, "score_plain", "weighing", COMPARE_SERVER_S),
     _ChargedMethod(
         share_tracker.ShareTracker, "share_state", "standing", SHARE_STATE_S
     ),
