--- a/tamarackbridge/components/entry/forward.py
+++ b/tamarackbridge/components/entry/forward.py
@@ -25,7 +25,11 @@
 from tamarackbridge.components.entry import models as entry_models
 from tamarackbridge.components.records import models
 from tamarackbridge.components.telemetry import spans
-from tamarackbridge.helpers import message_framing, response_limits
+from tamarackbridge.helpers import (
+    message_framing,
+    response_limits,
+    response_memory,
+)
 
 _END = attempts.End
 _OK = 200
@@ -59,7 +63,7 @@
     body: bytes = b""
     is_stream: bool = False
     lacks_room: bool = False
-    reservation: response_limits.Reservation | None = None
+    reservation: response_memory.Reservation | None = None
 
     @property
     def outcome(self) -> dispatch.Outcome:
@@ -114,7 +118,7 @@
 
     def __init__(self, backend: client.BackendClient) -> None:
         self._backend = backend
-        self._memory = response_limits.MemoryBudget(
+        self._memory = response_memory.MemoryBudget(
             const.MAX_ALL_BUFFERED_BYTES
         )
 
@@ -131,7 +135,7 @@
         """
         started = time.monotonic()
         job.check.begin()
-        reservation = response_limits.Reservation(self._memory)
+        reservation = response_memory.Reservation(self._memory)
         attempt.reservation = reservation
         limit_s = min(job.limit_s, job.permit.life_s)
         try:
@@ -163,7 +167,7 @@
         attempt: Attempt,
         started: float,
         timer: asyncio.Timeout,
-        reservation: response_limits.Reservation,
+        reservation: response_memory.Reservation,
     ) -> None:
         request = job.request
         async with self._backend.async_open(
@@ -203,7 +207,7 @@
         job: Job,
         attempt: Attempt,
         resp: aiohttp.ClientResponse,
-        reservation: response_limits.Reservation,
+        reservation: response_memory.Reservation,
     ) -> None:
         reported_at = time.monotonic()
         first_offset = job.check.offset
@@ -215,7 +219,7 @@
             elif events:
                 size = len(buffered) + len(events)
                 if size > const.MAX_BUFFERED_BYTES:
-                    raise response_limits.ResponseLimitError(
+                    raise response_memory.ResponseLimitError(
                         "stream exceeds the size limit of buffered answers"
                     )
                 reservation.resize(size + job.check.incomplete_bytes)
@@ -240,7 +244,7 @@
 
 
 async def _async_read_body(
-    resp: aiohttp.ClientResponse, reservation: response_limits.Reservation
+    resp: aiohttp.ClientResponse, reservation: response_memory.Reservation
 ) -> bytes:
     """Returns the complete body of an answer.
 
--- a/tamarackbridge/components/gateway/forward.py
+++ b/tamarackbridge/components/gateway/forward.py
@@ -15,7 +15,11 @@
     servers,
 )
 from tamarackbridge.components.telemetry import processor
-from tamarackbridge.helpers import message_framing, response_limits
+from tamarackbridge.helpers import (
+    message_framing,
+    response_limits,
+    response_memory,
+)
 
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 """Maximum size of a response that is buffered."""
@@ -99,7 +103,7 @@
     head: models.ResponseHead | None = None
     framing: message_framing.Framing | None = None
     body: bytes = b""
-    reservation: response_limits.Reservation | None = None
+    reservation: response_memory.Reservation | None = None
     lacks_room: bool = False
     is_malformed: bool = False
     streamed: bool = False
@@ -208,7 +212,7 @@
         self._processor_time = processor_time
         self._client = client
         self._dialect = dialect
-        self._response_memory = response_limits.MemoryBudget(max_response_bytes)
+        self._response_memory = response_memory.MemoryBudget(max_response_bytes)
 
     async def async_send(self, params: AttemptParameters) -> Attempt:
         """Runs one attempt until it ends or reaches its time limit.
@@ -217,7 +221,7 @@
         that is made of it has been sent.
         """
         loop = asyncio.get_running_loop()
-        reservation = response_limits.Reservation(self._response_memory)
+        reservation = response_memory.Reservation(self._response_memory)
         attempt = Attempt(sent_at=loop.time(), reservation=reservation)
         try:
             async with asyncio.timeout(params.metadata.remaining_s):
@@ -253,7 +257,7 @@
         self,
         params: AttemptParameters,
         attempt: Attempt,
-        reservation: response_limits.Reservation,
+        reservation: response_memory.Reservation,
     ) -> None:
         headers = _with_trace(
             self._dialect.write_request(params.request, params.metadata),
@@ -301,7 +305,7 @@
         attempt: Attempt,
         resp: aiohttp.ClientResponse,
         events: relay.EventRelay,
-        reservation: response_limits.Reservation,
+        reservation: response_memory.Reservation,
     ) -> None:
         head, framing = attempt.head, attempt.framing
         assert head is not None
--- a/tamarackbridge/components/object_api/http.py
+++ b/tamarackbridge/components/object_api/http.py
@@ -9,7 +9,7 @@
 from tamarackbridge import core
 from tamarackbridge.components.object_api import messages
 from tamarackbridge.components.settings import models as settings
-from tamarackbridge.helpers import response_limits, send_once
+from tamarackbridge.helpers import response_limits, response_memory, send_once
 
 HEADER_VERSION = "X-Store-Version"
 WATCH_WAIT_S = 1.0
@@ -68,7 +68,7 @@
         self._cfg = cfg
         self._base = cfg.object_api.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
-        self._memory = response_limits.MemoryBudget(MAX_MEMORY_BYTES)
+        self._memory = response_memory.MemoryBudget(MAX_MEMORY_BYTES)
 
     async def on_start(self) -> None:
         """Opens the connection pool."""
--- a/tamarackbridge/helpers/held_response.py
+++ b/tamarackbridge/helpers/held_response.py
@@ -4,13 +4,13 @@
 
 from aiohttp import web
 
-from tamarackbridge.helpers import response_limits
+from tamarackbridge.helpers import response_memory
 
-_RESERVATION = web.ResponseKey("reservation", response_limits.Reservation)
+_RESERVATION = web.ResponseKey("reservation", response_memory.Reservation)
 
 
 def hold(
-    resp: web.StreamResponse, reservation: response_limits.Reservation | None
+    resp: web.StreamResponse, reservation: response_memory.Reservation | None
 ) -> None:
     """Makes a response hold the reservation of its body, if there is one."""
     if reservation is not None:
--- a/tamarackbridge/helpers/response_limits.py
+++ b/tamarackbridge/helpers/response_limits.py
@@ -8,15 +8,18 @@
 """
 
 import asyncio
-from collections.abc import Iterator, Mapping
-import contextlib
+from collections.abc import Mapping
 import functools
 from typing import Any, Final
 
 import aiohttp
 from aiohttp import client_proto, http_exceptions, streams
 
-from tamarackbridge.helpers import resets, response_rules
+from tamarackbridge.helpers import (
+    resets,
+    response_memory,
+    response_rules,
+)
 
 MAX_LINE_BYTES: Final = 8190
 """Longest status line and longest header field; the library's default, which
@@ -43,37 +46,9 @@
 """Maximum size of one read from a connection. All connections with data are
 read in one run of the event loop, before any of it is passed on."""
 
-UNCOUNTED_BYTES: Final = 4 * 1024
-"""Bytes of each response that do not count against the shared memory budget:
-more than an event has, so that usual streams cost no accounting."""
-
-MAX_PART_OF_LEFT: Final = 2
-"""Largest reservation of one response, as a multiple of what it leaves for
-others (Choudhury and Hahne, Dynamic Queue Length Thresholds, 1998). One
-response may take two thirds of the budget, and however many grow without end,
-each leaves room for an ordinary one."""
-
-
 _HEAD_END: Final = b"\r\n\r\n"
 
 
-class ResponseLimitError(aiohttp.ClientPayloadError):
-    """A response, or what was received for one, exceeds a limit."""
-
-
-class NoRoomError(ResponseLimitError):
-    """The shared memory budget has no room for a response.
-
-    Attributes:
-        is_held_by_callers: Whether there would be room if callers had taken the
-            responses that wait for them, so that the server is not to blame.
-    """
-
-    def __init__(self, reason: str, is_held_by_callers: bool) -> None:
-        super().__init__(reason)
-        self.is_held_by_callers = is_held_by_callers
-
-
 class BoundedProtocol(client_proto.ResponseHandler):
     """A client connection that closes when it gets too many bytes.
 
@@ -215,7 +190,7 @@
         if self._received - 2 * body_bytes > MAX_FRAMING_BYTES:
             part = "response" if self._body else "response head"
             self._fail(
-                ResponseLimitError(
+                response_memory.ResponseLimitError(
                     f"received {self._received} bytes without a whole {part}"
                 )
             )
@@ -245,8 +220,8 @@
         is_empty = self._body is streams.EMPTY_PAYLOAD
         return is_empty and parsed is not None and parsed.total_bytes > 0
 
-    def _excess_error(self) -> ResponseLimitError:
-        return ResponseLimitError(
+    def _excess_error(self) -> response_memory.ResponseLimitError:
+        return response_memory.ResponseLimitError(
             "received bytes after the end of the response with status "
             f"{self._status:03}"
         )
@@ -265,71 +240,13 @@
             body.set_exception(exc)
 
 
-class MemoryBudget:
-    """Memory budget that responses share while they are held.
-
-    Attributes:
-        left: Bytes that are still available.
-        held_by_callers: Bytes of responses that wait for their callers.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        self.left = max_bytes
-        self.held_by_callers = 0
-
-    @contextlib.contextmanager
-    def reserve(self) -> Iterator["Reservation"]:
-        """Yields a reservation, which is released at the end."""
-        reservation = Reservation(self)
-        try:
-            yield reservation
-        finally:
-            reservation.resize(0)
-
-
-class Reservation:
-    """Part of a memory budget that one response uses.
-
-    Attributes:
-        size: Bytes that are reserved.
-    """
-
-    def __init__(self, budget: MemoryBudget) -> None:
-        self.size = 0
-        self._budget = budget
-        self._is_held_by_caller = False
-
-    def begin_sending(self) -> None:
-        """Counts the response as one that waits for its caller."""
-        self._is_held_by_caller = True
-        self._budget.held_by_callers += self.size
-
-    def resize(self, held: int) -> None:
-        """Adjusts the reservation to the bytes that are held now.
-
-        Raises:
-            NoRoomError: Too little of the budget would be left.
-        """
-        wanted = max(held - UNCOUNTED_BYTES, 0)
-        if wanted == self.size:
-            return
-        left = self._budget.left - (wanted - self.size)
-        if wanted > self.size and wanted > MAX_PART_OF_LEFT * left:
-            left_without_callers = left + self._budget.held_by_callers
-            raise NoRoomError(
-                f"no room in memory for {held} bytes of a response",
-                wanted <= MAX_PART_OF_LEFT * left_without_callers,
-            )
-        if self._is_held_by_caller:
-            self._budget.held_by_callers += wanted - self.size
-        self._budget.left = left
-        self.size = wanted
-
-
 def is_held_by_callers(exc: BaseException) -> bool:
     """Returns whether slow callers caused an error of a request."""
     cause = exc.__cause__
-    return isinstance(cause, NoRoomError) and cause.is_held_by_callers
+    return (
+        isinstance(cause, response_memory.NoRoomError)
+        and cause.is_held_by_callers
+    )
 
 
 def is_malformed(exc: BaseException) -> bool:
@@ -337,7 +254,7 @@
     return isinstance(
         exc.__cause__,
         aiohttp.ClientResponseError
-        | ResponseLimitError
+        | response_memory.ResponseLimitError
         | response_rules.InvalidResponseError,
     )
 
@@ -345,7 +262,7 @@
 async def async_read(
     resp: aiohttp.ClientResponse,
     max_bytes: int,
-    room: MemoryBudget | None = None,
+    room: response_memory.MemoryBudget | None = None,
 ) -> bytes:
     """Reads the whole body of a response.
 
@@ -362,13 +279,17 @@
         ClientError: The body is incomplete.
     """
     if room is None:
-        room = MemoryBudget((MAX_PART_OF_LEFT + 1) * max_bytes)
+        room = response_memory.MemoryBudget(
+            (response_memory.MAX_PART_OF_LEFT + 1) * max_bytes
+        )
     with room.reserve() as reservation:
         return await async_read_reserved(resp, max_bytes, reservation)
 
 
 async def async_read_reserved(
-    resp: aiohttp.ClientResponse, max_bytes: int, reservation: Reservation
+    resp: aiohttp.ClientResponse,
+    max_bytes: int,
+    reservation: response_memory.Reservation,
 ) -> bytes:
     """Reads the whole body of a response; it stays reserved.
 
@@ -389,7 +310,7 @@
     async for chunk in resp.content.iter_any():
         size += len(chunk)
         if size > max_bytes:
-            raise ResponseLimitError(
+            raise response_memory.ResponseLimitError(
                 f"response body is larger than {max_bytes} bytes"
             )
         reservation.resize(size)
--- a/tests/components/entry/rig.py
+++ b/tests/components/entry/rig.py
@@ -21,7 +21,7 @@
 from tamarackbridge.components.entry import forward, service, telemetry
 from tamarackbridge.components.records import models
 from tamarackbridge.components.settings import models as settings_models
-from tamarackbridge.helpers import response_limits
+from tamarackbridge.helpers import response_memory
 
 KEY = "plain-key"
 DRAIN_NOTICE_S = 0.3
@@ -121,7 +121,7 @@
         self._clock = core.SystemClock()
         self._stack = contextlib.AsyncExitStack()
         self.entry: service.EntryService
-        self.memory: response_limits.MemoryBudget
+        self.memory: response_memory.MemoryBudget
         self.session: aiohttp.ClientSession
 
     async def __aenter__(self) -> "Rig":
--- a/tests/components/gateway/test_slow_callers.py
+++ b/tests/components/gateway/test_slow_callers.py
@@ -14,7 +14,7 @@
 from standins import floods, platform_server, server_faults
 from tamarackbridge.components.gateway import drain, in_flight_limit, servers
 from tamarackbridge.components.telemetry import events
-from tamarackbridge.helpers import response_limits
+from tamarackbridge.helpers import response_memory
 from tests.components.gateway import raw_caller, rig
 
 _Fault = platform_server.Fault
@@ -34,7 +34,7 @@
 )
 
 
-def _memory(env: rig.Environment) -> response_limits.MemoryBudget:
+def _memory(env: rig.Environment) -> response_memory.MemoryBudget:
     job_runner = env.router._gateway._runner
     assert job_runner is not None
     return job_runner._sender._forwarder._response_memory
@@ -159,7 +159,7 @@
     fault: _Fault | _EarlyEnd,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(response_limits, "UNCOUNTED_BYTES", 0)
+    monkeypatch.setattr(response_memory, "UNCOUNTED_BYTES", 0)
     async with rig.async_environment() as env:
         memory = _memory(env)
         all_left = memory.left
@@ -180,7 +180,7 @@
         checking.set()
         return await asyncio.Future()
 
-    monkeypatch.setattr(response_limits, "UNCOUNTED_BYTES", 0)
+    monkeypatch.setattr(response_memory, "UNCOUNTED_BYTES", 0)
     monkeypatch.setattr(servers, "_async_check_connection", _async_hang)
     async with rig.async_environment() as env:
         memory = _memory(env)
--- a/tests/helpers/test_response_limits.py
+++ b/tests/helpers/test_response_limits.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from tamarackbridge.helpers import response_limits
+from tamarackbridge.helpers import response_limits, response_memory
 
 HEAD = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -72,7 +72,7 @@
 
 def test_responses_without_end_leave_room_for_an_ordinary_one() -> None:
     max_bytes = 28 * 1024 * 1024
-    budget = response_limits.MemoryBudget(max_bytes)
+    budget = response_memory.MemoryBudget(max_bytes)
     with contextlib.ExitStack() as stack:
         growing = {stack.enter_context(budget.reserve()): 0 for _ in range(400)}
         while growing:
@@ -80,7 +80,7 @@
                 growing[reservation] += response_limits.RECEIVE_BYTES
                 try:
                     reservation.resize(growing[reservation])
-                except response_limits.ResponseLimitError:
+                except response_memory.ResponseLimitError:
                     del growing[reservation]  # Holds its memory until the end.
         assert 0 < budget.left < max_bytes
         stack.enter_context(budget.reserve()).resize(32 * 1024)
@@ -88,10 +88,10 @@
 
 
 def test_one_response_may_use_most_of_the_budget() -> None:
-    budget = response_limits.MemoryBudget(3_000_000)
+    budget = response_memory.MemoryBudget(3_000_000)
     with budget.reserve() as reservation:
         reservation.resize(2_000_000)
-        with pytest.raises(response_limits.ResponseLimitError):
+        with pytest.raises(response_memory.ResponseLimitError):
             reservation.resize(2_100_000)
         reservation.resize(100)
         assert budget.left == 3_000_000
