Don't starve requests to plain services that may be repeated

Cause: while a plain service was short, requests that may run only once took all of its rate.

Change: of the other requests at least half of the fraction that is sent of all is sent.

--- a/tamarackbridge/components/admission/plain_overload.py
+++ b/tamarackbridge/components/admission/plain_overload.py
@@ -27,6 +27,11 @@
 shed. Between them a part is, so that a rate that is estimated too low doesn't
 leave slots free."""
 
+MIN_REST_FRACTION = 0.5
+"""Least fraction of the requests that may be repeated that is sent, as a part
+of that of all requests. Without it those that may run only once took the whole
+rate of a short service, and of 286 others 4 were served."""
+
 REFRESH_S = 0.05
 """Time for which the state of a service is used."""
 
@@ -76,11 +81,16 @@
         if not self.is_overloaded:
             return 1.0
         once_per_s = self.demand.once_per_s
-        if is_once:
-            fraction = self.rate_per_s / max(once_per_s, 1e-9)
-        else:
-            rest_per_s = max(self.demand.per_s - once_per_s, 1e-9)
-            fraction = max(self.rate_per_s - once_per_s, 0.0) / rest_per_s
+        rest_per_s = max(self.demand.per_s - once_per_s, 1e-9)
+        least = MIN_REST_FRACTION * self.rate_per_s / self.demand.per_s
+        fraction = (self.rate_per_s - once_per_s) / rest_per_s
+        if fraction < least:
+            fraction = least
+            if is_once:
+                left_per_s = self.rate_per_s - least * rest_per_s
+                fraction = left_per_s / max(once_per_s, 1e-9)
+        elif is_once:
+            fraction = 1.0
         strength = (self.fill - SHED_NONE_FILL) / (
             SHED_ALL_FILL - SHED_NONE_FILL
         )
