--- a/review/lib-2/pieces.py
+++ b/review/lib-2/pieces.py
@@ -1,8 +1,8 @@
-"""Clients that nobody controls: large bodies, piece by piece.
+"""Clients that nobody controls: large bodies, whole or piece by piece.
 
-Usage: pieces.py IP PORT FIRST COUNT SECONDS PIECE. Each client sends a body in
-chunks of PIECE bytes, stops before the last one, and stays for some seconds.
-Then it comes again.
+Usage: pieces.py IP PORT FIRST COUNT SECONDS PIECE. Every third client sends its
+body in chunks of PIECE bytes, the others at once. All stop just short of the
+end and stay for some seconds. Then they come again.
 """
 
 import asyncio
@@ -11,22 +11,27 @@
 import time
 
 BODY_BYTES = 100_000
+WHOLE_BODY_BYTES = 200_000
+MISSING_BYTES = 16
+PIECES_EACH = 3
+"""Every third client sends its body piece by piece."""
+
 STAY_S = 6.0
 PAUSE_S = 1.0
 HOST = "ficu95.example"
 KEY = "asnmgkcuyj8pjbvk9m68"
 
 
-def _head(number: int, attempt: int) -> bytes:
+def _head(number: int, attempt: int, deadline_ms: int, framing: str) -> bytes:
     return (
         "POST /lohu930/2f HTTP/1.1\r\n"
         f"Host: {HOST}\r\n"
         f"X-Request-Id: {number:08x}{attempt:08x}\r\n"
-        "X-Deadline-Ms: 12000\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\n"
         f"X-Api-Key: {KEY}\r\n"
         "X-Model: m\r\nX-Token-Usage: 900,84\r\n"
         f"X-Prompt-Prefix: 5c1e07a2:800,{number:x}:100\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
+        f"{framing}\r\n\r\n"
     ).encode()
 
 
@@ -59,7 +64,13 @@
     attempt = 0
     while time.monotonic() < end:
         attempt += 1
-        data = _head(number, attempt) + body
+        if number % PIECES_EACH == 0:
+            framing = "Transfer-Encoding: chunked"
+            data = _head(number, attempt, 12_000, framing) + body
+        else:
+            framing = f"Content-Length: {WHOLE_BODY_BYTES}"
+            data = _head(number, attempt, 2_500, framing)
+            data += b"z" * (WHOLE_BODY_BYTES - MISSING_BYTES)
         ends[await _async_attempt(ip, port, data)] += 1
         await asyncio.sleep(PAUSE_S)
 
--- a/review/lib-2/testbed.py
+++ b/review/lib-2/testbed.py
@@ -26,6 +26,9 @@
 
 HOST = "ficu95.example"
 KEY = "asnmgkcuyj8pjbvk9m68"
+NETWORK = f"127.{20 + os.getpid() % 200}"
+"""Start of the loopback addresses of the machines; each run has its own."""
+
 RESTART_S = 0.3
 READY_S = 20.0
 MAX_FDS = 4_100
@@ -109,7 +112,7 @@
         seeds: list[str],
         memory_mb: int = 150,
     ) -> None:
-        self.ip = f"127.20.{number}.33"
+        self.ip = f"{NETWORK}.{number}.33"
         self.front = ports[0]
         self.memory_mb = memory_mb
         self.process: asyncio.subprocess.Process | None = None
@@ -240,7 +243,7 @@
         """Starts the store with a configuration, and then the routers."""
         await self.store.async_start()
         await self.store.async_put("config", "main", config)
-        hosts = [f"127.20.{number}.33" for number in range(self._count)]
+        hosts = [f"{NETWORK}.{number}.33" for number in range(self._count)]
         ports = free_ports(hosts, 5)
         seeds = [f"{host}:{ports[2]}" for host in hosts[:3]]
         zones = ("asahikawa", "sapporo", "obihiro")
