Free a request's body when its charge is released

Callers would see: a router that is killed for its memory while clients send whole bodies of 4 MB, take their answers, and come again.

Cause: the body budget counted a body until its request ended, but the body lived as long as anything referred to the request. The heap of deadlines in admission/queue.py keeps up to 64 entries of requests that have left the queue until their deadlines, each with its waiter, job, request and body.

Change: the charge and the bytes end together. A request refers to a RequestBody, which BodyBudget.release empties, whoever still refers to it: heaps, timers, futures, tracebacks, an upload that goes on. Pieces for a server are copies, so a memory map never has other references and closing it always frees it. A body that is still being read is freed in the same way. Besides, the heap refers to a request only while it waits.

Ruled out: rebuilding the heap at each removal, which mends this one place and costs time for each request.

--- a/tamarackbridge/components/admission/queue.py
+++ b/tamarackbridge/components/admission/queue.py
@@ -24,8 +24,8 @@
 a long request never represents short ones, which fit where it does not."""
 
 STALE_ENTRIES = 64
-"""Stale heap entries that are tolerated, in addition to one for each waiting
-request, before the heap is rebuilt."""
+"""Heap entries of requests that have left the queue that are tolerated, in
+addition to one for each waiting request, before the heap is rebuilt."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -39,6 +39,8 @@
         future: Receives the decision.
         queue: The queue in which it waits; None if it does not wait.
         request_class: Its class in the queue; None if it does not wait.
+        deadline_entry: Its entry in the heap of deadlines; None if it does not
+            wait.
     """
 
     job: jobs.Job
@@ -47,6 +49,21 @@
     future: asyncio.Future[jobs.AdmissionResult]
     queue: "WorkspaceQueue | None" = None
     request_class: "RequestClass | None" = None
+    deadline_entry: "DeadlineEntry | None" = None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class DeadlineEntry:
+    """Reference of the heap of deadlines to a request.
+
+    It outlives the wait, so it refers to the request only until then.
+
+    Attributes:
+        waiter: The request; None once it has left the queue or has another
+            entry.
+    """
+
+    waiter: Waiter | None
 
 
 class ArrivalList:
@@ -201,7 +218,7 @@
     def __init__(self) -> None:
         self._queues: dict[tuple[str, str, bool, bool], WorkspaceQueue] = {}
         self._service_counts: collections.Counter[str] = collections.Counter()
-        self._deadline_heap: list[tuple[float, int, Waiter]] = []
+        self._deadline_heap: list[tuple[float, int, DeadlineEntry]] = []
         self._sequence = itertools.count()
         self._count = 0
 
@@ -233,7 +250,7 @@
             self._deadline_heap = [
                 entry
                 for entry in self._deadline_heap
-                if entry[2].queue is not None
+                if entry[2].waiter is not None
             ]
             heapq.heapify(self._deadline_heap)
 
@@ -244,8 +261,8 @@
         requests.
         """
         while self._deadline_heap and self._deadline_heap[0][0] <= now:
-            waiter = heapq.heappop(self._deadline_heap)[2]
-            if waiter.queue is None:
+            waiter = heapq.heappop(self._deadline_heap)[2].waiter
+            if waiter is None:
                 continue
             if now >= policy.reject_at(waiter.job, waiter.is_within_share):
                 yield waiter
@@ -255,9 +272,10 @@
 
     def next_deadline(self) -> float:
         """Returns when `pop_expired` has work next; infinite if never."""
-        while self._deadline_heap and self._deadline_heap[0][2].queue is None:
-            heapq.heappop(self._deadline_heap)
-        return self._deadline_heap[0][0] if self._deadline_heap else math.inf
+        heap = self._deadline_heap
+        while heap and heap[0][2].waiter is None:
+            heapq.heappop(heap)
+        return heap[0][0] if heap else math.inf
 
     def oldest_arrival(self) -> float:
         """Returns when the oldest request arrived; infinite if none waits."""
@@ -318,12 +336,17 @@
         due = policy.reject_at(job, waiter.is_within_share)
         if now < late_at:
             due = min(due, late_at)
-        heapq.heappush(self._deadline_heap, (due, next(self._sequence), waiter))
+        entry = waiter.deadline_entry = DeadlineEntry(waiter)
+        heapq.heappush(self._deadline_heap, (due, next(self._sequence), entry))
 
     def _dequeue(self, waiter: Waiter) -> None:
         queue = waiter.queue
         assert queue is not None
         queue.remove(waiter)
+        entry = waiter.deadline_entry
+        if entry is not None:
+            entry.waiter = None
+            waiter.deadline_entry = None
         if not queue.requests:
             key = (
                 queue.service,
--- a/tamarackbridge/components/gateway/body_budget.py
+++ b/tamarackbridge/components/gateway/body_budget.py
@@ -79,6 +79,7 @@
         received: Returns the bytes received so far.
         cut: Called once if the body is to be cut off.
         grant: Called if a wait ends with the charge.
+        free: Frees the memory itself when the charge is released.
         size: Bytes of the body that are charged.
         wanted: Bytes that it waits for; 0 if it does not wait.
         is_cut: Whether it was told to end.
@@ -91,6 +92,7 @@
     received: Callable[[], int] = lambda: 0
     cut: Callable[[], None] = lambda: None
     grant: Callable[[], None] = lambda: None
+    free: Callable[[], None] = lambda: None
     size: int = 0
     wanted: int = 0
     is_cut: bool = False
@@ -202,9 +204,10 @@
         self._grant_waiting()
 
     def release(self, holding: Holding) -> None:
-        """Frees the memory of a body."""
+        """Frees the memory of a body and its charge."""
         self.abandon(holding)
         self._reading.pop(holding, None)
+        holding.free()
         self._set_size(holding, 0)
         if self._waiting:
             self._grant_waiting()
--- a/tamarackbridge/components/gateway/body_reader.py
+++ b/tamarackbridge/components/gateway/body_reader.py
@@ -10,6 +10,7 @@
     body_budget,
     large_body,
     rejections,
+    request_body,
 )
 
 BODY_TIMEOUT_S = 5.0
@@ -25,8 +26,6 @@
 _TOO_LARGE = rejections.Rejection(_Reason.TOO_LARGE)
 _TOO_SLOW = rejections.Rejection(_Reason.BODY_TIMEOUT)
 
-Body = bytes | memoryview
-
 
 class _NoRoomError(Exception):
     """There is no memory for a body."""
@@ -49,7 +48,8 @@
         time_left_s: float,
         begin: Callable[[], None],
     ) -> result.Result[
-        tuple[Body, body_budget.Holding | None], rejections.Rejection
+        tuple[request_body.RequestBody, body_budget.Holding | None],
+        rejections.Rejection,
     ]:
         """Reads the body of a request.
 
@@ -60,14 +60,14 @@
             begin: Called once the body is to be sent.
 
         Returns:
-            The body and its memory, which the caller of this method releases;
-            None for an empty body.
+            The body and its memory, which the caller of this method releases
+            to free both; None for an empty body.
         """
         content = req.content
         if content.is_eof():
             size = content.total_bytes
             if not size:
-                return result.Ok((b"", None))
+                return result.Ok((request_body.EMPTY, None))
             if size <= min(body_budget.SMALL_BYTES, max_bytes):
                 return self._take_complete(req, size)
         stated = req.content_length
@@ -101,14 +101,17 @@
     def _take_complete(
         self, req: web.BaseRequest, size: int
     ) -> result.Result[
-        tuple[Body, body_budget.Holding | None], rejections.Rejection
+        tuple[request_body.RequestBody, body_budget.Holding | None],
+        rejections.Rejection,
     ]:
         """Returns a small body that has been received already."""
         holding = body_budget.Holding("", body_budget.Use.HELD)
         if not self._budget.charge_complete(holding, size):
             self._budget.counts.refused += 1
             return result.Err(_NO_ROOM)
-        return result.Ok((req.content.read_nowait(), holding))
+        body = request_body.RequestBody(req.content.read_nowait())
+        holding.free = body.release
+        return result.Ok((body, holding))
 
 
 class _Reading:
@@ -133,14 +136,20 @@
         self._wait_s = wait_s
         self._loop = asyncio.get_running_loop()
         self._granted: asyncio.Future[None] | None = None
+        self._large: large_body.LargeBody | None = None
         self.time_limit = asyncio.timeout(None)
         self.holding = body_budget.Holding(
             address,
             received=lambda: content.total_bytes,
             cut=self._cut,
             grant=self._grant,
+            free=self._free,
         )
 
+    def _free(self) -> None:
+        if self._large is not None:
+            self._large.close()
+
     def _cut(self) -> None:
         if not self._content.is_eof():
             self.time_limit.reschedule(self._loop.time())
@@ -151,7 +160,7 @@
 
     async def async_run(
         self, stated: int | None, begin: Callable[[], None], limit_s: float
-    ) -> Body:
+    ) -> request_body.RequestBody:
         """Returns the body once it is complete.
 
         Args:
@@ -165,28 +174,40 @@
         begin()
         parts: list[bytes] = []
         size = 0
-        large: large_body.LargeBody | None = None
         if first > body_budget.SMALL_BYTES:
-            large = large_body.LargeBody(first)
+            self._large = large_body.LargeBody(first)
         while True:
             if size == self.holding.size and stated is None:
                 if size > self._max_bytes:
                     raise _TooLargeError
                 room = min(size + body_budget.STEP_BYTES, self._max_bytes + 1)
                 await self._async_charge(room)
-                large = _enlarge(large, room, parts)
+                self._enlarge(room, parts)
                 parts = []
             data = await self._content.read(max(self.holding.size - size, 1))
             if not data:
                 break
             size += len(data)
-            if large is None:
+            if self._large is None:
                 parts.append(data)
             else:
-                large.append(data)
+                self._large.append(data)
         if size > self._max_bytes:
             raise _TooLargeError
-        return b"".join(parts) if large is None else large.view()
+        body = request_body.RequestBody(
+            b"".join(parts) if self._large is None else self._large
+        )
+        self.holding.free = body.release
+        return body
+
+    def _enlarge(self, size: int, parts: list[bytes]) -> None:
+        """Makes room for a body that grows beyond a small one."""
+        if self._large is not None:
+            self._large.resize(size)
+            return
+        self._large = large_body.LargeBody(size)
+        for part in parts:
+            self._large.append(part)
 
     async def _async_charge(self, size: int) -> None:
         """Waits until the body is charged, for a bounded time."""
@@ -200,16 +221,3 @@
         if pending:
             self._budget.abandon(self.holding)
             raise _NoRoomError
-
-
-def _enlarge(
-    large: large_body.LargeBody | None, size: int, parts: list[bytes]
-) -> large_body.LargeBody:
-    """Returns the memory of a body that grows beyond a small one."""
-    if large is not None:
-        large.resize(size)
-        return large
-    large = large_body.LargeBody(size)
-    for part in parts:
-        large.append(part)
-    return large
--- a/tamarackbridge/components/gateway/exceptions.py
+++ b/tamarackbridge/components/gateway/exceptions.py
@@ -19,6 +19,10 @@
     """A server accepts connections, and closes each without a response."""
 
 
+class BodyReleasedError(GatewayError):
+    """The memory of a request's body has been released."""
+
+
 class CallerGoneError(GatewayError):
     """The caller closed its connection."""
 
--- a/tamarackbridge/components/gateway/large_body.py
+++ b/tamarackbridge/components/gateway/large_body.py
@@ -1,13 +1,6 @@
-"""Memory of large request bodies, and their transfer to servers."""
+"""Memory of large request bodies."""
 
 import mmap
-from typing import Any
-
-from aiohttp import abc, payload
-
-PIECE_BYTES = 65_536
-"""Bytes that are given to a transport at once: it copies what the socket does
-not take."""
 
 
 class LargeBody:
@@ -15,7 +8,8 @@
 
     The memory is mapped, so that it returns to the system when it is freed and
     is not copied when it grows. It is private: shared memory can't grow, and
-    the process would get SIGBUS.
+    the process would get SIGBUS. Nothing outside refers to the memory itself,
+    so closing it always frees it.
     """
 
     def __init__(self, size: int) -> None:
@@ -24,6 +18,15 @@
         )
         self.size = 0
 
+    def __len__(self) -> int:
+        """Returns the bytes that were appended."""
+        return self.size
+
+    def __getitem__(self, part: slice) -> bytes:
+        """Returns a copy of a part of the bytes that were appended."""
+        start, end, _ = part.indices(self.size)
+        return self._map[start:end]
+
     def append(self, data: bytes) -> None:
         """Appends bytes; there must be room for them."""
         end = self.size + len(data)
@@ -34,32 +37,6 @@
         """Changes the room."""
         self._map.resize(size)
 
-    def view(self) -> memoryview:
-        """Returns the bytes; the room can't be changed any more."""
-        return memoryview(self._map)[: self.size]
-
-
-class PiecewisePayload(payload.Payload):
-    """A body that is written in pieces, with backpressure of the server."""
-
-    def __init__(self, value: memoryview) -> None:
-        super().__init__(value)
-        self._size = value.nbytes
-
-    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
-        """Returns the body as text."""
-        return bytes(self._value).decode(encoding, errors)
-
-    async def write(self, writer: abc.AbstractStreamWriter) -> None:
-        """Writes the body."""
-        view: memoryview = self._value
-        for start in range(0, view.nbytes, PIECE_BYTES):
-            await writer.write(view[start : start + PIECE_BYTES])
-            await writer.drain()
-
-
-def to_payload(body: bytes | memoryview) -> Any:
-    """Returns a body as the HTTP client takes it; None for an empty one."""
-    if isinstance(body, memoryview):
-        return PiecewisePayload(body)
-    return body or None
+    def close(self) -> None:
+        """Frees the memory."""
+        self._map.close()
--- a/tamarackbridge/components/gateway/models.py
+++ b/tamarackbridge/components/gateway/models.py
@@ -5,6 +5,8 @@
 import enum
 from typing import Protocol, TypeAlias
 
+from tamarackbridge.components.gateway import request_body
+
 HeaderList: TypeAlias = tuple[tuple[str, str], ...]
 
 
@@ -56,7 +58,7 @@
     output_hint: int
     prompt_blocks: tuple[PromptBlock, ...]
     resume_after: str
-    body: bytes | memoryview = b""
+    body: request_body.RequestBody = request_body.EMPTY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tamarackbridge/components/gateway/servers.py
+++ b/tamarackbridge/components/gateway/servers.py
@@ -14,7 +14,7 @@
 
 from tamarackbridge import core
 from tamarackbridge.components.backend import connection_check, sockets
-from tamarackbridge.components.gateway import exceptions, large_body, models
+from tamarackbridge.components.gateway import body_payload, exceptions, models
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.helpers import loop_limit, response_limits, send_once
 
@@ -172,7 +172,7 @@
                 request.method,
                 url,
                 headers=headers,
-                data=large_body.to_payload(request.body),
+                data=body_payload.to_payload(request.body),
                 allow_redirects=False,
             ) as resp:
                 _read_idle_timeout(resp)
--- a/tamarackbridge/components/placement/crash_evidence.py
+++ b/tamarackbridge/components/placement/crash_evidence.py
@@ -114,7 +114,8 @@
         data = field.encode("utf-8", "surrogateescape")
         digest.update(len(data).to_bytes(4, "big"))
         digest.update(data)
-    digest.update(request.body)
+    for piece in request.body.pieces():
+        digest.update(piece)
     return REQUEST_PREFIX + digest.hexdigest()
 
 
--- a/tests/components/gateway/test_body_budget.py
+++ b/tests/components/gateway/test_body_budget.py
@@ -192,4 +192,4 @@
     body.append(b"a" * 65_536)
     body.resize(1_000_000)
     body.append(b"b" * 900_000)
-    assert bytes(body.view()) == b"a" * 65_536 + b"b" * 900_000
+    assert body[:] == b"a" * 65_536 + b"b" * 900_000
--- a/tests/components/gateway/test_servers.py
+++ b/tests/components/gateway/test_servers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tamarackbridge.components.gateway import models, servers
+from tamarackbridge.components.gateway import models, request_body, servers
 
 BODY = bytes(range(256)) * 32_768
 """A body larger than the socket buffers of a server that does not read."""
@@ -63,7 +63,19 @@
 
 def _request(body: bytes) -> models.Request:
     return models.Request(
-        "q1", "POST", "a", "/x/1", (), "", 12.0, 100, 10, 0, (), "", body
+        "q1",
+        "POST",
+        "a",
+        "/x/1",
+        (),
+        "",
+        12.0,
+        100,
+        10,
+        0,
+        (),
+        "",
+        request_body.RequestBody(body),
     )
 
 
--- a/tests/components/placement/test_quarantine.py
+++ b/tests/components/placement/test_quarantine.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from tamarackbridge.components.gateway import jobs, models
+from tamarackbridge.components.gateway import jobs, models, request_body
 from tamarackbridge.components.placement import crash_evidence, quarantine
 from tests.components.knowledge import builders
 
@@ -210,7 +210,7 @@
         output_hint=0,
         prompt_blocks=(),
         resume_after="",
-        body=b"question",
+        body=request_body.RequestBody(b"question"),
     )
     return jobs.Job(
         dataclasses.replace(request, **fields),  # type: ignore[arg-type]
@@ -231,7 +231,7 @@
         _job(method="PUT"),
         _job(host="b"),
         _job(target="/x/1?"),
-        _job(body=b"question "),
+        _job(body=request_body.RequestBody(b"question ")),
         _job(method="POSTa", host=""),
     ]
     found = {crash_evidence.parts(job) for job in others}
