Start tasks again that readiness or service depends on

Callers would see: a router that is not ready again for good, or that goes on with an old copy of the configuration, after one error in a callback.

Cause: services start plain tasks that nobody awaits. CrashWatch looks at mode services alone, so an error ended such a task without a line in the log.

Change: background_task.start runs a task again after a pause of 0.25 to 4 s and writes TaskFailed with the number of failures. It runs the lag measurement, the followers of the store, the reports between routers, the directory, the keepers of evidence, the writer of rollouts and the logs. The lag is averaged before its callback is called, whose failure no longer ends the measurement. The same class elsewhere: one failing request ended the poll of all offloaded requests, and a message that can't be encoded ended a link between routers; now that request and that message are dropped.

Ruled out: ending the process as CrashWatch does; it would cut off all requests for an error that the next run may not meet.

Evidence: test_lag_is_measured_although_its_callback_fails fails on the code before ("assert not True" on lagging) and passes now; test_background_task.py covers restarts. The poll and the link are mended by reading.

--- a/tamarackbridge/components/fleet/evidence_keeper.py
+++ b/tamarackbridge/components/fleet/evidence_keeper.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.placement import crash_evidence, quarantine
 from tamarackbridge.components.telemetry import events
 
@@ -99,8 +99,8 @@
     async def on_start(self) -> None:
         """Starts to load and to save."""
         self._keeper_tasks = [
-            asyncio.create_task(self._async_keep_loaded()),
-            asyncio.create_task(self._async_save_forever()),
+            background_task.start("evidence_load", self._async_keep_loaded),
+            background_task.start("evidence_save", self._async_save_forever),
         ]
 
     async def on_stop(self) -> None:
--- a/tamarackbridge/components/fleet/sharing.py
+++ b/tamarackbridge/components/fleet/sharing.py
@@ -6,7 +6,7 @@
 import math
 from typing import Any
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.admission import observed_load, shares
 from tamarackbridge.components.fleet import directory as fleet_directory
 from tamarackbridge.components.fleet import messages, view
@@ -124,8 +124,8 @@
         """Starts to send reports and to enter the directory."""
         self._started_at = self._clock.monotonic()
         self._sharing_tasks = [
-            asyncio.create_task(self._async_share_forever()),
-            asyncio.create_task(self._entry.async_run()),
+            background_task.start("sharing", self._async_share_forever),
+            background_task.start("directory", self._entry.async_run),
         ]
 
     async def on_stop(self) -> None:
@@ -312,7 +312,9 @@
             str(era), self._address
         )
         self._sharing_tasks.append(
-            asyncio.create_task(self._async_enter_again(delay_s))
+            background_task.start(
+                "directory_again", lambda: self._async_enter_again(delay_s)
+            )
         )
 
     async def _async_enter_again(self, delay_s: float) -> None:
--- a/tamarackbridge/components/gateway/event_loop_lag.py
+++ b/tamarackbridge/components/gateway/event_loop_lag.py
@@ -10,7 +10,9 @@
 import math
 import statistics
 
-from tamarackbridge import core
+from absl import logging
+
+from tamarackbridge import background_task, core
 
 AVERAGING_INTERVAL_S = 0.1
 """Averaging interval: the lags measured in it are added to the average."""
@@ -30,6 +32,9 @@
 RECOVERED_S = 0.03
 """Average lag below which new callers are accepted again."""
 
+FAILURE_LOG_S = 1.0
+"""Minimum interval of log lines about a callback that fails."""
+
 OVERLOADED_S = 0.3
 """Lag above which requests are rejected at once if two averaging intervals in a
 row exceed it. A caller counts as kept waiting if its request is still in flight
@@ -108,7 +113,7 @@
 
     async def on_start(self) -> None:
         """Starts the measurement."""
-        self._probe_task = asyncio.create_task(self._async_probe())
+        self._probe_task = background_task.start("lag", self._async_probe)
 
     async def on_stop(self) -> None:
         """Stops the measurement."""
@@ -124,9 +129,21 @@
             now = self._clock.monotonic()
             lag_s = max(now - started - PROBE_INTERVAL_S, 0.0)
             self._meter.record_probe(lag_s, now)
-            self._on_probe(lag_s, now)
             lags_s.append(lag_s)
             if now - averaged_at >= AVERAGING_INTERVAL_S:
                 self._meter.add_lag(statistics.fmean(lags_s))
                 averaged_at = now
                 lags_s.clear()
+            self._report(lag_s, now)
+
+    def _report(self, lag_s: float, now: float) -> None:
+        """Calls back; a failure there must not end the measurement."""
+        try:
+            self._on_probe(lag_s, now)
+        except Exception:
+            logging.log_every_n_seconds(
+                logging.ERROR,
+                "callback of the lag measurement failed",
+                FAILURE_LOG_S,
+                exc_info=True,
+            )
--- a/tamarackbridge/components/gateway/load_log.py
+++ b/tamarackbridge/components/gateway/load_log.py
@@ -6,7 +6,7 @@
 import resource
 from typing import Protocol
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.gateway import event_loop_lag
 from tamarackbridge.components.telemetry import events, metrics
 
@@ -136,7 +136,7 @@
 
     async def on_start(self) -> None:
         """Starts logging."""
-        self._log_task = asyncio.create_task(self._async_log_load())
+        self._log_task = background_task.start("load_log", self._async_log_load)
 
     async def on_stop(self) -> None:
         """Stops logging."""
--- a/tamarackbridge/components/gateway/offload_poll.py
+++ b/tamarackbridge/components/gateway/offload_poll.py
@@ -5,6 +5,8 @@
 import select
 from typing import TypeAlias
 
+from absl import logging
+
 from tamarackbridge import core
 from tamarackbridge.components.gateway import offload_request
 
@@ -16,14 +18,23 @@
 
 
 class Group:
-    """Requests in the same phase, polled at one interval."""
+    """Requests in the same phase, polled at one interval.
+
+    Args:
+        clock: Clock for time limits.
+        interval_s: Polling interval.
+        handle_events: Handles the events of a request.
+        abandon: Ends a request whose events could not be handled.
+    """
 
     def __init__(
         self,
         clock: core.Clock,
         interval_s: float,
         handle_events: Callable[[_Request, int, int, float], None],
+        abandon: Callable[[_Request], None],
     ) -> None:
+        self._abandon = abandon
         self.requests: dict[_Request, None] = {}
         self._clock = clock
         self._loop = asyncio.get_running_loop()
@@ -95,15 +106,18 @@
         if now - self._limits_checked_at >= LIMIT_CHECK_S:
             self._limits_checked_at = now
             due = list(self.requests)
+        self._timer = self._loop.call_later(self._interval_s, self._poll_once)
         for request in due:
-            self._handle_events(
-                request,
-                caller_events.get(request, 0),
-                peer_events.get(request, 0),
-                now,
-            )
-        self._timer = None
-        if self.requests:
-            self._timer = self._loop.call_later(
-                self._interval_s, self._poll_once
-            )
+            try:
+                self._handle_events(
+                    request,
+                    caller_events.get(request, 0),
+                    peer_events.get(request, 0),
+                    now,
+                )
+            except Exception:
+                logging.exception("an offloaded request failed")
+                self._abandon(request)
+        if not self.requests:
+            self._timer.cancel()
+            self._timer = None
--- a/tamarackbridge/components/gateway/offload_proxy.py
+++ b/tamarackbridge/components/gateway/offload_proxy.py
@@ -71,10 +71,10 @@
         self._clock = clock
         self._max_requests = most
         self._awaiting_response = offload_poll.Group(
-            clock, RESPONSE_POLL_S, self._handle_events
+            clock, RESPONSE_POLL_S, self._handle_events, self._abandon
         )
         self._relaying = offload_poll.Group(
-            clock, RELAY_POLL_S, self._handle_events
+            clock, RELAY_POLL_S, self._handle_events, self._abandon
         )
 
     def __len__(self) -> int:
@@ -304,6 +304,12 @@
                 End.INCOMPLETE if request.has_response else End.TIMED_OUT,
             )
 
+    def _abandon(self, request: offload_request.ProxiedRequest) -> None:
+        """Ends a request after an unexpected error; it may have run."""
+        self._finish(
+            request, End.INCOMPLETE if request.has_response else End.LOST
+        )
+
     def _finish(
         self, request: offload_request.ProxiedRequest, end: End
     ) -> None:
--- a/tamarackbridge/components/gateway/speed_log.py
+++ b/tamarackbridge/components/gateway/speed_log.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.placement import server_speeds, speed_estimate
@@ -46,7 +46,7 @@
 
     async def on_start(self) -> None:
         """Starts to compare."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = background_task.start("speed_log", self._async_run)
 
     async def on_stop(self) -> None:
         """Stops to compare."""
--- a/tamarackbridge/components/knowledge/follower.py
+++ b/tamarackbridge/components/knowledge/follower.py
@@ -7,7 +7,7 @@
 
 import result
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.knowledge import (
     applier,
     const,
@@ -74,7 +74,9 @@
 
     async def on_start(self) -> None:
         """Starts the task that follows the store."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = background_task.start(
+            f"follower_{self._kind.value}", self._async_run
+        )
 
     async def on_stop(self) -> None:
         """Cancels the task."""
--- a/tamarackbridge/components/rollout/writer.py
+++ b/tamarackbridge/components/rollout/writer.py
@@ -6,7 +6,7 @@
 
 import result
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.knowledge import applier, models, source
 from tamarackbridge.components.rollout import gate
 from tamarackbridge.components.telemetry import events
@@ -65,7 +65,7 @@
 
     async def on_start(self) -> None:
         """Starts to update orders."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = background_task.start("rollouts", self._async_run)
 
     async def on_stop(self) -> None:
         """Stops updating orders."""
@@ -84,7 +84,9 @@
             is_idle = self._writing is None or self._writing.done()
             if is_idle and now >= self._retry_at:
                 # Ticks go on while the store is slow.
-                self._writing = asyncio.create_task(self.async_write_due())
+                self._writing = background_task.start(
+                    "rollout_writes", self.async_write_due
+                )
             await asyncio.sleep(TICK_INTERVAL_S)
 
     async def async_write_due(self) -> None:
--- a/tamarackbridge/components/telemetry/events.py
+++ b/tamarackbridge/components/telemetry/events.py
@@ -38,6 +38,18 @@
     held: int
 
 
+class TaskFailed(Event, frozen=True):
+    """A task that lasts as long as its service failed, and is started again.
+
+    `failures` counts all of them; the restart follows after `pause_s`.
+    """
+
+    task: str
+    error: str
+    failures: int
+    pause_s: float
+
+
 class Reloaded(Event, frozen=True):
     """The settings file was read again.
 
--- a/tamarackbridge/components/transport/link.py
+++ b/tamarackbridge/components/transport/link.py
@@ -85,6 +85,11 @@
                 return await self._async_send(socket)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             return f"{type(exc).__name__}: {exc}"
+        except Exception as exc:
+            # A message that can't be encoded must not end the link for good.
+            self._queue.clear()
+            logging.exception("link to peer %s failed", self._peer)
+            return f"{type(exc).__name__}: {exc}"
 
     async def _async_send(self, socket: aiohttp.ClientWebSocketResponse) -> str:
         # Reading answers the peer's pings and detects that the socket closed.
--- a/tamarackbridge/platform/store_call_log.py
+++ b/tamarackbridge/platform/store_call_log.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from tamarackbridge import core
+from tamarackbridge import background_task, core
 from tamarackbridge.components.telemetry import events
 from tamarackbridge.platform import store
 
@@ -23,7 +23,7 @@
 
     async def on_start(self) -> None:
         """Starts logging."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = background_task.start("store_calls", self._async_run)
 
     async def on_stop(self) -> None:
         """Logs the calls since the last event and stops."""
