Don't cut off a body whose time limit is expiring

Callers would see: no answer beside clients that send bodies in small chunks and leave, and a router that is never ready again after they have left.

Cause: BodyBudget cut a body off by rescheduling its time limit. While the limit is expiring, asyncio raises RuntimeError. The budget is changed by other requests and by the task that measures the event loop's lag, so the error ended other callers' requests with 500, and that task.

Change: a body whose limit has expired is left alone, as it ends in the same step of the event loop. Besides, the budget calls the owners of bodies back through one place that logs and counts a failure, so that no owner's error reaches whoever changes the budget.

--- a/tamarackbridge/components/gateway/body_budget.py
+++ b/tamarackbridge/components/gateway/body_budget.py
@@ -13,6 +13,8 @@
 import dataclasses
 import enum
 
+from absl import logging
+
 SMALL_BYTES = 65_536
 """Largest body that may use the memory for small bodies."""
 
@@ -109,12 +111,14 @@
         refused: Bodies that were refused, at once or after their wait.
         evicted: Bodies that were cut off to make room.
         stalled: Bodies that were cut off because they made no progress.
+        failed_callbacks: Callbacks to the owners of bodies that failed.
     """
 
     waited: int = 0
     refused: int = 0
     evicted: int = 0
     stalled: int = 0
+    failed_callbacks: int = 0
 
 
 def _cost(size: int) -> int:
@@ -207,7 +211,7 @@
         """Frees the memory of a body and its charge."""
         self.abandon(holding)
         self._reading.pop(holding, None)
-        holding.free()
+        self._notify(holding.free)
         self._set_size(holding, 0)
         if self._waiting:
             self._grant_waiting()
@@ -232,10 +236,26 @@
                 holding.mark_bytes, holding.mark_at = received, self._clock_s
             elif self._idle_s(holding) >= PROGRESS_S and not holding.is_cut:
                 self.counts.stalled += 1
-                _cut(holding)
+                self._cut(holding)
         if self._waiting:
             self._evict()
 
+    def _cut(self, holding: Holding) -> None:
+        holding.is_cut = True
+        self._notify(holding.cut)
+
+    def _notify(self, callback: Callable[[], None]) -> None:
+        """Calls back the owner of one body.
+
+        Its failure must not reach whoever changes the budget: another request,
+        or the task that measures the lag of the event loop.
+        """
+        try:
+            callback()
+        except Exception:
+            self.counts.failed_callbacks += 1
+            logging.exception("callback of a request body failed")
+
     def _idle_s(self, holding: Holding) -> float:
         return self._clock_s - holding.mark_at
 
@@ -259,7 +279,7 @@
         ]
         if candidates:
             self.counts.evicted += 1
-            _cut(
+            self._cut(
                 max(
                     candidates,
                     key=lambda each: (self._idle_s(each), -each.received()),
@@ -280,7 +300,7 @@
             size = holding.wanted
             self._end_wait(holding)
             self._set_size(holding, size)
-            holding.grant()
+            self._notify(holding.grant)
 
     def _end_wait(self, holding: Holding) -> None:
         del self._waiting[holding]
@@ -312,8 +332,3 @@
         self._held_by_use[holding.use] -= cost
         self._held_by_use[use] += cost
         holding.use = use
-
-
-def _cut(holding: Holding) -> None:
-    holding.is_cut = True
-    holding.cut()
--- a/tamarackbridge/components/gateway/body_reader.py
+++ b/tamarackbridge/components/gateway/body_reader.py
@@ -151,7 +151,8 @@
             self._large.close()
 
     def _cut(self) -> None:
-        if not self._content.is_eof():
+        # A limit that has expired ends the body in this step of the loop.
+        if not self._content.is_eof() and not self.time_limit.expired():
             self.time_limit.reschedule(self._loop.time())
 
     def _grant(self) -> None:
