Move the memory check and the last response out of the gateway service

service.py is longer than a module should be, and grew by the account of memory. What compares the account with the resident memory is a class of its own, and so is the response to a caller that is still sending. Nothing else is changed.

--- a/tamarackbridge/components/gateway/service.py
+++ b/tamarackbridge/components/gateway/service.py
@@ -17,7 +17,9 @@
     exceptions,
     in_flight_limit,
     jobs,
+    last_response,
     listener,
+    memory_watch,
     models,
     offload_proxy,
     rejections,
@@ -31,7 +33,7 @@
 from tamarackbridge.components.knowledge import models as knowledge
 from tamarackbridge.components.knowledge import state
 from tamarackbridge.components.telemetry import processor, spans
-from tamarackbridge.helpers import held_response, resident_memory
+from tamarackbridge.helpers import held_response
 
 BACKLOG = 1024
 """Listen backlog in connections: larger than any burst of one zone."""
@@ -44,17 +46,10 @@
 """A caller that reads nothing for this long is treated as disconnected. No
 caller has a timeout of more than 12 s."""
 
-LINGER_S = 0.5
-"""Time given to a caller that is still sending to read its last response: a
-hundred round trips."""
-
 CANCEL_S = 0.1
 """Time for the handlers of aborted responses to end. aiohttp takes 0 for no
 limit."""
 
-MEMORY_CHECK_S = 0.1
-"""Interval at which the resident memory is read."""
-
 SUMMARY_INTERVAL_S = 1.0
 """Interval at which totals of shed and offloaded requests are logged."""
 
@@ -126,6 +121,9 @@
         self.bodies = body_budget.BodyBudget(
             in_flight_limit.max_body_bytes(memory_mb), self.account
         )
+        self._memory_watch = memory_watch.MemoryWatch(
+            self.account, self.bodies, log
+        )
         self.heads = caller_connection.HeadMemory(
             in_flight_limit.max_head_bytes(memory_mb)
         )
@@ -137,7 +135,6 @@
             local_copy, dialect, clock, self.bodies
         )
         self._summary_at = 0.0
-        self._memory_checked_at = 0.0
         self._runner: runner.Runner | None = None
         self._server: web.Server | None = None
         self._listener: listener.Listener | None = None
@@ -266,7 +263,7 @@
             )
         delay_s = max(lag_s, unread_wait_s)
         self._shedder.update_delay(delay_s, now)
-        self._update_memory(now)
+        self._memory_watch.update(now)
         self.bodies.tick(now)
         if self._offloading is not None:
             self._offloading.headroom.update(now)
@@ -278,20 +275,6 @@
             self._log.write_offload_totals()
             self._log.write_client_limits(self.bodies, self.heads, self.account)
 
-    def _update_memory(self, now: float) -> None:
-        """Compares the account with the resident memory of the process."""
-        if now - self._memory_checked_at < MEMORY_CHECK_S:
-            return
-        self._memory_checked_at = now
-        resident = resident_memory.read_bytes()
-        received = self.bodies.received
-        self.account.update_resident(resident, received)
-        if self.account.should_reclaim(resident, received, now):
-            resident_memory.return_free_bytes()
-            left = resident_memory.read_bytes()
-            self.account.record_reclaimed(left, received)
-            self._log.write_memory_reclaimed(resident, left, self.account)
-
     @property
     def headroom_cores(self) -> float:
         """Processor headroom for requests of peers, in cores."""
@@ -398,7 +381,9 @@
             resp = self._reject(request.request_id, "", overload, arrived)
             resp.force_close()
             if not req.content.at_eof():
-                await self._async_send_last(req, resp)
+                await last_response.async_send(
+                    req, resp, self._configured_limits().max_body_bytes
+                )
             return resp
         try:
             with self._tracer.start("request", req.headers) as span:
@@ -456,7 +441,9 @@
             )
             if not req.content.at_eof():
                 resp.force_close()
-                await self._async_send_last(req, resp)
+                await last_response.async_send(
+                    req, resp, self._configured_limits().max_body_bytes
+                )
             return resp
         try:
             return await self._async_run_job(
@@ -482,29 +469,6 @@
             )
         return await self._runner.async_run(req, job, span)
 
-    async def _async_send_last(
-        self, req: web.BaseRequest, resp: web.StreamResponse
-    ) -> None:
-        """Sends the last response to a caller that is still sending.
-
-        Closing a connection with unread data resets it, and the caller may
-        lose the response. So up to the maximum body size is read and discarded
-        first.
-        """
-        await resp.prepare(req)
-        await resp.write_eof()
-        bytes_left = self._configured_limits().max_body_bytes
-        try:
-            async with asyncio.timeout(LINGER_S):
-                while bytes_left > 0 and not req.content.at_eof():
-                    bytes_left -= len(await req.content.readany())
-                if req.transport is not None and not req.content.at_eof():
-                    req.transport.pause_reading()
-                    await asyncio.sleep(LINGER_S)
-        except (TimeoutError, RuntimeError, OSError):
-            pass  # The time is up, or the caller disconnected.
-        req.protocol.force_close()
-
     def _reject(
         self,
         request_id: str,
