Always keep some memory for ordinary requests

Callers would see: closed connections at a router whose resident memory does not return, for as long as bodies hold what is left of the limit.

Cause: resident memory lowers the limit that connections share with bodies, and bodies that are held may take all of it.

Change: a sixteenth of the total is kept for connections, whatever the limit is. It lies within the tenth of the VM's memory that the limit leaves.

--- a/tamarackbridge/components/gateway/memory_account.py
+++ b/tamarackbridge/components/gateway/memory_account.py
@@ -32,6 +32,10 @@
 RESIDENT_FRACTION = 0.9
 """Part of the memory of the VM that resident memory should not exceed."""
 
+ORDINARY_DIVISOR = 16
+"""The total divided by this is kept for connections also while resident memory
+lowers the limit: a router must not be deaf until that falls."""
+
 RECLAIM_INTERVAL_S = 1.0
 """Minimum time between two attempts to return free memory to the system, each
 of which takes a few milliseconds of the event loop."""
@@ -126,7 +130,13 @@
         return self.bodies + self.connections + extra <= self._limit
 
     def fits_connection(self, extra: int) -> bool:
-        """Returns whether there is room for more bytes of connections."""
+        """Returns whether there is room for more bytes of connections.
+
+        Some ordinary requests are always served, whatever else has taken the
+        memory.
+        """
+        if self.connections + extra <= self._total // ORDINARY_DIVISOR:
+            return True
         bodies = max(self.bodies, min(self._body_reserve, self._limit // 2))
         return self.connections + bodies + extra <= self._limit
 
--- a/tests/components/gateway/test_memory_account.py
+++ b/tests/components/gateway/test_memory_account.py
@@ -89,6 +89,11 @@
     assert account.limit == 5 * MB
     account.update_resident(200 * MB, 0)
     assert account.limit == 2 * MB
+    account.bodies = 6 * MB
+    caller = Caller(account)
+    caller.hold(MB // 4)
+    assert account.fits_connection(MB // 4)
+    assert not account.fits_connection(MB // 2)
 
 
 def test_memory_is_reclaimed_again_only_after_it_has_grown(
